Verify peers on every connection and share dials in the pool

Cause: the first caller's context ended the dial that others waited for, and peer verification would not run for resumed sessions. Change: the pool's dial has its own timeout of 1 s; VerifyConnection replaces VerifyPeerCertificate. Conclusion: a caller that leaves does not fail other callers' dials.

--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
+// dialTimeout bounds one dial. A round trip between regions takes about 24 ms.
+const dialTimeout = time.Second
+
 // Pool keeps at most one connection for each address.
 type Pool struct {
 	t     Transport
@@ -34,9 +38,8 @@
 	if !ok {
 		e = &entry{ready: make(chan struct{})}
 		p.conns[addr] = e
-		p.mu.Unlock()
-		p.dial(ctx, addr, e)
-		return e.conn, e.err
+		// The dial is shared, so it outlives the call that started it.
+		go p.dial(context.WithoutCancel(ctx), addr, e)
 	}
 	p.mu.Unlock()
 	select {
@@ -48,11 +51,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string, e *entry) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	e.conn, e.err = p.t.Dial(ctx, addr)
-	close(e.ready)
 	if e.err != nil {
 		p.remove(addr, e)
 	}
+	close(e.ready)
 }
 
 // Discard removes conn from the pool, so that the next Get dials a new one. Streams on conn go on; the connection is
--- a/pkg/transport/quic/quic.go
+++ b/pkg/transport/quic/quic.go
@@ -74,14 +74,15 @@
 
 func (t *Transport) configure(cert tls.Certificate, authorities *x509.CertPool) {
 	t.tls = &tls.Config{
-		Certificates:          []tls.Certificate{cert},
-		RootCAs:               authorities,
-		ClientCAs:             authorities,
-		ClientAuth:            tls.RequireAndVerifyClientCert,
-		MinVersion:            tls.VersionTLS13,
-		NextProtos:            []string{protocol},
-		InsecureSkipVerify:    true, // the chain is verified in verifyPeer; peers are named by VM id, not by host name
-		VerifyPeerCertificate: verifyPeer(authorities),
+		Certificates:           []tls.Certificate{cert},
+		RootCAs:                authorities,
+		ClientCAs:              authorities,
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocol},
+		InsecureSkipVerify:     true, // the chain is verified in verifyPeer; peers are named by VM id, not by host name
+		VerifyConnection:       verifyPeer(authorities),
+		SessionTicketsDisabled: true,
 	}
 	t.quic = &quicgo.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
@@ -95,27 +96,21 @@
 	}
 }
 
-// verifyPeer checks the peer's chain against the authorities. The common name is the VM id.
-func verifyPeer(authorities *x509.CertPool) func([][]byte, [][]*x509.Certificate) error {
-	return func(raw [][]byte, _ [][]*x509.Certificate) error {
-		if len(raw) == 0 {
+// verifyPeer checks the peer's chain against the authorities. The common name is the VM id. VerifyConnection, unlike
+// VerifyPeerCertificate, also runs for resumed sessions.
+func verifyPeer(authorities *x509.CertPool) func(tls.ConnectionState) error {
+	return func(cs tls.ConnectionState) error {
+		if len(cs.PeerCertificates) == 0 {
 			return fault.New(fault.StepTransport, "", "peer sent no certificate")
 		}
-		leaf, err := x509.ParseCertificate(raw[0])
-		if err != nil {
-			return fault.Wrap(err, fault.StepTransport, "", "parse peer certificate")
-		}
+		leaf := cs.PeerCertificates[0]
 		inter := x509.NewCertPool()
-		for _, der := range raw[1:] {
-			if c, err := x509.ParseCertificate(der); err == nil {
-				inter.AddCert(c)
-			}
+		for _, c := range cs.PeerCertificates[1:] {
+			inter.AddCert(c)
 		}
 		opts := x509.VerifyOptions{Roots: authorities, Intermediates: inter, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
-		if _, err := leaf.Verify(opts); err != nil {
-			return fault.Wrap(err, fault.StepTransport, leaf.Subject.CommonName, "verify peer certificate")
-		}
-		return nil
+		_, err := leaf.Verify(opts)
+		return fault.Wrap(err, fault.StepTransport, leaf.Subject.CommonName, "verify peer certificate")
 	}
 }
 
