--- /dev/null
+++ b/pkg/membership/state_test.go
@@ -0,0 +1,84 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func live(ids ...string) []vmlist.VM {
+	var out []vmlist.VM
+	for _, id := range ids {
+		out = append(out, vmlist.VM{ID: id, State: vmlist.StateLive})
+	}
+	return out
+}
+
+func record(vm, incarnation string, version uint64, draining bool) store.Object {
+	u := membership.Upstream{VM: vm, Incarnation: incarnation, Draining: draining}
+	return store.Object{Key: membership.Key(vm), Version: version, Value: u.Encode()}
+}
+
+var _ = Describe("proof that a VM is gone", func() {
+	// Guards against taking over grants or slots of a VM that still runs. Each read is seconds after start, then ids.
+	DescribeTable("follows the reads", func(gone bool, reads map[int][]string, order ...int) {
+		s := membership.New()
+		for _, sec := range order {
+			s.SeeVMs(start.Add(time.Duration(sec)*time.Second), live(reads[sec]...))
+		}
+		Expect(s.Gone("a")).To(Equal(gone))
+	},
+		Entry("never seen", false, map[int][]string{0: {"b"}, 100: {"b"}}, 0, 100),
+		Entry("absent for exactly the lag", false, map[int][]string{0: {"a"}, 2: {}, 32: {}}, 0, 2, 32),
+		Entry("absent for longer than the lag", true, map[int][]string{0: {"a"}, 2: {}, 33: {}}, 0, 2, 33),
+		Entry("one read without it after a long failure of the list", false, map[int][]string{0: {"a"}, 100: {}}, 0, 100),
+		Entry("seen again in between", false, map[int][]string{0: {"a"}, 2: {}, 20: {"a"}, 22: {}, 40: {}}, 0, 2, 20, 22, 40),
+	)
+})
+
+var _ = Describe("candidates", func() {
+	// Guards against new work for an upstream that leaves, drains or is unknown.
+	It("are live, not draining and have a record", func() {
+		s := membership.New()
+		vms := append(live("a", "b", "c"), vmlist.VM{ID: "d", State: vmlist.StateLeaving})
+		s.SeeVMs(start, vms)
+		for _, o := range []store.Object{record("d", "1", 1, false), record("c", "1", 2, true), record("a", "1", 3, false), record("e", "1", 4, false)} {
+			Expect(s.SeeObject(o)).To(Succeed())
+		}
+		Expect(s.Candidates()).To(HaveExactElements(HaveField("VM", "a")))
+		Expect(s.Upstreams()).To(HaveLen(3))
+		Expect(s.Leaving("d")).To(BeTrue())
+		s.SeeVMs(start.Add(time.Second), nil)
+		Expect(s.Candidates()).To(BeEmpty())
+	})
+
+	// Guards against a draining notice being undone by a rewrite or stale read of the same incarnation's record, and
+	// against it outliving a restart of the agent.
+	It("keep an announcement for one incarnation", func() {
+		s := membership.New()
+		s.SeeVMs(start, live("a"))
+		Expect(s.SeeObject(record("a", "1", 5, false))).To(Succeed())
+		s.Announce("a")
+		Expect(s.SeeObject(record("a", "1", 6, false))).To(Succeed())
+		Expect(s.Candidate("a")).To(BeFalse())
+		Expect(s.SeeObject(record("a", "2", 7, false))).To(Succeed())
+		Expect(s.Candidate("a")).To(BeTrue())
+		Expect(s.SeeObject(record("a", "1", 6, true))).To(Succeed())
+		Expect(s.Candidate("a")).To(BeTrue())
+		Expect(s.SeeObject(store.Object{Key: membership.Key("a"), Version: 8, Deleted: true})).To(Succeed())
+		Expect(s.Candidates()).To(BeEmpty())
+	})
+})
