Add the object API client and its stand-in

Cause: grants, key slots and configurations need an object API client whose error classes are exact, and a store with faults to test against. Change: module store.http speaks the protocol in package httpstore. A write that may have been sent and has no answer is ErrUnknown; one that never got a connection, or whose answer states that it had no effect, is ErrUnavailable. The stand-in has an in-memory store usable without sockets, with outage, delay, lost answers of writes, stale reads and silent connections.

--- /dev/null
+++ b/pkg/standin/store.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store/httpstore"
+)
+
+// StoreServer serves a MemStore over the HTTP protocol of package httpstore, and below /standin its counts and faults:
+// GET /standin/counts, GET and PUT /standin/faults (StoreFaults), POST /standin/silence.
+type StoreServer struct {
+	Store *MemStore
+	// Conns is set if the server's connections are tracked.
+	Conns *Conns
+}
+
+// Handler returns the HTTP interface.
+func (s *StoreServer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects", s.list)
+	mux.HandleFunc("GET /v1/objects/{key...}", s.get)
+	mux.HandleFunc("PUT /v1/objects/{key...}", s.put)
+	mux.HandleFunc("DELETE /v1/objects/{key...}", s.delete)
+	mux.HandleFunc("GET /v1/watch", s.watch)
+	mux.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, 200, s.Store.Counts()) })
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, 200, s.Store.Faults()) })
+	mux.HandleFunc("PUT /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f StoreFaults
+		if readJSON(w, r, &f) {
+			s.Store.SetFaults(f)
+			writeJSON(w, 200, f)
+		}
+	})
+	mux.HandleFunc("POST /standin/silence", silenceHandler(s.Conns))
+	return mux
+}
+
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrUnknown):
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	case errors.Is(err, store.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, store.ErrConflict):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, store.ErrCompacted):
+		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, store.ErrUnavailable):
+		w.Header().Set(httpstore.HeaderEffect, httpstore.EffectNone)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	}
+}
+
+func (s *StoreServer) get(w http.ResponseWriter, r *http.Request) {
+	o, err := s.Store.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", httpstore.ETag(o.Version))
+	w.Header().Set("Content-Length", strconv.Itoa(len(o.Value)))
+	_, _ = w.Write(o.Value)
+}
+
+func expected(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	version, err := httpstore.ParseETag(r.Header.Get("If-Match"))
+	if err != nil {
+		http.Error(w, "header If-Match is missing or malformed", http.StatusBadRequest)
+	}
+	return version, err == nil
+}
+
+func (s *StoreServer) put(w http.ResponseWriter, r *http.Request) {
+	expect, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	// A write that arrived whole takes effect even if its client has left meanwhile.
+	version, err := s.Store.Put(context.WithoutCancel(r.Context()), r.PathValue("key"), value, expect)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", httpstore.ETag(version))
+}
+
+func (s *StoreServer) delete(w http.ResponseWriter, r *http.Request) {
+	expect, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	if err := s.Store.Delete(context.WithoutCancel(r.Context()), r.PathValue("key"), expect); err != nil {
+		fail(w, err)
+	}
+}
+
+func (s *StoreServer) list(w http.ResponseWriter, r *http.Request) {
+	objects, revision, err := s.Store.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, httpstore.NewListing(objects, revision))
+}
+
+// watch sends a line feed as a sign of life while it holds the call, ahead of the JSON document.
+func (s *StoreServer) watch(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	hold, err2 := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || err2 != nil {
+		http.Error(w, "since or wait is malformed", http.StatusBadRequest)
+		return
+	}
+	type result struct {
+		listing httpstore.Listing
+		err     error
+	}
+	done := make(chan result, 1)
+	go func() {
+		objects, revision, err := s.Store.Watch(r.Context(), since, min(hold, store.WatchHold))
+		done <- result{httpstore.NewListing(objects, revision), err}
+	}()
+	sign := time.NewTicker(httpstore.WatchSignInterval)
+	defer sign.Stop()
+	signed := false
+	for {
+		select {
+		case res := <-done:
+			if res.err != nil && signed {
+				panic(http.ErrAbortHandler) // the status has left; the client sees a truncated answer
+			}
+			if res.err != nil {
+				fail(w, res.err)
+				return
+			}
+			_ = json.NewEncoder(w).Encode(res.listing)
+			return
+		case <-sign.C:
+			signed = true
+			if _, err := io.Copy(w, strings.NewReader("\n")); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
