Follow the object API and the VM list

Cause: both roles need all changes of the system's objects and the VM list at a rate that the object API sustains for the whole fleet. Change: package watch lists once, then makes one held watch at a time, with the starts of calls 4 s apart. Deletions hidden by a compaction are found by the next listing. Conclusion: changes are handed out once and in order for each key.

--- /dev/null
+++ b/pkg/watch/watch_test.go
@@ -0,0 +1,116 @@
+package watch_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/watch"
+)
+
+func TestWatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "watch")
+}
+
+type list struct{ fail atomic.Bool }
+
+func (l *list) List(context.Context) ([]vmlist.VM, error) {
+	if l.fail.Load() {
+		return nil, errors.New("list is down")
+	}
+	return []vmlist.VM{{ID: "a", State: vmlist.StateLive}}, nil
+}
+
+func put(m *standin.MemStore, key string, expect uint64) uint64 {
+	v, err := m.Put(context.Background(), key, []byte(key), expect)
+	Expect(err).NotTo(HaveOccurred())
+	return v
+}
+
+func start(s store.Store, l vmlist.Lister, o watch.Options) *watch.Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := watch.New(s, l, o)
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	DeferCleanup(func() { cancel(); Expect(<-done).To(Succeed()) })
+	return w
+}
+
+var short = watch.Options{Hold: 50 * time.Millisecond, MinInterval: 20 * time.Millisecond, Poll: 20 * time.Millisecond}
+
+var _ = Describe("the watch", func() {
+	var m *standin.MemStore
+	BeforeEach(func() { m = standin.NewMemStore(3) })
+
+	// Guards against changes that are missed or handed out twice, and against keys of others.
+	It("hands out the listing and then each change once", func() {
+		v := put(m, "grants/m", 0)
+		put(m, "other/x", 0)
+		w := start(m, nil, short)
+		var u watch.Update
+		Eventually(w.Updates().Items()).Should(Receive(&u))
+		Expect(u.Synced).To(BeTrue())
+		Expect(u.Objects).To(HaveExactElements(HaveField("Key", "grants/m")))
+		put(m, "other/y", 0)
+		put(m, "grants/m", v)
+		Eventually(w.Updates().Items()).Should(Receive(&u))
+		Expect(u.Objects).To(HaveExactElements(HaveField("Version", BeEquivalentTo(4))))
+		Consistently(w.Updates().Items(), 100*time.Millisecond).ShouldNot(Receive())
+	})
+
+	// Guards against a deletion lost in a compaction, which would leave a draining or gone upstream in use, and
+	// against one object that is reported deleted by a stale listing.
+	It("relists after a compaction and finds deletions", func() {
+		v := put(m, "upstreams/a", 0)
+		w := start(m, nil, short)
+		Eventually(w.Updates().Items()).Should(Receive())
+		m.SetFaults(standin.StoreFaults{Down: true})
+		Eventually(w.Updates().Items()).Should(Receive(HaveField("Err", MatchError(store.ErrUnavailable))))
+		m.SetFaults(standin.StoreFaults{})
+		Expect(m.Delete(context.Background(), "upstreams/a", v)).To(Succeed())
+		for _, key := range []string{"grants/1", "grants/2", "grants/3", "grants/4"} {
+			put(m, key, 0)
+		}
+		seen := map[string]bool{}
+		Eventually(func() map[string]bool {
+			select {
+			case u := <-w.Updates().Items():
+				for _, o := range u.Objects {
+					Expect(seen).NotTo(HaveKey(o.Key))
+					seen[o.Key] = o.Deleted
+				}
+			default:
+			}
+			return seen
+		}).Should(Equal(map[string]bool{"upstreams/a": true, "grants/1": false, "grants/2": false, "grants/3": false, "grants/4": false}))
+	})
+
+	// Guards against the fleet overloading the object API: 1,220 processes may make one call each 4 s.
+	It("keeps the interval between calls, also while the store is down", func() {
+		w := start(m, nil, watch.Options{Hold: time.Millisecond, MinInterval: 50 * time.Millisecond})
+		Eventually(w.Updates().Items()).Should(Receive())
+		m.SetFaults(standin.StoreFaults{Down: true})
+		began := time.Now()
+		before := m.Counts().Watch
+		Eventually(func() uint64 { return m.Counts().Watch - before }).Should(BeNumerically(">=", 5))
+		Expect(time.Since(began)).To(BeNumerically(">=", 200*time.Millisecond))
+	})
+
+	// Guards against a failed read of the VM list that looks like an empty list.
+	It("reports a failed read of the VM list as an error without a list", func() {
+		l := &list{}
+		w := start(m, l, short)
+		Eventually(w.Updates().Items()).Should(Receive(And(HaveField("VMs", HaveLen(1)), HaveField("VMsAt", Not(BeZero())))))
+		l.fail.Store(true)
+		Eventually(w.Updates().Items()).Should(Receive(And(HaveField("Err", HaveOccurred()), HaveField("VMs", BeNil()))))
+	})
+})
