Add the VM list client and its stand-in

Cause: membership needs the platform's list over HTTP. Change: module vmlist.http and a stand-in with a lag, outage and delay. A document without the list, or with a malformed entry, is an error: it must not look like one from which VMs have vanished. Measurement: go test -race ./pkg/standin passes. Conclusion: a lagging list can be reproduced in real and in virtual time.

--- /dev/null
+++ b/pkg/standin/vms.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist/httplist"
+)
+
+// VMFaults are the faults of a VM list stand-in.
+type VMFaults struct {
+	// LagMS makes the list show the state as it was so long ago, ms.
+	LagMS int64 `json:"lagMs"`
+	// Down makes reads fail.
+	Down bool `json:"down"`
+	// DelayMS delays each answer, ms.
+	DelayMS int64 `json:"delayMs"`
+}
+
+// vmHistory is how many earlier states are kept for the lag.
+const vmHistory = 4096
+
+type vmSnapshot struct {
+	at  time.Time
+	vms map[string]vmlist.VM
+}
+
+// VMs is a VM list in memory. It serves GET /v1/vms, and below /standin: PUT /standin/vms/{id} with a vmlist.VM sets an
+// entry, DELETE removes it, GET and PUT /standin/faults, GET /standin/counts. It is safe for concurrent use.
+type VMs struct {
+	mu      sync.Mutex
+	history []vmSnapshot // oldest first; the last one is the present state
+	faults  VMFaults
+	reads   uint64
+	now     func() time.Time
+}
+
+var _ vmlist.Lister = (*VMs)(nil)
+
+// NewVMs returns a list with the given entries. They are visible at once, whatever the lag.
+func NewVMs(vms ...vmlist.VM) *VMs {
+	s := &VMs{now: time.Now}
+	first := map[string]vmlist.VM{}
+	for _, vm := range vms {
+		first[vm.ID] = vm
+	}
+	s.history = []vmSnapshot{{vms: first}}
+	return s
+}
+
+// SetClock replaces the clock, for tests in virtual time.
+func (s *VMs) SetClock(now func() time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = now
+}
+
+// SetFaults replaces the faults in force.
+func (s *VMs) SetFaults(f VMFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Set adds or changes an entry.
+func (s *VMs) Set(vm vmlist.VM) { s.change(func(m map[string]vmlist.VM) { m[vm.ID] = vm }) }
+
+// Remove removes an entry.
+func (s *VMs) Remove(id string) { s.change(func(m map[string]vmlist.VM) { delete(m, id) }) }
+
+// SetState changes the state of an entry that exists.
+func (s *VMs) SetState(id string, state vmlist.State) {
+	s.change(func(m map[string]vmlist.VM) {
+		if vm, ok := m[id]; ok {
+			vm.State = state
+			m[id] = vm
+		}
+	})
+}
+
+func (s *VMs) change(apply func(map[string]vmlist.VM)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[string]vmlist.VM{}
+	for id, vm := range s.history[len(s.history)-1].vms {
+		next[id] = vm
+	}
+	apply(next)
+	s.history = append(s.history, vmSnapshot{at: s.now(), vms: next})
+	if drop := len(s.history) - vmHistory; drop > 0 {
+		s.history = append([]vmSnapshot{}, s.history[drop:]...)
+	}
+}
+
+// List implements vmlist.Lister.
+func (s *VMs) List(ctx context.Context) ([]vmlist.VM, error) {
+	s.mu.Lock()
+	s.reads++
+	f := s.faults
+	shown := s.history[0].vms
+	limit := s.now().Add(-time.Duration(f.LagMS) * time.Millisecond)
+	for _, h := range s.history {
+		if !h.at.After(limit) {
+			shown = h.vms
+		}
+	}
+	s.mu.Unlock()
+	if err := wait(ctx, time.Duration(f.DelayMS)*time.Millisecond); err != nil {
+		return nil, fault.Wrap(err, fault.StepVMList, "", "wait for the list")
+	}
+	if f.Down {
+		return nil, fault.New(fault.StepVMList, "", "list is down")
+	}
+	out := make([]vmlist.VM, 0, len(shown))
+	for _, vm := range shown {
+		out = append(out, vm)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out, nil
+}
+
+// Handler returns the HTTP interface.
+func (s *VMs) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		vms, err := s.List(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, http.StatusOK, httplist.Document{VMs: vms})
+	})
+	mux.HandleFunc("PUT /standin/vms/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var vm vmlist.VM
+		if readJSON(w, r, &vm) {
+			vm.ID = r.PathValue("id")
+			s.Set(vm)
+			writeJSON(w, http.StatusOK, vm)
+		}
+	})
+	mux.HandleFunc("DELETE /standin/vms/{id}", func(w http.ResponseWriter, r *http.Request) { s.Remove(r.PathValue("id")) })
+	mux.HandleFunc("PUT /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f VMFaults
+		if readJSON(w, r, &f) {
+			s.SetFaults(f)
+			writeJSON(w, http.StatusOK, f)
+		}
+	})
+	mux.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, http.StatusOK, map[string]uint64{"reads": s.reads})
+	})
+	return mux
+}
--- /dev/null
+++ b/pkg/standin/vms_test.go
@@ -0,0 +1,50 @@
+package standin_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist/httplist"
+)
+
+var _ = Describe("the VM list", func() {
+	// Guards against a stand-in that shows changes sooner than the lag, and a client that loses fields.
+	It("shows changes after the lag", func() {
+		now := time.Unix(1_800_000_000, 0)
+		a := vmlist.VM{ID: "a", Addr: "127.0.0.1", Region: "lagos", Zone: "lagos-1", State: vmlist.StateLive}
+		s := standin.NewVMs(a)
+		s.SetClock(func() time.Time { return now })
+		s.SetFaults(standin.VMFaults{LagMS: 20_000})
+		srv := serve(standin.Serve("127.0.0.1:0", s.Handler(), nil))
+		l := load[vmlist.Lister](httplist.ID, kernel.Settings{"url": srv.URL()})
+		s.SetState("a", vmlist.StateLeaving)
+		Expect(l.List(ctx)).To(HaveExactElements(a))
+		now = now.Add(20 * time.Second)
+		Expect(l.List(ctx)).To(HaveExactElements(HaveField("State", vmlist.StateLeaving)))
+		s.Remove("a")
+		now = now.Add(20 * time.Second)
+		Expect(l.List(ctx)).To(BeEmpty())
+		s.SetFaults(standin.VMFaults{Down: true})
+		_, err := l.List(ctx)
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against a malformed document that looks like a list from which VMs have vanished.
+	DescribeTable("rejects a malformed document", func(body string) {
+		h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+		srv := serve(standin.Serve("127.0.0.1:0", h, nil))
+		_, err := load[vmlist.Lister](httplist.ID, kernel.Settings{"url": srv.URL()}).List(ctx)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("no list", `{}`),
+		Entry("null", `{"vms":null}`),
+		Entry("no id", `{"vms":[{"state":"live"}]}`),
+		Entry("unknown state", `{"vms":[{"id":"a","state":"ill"}]}`),
+	)
+})
--- /dev/null
+++ b/pkg/vmlist/httplist/httplist.go
@@ -0,0 +1,129 @@
+// Package httplist provides the module "vmlist.http": the platform's VM list over HTTP. GET /v1/vms answers with
+// {"vms": [...]}, the entries as in vmlist.VM.
+package httplist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+)
+
+// ID is the module's id.
+const ID = "vmlist.http"
+
+// DefaultTimeout bounds a read. It is shorter than vmlist.PollInterval, so that a silent connection costs one poll.
+const DefaultTimeout = 1500 * time.Millisecond
+
+// maxBytes bounds the list; an entry takes about 120 bytes.
+const maxBytes = 16 << 20
+
+func init() {
+	kernel.Register(ID, func() kernel.Module { return new(Client) })
+}
+
+// Client reads the list.
+type Client struct {
+	base      string
+	timeout   time.Duration
+	transport *http.Transport
+	http      *http.Client
+}
+
+var _ vmlist.Lister = (*Client)(nil)
+
+// Document is the answer to GET /v1/vms.
+type Document struct {
+	VMs []vmlist.VM `json:"vms"`
+}
+
+// Provision takes the settings url and timeout, a duration (DefaultTimeout).
+func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
+	c.base = strings.TrimSuffix(s.Take("url", ""), "/")
+	timeout, err := time.ParseDuration(s.Take("timeout", DefaultTimeout.String()))
+	if err != nil {
+		return fault.Wrap(err, fault.StepSettings, ID, "parse setting timeout")
+	}
+	c.timeout = timeout
+	c.transport = &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: timeout}).DialContext,
+		DisableCompression: true,
+		IdleConnTimeout:    30 * time.Second,
+	}
+	c.http = &http.Client{Transport: c.transport}
+	return nil
+}
+
+// Validate checks the settings.
+func (c *Client) Validate() error {
+	if u, err := url.Parse(c.base); err != nil || u.Host == "" {
+		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
+	}
+	if c.timeout <= 0 {
+		return fault.New(fault.StepSettings, ID, "setting timeout is not positive")
+	}
+	return nil
+}
+
+// Cleanup closes idle connections.
+func (c *Client) Cleanup() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// List implements vmlist.Lister. After a timeout idle connections are dropped, so that the next read dials anew.
+func (c *Client) List(ctx context.Context) ([]vmlist.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	vms, err := c.read(ctx)
+	if err != nil && ctx.Err() != nil {
+		c.transport.CloseIdleConnections()
+	}
+	return vms, fault.Wrap(err, fault.StepVMList, c.base, "read VM list")
+}
+
+func (c *Client) read(ctx context.Context) ([]vmlist.VM, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.StepVMList, "", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	if err != nil {
+		return nil, err
+	}
+	return decode(body)
+}
+
+// decode rejects a document without the list and entries without id or with an unknown state: a malformed list must
+// not look like one from which VMs have vanished.
+func decode(body []byte) ([]vmlist.VM, error) {
+	var d Document
+	if err := json.Unmarshal(body, &d); err != nil {
+		return nil, err
+	}
+	if d.VMs == nil {
+		return nil, fault.New(fault.StepVMList, "", "field vms is missing")
+	}
+	for _, vm := range d.VMs {
+		if vm.ID == "" || (vm.State != vmlist.StateLive && vm.State != vmlist.StateLeaving) {
+			return nil, fault.Newf(fault.StepVMList, vm.ID, "malformed entry with state %q", vm.State)
+		}
+	}
+	return d.VMs, nil
+}
