--- /dev/null
+++ b/pkg/standin/share_test.go
@@ -0,0 +1,32 @@
+package standin
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a weight store stand-in that is faster or slower than the platform's: measurements of cold starts
+// rest on it. Each load takes one second at full speed.
+var _ = DescribeTable("the time of concurrent loads", func(places, loads int, slow float64, want time.Duration) {
+	now := time.Unix(1_800_000_000, 0)
+	s := newShare(places)
+	s.slow = slow
+	s.advance(now)
+	for id := range uint64(loads) {
+		s.left[id] = time.Second
+	}
+	Expect(s.wait(0)).To(BeNumerically("~", want, time.Millisecond))
+	s.advance(now.Add(want / 2))
+	Expect(s.wait(0)).To(BeNumerically("~", want/2, time.Millisecond))
+	s.advance(now.Add(want))
+	Expect(s.left[0]).To(BeNumerically("<", time.Millisecond))
+},
+	Entry("one", WeightPlaces, 1, 1.0, time.Second),
+	Entry("four", WeightPlaces, 4, 1.0, time.Second),
+	Entry("eight", WeightPlaces, 8, 1.0, 2*time.Second),
+	Entry("eight on a slowed store", WeightPlaces, 8, 3.0, 6*time.Second),
+	Entry("thirty adapters", AdapterPlaces, 30, 1.0, time.Second),
+	Entry("sixty adapters", AdapterPlaces, 60, 1.0, 2*time.Second),
+)
