Decide residency, grants, memory, places and idle unloads

Cause: the agent needs the decisions of the model life cycle to load anything. Measurement: 7 specs of pkg/residency pass; no performance figures yet.

--- /dev/null
+++ b/pkg/grant/absence.go
@@ -0,0 +1,46 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+)
+
+// rememberGone is how long a VM that is gone stays known. Its entries are removed within minutes; a VM id is never
+// reused.
+const rememberGone = 7 * 24 * time.Hour
+
+// Absences finds the VMs that are proved gone: seen in the VM list and then absent from every read of it for longer
+// than the list can lag. The zero value has seen none.
+type Absences struct {
+	since map[string]time.Time // first read without the VM; zero while it is listed
+	read  time.Time
+}
+
+// Seen takes a read of the VM list.
+func (a *Absences) Seen(now time.Time, vms []vmlist.VM) {
+	if a.since == nil {
+		a.since = map[string]time.Time{}
+	}
+	a.read = now
+	present := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		present[vm.ID] = true
+		a.since[vm.ID] = time.Time{}
+	}
+	for id, since := range a.since {
+		switch {
+		case present[id]:
+		case since.IsZero():
+			a.since[id] = now
+		case now.Sub(since) > rememberGone:
+			delete(a.since, id)
+		}
+	}
+}
+
+// Gone reports whether the VM is proved gone as of the last read. A VM never seen is not.
+func (a *Absences) Gone(vm string) bool {
+	since, seen := a.since[vm]
+	return seen && !since.IsZero() && a.read.Sub(since) > vmlist.MaxLag
+}
--- a/pkg/grant/object.go
+++ b/pkg/grant/object.go
@@ -1,5 +1,5 @@
 // Package grant decides who may load replicas of a model. Grants have no expiry: a paused holder can never lose one
-// while an order of its is on the way.
+// while an order of it is on the way.
 package grant
 
 import (
--- a/pkg/residency/api.go
+++ b/pkg/residency/api.go
@@ -63,6 +63,14 @@
 // PlaceGiven is the load coordinator's answer to AskPlace.
 type PlaceGiven struct{ ID string }
 
+// PlaceQueued says that the load coordinator has the ask in its queue. The agent reports every sign of it; after 1.5 s
+// without one, or 250 ms without a first one, the load starts under the agent's own limit.
+type PlaceQueued struct{ ID string }
+
+// Candidates carries the VM ids of the live upstreams that serve models, this one included. It decides who coordinates
+// loads, who removes the grants of VMs that are gone, and how many adapters load at once.
+type Candidates struct{ VMs []string }
+
 // EngineLost says that the engine process ended. All residents are gone once a listing confirms it.
 type EngineLost struct{}
 
@@ -81,6 +89,8 @@
 func (Configured) isEvent()    {}
 func (VMsSeen) isEvent()       {}
 func (PlaceGiven) isEvent()    {}
+func (PlaceQueued) isEvent()   {}
+func (Candidates) isEvent()    {}
 func (EngineLost) isEvent()    {}
 func (Drain) isEvent()         {}
 func (Tick) isEvent()          {}
--- /dev/null
+++ b/pkg/residency/residency_test.go
@@ -0,0 +1,280 @@
+package residency_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/idle"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func TestResidency(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "residency")
+}
+
+const (
+	gib       = int64(1) << 30
+	modelSize = 8 * gib // with the KV reserve
+)
+
+func document(version uint64, limit int64, replicas int, models ...string) *config.Document {
+	c := &config.Config{Limits: config.Limits{UpstreamMemoryBytes: limit}, Weights: config.Weights{ColdStart: 1, IdleAccelerator: 1}}
+	for _, name := range models {
+		c.Models = append(c.Models, config.Model{Name: name, Group: "g", MaxReplicas: replicas, MemoryBytes: 6 * gib, KVReserveBytes: 2 * gib, Accelerators: 1})
+		c.Adapters = append(c.Adapters, config.Adapter{Name: name + "-a", Model: name, MemoryBytes: gib})
+	}
+	return &config.Document{Version: version, Digest: "d", Config: c}
+}
+
+// agent drives one State by hand: tests answer each action themselves.
+type agent struct {
+	s       *residency.State
+	now     time.Time
+	actions []residency.Action
+}
+
+func newAgent(o residency.Options) *agent {
+	o.VM, o.Incarnation, o.Group = "vm1", "new", "g"
+	if o.Policy == nil {
+		o.Policy = &idle.Never{}
+	}
+	return &agent{s: residency.New(o), now: time.Unix(1000, 0)}
+}
+
+func (a *agent) step(ev residency.Event) []residency.Action {
+	out := a.s.Step(a.now, ev)
+	a.actions = append(a.actions, out...)
+	return out
+}
+
+func (a *agent) later(d time.Duration) *agent { a.now = a.now.Add(d); return a }
+
+// take removes and returns the oldest action of a type.
+func take[T residency.Action](a *agent) T {
+	GinkgoHelper()
+	for i, act := range a.actions {
+		if v, ok := act.(T); ok {
+			a.actions = append(a.actions[:i:i], a.actions[i+1:]...)
+			return v
+		}
+	}
+	var zero T
+	Fail("no action of the expected type; actions: " + dump(a.actions))
+	return zero
+}
+
+func count[T residency.Action](a *agent) int {
+	n := 0
+	for _, act := range a.actions {
+		if _, ok := act.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func dump(v any) string { b, _ := json.Marshal(v); return string(b) }
+
+// list answers the outstanding listing.
+func (a *agent) list(rs ...engine.Resident) {
+	GinkgoHelper()
+	take[residency.FetchListing](a)
+	a.step(residency.Listed{Listing: engine.Listing{Epoch: "e", MemoryBytes: 100 * gib, Resident: rs}})
+}
+
+func (a *agent) objects(o *grant.Object, models ...string) {
+	for _, m := range models {
+		ev := residency.ObjectRead{Key: grant.Key(m)}
+		if o != nil {
+			ev.Version, ev.Value = 1, o.Encode()
+		}
+		a.step(ev)
+	}
+}
+
+// started returns an agent with a configuration, an empty listing and no grants.
+func started(o residency.Options, limit int64, replicas int, models ...string) *agent {
+	a := newAgent(o)
+	a.step(residency.Configured{Document: document(1, limit, replicas, models...)})
+	a.list()
+	a.objects(nil, models...)
+	return a
+}
+
+func (a *agent) want(id engine.Target, d time.Duration) {
+	a.step(residency.Want{Target: id, Deadline: a.now.Add(d)})
+}
+
+// order answers the outstanding order and the listing after it.
+func (a *agent) order(kind engine.OrderKind, err error, rs ...engine.Resident) {
+	GinkgoHelper()
+	o := take[residency.SendOrder](a).Order
+	Expect(o.Kind).To(Equal(kind))
+	a.step(residency.OrderDone{Order: o, Err: err})
+	a.list(rs...)
+}
+
+func (a *agent) written(version uint64, err error) residency.WriteObject {
+	GinkgoHelper()
+	w := take[residency.WriteObject](a)
+	a.step(residency.ObjectWritten{Key: w.Key, Version: version, Err: err})
+	return w
+}
+
+func (a *agent) place() {
+	GinkgoHelper()
+	a.step(residency.PlaceGiven{ID: take[residency.AskPlace](a).Ask.ID})
+}
+
+// load brings a model up under a new grant.
+func (a *agent) load(name string, version uint64, rs ...engine.Resident) {
+	GinkgoHelper()
+	a.want(engine.Target{Model: name}, time.Minute)
+	a.written(version, nil)
+	a.place()
+	a.order(engine.OrderLoad, nil, rs...)
+	take[residency.Ready](a)
+	a.later(2 * time.Second)
+}
+
+func res(name string) engine.Resident {
+	return engine.Resident{Target: engine.Target{Model: name}, MemoryBytes: 6 * gib}
+}
+
+var (
+	m1 = engine.Target{Model: "m1"}
+	m2 = engine.Target{Model: "m2"}
+	a1 = engine.Target{Model: "m1", Adapter: "m1-a"}
+)
+
+var _ = Describe("loading", func() {
+	// Guards against one order per waiting request and against a load before grant, memory and place.
+	It("makes one order for many requests", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1")
+		for range 5 {
+			a.want(m1, time.Minute)
+		}
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.written(5, nil)
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.place()
+		Expect(count[residency.SendOrder](a)).To(Equal(1))
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+		a.order(engine.OrderLoad, nil, res("m1"))
+		Expect(count[residency.Ready](a)).To(Equal(1))
+		Expect(count[residency.ReturnPlace](a)).To(Equal(1))
+		Expect(a.s.IsReady(m1)).To(BeTrue())
+		Expect(a.s.PredictedWait(m1, a.now)).To(BeZero())
+	})
+
+	// Guards against a load that waits for ever for a coordinator that does not answer.
+	It("loads without a place after 250 ms", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1")
+		a.want(m1, time.Minute)
+		a.written(5, nil)
+		a.later(249 * time.Millisecond).step(residency.Tick{})
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.later(time.Millisecond).step(residency.Tick{})
+		Expect(count[residency.SendOrder](a)).To(Equal(1))
+	})
+
+	// Guards against a refusal without the holders that routers need as hints.
+	It("refuses with the holders when the ceiling is reached", func() {
+		a := newAgent(residency.Options{})
+		a.step(residency.Configured{Document: document(1, 10*gib, 1, "m1")})
+		a.list()
+		a.objects(&grant.Object{Ceiling: 1, Stamp: config.Stamp{Version: 1, Digest: "d"}, Grants: []grant.Grant{{VM: "vm2"}}}, "m1")
+		a.want(m1, time.Minute)
+		f := take[residency.Failed](a)
+		Expect(f.Code).To(Equal(wire.CodeNoReplica))
+		Expect(f.Holders).To(Equal([]string{"vm2"}))
+		Expect(count[residency.WriteObject](a)).To(BeZero())
+	})
+})
+
+var _ = Describe("unknown outcomes", func() {
+	// Guards against memory or a replica counted as free while a lost load may still take effect.
+	It("keeps a lost load booked and its grant held until a listing 30 s later", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1", "m2")
+		a.want(m1, time.Minute)
+		a.written(5, nil)
+		a.place()
+		a.order(engine.OrderLoad, engine.ErrUnknown)
+		a.step(residency.Drain{})
+		a.later(29 * time.Second).step(residency.Tick{})
+		a.list()
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+		Expect(count[residency.WriteObject](a)).To(BeZero())
+		a.later(2 * time.Second).step(residency.Tick{})
+		a.list()
+		Expect(a.s.MemoryBooked()).To(BeZero())
+		Expect(count[residency.WriteObject](a)).To(Equal(1))
+	})
+
+	// Guards against a listing fetched before the order ended that settles it.
+	It("ignores a listing older than the order", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1")
+		a.load("m1", 5, res("m1"))
+		a.later(11 * time.Second).step(residency.Tick{})
+		Expect(count[residency.FetchListing](a)).To(Equal(1))
+		a.step(residency.Drain{})
+		o := take[residency.SendOrder](a).Order
+		a.step(residency.OrderDone{Order: o})
+		a.list() // empty, but fetched before the order
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+		a.list()
+		Expect(a.s.MemoryBooked()).To(BeZero())
+	})
+
+	// Guards against a write sent before that takes effect after the grant was taken for held again.
+	It("does not load after a release with a lost answer before it is settled", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1", "m2")
+		a.load("m1", 5, res("m1"))
+		a.step(residency.Use{Target: m1, Begin: true})
+		a.want(m2, time.Minute) // no memory while m1 is in use
+		Expect(take[residency.Failed](a).Code).To(Equal(wire.CodeNoMemory))
+		a.step(residency.Use{Target: m1})
+		a.step(residency.EngineLost{})
+		a.list() // the engine restarted empty
+		a.step(residency.Configured{Document: document(2, gib, 1, "m1", "m2")})
+		a.want(m1, time.Minute) // does not fit any more, so the grant is given up
+		take[residency.Failed](a)
+		a.step(residency.Tick{})
+		w := a.written(0, store.ErrUnknown)
+		a.step(residency.Configured{Document: document(3, 10*gib, 1, "m1", "m2")})
+		a.want(m1, time.Minute)
+		read := take[residency.ReadObject](a)
+		held := grant.Object{Ceiling: 1, Grants: []grant.Grant{{VM: "vm1", Incarnation: "new"}}}
+		a.step(residency.ObjectRead{Key: read.Key, Version: w.Expect, Value: held.Encode()})
+		Expect(count[residency.AskPlace](a)).To(BeZero())
+		Expect(a.s.Held()).To(Equal([]string{"m1"}))
+		again := a.written(9, nil) // settles the first release: at most one of the two succeeds
+		Expect(again.Expect).To(Equal(w.Expect))
+		o, err := grant.Decode(a.written(10, nil).Value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Holders()).To(Equal([]string{"vm1"}))
+		Expect(count[residency.AskPlace](a)).To(Equal(1))
+	})
+})
+
+var _ = Describe("adapters", func() {
+	// Guards against an adapter loaded without its base, and a base unloaded under a loaded adapter.
+	It("load after their base and leave before it", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1")
+		a.want(a1, time.Minute)
+		a.written(5, nil)
+		a.place()
+		a.order(engine.OrderLoad, nil, res("m1"))
+		Expect(take[residency.SendOrder](a).Order.Target).To(Equal(a1))
+	})
+})
