--- /dev/null
+++ b/pkg/config/decode.go
@@ -0,0 +1,219 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+)
+
+// MaxDocumentBytes bounds a document. A document for 9,500 adapters takes about 1.5 MB when indented.
+const MaxDocumentBytes = 4 << 20
+
+// maxProblems bounds the problems reported for one document.
+const maxProblems = 100
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path names the field, such as services[2].models[0]. It is empty for the document as a whole.
+	Path string `json:"path"`
+	// Message says what is wrong, without the path.
+	Message string `json:"message"`
+}
+
+// String formats the problem as "path: message".
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Message
+	}
+	return p.Path + ": " + p.Message
+}
+
+// Problems is the error of a document with at least one fault, in document order.
+type Problems []Problem
+
+// Error joins the problems with line breaks.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (p *Problems) addf(path, format string, args ...any) {
+	if len(*p) < maxProblems {
+		*p = append(*p, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+	}
+}
+
+// err returns the problems as an error of step config, or nil if there are none.
+func (p Problems) err(msg string) error {
+	if len(p) == 0 {
+		return nil
+	}
+	return fault.Wrap(p, fault.StepConfig, "", msg)
+}
+
+// Decode parses a document strictly. Unknown, repeated, missing and null fields, fields in another letter case,
+// malformed UTF-8 and data after the document are errors. All such faults are reported as Problems with their paths;
+// malformed JSON and values of a wrong type end the search. Decode does not Validate.
+func Decode(raw []byte) (*Config, error) {
+	if len(raw) > MaxDocumentBytes {
+		return nil, fault.Newf(fault.StepConfig, "", "document of %d bytes exceeds the limit of %d", len(raw), MaxDocumentBytes)
+	}
+	s := &shape{dec: json.NewDecoder(bytes.NewReader(raw))}
+	s.dec.UseNumber()
+	if err := s.value("", reflect.TypeFor[Config]()); err != nil {
+		return nil, fault.Wrap(err, fault.StepConfig, "", "parse document")
+	}
+	if _, err := s.dec.Token(); err != io.EOF {
+		s.problems.addf("", "data follows the document")
+	}
+	if !validText(raw) {
+		s.problems.addf("", "document is not UTF-8")
+	}
+	if err := s.problems.err("decode document"); err != nil {
+		return nil, err
+	}
+	c := new(Config)
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fault.Wrap(err, fault.StepConfig, "", "decode document")
+	}
+	return c, nil
+}
+
+// shape compares the fields of a JSON document with a Go type. encoding/json alone accepts repeated fields, missing
+// fields and any letter case.
+type shape struct {
+	dec      *json.Decoder
+	problems Problems
+}
+
+func (s *shape) value(path string, t reflect.Type) error {
+	tok, err := s.dec.Token()
+	if err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	switch {
+	case t.Kind() == reflect.Struct && tok == json.Delim('{'):
+		return s.object(path, t)
+	case t.Kind() == reflect.Slice && tok == json.Delim('['):
+		return s.list(path, t.Elem())
+	case tok == json.Delim('{') || tok == json.Delim('['):
+		return Problems{{Path: path, Message: "must be " + kindName(t)}}
+	case !fits(tok, t):
+		s.problems.addf(path, "must be %s", kindName(t))
+	}
+	return nil
+}
+
+func (s *shape) list(path string, elem reflect.Type) error {
+	for i := 0; s.dec.More(); i++ {
+		if err := s.value(fmt.Sprintf("%s[%d]", path, i), elem); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *shape) object(path string, t reflect.Type) error {
+	seen := make(map[string]bool, t.NumField())
+	for s.dec.More() {
+		tok, err := s.dec.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := tok.(string) // the decoder accepts only strings as names
+		at := join(path, name)
+		f, known := fieldByTag(t, name)
+		if seen[name] {
+			s.problems.addf(at, "is repeated")
+		}
+		seen[name] = true
+		if !known {
+			s.problems.addf(at, "is not a known field")
+			var skipped json.RawMessage
+			if err := s.dec.Decode(&skipped); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := s.value(at, f.Type); err != nil {
+			return err
+		}
+	}
+	for i := range t.NumField() {
+		name, optional := tagOf(t.Field(i))
+		if !optional && !seen[name] {
+			s.problems.addf(join(path, name), "is missing")
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func tagOf(f reflect.StructField) (name string, optional bool) {
+	name, opts, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name, opts == "omitempty"
+}
+
+func fieldByTag(t reflect.Type, name string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if tag, _ := tagOf(t.Field(i)); tag == name {
+			return t.Field(i), true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// fits reports whether a scalar token can be stored in a field of type t without loss.
+func fits(tok json.Token, t reflect.Type) bool {
+	switch v := tok.(type) {
+	case string:
+		return t.Kind() == reflect.String
+	case bool:
+		return t.Kind() == reflect.Bool
+	case json.Number:
+		switch t.Kind() {
+		case reflect.Int, reflect.Int64:
+			_, err := v.Int64()
+			return err == nil
+		case reflect.Float64:
+			_, err := v.Float64()
+			return err == nil
+		}
+	}
+	return false
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	}
+	return "a whole number of 64 bits"
+}
