Add the operators' library and the two members' declarations

Cause: a configuration could only be written as JSON by hand. Change: pkg/declare builds and prints a document in the order of the declarations; a part that is left out, given twice or invalid is named by its declaration. Conclusion: what is printed is what the strict decoder reads.

--- /dev/null
+++ b/examples/blue-mahoe/main_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a change of the library that changes what the members agreed, and against other sizes than agreed.
+// HIBISCUSCROSS_UPDATE_GOLDEN=1 rewrites the file after a change of the declaration.
+func TestOutput(t *testing.T) {
+	const golden = "testdata/blue-mahoe.json"
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(deployment().Print(&out)).To(Succeed())
+	if os.Getenv("HIBISCUSCROSS_UPDATE_GOLDEN") != "" {
+		g.Expect(os.WriteFile(golden, out.Bytes(), 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(golden)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bytes.Equal(out.Bytes(), want)).To(BeTrue(), "the declaration prints another document than %s", golden)
+	c, err := deployment().Config()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Models).To(HaveLen(19))
+	g.Expect(c.Adapters).To(HaveLen(60))
+	g.Expect(c.Weights.IdleAccelerator).To(BeNumerically(">", c.Weights.ColdStart))
+}
