Add a model engine stand-in with faults and complete its client

Cause: residency, streams and quarantine need an engine that loads, batches, resumes, crashes and goes silent, and a client that never takes a cut answer for a whole one. The client uses a connection of its own for each exchange, because an idle one may have gone silent. An order that found no connection is ErrNotStarted.

--- a/cmd/hibiscuscross-standin/main.go
+++ b/cmd/hibiscuscross-standin/main.go
@@ -21,7 +21,7 @@
 
 // Run serves until the process ends.
 func (c *engineCmd) Run() error {
-	e := &standin.Engine{TokenInterval: c.TokenInterval, Tokens: c.Tokens}
+	e := standin.NewEngine(standin.EngineOptions{TokenInterval: c.TokenInterval, Tokens: c.Tokens, ServeUnloaded: true}, nil)
 	return http.ListenAndServe(c.Listen, e.Handler())
 }
 
--- a/pkg/engine/openai/openai.go
+++ b/pkg/engine/openai/openai.go
@@ -1,9 +1,21 @@
-// Package openai provides the module "engine.openai": a model engine that speaks the OpenAI HTTP shape with
+// Package openai provides the module "engine.openai": a model engine that speaks the OpenAI HTTP format with
 // server-sent events, and takes orders under /admin.
+//
+// Beyond the OpenAI format the protocol has:
+//   - X-Request-Id names a call. With X-Resume-Offset a request resumes the call with this id, running or finished, at
+//     that offset of the answer's body; 404 with the code unknown_request says that the engine does not have it.
+//   - A streamed answer has a comment line (":") each engine.LivenessInterval. Comment lines do not count in offsets.
+//     While the engine works on a whole answer or an order, it sends a 102 status at the same interval.
+//   - A streamed answer ends with the event [DONE]; a whole one has a Content-Length or is chunked.
+//   - The field continue_from of the body is the text produced so far by another engine. The answer has only what
+//     follows.
+//   - X-Priority orders calls that wait for a place in the batch; larger is more urgent.
+//   - POST /admin/orders takes an engine.Order: 200 done, 412 old fencing number, and without effect 400, 404, 409 and
+//     507. GET /admin/listing answers with an engine.Listing.
+//   - GET /admin/kv/{request} exports the KV cache of a call as an opaque document, and POST /admin/kv imports it.
 package openai
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -12,7 +24,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/url"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
@@ -23,16 +39,29 @@
 // ID is the module's id.
 const ID = "engine.openai"
 
+// Headers by which the engine names, orders and resumes a call.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderOffset   = "X-Resume-Offset"
+	HeaderPriority = "X-Priority"
+)
+
+// Codes in an engine's error documents.
+const (
+	CodeUnknownRequest = "unknown_request"
+	CodeNotLoaded      = "model_not_loaded"
+)
+
 func init() {
 	kernel.Register(ID, func() kernel.Module { return new(Engine) })
 }
 
-// Engine is a client of one model engine.
+// Engine is a client of one model engine. Each exchange has a connection of its own: an idle connection may have gone
+// silent or belong to an earlier engine process, and net/http sends a request again on its own only after it failed on
+// a reused one.
 type Engine struct {
 	base string
-	// shared keeps connections; fresh opens one connection for each call, which is closed afterwards.
-	shared *http.Client
-	fresh  *http.Client
+	http *http.Client
 }
 
 var _ engine.Engine = (*Engine)(nil)
@@ -40,36 +69,65 @@
 // Provision takes the setting url, for example "http://127.0.0.1:9000".
 func (e *Engine) Provision(_ context.Context, s kernel.Settings) error {
 	e.base = strings.TrimSuffix(s.Take("url", ""), "/")
-	e.shared = newClient(false)
-	e.fresh = newClient(true)
+	t := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	e.http = &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return nil
 }
 
 // Validate checks that an address was given.
 func (e *Engine) Validate() error {
-	if e.base == "" {
-		return fault.New(fault.StepSettings, ID, "setting url is empty")
+	if u, err := url.Parse(e.base); err != nil || u.Host == "" {
+		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
 	}
 	return nil
 }
 
-// Cleanup closes idle connections.
-func (e *Engine) Cleanup() error {
-	e.shared.CloseIdleConnections()
-	return nil
-}
-
-func newClient(fresh bool) *http.Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-	}
-	return &http.Client{Transport: t}
-}
+// Cleanup has nothing to release.
+func (e *Engine) Cleanup() error { return nil }
 
-// Order posts the order to /admin/orders.
+// exchange sends the request and waits for the answer's head. It gives up after engine.SilenceLimit without a sign of
+// life. The errors are engine.ErrNotStarted, ErrSilent, ErrDied or ErrUnknown. The caller calls cancel at the end.
+func (e *Engine) exchange(req *http.Request) (resp *http.Response, cancel context.CancelFunc, err error) {
+	ctx, stop := context.WithCancelCause(req.Context())
+	silence := time.AfterFunc(engine.SilenceLimit, func() { stop(engine.ErrSilent) })
+	defer silence.Stop()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		Got1xxResponse: func(int, textHeader) error {
+			silence.Reset(engine.SilenceLimit)
+			return nil
+		},
+	})
+	cancel = func() { stop(context.Canceled) }
+	resp, err = e.http.Do(req.WithContext(ctx))
+	if err == nil {
+		return resp, cancel, nil
+	}
+	class := engine.ErrUnknown
+	switch {
+	case !sent.Load():
+		class = engine.ErrNotStarted
+	case errors.Is(context.Cause(ctx), engine.ErrSilent):
+		class = engine.ErrSilent
+	case isClosed(err):
+		class = engine.ErrDied
+	}
+	cancel()
+	return nil, nil, fmt.Errorf("%w: %w", class, err)
+}
+
+// isClosed reports whether the peer ended the connection, as it does when its process ends.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// Order posts the order to /admin/orders. Without an answer the outcome is engine.ErrUnknown, or engine.ErrNotStarted
+// if no connection was made.
 func (e *Engine) Order(ctx context.Context, o engine.Order) error {
 	body, err := json.Marshal(o)
 	if err != nil {
@@ -77,36 +135,44 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/admin/orders", bytes.NewReader(body))
 	if err != nil {
-		return fault.Wrap(err, fault.StepOrder, e.base, "make request")
+		return fault.Wrap(fmt.Errorf("%w: %w", engine.ErrNotStarted, err), fault.StepOrder, e.base, "make request")
 	}
-	resp, err := e.fresh.Do(req)
+	resp, cancel, err := e.exchange(req)
 	if err != nil {
-		return fault.Wrap(fmt.Errorf("%w: %w", engine.ErrUnknown, err), fault.StepOrder, e.base, "send order")
+		if !errors.Is(err, engine.ErrNotStarted) {
+			err = fmt.Errorf("%w: %w", engine.ErrUnknown, err)
+		}
+		return fault.Wrap(err, fault.StepOrder, e.base, "send order")
 	}
+	defer cancel()
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	reason := strings.TrimSpace(string(text))
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
 	case http.StatusPreconditionFailed:
-		return fault.Wrap(engine.ErrStaleFence, fault.StepOrder, e.base, strings.TrimSpace(string(text)))
+		return fault.Wrap(engine.ErrStaleFence, fault.StepOrder, e.base, reason)
 	case http.StatusConflict, http.StatusInsufficientStorage, http.StatusNotFound, http.StatusBadRequest:
-		return fault.Wrap(engine.ErrRefused, fault.StepOrder, e.base, strings.TrimSpace(string(text)))
+		return fault.Wrap(engine.ErrRefused, fault.StepOrder, e.base, reason)
 	}
-	return fault.Wrap(engine.ErrUnknown, fault.StepOrder, e.base, resp.Status)
+	return fault.Wrap(engine.ErrUnknown, fault.StepOrder, e.base, resp.Status+" "+reason)
 }
 
 // Listing reads /admin/listing.
 func (e *Engine) Listing(ctx context.Context) (engine.Listing, error) {
 	var l engine.Listing
+	ctx, stop := context.WithTimeout(ctx, engine.SilenceLimit)
+	defer stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+"/admin/listing", nil)
 	if err != nil {
 		return l, fault.Wrap(err, fault.StepOrder, e.base, "make request")
 	}
-	resp, err := e.fresh.Do(req)
+	resp, cancel, err := e.exchange(req)
 	if err != nil {
 		return l, fault.Wrap(err, fault.StepOrder, e.base, "read listing")
 	}
+	defer cancel()
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return l, fault.Newf(fault.StepOrder, e.base, "read listing: %s", resp.Status)
@@ -114,141 +180,8 @@
 	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
 		return l, fault.Wrap(err, fault.StepOrder, e.base, "decode listing")
 	}
-	return l, nil
-}
-
-// Start posts the call to its path.
-func (e *Engine) Start(ctx context.Context, c engine.Call) (engine.Stream, error) {
-	return e.open(ctx, e.shared, c)
-}
-
-// Resume continues the call at c.Offset on a new connection.
-func (e *Engine) Resume(ctx context.Context, c engine.Call) (engine.Stream, error) {
-	return e.open(ctx, e.fresh, c)
-}
-
-// Headers by which the engine names, orders and resumes a call.
-const (
-	headerRequest  = "X-Request-Id"
-	headerOffset   = "X-Resume-Offset"
-	headerPriority = "X-Priority"
-)
-
-func (e *Engine) open(ctx context.Context, client *http.Client, c engine.Call) (engine.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	req, err := http.NewRequestWithContext(ctx, c.Method, e.base+c.Path, bytes.NewReader(c.Body))
-	if err != nil {
-		cancel()
-		return nil, fault.Wrap(fmt.Errorf("%w: %w", engine.ErrNotStarted, err), fault.StepDispatch, e.base, "make request")
-	}
-	for _, h := range c.Header {
-		req.Header.Add(h.Name, h.Value)
-	}
-	req.Header.Set(headerRequest, c.Request)
-	req.Header.Set(headerOffset, fmt.Sprint(c.Offset))
-	req.Header.Set(headerPriority, fmt.Sprint(c.Priority))
-	if c.Traceparent != "" {
-		req.Header.Set("Traceparent", c.Traceparent)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		cancel()
-		return nil, fault.Wrap(fmt.Errorf("%w: %w", startError(err), err), fault.StepDispatch, e.base, "start call")
+	if l.Epoch == "" {
+		return l, fault.New(fault.StepOrder, e.base, "listing without an epoch")
 	}
-	return newStream(e.base, resp, cancel), nil
-}
-
-// startError tells a call that never left from one that may have started.
-func startError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return engine.ErrNotStarted
-	}
-	return engine.ErrUnknown
-}
-
-type chunk struct {
-	bytes []byte
-	err   error
-}
-
-type stream struct {
-	base   string
-	head   engine.Head
-	body   io.ReadCloser
-	cancel context.CancelFunc
-	chunks chan chunk
-	done   chan struct{}
-}
-
-// streamBuffer is how many chunks a stream reads ahead of its consumer.
-const streamBuffer = 16
-
-func newStream(base string, resp *http.Response, cancel context.CancelFunc) *stream {
-	s := &stream{base: base, body: resp.Body, cancel: cancel, chunks: make(chan chunk, streamBuffer), done: make(chan struct{})}
-	s.head.Status = resp.StatusCode
-	for name, values := range resp.Header {
-		for _, v := range values {
-			s.head.Header = append(s.head.Header, engine.Header{Name: name, Value: v})
-		}
-	}
-	go s.read(bufio.NewReader(resp.Body))
-	return s
-}
-
-// read sends the body line by line. Comment lines are signs of life and arrive as empty chunks.
-func (s *stream) read(r *bufio.Reader) {
-	for {
-		line, err := r.ReadBytes('\n')
-		if len(line) > 0 && line[0] == ':' {
-			line = []byte{}
-		}
-		if len(line) > 0 || err == nil {
-			s.send(chunk{bytes: line})
-		}
-		if err != nil {
-			s.send(chunk{err: err})
-			return
-		}
-	}
-}
-
-func (s *stream) send(c chunk) {
-	select {
-	case s.chunks <- c:
-	case <-s.done:
-	}
-}
-
-func (s *stream) Head() engine.Head { return s.head }
-
-func (s *stream) Next(ctx context.Context) ([]byte, error) {
-	silence := time.NewTimer(engine.SilenceLimit)
-	defer silence.Stop()
-	for {
-		select {
-		case c := <-s.chunks:
-			if c.err != nil && c.err != io.EOF {
-				return nil, fault.Wrap(fmt.Errorf("%w: %w", engine.ErrUnknown, c.err), fault.StepStream, s.base, "read stream")
-			}
-			if c.err != nil || len(c.bytes) > 0 {
-				return c.bytes, c.err
-			}
-			silence.Reset(engine.SilenceLimit)
-		case <-silence.C:
-			return nil, fault.Wrap(engine.ErrSilent, fault.StepStream, s.base, "read stream")
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-func (s *stream) Close() error {
-	select {
-	case <-s.done:
-	default:
-		close(s.done)
-	}
-	s.cancel()
-	return s.body.Close()
+	return l, nil
 }
--- /dev/null
+++ b/pkg/standin/engine_orders.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+)
+
+// residentTarget is a target that is loaded or loading.
+type residentTarget struct {
+	bytes   int64
+	loading bool
+	users   int // calls that wait or run
+}
+
+// Causes of a refused order; the order has no effect.
+var (
+	errOvercommit = errors.New("memory capacity exceeded")
+	errBusy       = errors.New("target is loading or in use")
+	errNoBase     = errors.New("base model is not loaded")
+	errFence      = errors.New("old fencing number")
+	errKind       = errors.New("unknown kind of order")
+)
+
+func orderStatus(err error) int {
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.Is(err, errFence):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, errOvercommit):
+		return http.StatusInsufficientStorage
+	case errors.Is(err, errBusy):
+		return http.StatusConflict
+	case errors.Is(err, errNoBase):
+		return http.StatusNotFound
+	case errors.Is(err, errKind):
+		return http.StatusBadRequest
+	}
+	return http.StatusInternalServerError
+}
+
+// serveOrder applies an order. A delayed order takes effect even if its client has left; a load in progress goes on
+// for OrderLinger after its client left.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if !readJSON(w, r, &o) {
+		return
+	}
+	e.mu.Lock()
+	life, delay := e.life, time.Duration(e.faults.OrderDelayMS)*time.Millisecond
+	e.mu.Unlock()
+	if wait(life, min(delay, engine.OrderSettle)) != nil || delay > engine.OrderSettle {
+		panic(http.ErrAbortHandler)
+	}
+	ctx, cancel := context.WithCancel(life)
+	defer cancel()
+	stop := context.AfterFunc(r.Context(), func() {
+		if wait(ctx, e.options.OrderLinger) == nil {
+			cancel()
+		}
+	})
+	defer stop()
+	err := e.orderWithSigns(ctx, w, o)
+	e.mu.Lock()
+	lose := e.faults.LoseOrders > 0
+	if lose {
+		e.faults.LoseOrders--
+	}
+	e.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), orderStatus(err))
+	}
+}
+
+// orderWithSigns applies the order and sends a 102 status as a sign of life each LivenessInterval.
+func (e *Engine) orderWithSigns(ctx context.Context, w http.ResponseWriter, o engine.Order) error {
+	done := make(chan error, 1)
+	go func() { done <- e.Order(ctx, o) }()
+	sign := time.NewTicker(engine.LivenessInterval)
+	defer sign.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-sign.C:
+			w.WriteHeader(http.StatusProcessing)
+		}
+	}
+}
+
+// Order applies an order and returns when it has taken effect.
+func (e *Engine) Order(ctx context.Context, o engine.Order) error {
+	e.mu.Lock()
+	if err := e.checkFence(o.Fence); err != nil {
+		e.mu.Unlock()
+		return err
+	}
+	switch o.Kind {
+	case engine.OrderLoad:
+		err := e.beginLoad(o.Target)
+		life := e.life
+		e.mu.Unlock()
+		if errors.Is(err, errLoaded) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		return e.finishLoad(life, o.Target, e.fetch(ctx, o.Target))
+	case engine.OrderUnload:
+		defer e.mu.Unlock()
+		return e.unload(o.Target)
+	}
+	e.mu.Unlock()
+	return errKind
+}
+
+// checkFence compares with the highest number over all targets. An order overtaken by a later one is old.
+func (e *Engine) checkFence(fence uint64) error {
+	if fence > e.fence {
+		e.fence = fence
+		return nil
+	}
+	e.counts.StaleFences++
+	if e.options.EnforceFence {
+		return fmt.Errorf("%w: %d is not above %d", errFence, fence, e.fence)
+	}
+	return nil
+}
+
+var errLoaded = errors.New("already loaded")
+
+func (e *Engine) beginLoad(t engine.Target) error {
+	if r := e.resident[t]; r != nil {
+		if r.loading {
+			return errBusy
+		}
+		return errLoaded
+	}
+	if t.Adapter != "" {
+		if base := e.resident[engine.Target{Model: t.Model}]; base == nil || base.loading {
+			return errNoBase
+		}
+	}
+	size := e.size(t)
+	if e.used()+size > e.options.MemoryBytes {
+		e.counts.Overcommits++
+		return fmt.Errorf("%w: %d used, %d more, capacity %d", errOvercommit, e.used(), size, e.options.MemoryBytes)
+	}
+	e.resident[t] = &residentTarget{bytes: size, loading: true}
+	return nil
+}
+
+func (e *Engine) finishLoad(life context.Context, t engine.Target, err error) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if life.Err() != nil {
+		return life.Err() // another epoch; nothing to undo
+	}
+	if err != nil {
+		delete(e.resident, t)
+		return err
+	}
+	e.resident[t].loading = false
+	e.counts.Loads++
+	return nil
+}
+
+// fetch waits for the checkpoint, as long as its size and tier take.
+func (e *Engine) fetch(ctx context.Context, t engine.Target) error {
+	if t.Adapter != "" {
+		return e.options.Weights.FetchAdapter(ctx, t.Adapter)
+	}
+	size := e.size(t)
+	switch e.options.Models[t.Model].Tier {
+	case engine.TierMemory:
+		return wait(ctx, loadTime(size, e.options.MemorySpeed))
+	case engine.TierDisk:
+		return wait(ctx, loadTime(size, e.options.DiskSpeed))
+	}
+	return e.options.Weights.FetchModel(ctx, t.Model, size)
+}
+
+func loadTime(bytes, speed int64) time.Duration {
+	return time.Duration(float64(bytes) / float64(speed) * float64(time.Second))
+}
+
+func (e *Engine) size(t engine.Target) int64 {
+	if t.Adapter != "" {
+		if a, ok := e.options.Adapters[t.Adapter]; ok {
+			return a.MemoryBytes
+		}
+		return e.options.DefaultAdapterBytes
+	}
+	if m, ok := e.options.Models[t.Model]; ok {
+		return m.MemoryBytes
+	}
+	return e.options.DefaultModelBytes
+}
+
+func (e *Engine) used() int64 {
+	var sum int64
+	for _, r := range e.resident {
+		sum += r.bytes
+	}
+	return sum
+}
+
+// unload removes a target, and with a model its adapters, unless one of them loads or is in use.
+func (e *Engine) unload(t engine.Target) error {
+	var remove []engine.Target
+	for other, r := range e.resident {
+		if other != t && (t.Adapter != "" || other.Model != t.Model) {
+			continue
+		}
+		if r.loading || r.users > 0 {
+			return errBusy
+		}
+		remove = append(remove, other)
+	}
+	for _, other := range remove {
+		delete(e.resident, other)
+		e.counts.Unloads++
+	}
+	return nil
+}
+
+// Listing returns what the engine holds, sorted by target.
+func (e *Engine) Listing() engine.Listing {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := engine.Listing{
+		Epoch: e.epoch, MemoryBytes: e.options.MemoryBytes, Slots: e.options.Slots,
+		Running: e.running, EnforceFence: e.options.EnforceFence, Tiers: map[string]engine.Tier{},
+	}
+	for t, r := range e.resident {
+		l.Resident = append(l.Resident, engine.Resident{Target: t, MemoryBytes: r.bytes, Loading: r.loading})
+	}
+	sort.Slice(l.Resident, func(i, j int) bool {
+		a, b := l.Resident[i].Target, l.Resident[j].Target
+		return a.Model < b.Model || a.Model == b.Model && a.Adapter < b.Adapter
+	})
+	for name, m := range e.options.Models {
+		if m.Tier != "" {
+			l.Tiers[name] = m.Tier
+		}
+	}
+	return l
+}
