--- /dev/null
+++ b/pkg/engine/plain/plain_test.go
@@ -0,0 +1,146 @@
+package plain_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine/plain"
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+)
+
+func TestPlain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plain")
+}
+
+var ctx = context.Background()
+
+func connect(url string) engine.Engine {
+	k := kernel.New()
+	DeferCleanup(k.Cleanup)
+	e, err := kernel.LoadAs[engine.Engine](ctx, k, plain.ID, kernel.Settings{"url": url, "slots": "3"})
+	Expect(err).NotTo(HaveOccurred())
+	return e
+}
+
+func open() (*standin.Plain, engine.Engine) {
+	s := standin.NewPlain(nil)
+	srv, err := standin.Serve("127.0.0.1:0", s.Handler(), nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(srv.Close)
+	return s, connect(srv.URL())
+}
+
+func loan(key string) engine.Call {
+	return engine.Call{
+		Request: "r", Method: http.MethodPost, Path: "/loans/b%2F1?branch=enugu", Body: []byte(`{"book":1}`),
+		Header: []engine.Header{{Name: "Idempotency-Key", Value: key}, {Name: "Connection", Value: "upgrade"}},
+	}
+}
+
+func read(s engine.Stream) ([]byte, error) {
+	defer s.Close()
+	var all []byte
+	for {
+		b, err := s.Next(ctx)
+		all = append(all, b...)
+		if err != nil {
+			return all, err
+		}
+	}
+}
+
+var _ = Describe("a call of a plain service", func() {
+	// Guards against a changed method, path, query, body, key or status.
+	It("is passed on as it is", func() {
+		_, e := open()
+		st, err := e.Start(ctx, loan("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Head().Status).To(Equal(http.StatusCreated))
+		body, err := read(st)
+		Expect(err).To(Equal(io.EOF))
+		var run standin.PlainRun
+		Expect(json.Unmarshal(body, &run)).To(Succeed())
+		Expect(run).To(Equal(standin.PlainRun{Number: 1, Method: "POST", Path: "/loans/b%2F1", Query: "branch=enugu", Key: "k", Body: `{"book":1}`}))
+		st, err = e.Start(ctx, engine.Call{Method: http.MethodGet, Path: "/missing/x"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Head().Status).To(Equal(http.StatusNotFound))
+		_, err = read(st)
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	// Guards against a second run: net/http sends a request with an Idempotency-Key again by itself when a reused
+	// connection is closed without an answer.
+	It("is sent once when its answer is lost, also after earlier calls", func() {
+		s, e := open()
+		for _, key := range []string{"a", "b"} {
+			st, err := e.Start(ctx, loan(key))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = read(st)
+			Expect(err).To(Equal(io.EOF))
+		}
+		s.SetFaults(standin.PlainFaults{LoseAnswers: 1})
+		_, err := e.Start(ctx, loan("lost"))
+		Expect(err).To(MatchError(engine.ErrDied))
+		Expect(s.Counts().Keys).To(Equal(map[string]int{"a": 1, "b": 1, "lost": 1}))
+	})
+
+	// Guards against a redirect that would make a second call, and one that hides the status.
+	It("does not follow a redirect", func() {
+		calls := 0
+		srv, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		}), nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(srv.Close)
+		st, err := connect(srv.URL()).Start(ctx, loan("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Head().Status).To(Equal(http.StatusTemporaryRedirect))
+		_, err = read(st)
+		Expect(err).To(Equal(io.EOF))
+		Expect(calls).To(Equal(1))
+	})
+
+	// Guards against a false proof that a call did not run.
+	It("is not started only if there was no connection", func() {
+		_, err := connect("http://127.0.0.1:1").Start(ctx, loan("k"))
+		Expect(err).To(MatchError(engine.ErrNotStarted))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		_, err = connect("http://"+l.Addr().String()).Start(short, loan("k"))
+		Expect(err).To(MatchError(engine.ErrUnknown))
+	})
+
+	// Guards against a truncated answer that is taken for a whole one.
+	It("with a truncated answer ends with an error", func() {
+		s, e := open()
+		s.SetFaults(standin.PlainFaults{Truncate: 1})
+		st, err := e.Start(ctx, loan("k"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = read(st)
+		Expect(err).To(MatchError(engine.ErrDied))
+	})
+
+	// Guards against orders to, and resumes at, an upstream that has neither.
+	It("cannot be resumed, and orders are refused", func() {
+		_, e := open()
+		Expect(e.Order(ctx, engine.Order{})).To(MatchError(engine.ErrRefused))
+		_, err := e.Resume(ctx, loan("k"))
+		Expect(err).To(MatchError(engine.ErrUnknown))
+		Expect(e.Listing(ctx)).To(HaveField("Slots", 3))
+	})
+})
