Run all stand-ins from the command line

Cause: the demo and experiments need a whole platform with faults. Change: subcommands store, vms, weights, engine and plain with flags for their faults, and all, which runs a deployment in one process on consecutive loopback ports. Its summary counts the most replicas of each model over all engines, overcommits, repeated runs and idle accelerator time. Conclusion: violations of I1, I2 and I6 can be read from the stand-ins.

--- a/cmd/hibiscuscross-standin/main.go
+++ b/cmd/hibiscuscross-standin/main.go
@@ -2,10 +2,14 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
-	"time"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -13,18 +17,6 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
 )
 
-type engineCmd struct {
-	Listen        string        `help:"Address, ip:port." default:"127.0.0.1:9000"`
-	TokenInterval time.Duration `help:"Time between two tokens." default:"10ms"`
-	Tokens        int           `help:"Tokens in an answer." default:"16"`
-}
-
-// Run serves until the process ends.
-func (c *engineCmd) Run() error {
-	e := standin.NewEngine(standin.EngineOptions{TokenInterval: c.TokenInterval, Tokens: c.Tokens, ServeUnloaded: true}, nil)
-	return http.ListenAndServe(c.Listen, e.Handler())
-}
-
 type certsCmd struct {
 	Dir string   `arg:"" help:"Directory to write to." type:"existingdir"`
 	VMs []string `arg:"" name:"vm" help:"VM ids to issue certificates for."`
@@ -40,8 +32,13 @@
 }
 
 var cli struct {
-	Certs  certsCmd  `cmd:"" help:"Write development certificates."`
-	Engine engineCmd `cmd:"" help:"Run a model engine stand-in."`
+	Certs   certsCmd   `cmd:"" help:"Write development certificates."`
+	Store   storeCmd   `cmd:"" help:"Run an object API stand-in."`
+	Vms     vmsCmd     `cmd:"" help:"Run a VM list stand-in."`
+	Weights weightsCmd `cmd:"" help:"Run a weight store stand-in."`
+	Engine  engineCmd  `cmd:"" help:"Run a model engine stand-in."`
+	Plain   plainCmd   `cmd:"" help:"Run a plain service stand-in."`
+	All     allCmd     `cmd:"" help:"Run a whole platform with upstreams in one process on consecutive ports."`
 }
 
 func main() {
@@ -51,3 +48,50 @@
 		os.Exit(1)
 	}
 }
+
+// checkLoopback refuses addresses that other machines could reach: the stand-ins check no caller.
+func checkLoopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("address %s is not a loopback address", addr)
+	}
+	return nil
+}
+
+// serve runs a handler until a signal arrives.
+func serve(addr string, h http.Handler, conns *standin.Conns) error {
+	if err := checkLoopback(addr); err != nil {
+		return err
+	}
+	s, err := standin.Serve(addr, h, conns)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	waitForSignal()
+	return nil
+}
+
+func waitForSignal() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+}
+
+// readFile decodes a JSON file strictly; an empty name leaves v as it is.
+func readFile(name string, v any) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := json.NewDecoder(f)
+	d.DisallowUnknownFields()
+	return d.Decode(v)
+}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -20,6 +20,8 @@
 	MemoryBytes int64 `json:"memoryBytes"`
 	// Tier is where the checkpoint lies; empty for remote.
 	Tier engine.Tier `json:"tier,omitempty"`
+	// Accelerators is how many accelerators a replica holds; 0 counts as 1.
+	Accelerators int `json:"accelerators,omitempty"`
 }
 
 // EngineAdapter is an adapter that an engine stand-in can load.
@@ -53,6 +55,8 @@
 	// OrderLinger is how long a load goes on after the connection of its order closed, at most engine.OrderSettle.
 	OrderLinger time.Duration
 	Weights     Fetcher // an own weight store if nil
+	// Replicas counts this engine's replicas together with those of others; nil for none.
+	Replicas *Replicas
 	// Exit is called after a crash with EngineFaults.ExitOnCrash.
 	Exit func()
 }
@@ -111,6 +115,8 @@
 	StaleFences uint64 `json:"staleFences"`
 	// NotLoaded counts calls of targets that were not loaded.
 	NotLoaded uint64 `json:"notLoaded"`
+	// IdleSeconds is the time that accelerators held a replica without a call, summed over accelerators, s.
+	IdleSeconds float64 `json:"idleSeconds"`
 }
 
 // Engine is a model engine stand-in that speaks the protocol of package engine/openai. It is safe for concurrent use.
@@ -123,7 +129,8 @@
 	life     context.Context // ends with the epoch
 	end      context.CancelFunc
 	resident map[engine.Target]*residentTarget
-	fence    uint64 // highest seen in this epoch
+	accrued  time.Time // until when counts.IdleSeconds is summed up
+	fence    uint64    // highest seen in this epoch
 	calls    map[string]*engineCall
 	running  int
 	waiting  []*engineCall
@@ -135,7 +142,7 @@
 
 // NewEngine returns an engine without residents. Faults reach the connections in conns, which may be nil.
 func NewEngine(o EngineOptions, conns *Conns) *Engine {
-	e := &Engine{options: o.withDefaults(), conns: conns}
+	e := &Engine{options: o.withDefaults(), conns: conns, accrued: time.Now()}
 	e.reset()
 	return e
 }
@@ -145,6 +152,9 @@
 	if e.end != nil {
 		e.end()
 	}
+	for t := range e.resident {
+		e.remove(t)
+	}
 	e.epoch = uuid.NewString()
 	e.life, e.end = context.WithCancel(context.Background())
 	e.resident = map[engine.Target]*residentTarget{}
@@ -179,6 +189,7 @@
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.accrue()
 	return e.counts
 }
 
--- a/pkg/standin/engine_calls.go
+++ b/pkg/standin/engine_calls.go
@@ -138,6 +138,7 @@
 			return nil
 		}
 	} else {
+		e.accrue()
 		resident.users++
 	}
 	e.counts.Calls++
@@ -194,6 +195,7 @@
 		return // another epoch
 	}
 	if resident != nil {
+		e.accrue()
 		resident.users--
 	}
 	e.leaveSlot(c, inSlot)
--- a/pkg/standin/engine_orders.go
+++ b/pkg/standin/engine_orders.go
@@ -156,10 +156,47 @@
 		e.counts.Overcommits++
 		return fmt.Errorf("%w: %d used, %d more, capacity %d", errOvercommit, e.used(), size, e.options.MemoryBytes)
 	}
-	e.resident[t] = &residentTarget{bytes: size, loading: true}
+	e.add(t, &residentTarget{bytes: size, loading: true})
 	return nil
 }
 
+// add, remove and accrue keep the sums over residents; accrue is called before each change of residents or their users.
+func (e *Engine) add(t engine.Target, r *residentTarget) {
+	e.accrue()
+	e.resident[t] = r
+	if t.Adapter == "" {
+		e.options.Replicas.change(t.Model, 1)
+	}
+}
+
+func (e *Engine) remove(t engine.Target) {
+	e.accrue()
+	delete(e.resident, t)
+	if t.Adapter == "" {
+		e.options.Replicas.change(t.Model, -1)
+	}
+}
+
+func (e *Engine) accrue() {
+	now := time.Now()
+	passed := now.Sub(e.accrued).Seconds()
+	e.accrued = now
+	for t, r := range e.resident {
+		if t.Adapter == "" && !r.loading && r.users == 0 && !e.adapterInUse(t.Model) {
+			e.counts.IdleSeconds += passed * float64(max(1, e.options.Models[t.Model].Accelerators))
+		}
+	}
+}
+
+func (e *Engine) adapterInUse(model string) bool {
+	for t, r := range e.resident {
+		if t.Model == model && r.users > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Engine) finishLoad(life context.Context, t engine.Target, err error) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -167,9 +204,10 @@
 		return life.Err() // another epoch; nothing to undo
 	}
 	if err != nil {
-		delete(e.resident, t)
+		e.remove(t)
 		return err
 	}
+	e.accrue()
 	e.resident[t].loading = false
 	e.counts.Loads++
 	return nil
@@ -215,6 +253,17 @@
 	return sum
 }
 
+// Preload makes a target resident at once, without an order.
+func (e *Engine) Preload(t engine.Target) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.beginLoad(t); err != nil {
+		return err
+	}
+	e.resident[t].loading = false
+	return nil
+}
+
 // unload removes a target, and with a model its adapters, unless one of them loads or is in use.
 func (e *Engine) unload(t engine.Target) error {
 	var remove []engine.Target
@@ -228,7 +277,7 @@
 		remove = append(remove, other)
 	}
 	for _, other := range remove {
-		delete(e.resident, other)
+		e.remove(other)
 		e.counts.Unloads++
 	}
 	return nil
