Add the load and experiment tool

Cause: the two metrics and the promise of whole answers need measuring from the callers' side. It checks each answer against the tokens of the engine stand-in, counts outcomes and prints quantiles as text and JSON.

--- /dev/null
+++ b/pkg/loadgen/answer.go
@@ -0,0 +1,175 @@
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome string
+
+// Outcomes. The last four are failures of the system; refusals with a stated outcome are not.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeInvalid Outcome = "invalid" // 4xx without an outcome
+	OutcomeCut     Outcome = "cut"     // the answer ended early without a stated outcome
+	OutcomeWrong   Outcome = "wrong"   // the answer is whole but not the one to this request
+	OutcomeLate    Outcome = "late"    // neither answer nor refusal until after the deadline
+	OutcomeDropped Outcome = "dropped" // the connection ended without an answer
+)
+
+// IsFailure reports outcomes that break the promise of a whole answer or a truthful refusal in time.
+func (o Outcome) IsFailure() bool {
+	return o == OutcomeCut || o == OutcomeWrong || o == OutcomeLate || o == OutcomeDropped
+}
+
+// streamed is a streamed answer read to its end.
+type streamed struct {
+	text    strings.Builder
+	done    bool    // [DONE] was seen
+	outcome Outcome // stated in the trailing event; empty if none
+	first   time.Time
+	gaps    []time.Duration
+}
+
+type completion struct {
+	Choices []struct {
+		Text    string           `json:"text"`
+		Delta   standin.Message  `json:"delta"`
+		Message *standin.Message `json:"message"`
+	} `json:"choices"`
+}
+
+// readStream reads server-sent events until the end of the body. seen is called at each token.
+func readStream(r io.Reader, now func() time.Time, seen func(time.Time)) (*streamed, error) {
+	s := &streamed{}
+	var last time.Time
+	event := ""
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 64<<10), 1<<20)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case name == "event":
+			event = value
+		case name == "data" && event != "":
+			s.outcome = statedOutcome([]byte(value))
+		case name == "data" && value == "[DONE]":
+			s.done = true
+		case name == "data":
+			if err := s.token(value); err != nil {
+				return s, err
+			}
+			at := now()
+			seen(at)
+			if s.first.IsZero() {
+				s.first = at
+			} else {
+				s.gaps = append(s.gaps, at.Sub(last))
+			}
+			last = at
+		case lines.Text() == "":
+			event = ""
+		}
+	}
+	return s, lines.Err()
+}
+
+func (s *streamed) token(data string) error {
+	var c completion
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return err
+	}
+	for _, choice := range c.Choices {
+		s.text.WriteString(choice.Text + choice.Delta.Content)
+	}
+	return nil
+}
+
+// statedOutcome reads the outcome from an event or error document: {"outcome": "..."} at the top or under "error", or
+// the bare word.
+func statedOutcome(data []byte) Outcome {
+	var doc struct {
+		Outcome Outcome `json:"outcome"`
+		Error   struct {
+			Outcome Outcome `json:"outcome"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &doc) == nil {
+		if doc.Outcome != "" {
+			return doc.Outcome
+		}
+		return doc.Error.Outcome
+	}
+	switch o := Outcome(bytes.TrimSpace(data)); o {
+	case OutcomeDone, OutcomeNotRun, OutcomeUnknown:
+		return o
+	}
+	return ""
+}
+
+// classifyStream returns the outcome of a streamed answer whose body ended with err.
+func classifyStream(s *streamed, err error, want string) Outcome {
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &syntax):
+		return OutcomeWrong
+	case s.outcome == OutcomeNotRun || s.outcome == OutcomeUnknown:
+		return s.outcome
+	case err != nil || !s.done:
+		return OutcomeCut
+	case want != "" && s.text.String() != want:
+		return OutcomeWrong
+	}
+	return OutcomeDone
+}
+
+// classifyWhole returns the outcome of a model answer that is not streamed.
+func classifyWhole(body []byte, want string) Outcome {
+	var c completion
+	if json.Unmarshal(body, &c) != nil || len(c.Choices) != 1 {
+		return OutcomeWrong
+	}
+	text := c.Choices[0].Text
+	if m := c.Choices[0].Message; m != nil {
+		text = m.Content
+	}
+	if want != "" && text != want {
+		return OutcomeWrong
+	}
+	return OutcomeDone
+}
+
+// classifyRun compares the answer of the plain service stand-in with the call.
+func classifyRun(body []byte, key, sent string) Outcome {
+	var run standin.PlainRun
+	if json.Unmarshal(body, &run) != nil || run.Key != key || run.Body != sent {
+		return OutcomeWrong
+	}
+	return OutcomeDone
+}
+
+// wantText returns the text that engine stand-ins answer with, or "" if it is not checked.
+func (o Options) wantText(q Request) string {
+	if !o.CheckText {
+		return ""
+	}
+	return strings.Join(standin.Tokens(q.Model, completionOf(q, o.Tokens).Text(), o.Tokens), "")
+}
+
+func completionOf(q Request, tokens int) standin.Completion {
+	return standin.Completion{Model: q.Model, Messages: []standin.Message{{Role: "user", Content: q.Prompt}}, Stream: q.Stream, MaxTokens: tokens}
+}
+
+func runBody(q Request) string { return fmt.Sprintf(`{"item":%q}`, q.Prompt) }
--- /dev/null
+++ b/pkg/loadgen/report.go
@@ -0,0 +1,145 @@
+package loadgen
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sort"
+	"sync"
+	"time"
+)
+
+// maxSamples bounds the samples kept of each quantity. Further ones are counted but not kept.
+const maxSamples = 4_000_000
+
+// Quantiles of a quantity, ms.
+type Quantiles struct {
+	Samples int     `json:"samples"`
+	P50     float64 `json:"p50Ms"`
+	P95     float64 `json:"p95Ms"`
+	P99     float64 `json:"p99Ms"`
+	Max     float64 `json:"maxMs"`
+}
+
+// Report is the result of a run. Latencies are of requests with outcome done. FirstToken holds model requests that
+// were no cold starts.
+type Report struct {
+	Seed          uint64             `json:"seed"`
+	Sent          int                `json:"sent"`
+	Seconds       float64            `json:"seconds"`
+	Outcomes      map[Outcome]int    `json:"outcomes"`
+	Kinds         map[Kind]int       `json:"kinds"`
+	Statuses      map[int]int        `json:"statuses"`
+	Failures      int                `json:"failures"`
+	FirstFailures []string           `json:"firstFailures,omitempty"`
+	FirstToken    Quantiles          `json:"firstToken"`
+	ColdStart     Quantiles          `json:"coldStart"`
+	BetweenTokens Quantiles          `json:"betweenTokens"`
+	Plain         Quantiles          `json:"plain"`
+	Summary       map[string]any     `json:"summary,omitempty"` // of the stand-ins, if asked for
+	Refusals      map[Outcome]string `json:"refusals,omitempty"`
+}
+
+// maxFailureLines bounds the failures that are described one by one.
+const maxFailureLines = 10
+
+// Collector sums up results. Add is safe for concurrent use.
+type Collector struct {
+	mu     sync.Mutex
+	report Report
+	began  time.Time
+	first  []time.Duration
+	cold   []time.Duration
+	gaps   []time.Duration
+	plain  []time.Duration
+}
+
+// NewCollector returns a collector for a run that begins now.
+func NewCollector(seed uint64, now time.Time) *Collector {
+	return &Collector{began: now, report: Report{
+		Seed: seed, Outcomes: map[Outcome]int{}, Kinds: map[Kind]int{}, Statuses: map[int]int{}, Refusals: map[Outcome]string{},
+	}}
+}
+
+// Add takes one result.
+func (c *Collector) Add(r Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.Sent++
+	c.report.Outcomes[r.Outcome]++
+	c.report.Kinds[r.Request.Kind]++
+	c.report.Statuses[r.Status]++
+	switch {
+	case r.Outcome.IsFailure():
+		c.report.Failures++
+		if len(c.report.FirstFailures) < maxFailureLines {
+			c.report.FirstFailures = append(c.report.FirstFailures, fmt.Sprintf("request %d %s %s: %s %s", r.Request.Index, r.Request.Kind, r.Request.Model, r.Outcome, r.Detail))
+		}
+	case r.Outcome != OutcomeDone:
+		c.report.Refusals[r.Outcome] = r.Detail // an example
+	case r.Request.Kind != KindModel:
+		keep(&c.plain, r.First)
+	case r.Cold:
+		keep(&c.cold, r.First)
+	default:
+		keep(&c.first, r.First)
+	}
+	if r.Outcome == OutcomeDone {
+		keep(&c.gaps, r.Gaps...)
+	}
+}
+
+func keep(samples *[]time.Duration, more ...time.Duration) {
+	room := maxSamples - len(*samples)
+	*samples = append(*samples, more[:min(room, len(more))]...)
+}
+
+// Report returns the results so far.
+func (c *Collector) Report(now time.Time) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.report
+	r.Seconds = now.Sub(c.began).Seconds()
+	r.FirstToken, r.ColdStart = quantiles(c.first), quantiles(c.cold)
+	r.BetweenTokens, r.Plain = quantiles(c.gaps), quantiles(c.plain)
+	return r
+}
+
+// quantiles are by nearest rank.
+func quantiles(samples []time.Duration) Quantiles {
+	n := len(samples)
+	if n == 0 {
+		return Quantiles{}
+	}
+	sorted := append([]time.Duration{}, samples...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	at := func(q float64) float64 {
+		return float64(sorted[int(math.Ceil(q*float64(n)))-1].Microseconds()) / 1000
+	}
+	return Quantiles{Samples: n, P50: at(0.5), P95: at(0.95), P99: at(0.99), Max: at(1)}
+}
+
+// WriteText prints the report for people.
+func (r Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d requests in %.1f s, %d failures\n", r.Seed, r.Sent, r.Seconds, r.Failures)
+	for _, o := range []Outcome{OutcomeDone, OutcomeNotRun, OutcomeUnknown, OutcomeInvalid, OutcomeCut, OutcomeWrong, OutcomeLate, OutcomeDropped} {
+		if n := r.Outcomes[o]; n > 0 {
+			fmt.Fprintf(w, "  %-10s %d\n", o, n)
+		}
+	}
+	fmt.Fprintf(w, "%-16s %9s %10s %10s %10s %10s\n", "latency, ms", "samples", "p50", "p95", "p99", "max")
+	for _, row := range []struct {
+		name string
+		q    Quantiles
+	}{{"first token", r.FirstToken}, {"cold start", r.ColdStart}, {"between tokens", r.BetweenTokens}, {"plain call", r.Plain}} {
+		fmt.Fprintf(w, "%-16s %9d %10.1f %10.1f %10.1f %10.1f\n", row.name, row.q.Samples, row.q.P50, row.q.P95, row.q.P99, row.q.Max)
+	}
+	for _, line := range r.FirstFailures {
+		fmt.Fprintln(w, line)
+	}
+	for _, o := range []Outcome{OutcomeNotRun, OutcomeUnknown, OutcomeInvalid} {
+		if detail := r.Refusals[o]; detail != "" {
+			fmt.Fprintf(w, "example of %s: %s\n", o, detail)
+		}
+	}
+}
