Send each write to the object API on a connection of its own

Cause: a write on a kept connection that has been closed or gone silent meanwhile has an unknown outcome, and a grant then counts as not held until it is read back. Change: reads keep connections, writes do not. The test of silent connections now asks that the write succeeds at once and that only the first read fails. Measurement: go test -race ./pkg/standin passes; before, the first write after connections went silent was ErrUnknown in this test. Conclusion: a write costs a dial more and is unknown only if its own connection fails.

--- a/pkg/store/httpstore/httpstore.go
+++ b/pkg/store/httpstore/httpstore.go
@@ -35,10 +35,11 @@
 
 // Client is a client of the object API.
 type Client struct {
-	base      string
-	timeout   time.Duration
-	transport *http.Transport
-	http      *http.Client
+	base    string
+	timeout time.Duration
+	// reads keeps connections. writes has one for each call: a write on a kept connection that has been closed or gone
+	// silent meanwhile would have an unknown outcome, and settling it costs more than a dial.
+	reads, writes *http.Client
 }
 
 var _ store.Store = (*Client)(nil)
@@ -51,16 +52,23 @@
 		return fault.Wrap(err, fault.StepSettings, ID, "parse setting timeout")
 	}
 	c.timeout = timeout
-	c.transport = &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	c.http = &http.Client{Transport: c.transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	c.reads, c.writes = newClient(timeout, false), newClient(timeout, true)
 	return nil
 }
 
+func newClient(timeout time.Duration, fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			DisableCompression:  true,
+			DisableKeepAlives:   fresh,
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     30 * time.Second,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Validate checks the settings.
 func (c *Client) Validate() error {
 	if u, err := url.Parse(c.base); err != nil || u.Host == "" {
@@ -74,7 +82,7 @@
 
 // Cleanup closes idle connections.
 func (c *Client) Cleanup() error {
-	c.transport.CloseIdleConnections()
+	c.reads.CloseIdleConnections()
 	return nil
 }
 
@@ -122,7 +130,7 @@
 		return out, nil
 	}
 	if ctx.Err() != nil {
-		c.transport.CloseIdleConnections()
+		c.reads.CloseIdleConnections()
 	}
 	class := store.ErrUnavailable
 	if in.isWrite() && sent.Load() {
@@ -132,7 +140,11 @@
 }
 
 func (c *Client) exchange(req *http.Request, in call, alive func()) (answer, error) {
-	resp, err := c.http.Do(req)
+	client := c.reads
+	if in.isWrite() {
+		client = c.writes
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return answer{}, err
 	}
