--- a/pkg/loadgen/report.go
+++ b/pkg/loadgen/report.go
@@ -21,8 +21,8 @@
 	Max     float64 `json:"maxMs"`
 }
 
-// Report is the result of a run. Latencies are of requests with outcome done. FirstToken holds model requests that
-// were no cold starts.
+// Report is the result of a run. Latencies are of requests with outcome done. FirstToken holds streamed model requests
+// that were no cold starts, and ColdStart those that were. Whole and Plain are times to the end of the answer.
 type Report struct {
 	Seed          uint64             `json:"seed"`
 	Sent          int                `json:"sent"`
@@ -35,6 +35,7 @@
 	FirstToken    Quantiles          `json:"firstToken"`
 	ColdStart     Quantiles          `json:"coldStart"`
 	BetweenTokens Quantiles          `json:"betweenTokens"`
+	Whole         Quantiles          `json:"whole"`
 	Plain         Quantiles          `json:"plain"`
 	Summary       map[string]any     `json:"summary,omitempty"` // of the stand-ins, if asked for
 	Refusals      map[Outcome]string `json:"refusals,omitempty"`
@@ -52,6 +53,7 @@
 	cold   []time.Duration
 	gaps   []time.Duration
 	plain  []time.Duration
+	whole  []time.Duration
 }
 
 // NewCollector returns a collector for a run that begins now.
@@ -79,6 +81,8 @@
 		c.report.Refusals[r.Outcome] = r.Detail // an example
 	case r.Request.Kind != KindModel:
 		keep(&c.plain, r.First)
+	case !r.Request.Stream:
+		keep(&c.whole, r.First)
 	case r.Cold:
 		keep(&c.cold, r.First)
 	default:
@@ -101,7 +105,7 @@
 	r := c.report
 	r.Seconds = now.Sub(c.began).Seconds()
 	r.FirstToken, r.ColdStart = quantiles(c.first), quantiles(c.cold)
-	r.BetweenTokens, r.Plain = quantiles(c.gaps), quantiles(c.plain)
+	r.BetweenTokens, r.Whole, r.Plain = quantiles(c.gaps), quantiles(c.whole), quantiles(c.plain)
 	return r
 }
 
@@ -131,7 +135,7 @@
 	for _, row := range []struct {
 		name string
 		q    Quantiles
-	}{{"first token", r.FirstToken}, {"cold start", r.ColdStart}, {"between tokens", r.BetweenTokens}, {"plain call", r.Plain}} {
+	}{{"first token", r.FirstToken}, {"cold start", r.ColdStart}, {"between tokens", r.BetweenTokens}, {"whole answer", r.Whole}, {"plain call", r.Plain}} {
 		fmt.Fprintf(w, "%-16s %9d %10.1f %10.1f %10.1f %10.1f\n", row.name, row.q.Samples, row.q.P50, row.q.P95, row.q.P99, row.q.Max)
 	}
 	for _, line := range r.FirstFailures {
