Test that a change is found within 8 s on silent connections

Change: a test with the system's intervals. Tests over HTTP use longer timeouts, so that a busy machine does not look like a fault.

--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -10,8 +10,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store/httpstore"
 	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
 	"github.com/hibiscuscross/hibiscuscross/pkg/watch"
 )
@@ -105,6 +107,27 @@
 		Expect(time.Since(began)).To(BeNumerically(">=", 200*time.Millisecond))
 	})
 
+	// Guards against a configuration that is not in force everywhere within 8 s of its acceptance because connections to
+	// the object API went silent. The intervals are the system's.
+	It("finds a change within 8 s although open connections go silent", func() {
+		srv, err := standin.Serve("127.0.0.1:0", (&standin.StoreServer{Store: m}).Handler(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(srv.Close)
+		k := kernel.New()
+		DeferCleanup(k.Cleanup)
+		s, err := kernel.LoadAs[store.Store](context.Background(), k, httpstore.ID, kernel.Settings{"url": srv.URL()})
+		Expect(err).NotTo(HaveOccurred())
+		w := start(s, nil, watch.Options{})
+		Eventually(w.Updates().Items()).Should(Receive(HaveField("Synced", true)))
+		Eventually(func() uint64 { return m.Counts().Watch }, 6*time.Second).Should(BeEquivalentTo(1))
+		srv.Conns.Silence()
+		put(m, store.KeyConfig, 0)
+		began := time.Now()
+		Eventually(w.Updates().Items(), 8*time.Second).Should(Receive(HaveField("Err", HaveOccurred())))
+		Eventually(w.Updates().Items(), 8*time.Second-time.Since(began)).Should(Receive(HaveField("Objects", HaveLen(1))))
+		AddReportEntry("found after", time.Since(began).String())
+	})
+
 	// Guards against a failed read of the VM list that looks like an empty list.
 	It("reports a failed read of the VM list as an error without a list", func() {
 		l := &list{}
