--- /dev/null
+++ b/pkg/operate/result.go
@@ -0,0 +1,176 @@
+package operate
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+)
+
+// Outcome is how an apply ended.
+type Outcome string
+
+// Outcomes of an apply.
+const (
+	// OutcomePublished says that the document is in force under Result.Version.
+	OutcomePublished Outcome = "published"
+	// OutcomeUnchanged says that the document was in force already under Result.Version.
+	OutcomeUnchanged Outcome = "unchanged"
+	// OutcomeLost says that another document took the version; nothing of this one is in force.
+	OutcomeLost Outcome = "lost-race"
+	// OutcomeTimedOut says that the time ran out before the publication; lowered ceilings stay.
+	OutcomeTimedOut Outcome = "timed-out"
+	// OutcomeUnknown says that the time ran out before the publication was settled.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeFailed says that the stored state could not be read; see Result.Err.
+	OutcomeFailed Outcome = "failed"
+)
+
+// Result is how an apply ended.
+type Result struct {
+	Outcome Outcome `json:"outcome"`
+	// Version is the version in force as far as it is known, 0 for none.
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+	// Base and Given name the document that was to be applied: the version it was made from and its digest.
+	Base  uint64 `json:"base"`
+	Given string `json:"given"`
+	// Theirs is the document in force after a lost race.
+	Theirs *config.Document `json:"-"`
+	// Changes lead from the document in force to the one that was to be applied, after a lost race.
+	Changes []config.Change `json:"changes,omitempty"`
+	// Lowered names the models whose ceilings were lowered or were about to be, if the document was not published.
+	Lowered []string `json:"lowered,omitempty"`
+	// Holders lists the VMs that still hold grants beyond the new ceilings, by model.
+	Holders map[string][]string `json:"holders,omitempty"`
+	// NotRaised names models whose ceilings were still to be raised when the time ran out. Agents raise them when they
+	// use the models, or the same apply does when it is run again.
+	NotRaised []string `json:"notRaised,omitempty"`
+	// Error is the last failure of a call, if the apply did not get past it.
+	Error string `json:"error,omitempty"`
+}
+
+// Result returns how the apply ended. It is valid once Next returns nil.
+func (a *Apply) Result() Result {
+	r := a.result
+	r.Base, r.Given = a.base, a.doc.Digest
+	if r.Outcome != OutcomeLost {
+		return r
+	}
+	var inForce *config.Config
+	if a.theirs.Version > 0 {
+		d, err := a.theirs.Document()
+		if err != nil {
+			r.Error = err.Error()
+			return r
+		}
+		r.Theirs, inForce = d, d.Config
+	}
+	r.Changes = config.Diff(inForce, a.doc.Config)
+	return r
+}
+
+func (a *Apply) published(version uint64, outcome Outcome) {
+	a.stamp.Version = version
+	a.fresh = false
+	a.result = Result{Outcome: outcome, Version: version, Digest: a.doc.Digest}
+	a.phase, a.pause = phaseRaise, false
+}
+
+func (a *Apply) lost(theirs config.Envelope) {
+	a.theirs = theirs
+	a.result = Result{Outcome: OutcomeLost, Version: theirs.Version, Digest: theirs.Digest, Lowered: a.lowered}
+	a.phase = phaseDone
+}
+
+func (a *Apply) fail(err error) {
+	if a.result.Outcome == "" {
+		a.result = Result{Outcome: OutcomeFailed, Version: a.base, Lowered: a.lowered}
+	}
+	a.result.Error = err.Error()
+	a.phase = phaseDone
+}
+
+// Expire ends the apply because its time has run out. What was written stays.
+func (a *Apply) Expire() {
+	switch a.phase {
+	case phaseDone:
+		return
+	case phaseRaise, phaseRaising:
+		a.result.NotRaised = a.todo
+	case phasePublish, phaseSettle:
+		a.result = Result{Outcome: OutcomeUnknown, Version: a.base, Lowered: a.lowered}
+	default:
+		a.result = Result{Outcome: OutcomeTimedOut, Version: a.base, Lowered: a.lowered, Holders: a.waiting()}
+	}
+	if a.lastErr != nil {
+		a.result.Error = a.lastErr.Error()
+	}
+	a.phase = phaseDone
+}
+
+func (a *Apply) waiting() map[string][]string {
+	out := map[string][]string{}
+	for model, vms := range a.holders {
+		if len(vms) > 0 {
+			out[model] = vms
+		}
+	}
+	return out
+}
+
+// Text describes the result for people.
+func (r Result) Text() string {
+	var b strings.Builder
+	switch r.Outcome {
+	case OutcomePublished:
+		fmt.Fprintf(&b, "published version %d, digest %s\n", r.Version, r.Digest)
+	case OutcomeUnchanged:
+		fmt.Fprintf(&b, "unchanged: version %d has this document already, digest %s\n", r.Version, r.Digest)
+	case OutcomeLost:
+		fmt.Fprintf(&b, "lost race; nothing of this document is in force\ntheirs: version %d, digest %s\nyours:  made from version %d, digest %s\n", r.Version, r.Digest, r.Base, r.Given)
+		b.WriteString("changes from the document in force to the one given:\n" + ChangesText(r.Changes))
+	case OutcomeTimedOut:
+		fmt.Fprintf(&b, "timed out before the publication; nothing of this document is in force\n")
+	case OutcomeUnknown:
+		fmt.Fprintf(&b, "timed out while publishing; version %d or its successor is in force; run get to see\n", r.Version)
+	case OutcomeFailed:
+		b.WriteString("failed; nothing was published\n")
+	}
+	r.details(&b)
+	return b.String()
+}
+
+func (r Result) details(b *strings.Builder) {
+	for _, model := range sortedKeys(r.Holders) {
+		fmt.Fprintf(b, "model %s: still held beyond the new limit by %s\n", model, strings.Join(r.Holders[model], ", "))
+	}
+	if len(r.Lowered) > 0 && r.Outcome != OutcomePublished && r.Outcome != OutcomeLost {
+		fmt.Fprintf(b, "the stricter limits stay for %s until a configuration is applied\n", strings.Join(r.Lowered, ", "))
+	}
+	if len(r.NotRaised) > 0 {
+		fmt.Fprintf(b, "not raised yet: %s; agents raise them on use, or run the same apply again\n", strings.Join(r.NotRaised, ", "))
+	}
+	if r.Error != "" {
+		fmt.Fprintf(b, "last error: %s\n", r.Error)
+	}
+}
+
+// ChangesText lists changes one a line.
+func ChangesText(changes []config.Change) string {
+	if len(changes) == 0 {
+		return "  no differences\n"
+	}
+	var b strings.Builder
+	for _, c := range changes {
+		switch c.Kind {
+		case config.Added:
+			fmt.Fprintf(&b, "  + %s = %+v\n", c.Path, c.New)
+		case config.Removed:
+			fmt.Fprintf(&b, "  - %s = %+v\n", c.Path, c.Old)
+		case config.Changed:
+			fmt.Fprintf(&b, "  ~ %s: %v -> %v\n", c.Path, c.Old, c.New)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/operate/status.go
@@ -0,0 +1,249 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// Status is the system as the object API and the asked processes show it.
+type Status struct {
+	Version   uint64             `json:"version"` // in force according to the object API, 0 for none
+	Digest    string             `json:"digest"`
+	Upstreams []UpstreamStatus   `json:"upstreams"`
+	Models    []ModelStatus      `json:"models"`
+	Owners    []OwnerStatus      `json:"owners"`
+	Refused   []QuarantineStatus `json:"refused"`
+	Processes []ProcessStatus    `json:"processes"`
+	// Problems names objects that could not be read.
+	Problems []string `json:"problems,omitempty"`
+}
+
+// UpstreamStatus is one published upstream.
+type UpstreamStatus struct {
+	VM       string   `json:"vm"`
+	Group    string   `json:"group"`
+	Region   string   `json:"region"`
+	Zone     string   `json:"zone"`
+	Draining bool     `json:"draining"`
+	Grants   []string `json:"grants"` // models
+}
+
+// ModelStatus is the grants of one model.
+type ModelStatus struct {
+	Model string `json:"model"`
+	// MaxReplicas is the limit of the configuration in force. Ceiling is below it while a stricter limit is being rolled
+	// out, or after an apply that was not finished.
+	MaxReplicas int          `json:"maxReplicas"`
+	Ceiling     int          `json:"ceiling"`
+	Stamp       config.Stamp `json:"stamp"`
+	Holders     []string     `json:"holders"` // VM ids; those at an index at or above Ceiling have to release
+}
+
+// OwnerStatus is the number of key slots of a service that a VM owns. An empty VM stands for slots without an owner.
+type OwnerStatus struct {
+	Service string `json:"service"`
+	VM      string `json:"vm"`
+	Slots   int    `json:"slots"`
+}
+
+// QuarantineStatus is a fingerprint whose requests are refused everywhere.
+type QuarantineStatus struct {
+	Fingerprint string    `json:"fingerprint"` // hexadecimal
+	Since       time.Time `json:"since"`
+	Reason      string    `json:"reason"`
+}
+
+// ProcessStatus is what one process says of itself on its operators' port.
+type ProcessStatus struct {
+	Addr string `json:"addr"`
+	// Error says why the process could not be asked.
+	Error string `json:"error,omitempty"`
+	// Answer is the process's JSON as received.
+	Answer json.RawMessage `json:"answer,omitempty"`
+}
+
+// ReadStatus reads the object API and asks the processes at the given addresses ("ip:port" of operators' ports). It
+// fails only if the object API cannot be read and no process was named.
+func ReadStatus(ctx context.Context, s store.Store, client *http.Client, addrs []string) (Status, error) {
+	var out Status
+	if err := out.readStore(ctx, s); err != nil {
+		if len(addrs) == 0 {
+			return out, err
+		}
+		out.Problems = append(out.Problems, err.Error())
+	}
+	for _, addr := range addrs {
+		out.Processes = append(out.Processes, askProcess(ctx, client, addr))
+	}
+	return out, nil
+}
+
+func (st *Status) readStore(ctx context.Context, s store.Store) error {
+	limits := map[string]int{}
+	d, err := Current(ctx, s)
+	if err != nil {
+		return err
+	}
+	if d != nil {
+		st.Version, st.Digest = d.Version, d.Digest
+		limits = ceilings(d.Config)
+	}
+	readers := []struct {
+		prefix string
+		read   func(name string, value []byte) error
+	}{
+		{store.PrefixGrants, func(name string, value []byte) error { return st.addModel(name, value, limits[name]) }},
+		{store.PrefixUpstreams, st.addUpstream},
+		{store.PrefixOwners, st.addOwners},
+		{store.KeyQuarantine, st.addQuarantine},
+	}
+	for _, r := range readers {
+		objects, _, err := s.List(ctx, r.prefix)
+		if err != nil {
+			return fault.Wrap(err, fault.StepStore, r.prefix, "list objects")
+		}
+		for _, o := range objects {
+			if err := r.read(strings.TrimPrefix(o.Key, r.prefix), o.Value); err != nil {
+				st.Problems = append(st.Problems, o.Key+": "+err.Error())
+			}
+		}
+	}
+	return nil
+}
+
+// Current returns the document in force, or nil if there is none.
+func Current(ctx context.Context, s store.Store) (*config.Document, error) {
+	obj, err := s.Get(ctx, store.KeyConfig)
+	if err != nil {
+		if isNotFound(err) {
+			return nil, nil
+		}
+		return nil, fault.Wrap(err, fault.StepStore, store.KeyConfig, "read configuration")
+	}
+	e, err := config.DecodeEnvelope(obj.Value)
+	if err != nil {
+		return nil, err
+	}
+	return e.Document()
+}
+
+func (st *Status) addModel(name string, value []byte, limit int) error {
+	o, err := grant.Decode(value)
+	if err != nil {
+		return err
+	}
+	st.Models = append(st.Models, ModelStatus{Model: name, MaxReplicas: limit, Ceiling: o.Ceiling, Stamp: o.Stamp, Holders: append([]string{}, o.Holders()...)})
+	return nil
+}
+
+// addUpstream runs after all models were added.
+func (st *Status) addUpstream(_ string, value []byte) error {
+	u, err := membership.Decode(value)
+	if err != nil {
+		return err
+	}
+	row := UpstreamStatus{VM: u.VM, Group: u.Group, Region: u.Region, Zone: u.Zone, Draining: u.Draining, Grants: []string{}}
+	for _, m := range st.Models {
+		for _, vm := range m.Holders {
+			if vm == u.VM {
+				row.Grants = append(row.Grants, m.Model)
+			}
+		}
+	}
+	st.Upstreams = append(st.Upstreams, row)
+	return nil
+}
+
+func (st *Status) addOwners(service string, value []byte) error {
+	o, err := once.Decode(value)
+	if err != nil {
+		return err
+	}
+	slots := map[string]int{}
+	for _, s := range o.Slots {
+		slots[s.Owner]++
+	}
+	for _, vm := range sortedKeys(slots) {
+		st.Owners = append(st.Owners, OwnerStatus{Service: service, VM: vm, Slots: slots[vm]})
+	}
+	return nil
+}
+
+func (st *Status) addQuarantine(_ string, value []byte) error {
+	entries, err := quarantineEntries(value)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		st.Refused = append(st.Refused, QuarantineStatus{Fingerprint: fmt.Sprintf("%016x", e.Fingerprint), Since: time.UnixMilli(e.UnixMS).UTC(), Reason: e.Reason})
+	}
+	sort.Slice(st.Refused, func(i, j int) bool { return st.Refused[i].Fingerprint < st.Refused[j].Fingerprint })
+	return nil
+}
+
+// quarantineEntries accepts a list and an object that holds one under entries.
+func quarantineEntries(value []byte) ([]wire.QuarantineEntry, error) {
+	var list []wire.QuarantineEntry
+	if json.Unmarshal(value, &list) == nil {
+		return list, nil
+	}
+	var holder struct {
+		Entries []wire.QuarantineEntry `json:"entries"`
+	}
+	err := json.Unmarshal(value, &holder)
+	return holder.Entries, fault.Wrap(err, fault.StepStore, store.KeyQuarantine, "decode quarantine list")
+}
+
+// maxAnswerBytes bounds a process's answer.
+const maxAnswerBytes = 8 << 20
+
+func askProcess(ctx context.Context, client *http.Client, addr string) ProcessStatus {
+	body, err := call(ctx, client, http.MethodGet, addr, "/status")
+	if err != nil {
+		return ProcessStatus{Addr: addr, Error: err.Error()}
+	}
+	if !json.Valid(body) {
+		return ProcessStatus{Addr: addr, Error: "the answer is not JSON"}
+	}
+	return ProcessStatus{Addr: addr, Answer: body}
+}
+
+// Drain marks the VM of the agent with the operators' port at addr as leaving. Repeating it has no further effect.
+func Drain(ctx context.Context, client *http.Client, addr string) error {
+	_, err := call(ctx, client, http.MethodPost, addr, "/drain")
+	return err
+}
+
+func call(ctx context.Context, client *http.Client, method, addr, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepDial, addr, "make request")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepDial, addr, "call process")
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepDial, addr, "read answer")
+	}
+	if resp.StatusCode/100 != 2 {
+		return nil, fault.Newf(fault.StepDial, addr, "%s %s answered %s: %s", method, path, resp.Status, strings.TrimSpace(string(body[:min(len(body), 200)])))
+	}
+	return body, nil
+}
