Take only starts of events for a streamed answer's bytes

Cause: a bare text that begins with empty lines lost them in a continuation; a fuzz test of the rule found the case while it was written. Change: bytes that do not begin with "data: " are the text itself. Tests cover racing updates with lost answers, and load orders whose connection closes.

--- a/pkg/engine/openai/call.go
+++ b/pkg/engine/openai/call.go
@@ -157,6 +157,10 @@
 // Text returns the text of the whole events in the start of a streamed body, and how another engine's stream joins it.
 // A prefix that is not made of events is taken as the text itself.
 func Text(prefix []byte) (string, splice) {
+	const field = "data: "
+	if n := min(len(prefix), len(field)); string(prefix[:n]) != field[:n] {
+		return string(prefix), splice{}
+	}
 	var text strings.Builder
 	rest := prefix
 	for {
@@ -177,7 +181,6 @@
 		}
 		rest = after
 	}
-	const field = "data: "
 	if n := min(len(rest), len(field)); string(rest[:n]) != field[:n] {
 		return string(prefix), splice{}
 	}
--- a/pkg/engine/openai/openai_test.go
+++ b/pkg/engine/openai/openai_test.go
@@ -272,6 +272,23 @@
 		Expect(s.Counts().StaleFences).To(BeEquivalentTo(1))
 	}, Entry("are refused", true), Entry("are carried out", false))
 
+	// Guards against a stand-in whose orders end with their connection at once: the memory of such an order has to count
+	// as taken until a listing settles it.
+	DescribeTable("whose connection closes during a load", func(linger time.Duration, want int) {
+		w := standin.NewWeights(2 << 30)
+		s := standin.NewEngine(standin.EngineOptions{Weights: w, OrderLinger: linger}, nil)
+		e := client(s.Handler(), nil)
+		short, cancel := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() { done <- e.Order(short, load("remote", 1)) }() // 1 GiB takes 500 ms
+		Eventually(func() []engine.Resident { return s.Listing().Resident }).Should(HaveLen(1))
+		cancel()
+		Eventually(done).Should(Receive(MatchError(engine.ErrUnknown)))
+		settled := func() bool { r := s.Listing().Resident; return len(r) == 0 || !r[0].Loading }
+		Eventually(settled, 5*time.Second).Should(BeTrue())
+		Expect(s.Listing().Resident).To(HaveLen(want))
+	}, Entry("goes on", time.Second, 1), Entry("is dropped", time.Duration(0), 0))
+
 	// Guards against an order with an unknown outcome being reported as failed or done.
 	It("whose answer is lost or late are unknown and take effect", func() {
 		s, e, _ := open(standin.EngineOptions{})
@@ -286,3 +303,16 @@
 		Expect(connect("http://127.0.0.1:1").Order(ctx, load("big", 4))).To(MatchError(engine.ErrNotStarted))
 	})
 })
+
+// FuzzText guards against a start of an answer that breaks the client, and against one whose text it makes up.
+func FuzzText(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: {\"cho"))
+	f.Add([]byte("text only"))
+	f.Fuzz(func(t *testing.T, prefix []byte) {
+		text, _ := openai.Text(prefix)
+		if !bytes.HasPrefix(prefix, []byte("data: ")) && !bytes.HasPrefix([]byte("data: "), prefix) && text != string(prefix) {
+			t.Fatalf("text %q of bare prefix %q", text, prefix)
+		}
+	})
+}
--- a/pkg/standin/store_test.go
+++ b/pkg/standin/store_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -105,7 +107,52 @@
 	Entry("over HTTP", throughHTTP),
 )
 
+// appendOnce appends a unique mark to the object "log".
+func appendOnce(s store.Store, mark string) {
+	GinkgoHelper()
+	for {
+		o, err := s.Get(ctx, "log")
+		Expect(err).NotTo(HaveOccurred())
+		if strings.Contains(string(o.Value), mark) {
+			return
+		}
+		_, err = s.Put(ctx, "log", append(o.Value, mark...), o.Version)
+		if err == nil {
+			return
+		}
+		Expect(err).To(Or(MatchError(store.ErrConflict), MatchError(store.ErrUnknown)))
+	}
+}
+
 var _ = Describe("the HTTP client of the object API", func() {
+	// Guards against an update that is lost or applied twice when writers race and answers are lost: each writer settles
+	// an unknown outcome by reading back its own mark.
+	It("applies racing updates exactly once", func() {
+		m := standin.NewMemStore(0)
+		s, _ := overHTTP(m)
+		_, err := s.Put(ctx, "log", nil, store.MustNotExist)
+		Expect(err).NotTo(HaveOccurred())
+		var wg sync.WaitGroup
+		for writer := range 6 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for i := range 10 {
+					appendOnce(s, fmt.Sprintf("%d-%d;", writer, i))
+					m.SetFaults(standin.StoreFaults{LoseWrites: 1})
+				}
+			})
+		}
+		wg.Wait()
+		o, err := s.Get(ctx, "log")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Value).To(HaveLen(60 * len("0-0;")))
+		for writer := range 6 {
+			for i := range 10 {
+				Expect(strings.Count(string(o.Value), fmt.Sprintf("%d-%d;", writer, i))).To(Equal(1))
+			}
+		}
+	})
+
 	// Guards against a write that may take effect being reported as failed.
 	It("reports a write that timed out as unknown and a refused dial as unavailable", func() {
 		m := standin.NewMemStore(0)
