Test the life cycle's decisions and measure the idle policies and the load order

Settle an unknown load at a fencing engine by an acknowledged unload instead of a second load, let VMs take turns in removing the grants of VMs that are gone, and price a cold start by the requests that wait for it.

--- a/pkg/grant/absence.go
+++ b/pkg/grant/absence.go
@@ -41,6 +41,14 @@
 
 // Gone reports whether the VM is proved gone as of the last read. A VM never seen is not.
 func (a *Absences) Gone(vm string) bool {
+	return a.GoneFor(vm) > 0
+}
+
+// GoneFor returns for how long the VM has been proved gone as of the last read, 0 if it is not.
+func (a *Absences) GoneFor(vm string) time.Duration {
 	since, seen := a.since[vm]
-	return seen && !since.IsZero() && a.read.Sub(since) > vmlist.MaxLag
+	if !seen || since.IsZero() {
+		return 0
+	}
+	return max(0, a.read.Sub(since)-vmlist.MaxLag)
 }
--- /dev/null
+++ b/pkg/grant/grant_test.go
@@ -0,0 +1,192 @@
+package grant_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+)
+
+func TestGrant(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "grant")
+}
+
+func stamp(v uint64, digest string) config.Stamp { return config.Stamp{Version: v, Digest: digest} }
+
+func object(ceiling int, vms ...string) grant.Object {
+	o := grant.Object{Ceiling: ceiling, Stamp: stamp(2, "b")}
+	for _, vm := range vms {
+		o.Generation++
+		o.Grants = append(o.Grants, grant.Grant{VM: vm, Incarnation: "old", Generation: o.Generation})
+	}
+	return o
+}
+
+var noneGone = func(string) bool { return false }
+
+var _ = Describe("rules", func() {
+	// Guards against a grant beyond the ceiling and against a second entry of one VM.
+	It("acquires up to the ceiling, one entry for each VM", func() {
+		o, err := grant.Acquire(object(2, "vm1"), "vm2", "i")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Grants[1]).To(Equal(grant.Grant{VM: "vm2", Incarnation: "i", Generation: 2}))
+		_, err = grant.Acquire(o, "vm3", "i")
+		Expect(err).To(MatchError(grant.ErrCeiling))
+		again, err := grant.Acquire(o, "vm1", "j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Holders()).To(Equal([]string{"vm1", "vm2"}))
+		Expect(again.Grants[0]).To(Equal(grant.Grant{VM: "vm1", Incarnation: "j", Generation: 3}))
+	})
+
+	// Guards against a function that writes into the slice of the object it was given.
+	It("leaves its argument unchanged", func() {
+		o := object(3, "vm1", "vm2")
+		before := string(o.Encode())
+		_, _ = grant.Stamp(o, "vm1", "new")
+		_, _ = grant.Release(o, "vm1")
+		_, _ = grant.RemoveGone(o, func(vm string) bool { return vm == "vm1" })
+		_, _ = grant.Acquire(o, "vm3", "new")
+		Expect(string(o.Encode())).To(Equal(before))
+	})
+
+	// Guards against a stale configuration that raises a voted limit, and a lost race of apply that keeps one down.
+	DescribeTable("ceilings", func(version uint64, digest string, ceiling, want int, changed bool) {
+		o, ok := grant.SetCeiling(object(2), ceiling, stamp(version, digest))
+		Expect(ok).To(Equal(changed))
+		Expect(o.Ceiling).To(Equal(want))
+		if changed {
+			Expect(o.Stamp).To(Equal(stamp(version, digest)))
+		}
+	},
+		Entry("newer raises", uint64(3), "c", 5, 5, true),
+		Entry("newer with the same ceiling moves the stamp", uint64(3), "c", 2, 2, true),
+		Entry("same version, other digest", uint64(2), "c", 5, 5, true),
+		Entry("same stamp", uint64(2), "b", 5, 2, false),
+		Entry("older", uint64(1), "a", 5, 2, false),
+		Entry("negative counts as none", uint64(3), "c", -1, 0, true),
+	)
+
+	// Guards against the wrong holder having to leave after a limit was lowered.
+	It("revokes the newest entries", func() {
+		o := object(1, "vm1", "vm2", "vm3")
+		Expect([]bool{o.Revoked("vm1"), o.Revoked("vm2"), o.Revoked("vm3"), o.Revoked("vm4")}).To(Equal([]bool{false, true, true, false}))
+		Expect(o.Excess()).To(Equal(2))
+		Expect(object(2, "vm1").Excess()).To(BeZero())
+	})
+})
+
+var _ = Describe("absence", func() {
+	// Guards against the removal of a VM that the list has not shown yet, that has just vanished, or that came back.
+	It("proves a VM gone only after 30 s of reads without it", func() {
+		var a grant.Absences
+		now := time.Unix(0, 0)
+		vm := []vmlist.VM{{ID: "vm1"}}
+		a.Seen(now, vm)
+		a.Seen(now.Add(time.Minute), nil)
+		Expect(a.Gone("vm1")).To(BeFalse(), "first read without it")
+		a.Seen(now.Add(time.Minute+vmlist.MaxLag), nil)
+		Expect(a.Gone("vm1")).To(BeFalse(), "not longer than the lag")
+		a.Seen(now.Add(time.Minute+vmlist.MaxLag+time.Second), nil)
+		Expect(a.Gone("vm1")).To(BeTrue())
+		Expect(a.Gone("never seen")).To(BeFalse())
+		a.Seen(now.Add(2*time.Minute), vm)
+		Expect(a.Gone("vm1")).To(BeFalse(), "listed again")
+	})
+})
+
+var _ = Describe("client", func() {
+	var c *grant.Client
+	one := grant.Ceiling{Replicas: 1, Stamp: stamp(2, "b")}
+	plan := func(in grant.Intent) *grant.Write {
+		w, err := c.Plan(in, one, noneGone)
+		Expect(err).NotTo(HaveOccurred())
+		return w
+	}
+	BeforeEach(func() { c = grant.NewClient("vm1", "new") })
+
+	// Guards against a load under a grant whose write is still open, and against a limit that forgets it.
+	It("counts an open acquisition for limits only", func() {
+		Expect(c.Observe(0, nil)).To(Succeed())
+		w := plan(grant.IntentAcquire)
+		Expect(w.Expect).To(Equal(store.MustNotExist))
+		Expect([]bool{c.Held(), c.Counted()}).To(Equal([]bool{false, true}))
+		Expect(c.Written(7, nil)).To(BeFalse())
+		Expect([]bool{c.Held(), c.Counted()}).To(Equal([]bool{true, true}))
+	})
+
+	// Guards against loads before the stamp: the earlier process's release may be on the way.
+	It("does not hold an entry of an earlier incarnation", func() {
+		Expect(c.Observe(5, object(1, "vm1").Encode())).To(Succeed())
+		Expect([]bool{c.Held(), c.Counted()}).To(Equal([]bool{false, true}))
+		Expect(plan(grant.IntentAcquire)).NotTo(BeNil())
+		c.Written(6, nil)
+		Expect(c.Held()).To(BeTrue())
+	})
+
+	// Guards against a lost release that takes effect after the agent went on loading.
+	It("holds nothing after a lost release until the object has moved on", func() {
+		held, _ := grant.Stamp(object(1, "vm1"), "vm1", "new")
+		Expect(c.Observe(5, held.Encode())).To(Succeed())
+		Expect(c.Held()).To(BeTrue())
+		plan(grant.IntentRelease)
+		Expect(c.Written(0, store.ErrUnknown)).To(BeTrue())
+		Expect(c.Observe(5, held.Encode())).To(Succeed())
+		Expect([]bool{c.Held(), c.Counted(), c.Unsettled()}).To(Equal([]bool{false, true, true}))
+		Expect(plan(grant.IntentAcquire).Expect).To(Equal(uint64(5)))
+		Expect(c.Written(0, store.ErrUnavailable)).To(BeTrue(), "the lost release is still open")
+		Expect(c.Held()).To(BeFalse())
+		plan(grant.IntentAcquire)
+		Expect(c.Written(0, store.ErrConflict)).To(BeTrue())
+		Expect([]bool{c.Known(), c.Held()}).To(Equal([]bool{false, false}))
+		Expect(c.Observe(6, object(1).Encode())).To(Succeed())
+		Expect([]bool{c.Held(), c.Counted(), c.Unsettled()}).To(Equal([]bool{false, false, false}))
+	})
+
+	// Guards against an answer that overtakes a newer one and brings back a released grant.
+	It("ignores objects older than the newest seen", func() {
+		held, _ := grant.Stamp(object(1, "vm1"), "vm1", "new")
+		Expect(c.Observe(5, held.Encode())).To(Succeed())
+		plan(grant.IntentRelease)
+		c.Written(6, nil)
+		Expect(c.Observe(5, held.Encode())).To(Succeed())
+		Expect(c.Observe(0, nil)).To(Succeed())
+		Expect([]bool{c.Held(), c.Counted()}).To(Equal([]bool{false, false}))
+		Expect(c.Object().Ceiling).To(Equal(1))
+	})
+
+	// Guards against a definite failure that blocks loads, and an outage that moves a held grant out of use.
+	It("keeps a held grant over a removal of others that took no effect", func() {
+		o := object(2, "vm1", "gone")
+		held, _ := grant.Stamp(o, "vm1", "new")
+		Expect(c.Observe(5, held.Encode())).To(Succeed())
+		w, err := c.Plan(grant.IntentRemoveGone, grant.Ceiling{Replicas: 2, Stamp: o.Stamp}, func(vm string) bool { return vm == "gone" })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w).NotTo(BeNil())
+		Expect(c.Held()).To(BeTrue())
+		Expect(c.Written(0, store.ErrUnavailable)).To(BeFalse())
+		Expect([]bool{c.Held(), c.Unsettled()}).To(Equal([]bool{true, false}))
+	})
+
+	// Guards against a holder that ignores a limit lowered in the configuration it accepted.
+	It("is revoked by the stored ceiling or by the accepted configuration", func() {
+		Expect(c.Observe(5, object(1, "vm1").Encode())).To(Succeed())
+		Expect(c.Revoked(one)).To(BeFalse())
+		Expect(c.Revoked(grant.Ceiling{Replicas: 0, Stamp: stamp(3, "c")})).To(BeTrue())
+		Expect(c.Revoked(grant.Ceiling{Replicas: 0, Stamp: stamp(1, "a")})).To(BeFalse())
+		Expect(c.Observe(6, object(0, "vm1").Encode())).To(Succeed())
+		Expect(c.Revoked(grant.Ceiling{Replicas: 9, Stamp: stamp(1, "a")})).To(BeTrue())
+	})
+
+	// Guards against an undecodable object that is taken for an empty one.
+	It("reports a value that does not decode", func() {
+		Expect(c.Observe(5, []byte("{"))).NotTo(Succeed())
+		Expect(c.Seen()).To(BeFalse())
+	})
+})
--- a/pkg/idle/histogram.go
+++ b/pkg/idle/histogram.go
@@ -115,6 +115,16 @@
 	return sum
 }
 
+// maxWaiters bounds the requests that are expected to wait for one cold start.
+const maxWaiters = 10
+
+// waiters returns how many full cold starts the requests of one cold start are expected to wait together: the first one
+// waits for the whole of it, those that follow before it ends for half of it on average.
+func (h *Histogram) waiters(coldStart time.Duration) float64 {
+	next := h.Soon(0, coldStart)
+	return min(maxWaiters, 1+next/(2*max(1e-9, 1-next)))
+}
+
 // Soon returns the probability that the next request arrives within the given time, when the target has been idle for
 // age.
 func (h *Histogram) Soon(age, within time.Duration) float64 {
--- a/pkg/idle/policy.go
+++ b/pkg/idle/policy.go
@@ -65,7 +65,7 @@
 
 // Unload implements Policy.
 func (*Cost) Unload(h *Histogram, age time.Duration, p Prices) bool {
-	hold, miss := p.hold(), p.miss()
+	hold, miss := p.hold(), p.miss()*h.waiters(p.ColdStart)
 	if hold <= 0 {
 		return false
 	}
--- /dev/null
+++ b/pkg/loadplan/loadplan_test.go
@@ -0,0 +1,124 @@
+package loadplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/loadplan"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func TestLoadplan(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadplan")
+}
+
+var start = time.Unix(1000, 0)
+
+func ask(id string, timeout time.Duration) loadplan.Ask {
+	return loadplan.Ask{Ask: wire.LoadAsk{ID: id, VM: "vm-" + id, Bytes: 1e10, TimeoutMS: timeout.Milliseconds()}}
+}
+
+var _ = Describe("coordinator", func() {
+	var c *loadplan.Coordinator
+	BeforeEach(func() {
+		c = loadplan.NewCoordinator(loadplan.Places, 1e9) // a load takes 10 s
+		for i := range loadplan.Places {
+			Expect(c.Step(start, ask(fmt.Sprint(i), time.Minute))).To(HaveLen(1))
+		}
+	})
+
+	// Guards against more loads at once than the store serves at full speed, and against first come, first served.
+	It("gives places by deadline, those that can not be in time last", func() {
+		Expect(c.Step(start, ask("late", 5*time.Second))).To(BeEmpty())
+		Expect(c.Step(start, ask("slack", time.Hour))).To(BeEmpty())
+		Expect(c.Step(start, ask("urgent", 30*time.Second))).To(BeEmpty())
+		Expect(c.Running()).To(Equal(loadplan.Places))
+		var order []string
+		for i := range 3 {
+			for _, g := range c.Step(start, loadplan.Done{ID: fmt.Sprint(i)}) {
+				order = append(order, g.ID)
+			}
+		}
+		Expect(order).To(Equal([]string{"urgent", "slack", "late"}))
+	})
+
+	// Guards against a place lost for ever with a process that died in the middle of a load.
+	It("forgets a place after twice the predicted time", func() {
+		c.Step(start, ask("x", time.Hour))
+		Expect(c.Step(start.Add(20*time.Second), loadplan.Tick{})).To(BeEmpty())
+		Expect(c.Step(start.Add(20*time.Second+1), loadplan.Tick{})).To(Equal([]loadplan.Go{{VM: "vm-x", ID: "x"}}))
+	})
+
+	// Guards against a repeated ask that takes two places, and a withdrawn one that takes any.
+	It("answers a repeated ask again and drops a withdrawn one", func() {
+		Expect(c.Step(start, ask("0", time.Minute))).To(Equal([]loadplan.Go{{VM: "vm-0", ID: "0"}}))
+		Expect(c.Running()).To(Equal(loadplan.Places))
+		c.Step(start, ask("x", time.Minute))
+		c.Step(start, loadplan.Done{ID: "x"})
+		Expect(c.Waiting()).To(BeZero())
+	})
+
+	// Guards against a queue that grows with every ask.
+	It("bounds the asks that wait", func() {
+		for i := range loadplan.MaxWaiting + 10 {
+			c.Step(start, ask(fmt.Sprint("w", i), time.Minute))
+		}
+		Expect(c.Waiting()).To(Equal(loadplan.MaxWaiting))
+	})
+})
+
+var _ = Describe("asker", func() {
+	// Guards against a load that waits for a dead coordinator, and against many loads without one.
+	It("starts one load without an answer after 250 ms", func() {
+		var a loadplan.Asker
+		a.Ask(start, "x")
+		a.Ask(start, "y")
+		Expect(a.May(start.Add(249*time.Millisecond), "x")).To(BeFalse())
+		Expect(a.May(start.Add(250*time.Millisecond), "x")).To(BeTrue())
+		Expect(a.May(start.Add(time.Minute), "y")).To(BeFalse())
+		Expect(a.Given("y")).To(BeTrue())
+		Expect(a.May(start.Add(time.Minute), "y")).To(BeTrue())
+		a.End("x")
+		Expect(a.Given("x")).To(BeFalse(), "the place of an ended load has to be returned")
+	})
+
+	// Guards against a fallback past a coordinator that is alive and has queued the ask.
+	It("waits for a coordinator that gives signs", func() {
+		var a loadplan.Asker
+		a.Ask(start, "x")
+		a.Queued(start.Add(100*time.Millisecond), "x")
+		Expect(a.May(start.Add(time.Second), "x")).To(BeFalse())
+		Expect(a.May(start.Add(100*time.Millisecond+loadplan.SignLimit), "x")).To(BeTrue())
+	})
+})
+
+var _ = Describe("ranking", func() {
+	// Guards against a choice that depends on the order of the list or moves when an unrelated VM leaves.
+	It("is stable", func() {
+		vms := []string{"a", "b", "c", "d"}
+		first := loadplan.CoordinatorOf(vms)
+		Expect(loadplan.CoordinatorOf([]string{"d", "c", "b", "a"})).To(Equal(first))
+		for _, gone := range vms {
+			var rest []string
+			for _, vm := range vms {
+				if vm != gone {
+					rest = append(rest, vm)
+				}
+			}
+			if gone != first {
+				Expect(loadplan.CoordinatorOf(rest)).To(Equal(first))
+			}
+		}
+		Expect(loadplan.Rank("m", vms)[0]).To(Equal(loadplan.First("m", vms)))
+		Expect(loadplan.CoordinatorOf(nil)).To(BeEmpty())
+	})
+
+	// Guards against a cap of 0, which would block all adapters, and against more than 30 in flight in a small fleet.
+	DescribeTable("adapter cap", func(upstreams, want int) { Expect(loadplan.AdapterCap(upstreams)).To(Equal(want)) },
+		Entry("unknown", 0, 30), Entry("one", 1, 30), Entry("nine", 9, 3), Entry("many", 830, 1))
+})
--- /dev/null
+++ b/pkg/memory/ledger_test.go
@@ -0,0 +1,107 @@
+package memory_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/memory"
+)
+
+func TestMemory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "memory")
+}
+
+func target(name string) engine.Target { return engine.Target{Model: name} }
+
+var _ = Describe("ledger", func() {
+	// Guards against a limit that ignores the engine's capacity or the vote.
+	DescribeTable("limit", func(capacity, configured, want int64) {
+		Expect(memory.Limit(capacity, configured)).To(Equal(want))
+	},
+		Entry("capacity is smaller", int64(10), int64(20), int64(10)),
+		Entry("vote is smaller", int64(20), int64(10), int64(10)),
+		Entry("no vote", int64(20), int64(0), int64(0)),
+		Entry("nonsense", int64(-5), int64(10), int64(0)),
+	)
+
+	// Guards against overcommitment by a size that overflows, is negative, or fits only after an unconfirmed unload.
+	It("refuses what does not fit", func() {
+		var l memory.Ledger
+		l.SetLimit(10)
+		Expect(l.Book(target("a"), 6)).To(BeTrue())
+		Expect(l.Book(target("b"), 5)).To(BeFalse())
+		Expect(l.Book(target("b"), 1<<62+(1<<62-1))).To(BeFalse())
+		Expect(l.Book(target("b"), -1)).To(BeFalse())
+		Expect(l.Booked()).To(Equal(int64(6)))
+		l.Drop(target("a"))
+		Expect(l.Book(target("b"), 5)).To(BeTrue())
+	})
+
+	// Guards against a lowered limit that forgets what is loaded.
+	It("keeps entries over a lower limit", func() {
+		var l memory.Ledger
+		l.SetLimit(10)
+		l.Book(target("a"), 6)
+		l.Force(target("b"), 7)
+		l.Force(target("b"), 3)
+		Expect([]int64{l.Booked(), l.Excess(), l.Free()}).To(Equal([]int64{13, 3, 0}))
+	})
+})
+
+var _ = Describe("eviction", func() {
+	cs := []memory.Candidate{
+		{Target: target("cheap"), Bytes: 1, Value: 1}, {Target: target("big"), Bytes: 8, Value: 2},
+		{Target: target("dear"), Bytes: 4, Value: 3},
+	}
+	names := func(need int64) []string {
+		chosen, ok := memory.Evict(need, cs)
+		if !ok {
+			return nil
+		}
+		out := []string{}
+		for _, c := range chosen {
+			out = append(out, c.Target.Model)
+		}
+		return out
+	}
+	// Guards against unloading more than needed, or something when the whole does not suffice.
+	DescribeTable("chooses by value", func(need int64, want []string) { Expect(names(need)).To(Equal(want)) },
+		Entry("nothing needed", int64(0), []string{}),
+		Entry("the cheapest suffices", int64(1), []string{"cheap"}),
+		Entry("a later one makes the first needless", int64(8), []string{"big"}),
+		Entry("all", int64(13), []string{"cheap", "big", "dear"}),
+		Entry("too much", int64(14), nil),
+	)
+})
+
+// Guards against a sequence of bookings that exceeds the limit or loses count.
+func TestLedgerNeverExceeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l memory.Ledger
+		l.SetLimit(100)
+		model := map[string]int64{}
+		for range 50 {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			if rapid.Bool().Draw(t, "drop") {
+				l.Drop(target(name))
+				delete(model, name)
+			} else if n := rapid.Int64Range(0, 120).Draw(t, "bytes"); l.Book(target(name), n) {
+				if _, ok := model[name]; !ok {
+					model[name] = n
+				}
+			}
+			sum := int64(0)
+			for _, n := range model {
+				sum += n
+			}
+			if l.Booked() != sum || sum > 100 {
+				t.Fatalf("booked %d, expected %d", l.Booked(), sum)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/policybench/policybench_test.go
@@ -0,0 +1,47 @@
+package policybench_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/idle"
+	"github.com/hibiscuscross/hibiscuscross/pkg/policybench"
+)
+
+func TestPolicybench(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "policybench")
+}
+
+var _ = Describe("simulations", func() {
+	d := policybench.Deployments()[0]
+	w := config.Weights{ColdStart: 0.01, IdleAccelerator: 1}
+
+	// Guards against policies compared on different workloads, results that no second run gives, and idle time that is
+	// not counted.
+	It("give each policy the same requests, every time", func() {
+		never := policybench.SimulateIdle(d, &idle.Never{}, w, 1, 24*time.Hour)
+		at := policybench.SimulateIdle(d, &idle.Fixed{}, w, 1, 24*time.Hour)
+		cost := policybench.SimulateIdle(d, &idle.Cost{}, w, 1, 24*time.Hour)
+		Expect(policybench.SimulateIdle(d, &idle.Cost{}, w, 1, 24*time.Hour)).To(Equal(cost))
+		total := func(r policybench.IdleResult) int { return len(r.Waits) + r.Misses }
+		Expect([]int{total(at), total(cost)}).To(Equal([]int{total(never), total(never)}))
+		Expect(at.IdleHours).To(BeNumerically("<", cost.IdleHours))
+		Expect(cost.IdleHours).To(BeNumerically("<", never.IdleHours))
+		Expect(never.ColdStarts).To(BeNumerically("<", cost.ColdStarts))
+	})
+
+	// Guards against an order that loses loads, and a store that gets faster by more loads at once.
+	It("end every load under each order", func() {
+		byDeadline := policybench.SimulateLoads(d, policybench.OrderDeadline, 1, time.Hour)
+		for _, o := range []policybench.Order{policybench.OrderFirstCome, policybench.OrderAllAtOnce} {
+			r := policybench.SimulateLoads(d, o, 1, time.Hour)
+			Expect(r.Waits).To(HaveLen(len(byDeadline.Waits)))
+			Expect(r.Share()).To(And(BeNumerically(">", 0.5), BeNumerically("<=", 1)))
+		}
+	})
+})
--- a/pkg/residency/grants.go
+++ b/pkg/residency/grants.go
@@ -18,6 +18,10 @@
 	// startReads is how many objects are read at once at the start. With 830 agents that start together it keeps the
 	// store's 2,000 reads a second from being exceeded by more than the answers' own pace.
 	startReads = 4
+	// repairTurn is the time between the turns of two VMs to remove the grants of a VM that is gone. It is longer than
+	// a write and the watch's interval, so that mostly one of them writes.
+	repairTurn    = 2 * store.WatchMinInterval
+	maxRepairWait = 5 * time.Minute
 )
 
 func (s *State) objectRead(now time.Time, ev ObjectRead) {
@@ -130,11 +134,20 @@
 	return 0
 }
 
-// repairs says that the object has entries of VMs proved gone and that this VM is the one to remove them.
+// repairs says that the object has entries of VMs proved gone and that it is this VM's turn to remove them. The VMs take
+// turns in the order of a rendezvous hash, as the first ones may never have seen the VM that is gone.
 func (s *State) repairs(m *model) bool {
-	return loadplan.First(m.name, s.peers) == s.o.VM && slices.ContainsFunc(m.client.Object().Grants, func(g grant.Grant) bool {
-		return s.isGone(g.VM)
-	})
+	gone := time.Duration(0)
+	for _, g := range m.client.Object().Grants {
+		if g.VM != s.o.VM {
+			gone = max(gone, s.absence.GoneFor(g.VM))
+		}
+	}
+	if gone == 0 {
+		return false
+	}
+	turn := slices.Index(loadplan.Rank(m.name, s.peers), s.o.VM)
+	return gone > min(time.Duration(turn)*repairTurn, maxRepairWait)
 }
 
 func (s *State) isGone(vm string) bool { return vm != s.o.VM && s.absence.Gone(vm) }
--- a/pkg/residency/listing.go
+++ b/pkg/residency/listing.go
@@ -45,6 +45,9 @@
 // unsettled says that a listing may settle something.
 func (s *State) unsettled() bool {
 	for _, m := range s.models {
+		if m.order != nil {
+			continue
+		}
 		for _, t := range m.adapters {
 			if t.phase == doubtful || t.phase == unloading {
 				return true
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -72,8 +72,6 @@
 	case err == nil:
 		s.loaded(now, t)
 		s.observe(now, m, t)
-	case noEffect(err) && !t.doubt.IsZero():
-		t.phase, t.since = doubtful, t.doubt
 	case noEffect(err):
 		s.gone(now, t)
 		if errors.Is(err, engine.ErrStaleFence) {
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -105,6 +105,7 @@
 	delete(m.adapters, t.id.Adapter)
 	if !m.configured && !m.client.Seen() && len(m.adapters) == 0 && m.settledAbsent() && m.used() == 0 && !m.wanted() {
 		delete(s.models, m.name)
+		s.byName = nil
 	}
 }
 
@@ -178,24 +179,23 @@
 	}
 }
 
-// awaitBase handles requests that wait for a base in transition. A load with an unknown outcome is repeated only at an
-// engine that would refuse the earlier order; otherwise the requests are refused once a listing shows no load.
+// awaitBase handles requests that wait for a base in transition.
 func (s *State) awaitBase(now time.Time, m *model, t *target) {
 	if m.base.phase != doubtful || m.base.listedLoading || !s.clean(m) {
 		return
 	}
+	s.awaitSettled(now, m, t, m.base)
+}
+
+// awaitSettled handles requests for t that wait for a load of unknown outcome. At an engine that refuses old fencing
+// numbers, an acknowledged unload settles it at once. A second load would not do: both could take effect, one of them
+// after a restart of the engine. Elsewhere, the requests whose deadline passes before it is settled are refused.
+func (s *State) awaitSettled(now time.Time, m *model, t, doubt *target) {
 	if s.trusted() {
-		if m.client.Held() && s.loadable() && !m.base.unload {
-			s.send(now, m, m.base, engine.OrderLoad)
-		}
+		doubt.unload = true
 		return
 	}
-	s.awaitSettled(now, m, t, m.base.since)
-}
-
-// awaitSettled refuses the requests whose deadline passes before the load of unknown outcome is settled.
-func (s *State) awaitSettled(now time.Time, m *model, t *target, since time.Time) {
-	settled := since.Add(engine.OrderSettle)
+	settled := doubt.since.Add(engine.OrderSettle)
 	if t.last.Before(settled) {
 		s.fail(m, t, wire.CodeUpstreamDown, "the outcome of a load order is unknown", settled.Sub(now))
 	}
@@ -221,12 +221,11 @@
 
 // loadAdapter takes the next step towards loading an adapter on a resident base.
 func (s *State) loadAdapter(now time.Time, m *model, t *target) {
-	if t.phase == doubtful && !t.listedLoading && s.clean(m) && !s.trusted() {
-		s.awaitSettled(now, m, t, t.since)
+	if t.phase == doubtful && !t.listedLoading && s.clean(m) {
+		s.awaitSettled(now, m, t, t)
 		return
 	}
-	again := t.phase == doubtful && !t.listedLoading && s.trusted()
-	if t.phase != absent && !again || !s.clean(m) || !s.loadable() || now.Before(m.notBefore) || t.unload {
+	if t.phase != absent || !s.clean(m) || !s.loadable() || now.Before(m.notBefore) || t.unload {
 		return
 	}
 	if s.adapterLoads() >= loadplan.AdapterCap(len(s.peers)) {
--- a/pkg/residency/residency_test.go
+++ b/pkg/residency/residency_test.go
@@ -266,15 +266,3 @@
 		Expect(count[residency.AskPlace](a)).To(Equal(1))
 	})
 })
-
-var _ = Describe("adapters", func() {
-	// Guards against an adapter loaded without its base, and a base unloaded under a loaded adapter.
-	It("load after their base and leave before it", func() {
-		a := started(residency.Options{}, 10*gib, 1, "m1")
-		a.want(a1, time.Minute)
-		a.written(5, nil)
-		a.place()
-		a.order(engine.OrderLoad, nil, res("m1"))
-		Expect(take[residency.SendOrder](a).Order.Target).To(Equal(a1))
-	})
-})
--- /dev/null
+++ b/pkg/residency/rules_test.go
@@ -0,0 +1,184 @@
+package residency_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+var newer = config.Stamp{Version: 9, Digest: "x"}
+
+// earlier is an object with a grant of this VM's earlier process.
+func earlier() *grant.Object {
+	return &grant.Object{Ceiling: 1, Generation: 1, Grants: []grant.Grant{{VM: "vm1", Incarnation: "old", Generation: 1}}}
+}
+
+// restarted returns an agent after a restart with a grant for m1 and the given listing.
+func restarted(o residency.Options, rs ...engine.Resident) *agent {
+	a := newAgent(o)
+	a.step(residency.Configured{Document: document(1, 10*gib, 1, "m1", "m2")})
+	a.list(rs...)
+	a.objects(earlier(), "m1")
+	a.objects(nil, "m2")
+	return a
+}
+
+var _ = Describe("restart", func() {
+	// Guards against a load that races with a release of the earlier process, and against one into memory that a load
+	// of the earlier process may still take.
+	It("stamps first and books a load that the earlier process may have sent", func() {
+		a := restarted(residency.Options{})
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+		w := take[residency.WriteObject](a)
+		o, _ := grant.Decode(w.Value)
+		Expect(o.Grants[0].Incarnation).To(Equal("new"))
+		a.want(m2, time.Second)
+		Expect(take[residency.Failed](a).Code).To(Equal(wire.CodeNoMemory))
+		a.want(m1, time.Hour)
+		a.step(residency.ObjectWritten{Key: w.Key, Version: 2})
+		a.later(30 * time.Second).step(residency.Tick{})
+		a.list()
+		Expect(count[residency.AskPlace](a)).To(BeZero(), "a listing after exactly 30 s does not settle it")
+		a.later(time.Second).step(residency.Tick{})
+		a.list()
+		a.place()
+		Expect(count[residency.SendOrder](a)).To(Equal(1))
+	})
+
+	// Guards against refusing what is loaded while the store is down, and against loading without a stamp.
+	It("serves what is listed during an outage, and loads nothing", func() {
+		a := newAgent(residency.Options{})
+		a.step(residency.Configured{Document: document(1, 20*gib, 1, "m1", "m2")})
+		a.list(res("m1"))
+		Expect(a.s.IsReady(m1)).To(BeTrue())
+		a.want(m2, time.Minute)
+		read := take[residency.ReadObject](a)
+		a.step(residency.ObjectRead{Key: read.Key, Err: store.ErrUnavailable})
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.later(61 * time.Second).step(residency.Tick{})
+		Expect(count[residency.Failed](a)).To(Equal(1))
+		a.objects(earlier(), "m1")
+		Expect(a.s.IsReady(m1)).To(BeTrue(), "granted to the earlier process")
+	})
+
+	// Guards against a replica that stays loaded without any grant.
+	It("unloads a listed model without a grant", func() {
+		a := restarted(residency.Options{}, res("m2"))
+		Expect(a.s.IsReady(m2)).To(BeFalse())
+		Expect(take[residency.SendOrder](a).Order.Target).To(Equal(m2))
+	})
+
+	// Guards against a fencing number that falls over a restart, or that is trusted at an engine that ignores it.
+	It("settles by a fenced order only at a trusted engine", func() {
+		for _, trust := range []bool{false, true} {
+			a := started(residency.Options{TrustFence: trust}, 10*gib, 1, "m1")
+			a.want(m1, time.Minute)
+			a.written(5, nil)
+			a.place()
+			first := take[residency.SendOrder](a).Order
+			Expect(first.Fence).To(BeNumerically(">=", a.now.UnixNano()))
+			a.step(residency.OrderDone{Order: first, Err: engine.ErrUnknown})
+			take[residency.FetchListing](a)
+			a.step(residency.Listed{Listing: engine.Listing{MemoryBytes: 100 * gib, EnforceFence: true}})
+			if !trust {
+				Expect(count[residency.SendOrder](a)).To(BeZero())
+				continue
+			}
+			again := take[residency.SendOrder](a).Order
+			Expect(again.Fence).To(BeNumerically(">", first.Fence))
+			Expect(again.Kind).To(Equal(engine.OrderUnload))
+			a.step(residency.OrderDone{Order: again, Err: engine.ErrRefused})
+			a.list()
+			Expect(a.s.MemoryBooked()).To(Equal(modelSize), "the refusal does not settle the first order")
+		}
+	})
+})
+
+var _ = Describe("leaving", func() {
+	var a *agent
+	BeforeEach(func() {
+		a = started(residency.Options{}, 20*gib, 1, "m1", "m2")
+		a.load("m1", 5, res("m1"))
+		a.step(residency.Use{Target: m1, Begin: true})
+	})
+
+	// Guards against an unload under a running request, a release before the engine confirmed, and new loads.
+	It("drains after the last request and releases after the listing", func() {
+		a.step(residency.Drain{})
+		a.want(m2, time.Minute)
+		Expect(take[residency.Failed](a).Code).To(Equal(wire.CodeDraining))
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.step(residency.Use{Target: m1})
+		a.step(residency.OrderDone{Order: take[residency.SendOrder](a).Order})
+		Expect(count[residency.WriteObject](a)).To(BeZero())
+		a.list()
+		a.written(6, nil)
+		Expect(a.s.Drained()).To(BeTrue())
+	})
+
+	// Guards against a revoked replica that goes on serving for ever or is cut off.
+	It("takes no new requests when revoked, unloads when idle, and releases", func() {
+		a.objects(&grant.Object{Ceiling: 0, Stamp: newer, Grants: []grant.Grant{{VM: "vm1", Incarnation: "new"}}}, "m1")
+		Expect(a.s.IsReady(m1)).To(BeTrue(), "version 1 is older than what was written")
+		a.step(residency.ObjectRead{Key: grant.Key("m1"), Version: 7, Value: (grant.Object{Stamp: newer, Grants: []grant.Grant{{VM: "vm1", Incarnation: "new"}}}).Encode()})
+		Expect(a.s.IsReady(m1)).To(BeFalse())
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.step(residency.Use{Target: m1})
+		a.step(residency.Tick{})
+		a.order(engine.OrderUnload, nil)
+		o, _ := grant.Decode(a.written(8, nil).Value)
+		Expect(o.Grants).To(BeEmpty())
+	})
+
+	// Guards against memory counted as free before the engine confirmed, after the voted limit fell.
+	It("unloads idle models to a lower limit", func() {
+		a.load("m2", 6, res("m1"), res("m2"))
+		a.step(residency.Configured{Document: document(2, 10*gib, 1, "m1", "m2")})
+		a.step(residency.Tick{})
+		o := take[residency.SendOrder](a).Order
+		Expect(o.Target).To(Equal(m2), "m1 is in use")
+		a.step(residency.OrderDone{Order: o, Err: engine.ErrUnknown})
+		Expect(a.s.MemoryBooked()).To(Equal(2 * modelSize))
+		a.list(res("m1"))
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+	})
+
+	// Guards against serving residents of an engine process that ended.
+	It("empties after an engine restart once the listing shows it", func() {
+		a.step(residency.EngineLost{})
+		Expect(a.s.IsReady(m1)).To(BeFalse())
+		Expect(a.s.MemoryBooked()).To(Equal(modelSize))
+		a.list()
+		Expect(a.s.Residents()).To(BeEmpty())
+		Expect(a.s.Held()).To(Equal([]string{"m1"}))
+	})
+})
+
+var _ = Describe("adapters", func() {
+	// Guards against an adapter without its base, a base unloaded under an adapter, and two orders for one model.
+	It("load after their base and leave before it", func() {
+		a := started(residency.Options{}, 10*gib, 1, "m1")
+		a.want(a1, time.Minute)
+		a.written(5, nil)
+		a.place()
+		a.order(engine.OrderLoad, nil, res("m1"))
+		o := take[residency.SendOrder](a).Order
+		Expect(o.Target).To(Equal(a1))
+		a.step(residency.Drain{})
+		Expect(count[residency.SendOrder](a)).To(BeZero())
+		a.step(residency.OrderDone{Order: o})
+		both := []engine.Resident{res("m1"), {Target: a1}}
+		a.list(both...)
+		a.later(time.Second).step(residency.Tick{})
+		o = take[residency.SendOrder](a).Order
+		Expect([]any{o.Kind, o.Target}).To(Equal([]any{engine.OrderUnload, a1}))
+	})
+})
--- a/pkg/residency/state.go
+++ b/pkg/residency/state.go
@@ -21,8 +21,9 @@
 	VM, Incarnation, Group string
 	// Policy decides about idle models; nil stands for the cost policy.
 	Policy idle.Policy
-	// TrustFence says that the engine's claim to refuse old fencing numbers may be relied on. Without it, an order with
-	// an unknown outcome is settled only by the listing.
+	// TrustFence says that the engine's claim to refuse old fencing numbers may be relied on, also after a restart of
+	// the engine: a restarted engine that has forgotten the number could take an order that is still on the way.
+	// Without it, an order with an unknown outcome is settled only by the listing.
 	TrustFence bool
 	// Speeds are the initial load speeds by tier, bytes per second; missing tiers have DefaultSpeeds.
 	Speeds map[engine.Tier]float64
@@ -47,7 +48,7 @@
 	id    engine.Target
 	phase phase
 	since time.Time // of the phase; for doubtful, when the order's connection was closed
-	// doubt is the since of an unsettled load over which another order was sent; zero for none.
+	// doubt is the since of an unsettled load over which a fenced unload was sent; zero for none.
 	doubt time.Time
 	// listedLoading says that the last listing showed a load in progress.
 	listedLoading bool
@@ -87,6 +88,7 @@
 	doc     *config.Document
 	sizes   map[engine.Target]int64 // configured adapters, bytes
 	models  map[string]*model
+	byName  []*model // the models by name; nil after a change
 	ledger  memory.Ledger
 	started time.Time
 	// reserved says that memory was booked for adapters that an earlier process may be loading.
@@ -169,6 +171,7 @@
 		m = &model{name: name, client: grant.NewClient(s.o.VM, s.o.Incarnation), adapters: map[string]*target{}}
 		m.base = &target{id: engine.Target{Model: name}}
 		s.models[name] = m
+		s.byName = nil
 	}
 	return m
 }
@@ -201,16 +204,21 @@
 
 // sorted returns the models in the order of their names.
 func (s *State) sorted() []*model {
-	ms := make([]*model, 0, len(s.models))
-	for _, name := range slices.Sorted(maps.Keys(s.models)) {
-		ms = append(ms, s.models[name])
+	if s.byName == nil {
+		s.byName = make([]*model, 0, len(s.models))
+		for _, name := range slices.Sorted(maps.Keys(s.models)) {
+			s.byName = append(s.byName, s.models[name])
+		}
 	}
-	return ms
+	return s.byName
 }
 
 // targets returns the base and then the adapters in the order of their names.
 func (m *model) targets() []*target {
 	ts := []*target{m.base}
+	if len(m.adapters) == 0 {
+		return ts
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.adapters)) {
 		ts = append(ts, m.adapters[name])
 	}
