--- a/pkg/operate/apply_test.go
+++ b/pkg/operate/apply_test.go
@@ -107,6 +107,7 @@
 		obj, err := s.Get(context.Background(), grant.Key(checkedModel))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(grant.Decode(obj.Value)).To(HaveField("Ceiling", 1))
+		Expect(apply(s, docWith(2, "first"), 0).Text()).To(ContainSubstring("a later apply has set stricter limits for m"))
 		setGrants(s, hold("vm-a"))
 		Expect(apply(s, docWith(1, "lower"), 1).Version).To(Equal(uint64(2)))
 	})
--- a/pkg/operate/ceilings.go
+++ b/pkg/operate/ceilings.go
@@ -80,6 +80,10 @@
 	case a.phase == phaseLower && s.version != store.MustNotExist && s.object.Stamp == a.stamp && s.object.Ceiling <= want:
 		a.keepFloor(s.version) // an earlier write, whose answer was lost, took effect
 		a.next()
+	case a.phase == phaseRaising && s.object.Stamp.Version > a.stamp.Version && s.object.Ceiling < want:
+		n := len(a.result.Stricter)
+		a.result.Stricter = append(a.result.Stricter[:n:n], a.todo[0])
+		a.next()
 	case a.phase == phaseRaising && (s.version == store.MustNotExist || s.object.Stamp.Version > a.stamp.Version || s.object.Ceiling == want):
 		a.next()
 	default:
--- a/pkg/operate/result.go
+++ b/pkg/operate/result.go
@@ -46,6 +46,8 @@
 	// NotRaised names models whose ceilings were still to be raised when the time ran out. Agents raise them when they
 	// use the models, or the same apply does when it is run again.
 	NotRaised []string `json:"notRaised,omitempty"`
+	// Stricter names models whose ceilings a later apply, finished or not, has set below this document's limits.
+	Stricter []string `json:"stricter,omitempty"`
 	// Error is the last failure of a call, if the apply did not get past it.
 	Error string `json:"error,omitempty"`
 }
@@ -151,6 +153,9 @@
 	if len(r.NotRaised) > 0 {
 		fmt.Fprintf(b, "not raised yet: %s; agents raise them on use, or run the same apply again\n", strings.Join(r.NotRaised, ", "))
 	}
+	if len(r.Stricter) > 0 {
+		fmt.Fprintf(b, "a later apply has set stricter limits for %s\n", strings.Join(r.Stricter, ", "))
+	}
 	if r.Error != "" {
 		fmt.Fprintf(b, "last error: %s\n", r.Error)
 	}
