--- a/pkg/capacity/baddays.go
+++ b/pkg/capacity/baddays.go
@@ -35,7 +35,7 @@
 			fmt.Sprintf("%.0f/s, above the limit: the first listing needs a random delay of up to %.0f s, which the watch duty does not have yet", starting*startReads, 2*starting*startReads/budgetStoreReads))
 
 	lost := float64(upstreams) / zones
-	row("an availability zone is lost", fmt.Sprintf("%.0f upstreams; after %.0f s of absence about %.0f conditional writes that remove grants, and as many attempts of other agents that conflict", lost, vmlist.MaxLag.Seconds(), lost*grantsPerVM),
+	row("an availability zone is lost", fmt.Sprintf("%.0f upstreams; after %.0f s of absence about %.0f conditional writes that remove grants, and further attempts that conflict", lost, vmlist.MaxLag.Seconds(), lost*grantsPerVM),
 		"removal of entries of VMs proved gone; the other zones' holders serve meanwhile, non-idempotent calls of the lost owners' key slots are refused for 30 s and more")
 
 	row("250 VMs replaced in a day", fmt.Sprintf("%.4f writes/s; the VM list changes about %d times", 4*vmsReplaced/day, 2*vmsReplaced), "drain: release of grants before the VM ends; one record at the start")
--- a/pkg/capacity/budget.go
+++ b/pkg/capacity/budget.go
@@ -75,7 +75,7 @@
 			Change: "End carries neither; the Pings and the Accept of the next request do", Changed: at("sync.bytes", requests) / 2})
 		add(Line{What: "requests in flight: reader and Open", Memory: gcFactor * at("request.state", inFlight)})
 		if role == "agent" {
-			add(Line{What: "residency: 10 ticks a second while busy, state", Cores: at("residency.tick.cpu", adapters) * 10 / 1e6, Memory: gcFactor * at("residency.state", adapters)})
+			add(Line{What: "residency: 10 ticks a second while busy, state", Cores: at("residency.tick.cpu", models) * 10 / 1e6, Memory: gcFactor * at("residency.state", adapters)})
 			add(Line{What: "residency: configuration changes", Cores: at("residency.config.cpu", adapters) * changesPerDay / day / 1e6})
 		}
 	}
--- a/pkg/capacity/report.go
+++ b/pkg/capacity/report.go
@@ -46,7 +46,7 @@
 		"out the design scale of section 1.5 of `design.md` from the lines. CPU times are the least of three rounds; other load\n"+
 		"on the machine can raise them. A residual is the difference of a measurement from its line.\n\n"+
 		"Not measured here: decisions that no package holds yet (admission, once, quarantine, routing, stream), QUIC and TLS,\n"+
-		"and latencies from end to end.\n\n"+
+		"and latencies from end to end. Names and sizes in the sample documents are regular; real documents compress less.\n\n"+
 		"One watch that finds nothing takes %.0f B on its connection and %.0f µs of CPU time, client and stand-in together;\n"+
 		"each sign of life of a held watch takes %.0f B.\n\n",
 		runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), call, cpu, sign)
@@ -127,7 +127,7 @@
 	row("configuration in force, watch silent, read failed, peer asked", versionInForce(), budgetConfig, "s")
 	row("codec's share of the time to the first token: Open, Accept, Data", (fits["open.cpu"].Slope+fits["accept.cpu"].Slope+fits["token.cpu"].Slope)/1e3, 1e3*budgetFirst, "ms")
 	row("codec's share between tokens", fits["token.cpu"].Slope/1e3, budgetToken, "ms")
-	row("codec's CPU for Data frames at a router, each decoded once", routerTokens*fits["token.cpu"].Slope/1e6, 0.5, "cores")
+	row("codec's CPU for Data frames at a router, each encoded and decoded once", routerTokens*fits["token.cpu"].Slope/1e6, 0.5, "cores")
 	apply := fits["apply.calls"]
 	fmt.Fprintf(w, "\nAn apply that lowers the limits of all %d models makes %.0f store calls and writes %s.\n", models, apply.At(models), size(fits["apply.bytes"].At(models)))
 	fmt.Fprintf(w, "Frames carry %s B around each token's payload, which is %s/s at a router; this belongs to the data path and is not in the\ncontrol budget. At the highest rate of upstream records, each node would receive %s/s by its watch, which does not fit\ninto %s/s. Design change: one record in 5 minutes for changes of tiers only, at once only for draining.\n\n",
--- a/pkg/capacity/series.go
+++ b/pkg/capacity/series.go
@@ -38,7 +38,7 @@
 // All returns the series, in the order of the report.
 func All() []Series {
 	all := append(adapterSeries(), peerSeries()...)
-	return append(append(all, flightSeries()...), operatorSeries()...)
+	return append(append(all, flightSeries()...), modelSeries()...)
 }
 
 func adapterSeries() []Series {
@@ -64,10 +64,6 @@
 			r, d := newResidency(document(models, n)), document(models, n)
 			return cpuMicros(func() { r.Step(epoch, residency.Configured{Document: d}) })
 		}),
-		s("residency.tick.cpu", "agent", "residency tick", "µs", func(n int) float64 {
-			r := newResidency(document(models, n))
-			return cpuMicros(func() { r.Step(epoch, residency.Tick{}) })
-		}),
 		s("diff.cpu", "operators' command", "compare two documents", "µs", func(n int) float64 {
 			d := document(models, n)
 			return cpuMicros(func() { config.Diff(d.Config, d.Config) })
@@ -238,8 +234,12 @@
 	return out
 }
 
-func operatorSeries() []Series {
+func modelSeries() []Series {
 	return []Series{
+		{"residency.tick.cpu", "agent", "residency tick", "µs", "model", []int{10, 50, 150}, func(n int) float64 {
+			r := newResidency(document(n, 10*n))
+			return cpuMicros(func() { r.Step(epoch, residency.Tick{}) })
+		}},
 		{"apply.calls", "operators' command", "store calls of an apply that lowers the limit of each model", "calls", "model", []int{10, 50, 150},
 			func(n int) float64 { c, _ := applyCalls(n); return c }},
 		{"apply.bytes", "operators' command", "bytes written by it", "B", "model", []int{10, 50, 150},
