--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,90 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func TestQuarantine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quarantine")
+}
+
+var now = time.UnixMilli(1000)
+
+var _ = Describe("quarantine", func() {
+	var s *quarantine.State
+	BeforeEach(func() { s = quarantine.New() })
+	crash := func(fps ...uint64) {
+		for _, fp := range fps {
+			s.Begin(fp)
+		}
+		s.Crashed(now)
+	}
+
+	// Guards against innocents being refused together with the request that crashes the upstream.
+	It("convicts a request that was alone, not the ones beside it", func() {
+		crash(1, 2, 3)
+		Expect(s.Entries()).To(BeEmpty())
+		s.Wait(1)
+		s.Wait(2)
+		s.Wait(9)
+		Expect(s.MayStart(9)).To(BeFalse()) // an innocent waits while suspects do
+		Expect(s.MayStart(1)).To(BeTrue())
+		s.Leave(1)
+		s.Begin(1)
+		Expect(s.MayStart(2)).To(BeFalse()) // suspects run one at a time
+		s.End(1, true)
+		s.Leave(2)
+		crash(2)
+		Expect(s.Convicted(1)).To(BeFalse())
+		Expect(s.Convicted(2)).To(BeTrue())
+		Expect(s.MayStart(9)).To(BeTrue())
+	})
+
+	// Guards against a request that crashes upstreams in company being retried for ever.
+	It("convicts a request in its second crash", func() {
+		crash(1, 2)
+		crash(1, 3)
+		Expect(s.Entries()).To(HaveLen(1))
+		Expect(s.Convicted(1)).To(BeTrue())
+	})
+
+	// Guards against the crashes of a request that has since run to its end being added up.
+	It("clears a suspect that ran to its end", func() {
+		crash(1, 2)
+		s.Begin(1)
+		s.End(1, true)
+		crash(1, 3)
+		Expect(s.Convicted(1)).To(BeFalse())
+		s.End(1, true) // the call ended with the crash already
+		Expect(s.MayStart(7)).To(BeTrue())
+	})
+
+	// Guards against peers that never agree on the list, and against growth without bound.
+	It("merges to the same bounded list in any order", func() {
+		var a, b []wire.QuarantineEntry
+		for i := range uint64(quarantine.MaxEntries) {
+			a = append(a, wire.QuarantineEntry{Fingerprint: i, UnixMS: int64(i), Reason: "x"})
+			b = append(b, wire.QuarantineEntry{Fingerprint: i + 500, UnixMS: int64(i + 300), Reason: "y"})
+		}
+		other := quarantine.New()
+		Expect(s.Merge(a)).To(BeTrue())
+		Expect(s.Merge(b)).To(BeTrue())
+		Expect(s.Merge(b)).To(BeFalse())
+		other.Merge(b)
+		Expect(other.Hash()).NotTo(Equal(s.Hash()))
+		other.Merge(a)
+		Expect(other.Hash()).To(Equal(s.Hash()))
+		Expect(s.Entries()).To(HaveLen(quarantine.MaxEntries))
+		entries, err := quarantine.Decode(s.Encode())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(Equal(s.Entries()))
+	})
+})
