--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -50,7 +50,8 @@
 	Request
 	since time.Time
 	seq   uint64
-	cold  bool // the target is not loaded
+	cold  bool          // the target is not loaded
+	load  time.Duration // predicted time until the target is loaded
 }
 
 // Queue is the queue of one upstream. It is a pure state machine and not safe for concurrent use.
@@ -61,9 +62,7 @@
 	items   map[string]*waiting
 	bytes   int
 	seq     uint64
-	service mean                    // of the time of a call
-	load    map[engine.Target]*mean // of the time of a load
-	loading map[engine.Target]time.Time
+	service mean // of the time of a call
 }
 
 // mean is an exponentially weighted mean.
@@ -82,20 +81,19 @@
 
 // New returns an empty queue of an upstream that runs up to slots calls at once.
 func New(limits Limits, slots int) *Queue {
-	return &Queue{limits: limits, slots: max(1, slots), running: map[string]time.Time{}, items: map[string]*waiting{},
-		load: map[engine.Target]*mean{}, loading: map[engine.Target]time.Time{}}
+	return &Queue{limits: limits, slots: max(1, slots), running: map[string]time.Time{}, items: map[string]*waiting{}}
 }
 
 // SetSlots changes how many calls run at once. Values below 1 count as 1.
 func (q *Queue) SetSlots(n int) { q.slots = max(1, n) }
 
-// Offer queues a request, or says why not. A cold request waits for Warm before it can be served; it takes no place
-// before the ones whose targets are loaded.
-func (q *Queue) Offer(now time.Time, r Request, cold bool) *Refusal {
+// Offer queues a request, or says why not. A cold request, whose target is predicted to be loaded after load, waits for
+// Warm before it can be served; it takes no place before the ones whose targets are loaded.
+func (q *Queue) Offer(now time.Time, r Request, cold bool, load time.Duration) *Refusal {
 	if !now.Before(r.Deadline) {
 		return &Refusal{Code: wire.CodeExpired, Reason: "the deadline has passed"}
 	}
-	w := &waiting{Request: r, since: now, seq: q.seq + 1, cold: cold}
+	w := &waiting{Request: r, since: now, seq: q.seq + 1, cold: cold, load: load}
 	wait := q.predict(now, w)
 	if len(q.items) >= q.limits.Count || q.bytes+r.Bytes > q.limits.Bytes {
 		return &Refusal{Code: wire.CodeQueueFull, Reason: "the queue is full", RetryAfter: max(minRetryAfter, wait)}
@@ -106,31 +104,19 @@
 	q.seq++
 	q.items[r.ID] = w
 	q.bytes += r.Bytes
-	if cold {
-		if _, ok := q.loading[r.Target]; !ok {
-			q.loading[r.Target] = now
-		}
-	}
 	return nil
 }
 
-// Requeue queues a request again whose call ended without effect, without the checks of Offer; it keeps its bound,
-// since its place was freed when it started.
-func (q *Queue) Requeue(now time.Time, r Request) {
+// Requeue queues a request again whose call ended without effect, without the checks of Offer: at most as many
+// requests as the upstream has slots exceed the bounds thereby.
+func (q *Queue) Requeue(now time.Time, r Request, cold bool) {
 	q.seq++
-	q.items[r.ID] = &waiting{Request: r, since: now, seq: q.seq}
+	q.items[r.ID] = &waiting{Request: r, since: now, seq: q.seq, cold: cold}
 	q.bytes += r.Bytes
 }
 
 // Warm says that a target is loaded, and returns the ids of the requests that waited for it, in the order of arrival.
-func (q *Queue) Warm(now time.Time, t engine.Target) []string {
-	if since, ok := q.loading[t]; ok {
-		delete(q.loading, t)
-		if q.load[t] == nil {
-			q.load[t] = &mean{}
-		}
-		q.load[t].add(now.Sub(since))
-	}
+func (q *Queue) Warm(t engine.Target) []string {
 	ids := q.coldIDs(t)
 	for _, id := range ids {
 		q.items[id].cold = false
@@ -144,7 +130,6 @@
 	for _, id := range ids {
 		q.Remove(id)
 	}
-	delete(q.loading, t)
 	return ids
 }
 
@@ -244,24 +229,11 @@
 		wait = time.Duration(float64(q.service.value) * float64(excess) / float64(q.slots))
 	}
 	if w.cold {
-		wait = max(wait, q.predictLoad(now, w.Target))
+		wait = max(wait, w.load)
 	}
 	return wait
 }
 
-// predictLoad returns the expected rest of a load, 0 without an observed one.
-func (q *Queue) predictLoad(now time.Time, t engine.Target) time.Duration {
-	m := q.load[t]
-	if m == nil {
-		return 0
-	}
-	rest := m.value
-	if since, ok := q.loading[t]; ok {
-		rest -= now.Sub(since)
-	}
-	return max(0, rest)
-}
-
 // before orders two requests: the higher class first, where waiting raises the class, then the earlier deadline, then
 // the earlier arrival.
 func before(now time.Time, a, b *waiting) bool {
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -26,7 +26,7 @@
 	var q *admission.Queue
 	BeforeEach(func() { q = admission.New(admission.Limits{Count: 3, Bytes: 100}, 1) })
 	offer := func(id string, prio int, after time.Duration) *admission.Refusal {
-		return q.Offer(start, admission.Request{ID: id, Priority: prio, Deadline: start.Add(after), Bytes: 10}, false)
+		return q.Offer(start, admission.Request{ID: id, Priority: prio, Deadline: start.Add(after), Bytes: 10}, false, 0)
 	}
 	next := func(now time.Time) string {
 		id, _ := q.Next(now, anyID)
@@ -38,7 +38,7 @@
 
 	// Guards against memory that grows with the number or the size of waiting requests.
 	It("is bounded by count and bytes", func() {
-		Expect(q.Offer(start, admission.Request{ID: "big", Deadline: start.Add(time.Minute), Bytes: 101}, false).Code).To(Equal(wire.CodeQueueFull))
+		Expect(q.Offer(start, admission.Request{ID: "big", Deadline: start.Add(time.Minute), Bytes: 101}, false, 0).Code).To(Equal(wire.CodeQueueFull))
 		for _, id := range []string{"a", "b", "c"} {
 			Expect(offer(id, 0, time.Minute)).To(BeNil())
 		}
@@ -69,7 +69,7 @@
 		for i := 0; served != "low"; i++ {
 			Expect(now.Sub(start)).To(BeNumerically("<", 25*time.Second))
 			now = now.Add(time.Second)
-			q.Offer(now, admission.Request{ID: fmt.Sprint(i), Priority: 9, Deadline: now.Add(time.Minute)}, false)
+			q.Offer(now, admission.Request{ID: fmt.Sprint(i), Priority: 9, Deadline: now.Add(time.Minute)}, false, 0)
 			served = next(now)
 			q.Done(now, served, true)
 		}
@@ -93,25 +93,25 @@
 		Expect(offer("a", 0, time.Second)).To(BeNil())
 		Expect(offer("b", 0, time.Minute)).To(BeNil())
 		Expect(q.Expire(start.Add(time.Second))).To(Equal([]string{"a"}))
-		Expect(q.Offer(start, admission.Request{ID: "c", Deadline: start}, false).Code).To(Equal(wire.CodeExpired))
+		Expect(q.Offer(start, admission.Request{ID: "c", Deadline: start}, false, 0).Code).To(Equal(wire.CodeExpired))
 		Expect(next(start.Add(time.Hour))).To(BeEmpty())
 	})
 
 	// Guards against a cold model that holds up requests for loaded ones, and against a load being predicted as free.
 	It("keeps cold requests apart from the others", func() {
 		cold := admission.Request{ID: "cold", Target: engine.Target{Model: "m"}, Priority: 9, Deadline: start.Add(time.Minute)}
-		Expect(q.Offer(start, cold, true)).To(BeNil())
+		Expect(q.Offer(start, cold, true, time.Second)).To(BeNil())
 		Expect(offer("warm", 0, time.Minute)).To(BeNil())
 		Expect(next(start)).To(Equal("warm"))
 		finish("warm", 0)
 		Expect(next(start)).To(BeEmpty())
-		Expect(q.Warm(start.Add(6*time.Second), cold.Target)).To(Equal([]string{"cold"}))
+		Expect(q.Warm(cold.Target)).To(Equal([]string{"cold"}))
 		Expect(next(start.Add(6 * time.Second))).To(Equal("cold"))
 		finish("cold", 6*time.Second)
 		cold.ID, cold.Deadline = "late", start.Add(5*time.Second)
-		Expect(q.Offer(start, cold, true).Code).To(Equal(wire.CodeTooLate))
+		Expect(q.Offer(start, cold, true, 6*time.Second).Code).To(Equal(wire.CodeTooLate))
 		cold.ID, cold.Deadline = "kept", start.Add(time.Minute)
-		Expect(q.Offer(start, cold, true)).To(BeNil())
+		Expect(q.Offer(start, cold, true, time.Second)).To(BeNil())
 		Expect(q.Fail(cold.Target)).To(Equal([]string{"kept"}))
 		Expect(q.Len()).To(BeZero())
 	})
--- /dev/null
+++ b/pkg/agent/core.go
@@ -0,0 +1,342 @@
+// Package agent implements the process beside an upstream. It has the last word on everything that happens there:
+// Core composes the decisions, and Agent runs the duties around it.
+package agent
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/loadplan"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+const (
+	// defaultSlots is how many calls run at once before a listing names the number.
+	defaultSlots = 8
+	// recordInterval is the least time between two writes of upstreams/<vm> (design page, section 3).
+	recordInterval = 30 * time.Second
+	// exchangeInterval is the least time between two exchanges of the quarantine list that this agent starts.
+	exchangeInterval = 2 * time.Second
+	// weightStoreSpeed is the speed of one load from the weight store, bytes per second. It only bounds how long a
+	// place is kept for an agent that ended.
+	weightStoreSpeed = 5e8
+)
+
+// Options name the agent and its place.
+type Options struct {
+	VM, Incarnation, Region, Zone, Group string
+	Addr                                 string // "ip:port" for peers
+	Start                                time.Time
+	TrustFence                           bool // the engine refuses orders with old fencing numbers
+	Queue                                admission.Limits
+	Once                                 once.Limits
+}
+
+// Core composes the decisions of an agent. It is a pure state machine and not safe for concurrent use.
+type Core struct {
+	o       Options
+	conf    *confsync.State
+	kind    config.GroupKind
+	members *membership.State
+	once    *once.State
+	queue   *admission.Queue
+	jail    *quarantine.State
+	res     *residency.State
+	places  *loadplan.Coordinator
+
+	jobs     map[string]*job        // by run id
+	requests map[string]*attachment // by request id
+	streams  map[uint64]*attachment
+
+	tiers      map[string]engine.Tier
+	capacity   int64
+	epoch      string // of the engine process, "" before the first listing
+	engineDown bool
+	checking   bool   // a listing asked for by check is out
+	checks     uint64 // number of the last one
+
+	draining   bool
+	leaving    bool
+	listMirror mirror
+	selfMirror mirror
+	exchangeAt time.Time
+
+	now time.Time
+	out []Action
+}
+
+// NewCore returns the core of a starting agent.
+func NewCore(o Options) *Core {
+	return &Core{
+		o: o, conf: confsync.New(), members: membership.New(), once: once.New(o.VM, o.Start, o.Once),
+		queue: admission.New(o.Queue, defaultSlots), jail: quarantine.New(),
+		res:    residency.New(residency.Options{VM: o.VM, Incarnation: o.Incarnation, Group: o.Group, TrustFence: o.TrustFence}),
+		places: loadplan.NewCoordinator(loadplan.Places, weightStoreSpeed),
+		jobs:   map[string]*job{}, requests: map[string]*attachment{}, streams: map[uint64]*attachment{},
+		listMirror: mirror{key: store.KeyQuarantine}, selfMirror: mirror{key: membership.Key(o.VM), interval: recordInterval},
+	}
+}
+
+// Step applies an event and returns the actions to carry out, in order. The time must not go back.
+func (c *Core) Step(now time.Time, ev Event) []Action {
+	c.now, c.out = now, nil
+	c.apply(ev)
+	c.pump()
+	return c.out
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) apply(ev Event) {
+	switch ev := ev.(type) {
+	case Opened:
+		c.heard(ev.Peer, ev.Open.Sync)
+		c.opened(ev)
+	case Closed:
+		c.closed(ev.Stream)
+	case Cancelled:
+		c.cancelled(ev.Stream)
+	case CallEnded:
+		c.callEnded(ev)
+	case EngineSeen:
+		if ev.Number == c.checks {
+			c.checking = false
+		}
+		c.engineSeen(ev.Listing, ev.Err, ev.Number)
+	case Listed:
+		c.engineSeen(ev.Listing, ev.Err, 0)
+		c.residency(residency.Listed{Listing: ev.Listing, Err: ev.Err})
+	case OrderDone:
+		c.residency(residency.OrderDone{Order: ev.Order, Err: ev.Err})
+	case Drain:
+		c.drain(ev.Leaving)
+	case Tick:
+		c.tick()
+	default:
+		c.applyPeer(ev)
+	}
+}
+
+// applyPeer handles events from the store, the VM list and other processes.
+func (c *Core) applyPeer(ev Event) {
+	switch ev := ev.(type) {
+	case ObjectRead:
+		c.objectRead(ev)
+	case ObjectWritten:
+		c.objectWritten(ev)
+	case StoreChanged:
+		c.config(confsync.StoreUp{})
+		for _, o := range ev.Objects {
+			c.objectChanged(o)
+		}
+	case StoreFailed:
+		c.config(confsync.StoreDown{})
+	case VMsSeen:
+		c.vmsSeen(ev)
+	case ConfigAnswered:
+		if ev.Doc == nil {
+			c.config(confsync.PeerFailed{Peer: ev.Peer})
+			return
+		}
+		c.config(confsync.PeerAnswered{Peer: ev.Peer, Version: ev.Doc.Version, Digest: ev.Doc.Digest, Raw: ev.Doc.Document})
+	case QuarantineHeard:
+		c.mergeQuarantine(ev.Entries)
+	case PlaceAsked:
+		c.givePlaces(c.places.Step(c.now, loadplan.Ask{Ask: ev.Ask}))
+	case PlaceReturned:
+		c.givePlaces(c.places.Step(c.now, loadplan.Done{ID: ev.ID}))
+	case PlaceGiven:
+		c.residency(residency.PlaceGiven{ID: ev.ID})
+	case PlaceQueued:
+		c.residency(residency.PlaceQueued{ID: ev.ID})
+	}
+}
+
+// config feeds the configuration decision.
+func (c *Core) config(ev confsync.Event) {
+	for _, a := range c.conf.Step(c.now, ev) {
+		switch a := a.(type) {
+		case confsync.ReadStore:
+			c.emit(ReadObject{Key: store.KeyConfig})
+		case confsync.AskPeer:
+			c.emit(AskConfig{Peer: a.Peer, Have: a.Have})
+		case confsync.Accepted:
+			c.accepted(a.Document)
+		case confsync.Report:
+			c.emit(Report{Message: "configuration ignored", Err: a.Err})
+		}
+	}
+}
+
+func (c *Core) accepted(d *config.Document) {
+	c.kind = ""
+	for _, g := range d.Config.Groups {
+		if g.Name == c.o.Group {
+			c.kind = g.Kind
+		}
+	}
+	var keyed []string
+	for _, s := range d.Config.Services {
+		if s.Group == c.o.Group && slices.ContainsFunc(s.Calls, func(call config.Call) bool { return call.NonIdempotent }) {
+			keyed = append(keyed, s.Name)
+		}
+	}
+	c.emit(Report{Message: "configuration in force"})
+	c.onceStep(once.Services{Names: keyed})
+	c.residency(residency.Configured{Document: d})
+	c.feedMembers()
+}
+
+// heard compares the versions that a message carries with this process's own.
+func (c *Core) heard(peer string, s wire.Sync) {
+	if s.ConfigVersion > c.conf.Version() {
+		c.config(confsync.VersionHeard{Peer: peer, Version: s.ConfigVersion})
+	}
+	if s.QuarantineHash != c.jail.Hash() && !c.now.Before(c.exchangeAt) {
+		c.exchangeAt = c.now.Add(exchangeInterval)
+		c.emit(ExchangeQuarantine{Peer: peer, Entries: c.jail.Entries()})
+	}
+}
+
+func (c *Core) mergeQuarantine(entries []wire.QuarantineEntry) {
+	if c.jail.Merge(entries) {
+		c.refuseConvicted()
+	}
+}
+
+// onceStep feeds the at-most-once decision.
+func (c *Core) onceStep(ev once.Event) {
+	for _, a := range c.once.Step(c.now, ev) {
+		switch a := a.(type) {
+		case once.Read:
+			c.emit(ReadObject{Key: once.Key(a.Service)})
+		case once.Write:
+			c.emit(WriteObject{Key: once.Key(a.Service), Value: a.Owners.Encode(), Expect: a.Expect})
+		}
+	}
+}
+
+func (c *Core) drain(leaving bool) {
+	if leaving && !c.leaving {
+		c.leaving = true
+		c.emit(Report{Message: "VM is leaving"})
+		c.residency(residency.Drain{})
+	}
+	if !c.draining {
+		c.draining = true
+		c.emit(Report{Message: "draining"})
+		c.onceStep(once.Drain{})
+	}
+}
+
+// Drained reports whether a draining agent has finished its work and may end.
+func (c *Core) Drained() bool {
+	if !c.draining || !c.once.Released() || c.leaving && c.models() && !c.res.Drained() {
+		return false
+	}
+	return len(c.jobs) == 0 && !c.selfMirror.busy && !c.listMirror.busy
+}
+
+func (c *Core) tick() {
+	c.config(confsync.Tick{})
+	c.onceStep(once.Tick{})
+	if c.models() {
+		c.residency(residency.Tick{})
+	}
+	c.givePlaces(c.places.Step(c.now, loadplan.Tick{}))
+	c.expire()
+	if c.engineDown && c.limbo() {
+		c.check()
+	}
+	for _, m := range []struct {
+		m    *mirror
+		want []byte
+	}{{&c.listMirror, c.wantedList()}, {&c.selfMirror, c.wantedRecord()}} {
+		if a := m.m.step(c.now, m.want); a != nil {
+			c.emit(a)
+		}
+	}
+}
+
+// models reports whether the upstream is a model engine.
+func (c *Core) models() bool { return c.kind == config.GroupModels }
+
+// wantedList returns what quarantine/list should hold, nil for an empty list.
+func (c *Core) wantedList() []byte {
+	if c.jail.Hash() == 0 {
+		return nil
+	}
+	return c.jail.Encode()
+}
+
+// wantedRecord returns what upstreams/<vm> should hold, nil before the agent has a configuration.
+func (c *Core) wantedRecord() []byte {
+	if c.kind == "" {
+		return nil
+	}
+	u := membership.Upstream{VM: c.o.VM, Incarnation: c.o.Incarnation, Addr: c.o.Addr, Region: c.o.Region, Zone: c.o.Zone,
+		Group: c.o.Group, Kind: c.kind, MemoryBytes: c.capacity, Tiers: c.tiers, Draining: c.draining}
+	return u.Encode()
+}
+
+// isGrants reports whether the key is one of a model's grants.
+func isGrants(key string) bool { return strings.HasPrefix(key, store.PrefixGrants) }
+
+// isOwners returns the service of an owners key.
+func isOwners(key string) (string, bool) { return strings.CutPrefix(key, store.PrefixOwners) }
+
+// Load returns what the agent reports of itself.
+func (c *Core) Load() wire.Load {
+	queued, running := c.queue.Len()
+	return wire.Load{Queued: uint32(queued), Running: uint32(running), Slots: uint32(c.queue.Slots()),
+		PredictedMS: uint32(c.queue.Predict(c.now, 0).Milliseconds()), Draining: c.draining}
+}
+
+// Sync returns the versions that all messages carry.
+func (c *Core) Sync() wire.Sync {
+	return wire.Sync{ConfigVersion: c.conf.Version(), QuarantineHash: c.jail.Hash()}
+}
+
+// Status is what operators see of an agent.
+type Status struct {
+	VM, Incarnation, Group string
+	ConfigVersion          uint64
+	Load                   wire.Load
+	EngineEpoch            string
+	EngineDown             bool
+	Residents, Grants      []string
+	MemoryBooked           int64 // bytes
+	MemoryLimit            int64 // bytes
+	Quarantined            int
+	Keys                   int
+	KeySlots               map[string]int // by service
+}
+
+// Status returns the present status.
+func (c *Core) Status() Status {
+	s := Status{VM: c.o.VM, Incarnation: c.o.Incarnation, Group: c.o.Group, ConfigVersion: c.conf.Version(), Load: c.Load(),
+		EngineEpoch: c.epoch, EngineDown: c.engineDown, Quarantined: len(c.jail.Entries()), KeySlots: map[string]int{}}
+	for _, t := range c.res.Residents() {
+		s.Residents = append(s.Residents, strings.TrimSuffix(t.Model+"/"+t.Adapter, "/"))
+	}
+	s.Grants, s.MemoryBooked, s.MemoryLimit = c.res.Held(), c.res.MemoryBooked(), c.res.MemoryLimit()
+	s.Keys, _ = c.once.Len()
+	if d := c.conf.Current(); d != nil {
+		for _, svc := range d.Config.Services {
+			if n := c.once.Held(svc.Name); n > 0 {
+				s.KeySlots[svc.Name] = n
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/agent/jobs.go
@@ -0,0 +1,363 @@
+package agent
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+const (
+	// KeepOutput is how long an output is kept after its last stream was lost (design page, section 4.6).
+	KeepOutput = 10 * time.Second
+	// maxEngineResumes bounds how often one call is continued at the upstream on a new connection.
+	maxEngineResumes = 3
+	// maxRuns bounds how often an idempotent call is started here. A second crash convicts it anyway.
+	maxRuns = 2
+)
+
+// phase is the progress of a job.
+type phase uint8
+
+const (
+	queued  phase = iota
+	running       // the call has been sent to the upstream
+	limbo         // the connection to the upstream was lost; a listing decides
+	ended
+)
+
+// job is one execution of a request, which several requests with the same key may share.
+type job struct {
+	id       string
+	open     *wire.Open
+	deadline time.Time
+	fp       uint64
+	keyed    bool
+	call     once.Call
+	phase    phase
+	run      int // counts the starts
+	resumes  int
+	sent     bool   // a part of the answer may have reached a router
+	began    bool   // an earlier run may have had an effect
+	waits    bool   // counted by the quarantine decision as ready to run
+	epoch    string // of the upstream process that has the call
+	check    uint64 // number of the first listing that tells what became of a lost connection
+	counted  bool   // the residency decision counts the target as in use
+	stopping bool   // the call was stopped
+	attached map[string]*attachment
+	// lostAt is when the last stream was lost or the job ended, whichever is later.
+	lostAt time.Time
+}
+
+// attachment is one request's interest in a job.
+type attachment struct {
+	request string
+	attempt uint32
+	stream  uint64 // 0 if the connection was lost
+	job     *job
+}
+
+// ordered returns the jobs in the order of their ids, since the order of a map is not deterministic.
+func (c *Core) ordered() []*job {
+	out := make([]*job, 0, len(c.jobs))
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		out = append(out, c.jobs[id])
+	}
+	return out
+}
+
+// pump starts calls while the upstream has slots.
+func (c *Core) pump() {
+	may := func(id string) bool { j := c.jobs[id]; return j != nil && c.jail.MayStart(j.fp) }
+	for {
+		id, ok := c.queue.Next(c.now, may)
+		if !ok {
+			return
+		}
+		c.start(c.jobs[id])
+	}
+}
+
+// start records the fingerprint before the call is sent.
+func (c *Core) start(j *job) {
+	c.unready(j)
+	c.jail.Begin(j.fp)
+	j.phase, j.epoch = running, c.epoch
+	j.run++
+	j.resumes = 0
+	c.emit(StartCall{Job: j.id, Run: j.run, Call: j.engineCall(), Keep: j.keyed})
+}
+
+func (j *job) engineCall() engine.Call {
+	o := j.open
+	return engine.Call{Request: o.Request, Target: o.Target, Method: o.Method, Path: o.Path, Header: o.Header, Body: o.Body,
+		Priority: o.Priority, Prefix: o.Prefix, Traceparent: o.Traceparent}
+}
+
+// callEnded handles the end of a call at the upstream.
+func (c *Core) callEnded(ev CallEnded) {
+	j := c.jobs[ev.Job]
+	if j == nil || j.run != ev.Run || j.phase != running {
+		return
+	}
+	j.sent = j.sent || ev.Sent
+	switch {
+	case ev.Err == nil:
+		c.leaveUpstream(j, true)
+		c.finish(j, ev.Answer, nil)
+	case errors.Is(ev.Err, engine.ErrNotStarted), errors.Is(ev.Err, engine.ErrRefused) && !j.sent:
+		c.leaveUpstream(j, false)
+		c.notRun(j, wire.CodeUpstreamDown, ev.Err.Error())
+	case j.stopping:
+		c.leaveUpstream(j, false)
+		c.finish(j, nil, refuseUnknown(wire.CodeExpired, "the request was cancelled or its deadline passed"))
+	default:
+		// A listing that was begun earlier may show the upstream as it was before the loss.
+		j.phase, j.check = limbo, c.checks+1
+		c.check()
+	}
+}
+
+// check asks for a listing, which tells whether the upstream process still is the one that had the calls.
+func (c *Core) check() {
+	if !c.checking {
+		c.checking = true
+		c.checks++
+		c.emit(CheckEngine{Number: c.checks})
+	}
+}
+
+func (c *Core) limbo() bool {
+	for _, j := range c.jobs {
+		if j.phase == limbo {
+			return true
+		}
+	}
+	return false
+}
+
+// engineSeen handles a listing: a new epoch proves that the upstream process ended with all calls that it had.
+func (c *Core) engineSeen(l engine.Listing, err error, number uint64) {
+	if c.engineDown != (err != nil) {
+		c.engineDown = err != nil
+		c.emit(Report{Message: "upstream reachable: " + map[bool]string{true: "no", false: "yes"}[c.engineDown], Err: err})
+	}
+	if err != nil {
+		return
+	}
+	if l.Slots > 0 {
+		c.queue.SetSlots(l.Slots)
+	}
+	c.tiers, c.capacity = l.Tiers, l.MemoryBytes
+	died := c.epoch != "" && l.Epoch != c.epoch
+	c.epoch = l.Epoch
+	if died {
+		c.engineDied()
+		return
+	}
+	for _, j := range c.ordered() {
+		switch {
+		case j.phase == limbo && number >= j.check:
+			c.reconnect(j)
+		case j.phase == limbo:
+			c.check()
+		}
+	}
+}
+
+// reconnect continues a call whose connection was lost while the upstream lives. A non-idempotent call is not sent a
+// second time, not even as a resume, because the upstream may take it for a new call.
+func (c *Core) reconnect(j *job) {
+	if j.open.NonIdempotent || j.epoch == "" || j.resumes >= maxEngineResumes {
+		c.leaveUpstream(j, false)
+		c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the connection to the upstream was lost"))
+		return
+	}
+	j.resumes++
+	j.phase = running
+	c.emit(ResumeCall{Job: j.id, Run: j.run, Call: j.engineCall(), Keep: j.keyed})
+}
+
+// engineDied makes suspects of all calls that the upstream had, and runs the ones again that may be.
+func (c *Core) engineDied() {
+	c.emit(Report{Message: "upstream process ended"})
+	c.jail.Crashed(c.now)
+	for _, j := range c.ordered() {
+		if j.phase != running && j.phase != limbo {
+			continue
+		}
+		c.emit(StopCall{Job: j.id, Run: j.run})
+		c.leaveUpstream(j, false)
+		switch {
+		case c.jail.Convicted(j.fp):
+			c.finish(j, nil, refuseUnknown(wire.CodeQuarantined, "the request has crashed upstreams"))
+		case j.open.NonIdempotent || j.sent || j.run >= maxRuns || j.stopping:
+			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream ended during the call"))
+		default:
+			c.requeue(j)
+		}
+	}
+	if c.models() {
+		c.residency(residency.EngineLost{})
+	}
+	c.refuseConvicted()
+}
+
+// requeue queues a call again whose upstream ended before a part of the answer was given on.
+func (c *Core) requeue(j *job) {
+	j.phase, j.began = queued, true
+	c.queue.Requeue(c.now, c.admissionRequest(j), !c.targetReady(j))
+	c.want(j)
+}
+
+// refuseConvicted removes waiting requests that have become quarantined.
+func (c *Core) refuseConvicted() {
+	for _, j := range c.ordered() {
+		if j.phase == queued && c.jail.Convicted(j.fp) {
+			c.queue.Remove(j.id)
+			c.notRun(j, wire.CodeQuarantined, "the request has crashed upstreams")
+		}
+	}
+}
+
+// leaveUpstream frees what a call held at the upstream.
+func (c *Core) leaveUpstream(j *job, whole bool) {
+	c.queue.Done(c.now, j.id, whole)
+	c.jail.End(j.fp, whole)
+	c.release(j)
+}
+
+// release ends the job's use of its target.
+func (c *Core) release(j *job) {
+	if j.counted {
+		j.counted = false
+		c.residency(residency.Use{Target: j.open.Target})
+	}
+}
+
+// ready says that a waiting job lacks only a slot. Only then does a suspect keep others from starting, since the load of
+// its target may take long.
+func (c *Core) ready(j *job) {
+	if !j.waits {
+		j.waits = true
+		c.jail.Wait(j.fp)
+	}
+	if c.models() && !j.counted {
+		j.counted = true
+		c.residency(residency.Use{Target: j.open.Target, Begin: true})
+	}
+}
+
+// unready is the counterpart of ready for the quarantine decision.
+func (c *Core) unready(j *job) {
+	if j.waits {
+		j.waits = false
+		c.jail.Leave(j.fp)
+	}
+}
+
+// notRun ends a job whose call never reached the upstream. After an earlier run the outcome is unknown.
+func (c *Core) notRun(j *job, code wire.Code, reason string) {
+	c.refuseJob(j, &wire.Refuse{Code: code, Reason: reason})
+}
+
+func (c *Core) refuseJob(j *job, r *wire.Refuse) {
+	c.unready(j)
+	c.release(j)
+	r.Outcome = wire.OutcomeNotRun
+	if j.began || j.sent {
+		r.Outcome = wire.OutcomeUnknown
+	}
+	if j.keyed && r.Outcome == wire.OutcomeNotRun {
+		c.once.Abort(j.call)
+	}
+	c.end(j, r)
+}
+
+// finish ends a job whose call reached the upstream. A nil refusal says that the answer is whole.
+func (c *Core) finish(j *job, answer *once.Answer, r *wire.Refuse) {
+	if j.keyed {
+		c.once.Finish(j.call, answer)
+	}
+	c.end(j, r)
+}
+
+func (c *Core) end(j *job, r *wire.Refuse) {
+	j.phase, j.lostAt = ended, c.now
+	c.emit(EndJob{Job: j.id, Refuse: r})
+}
+
+// expire refuses waiting requests whose deadline has passed, stops calls that nobody waits for, and forgets outputs.
+func (c *Core) expire() {
+	for _, id := range c.queue.Expire(c.now) {
+		c.notRun(c.jobs[id], wire.CodeExpired, "the deadline passed before the request started")
+	}
+	for _, j := range c.ordered() {
+		c.expireJob(j)
+	}
+}
+
+func (c *Core) expireJob(j *job) {
+	abandoned := !j.watched() && c.now.Sub(j.lostAt) >= KeepOutput
+	late := !c.now.Before(j.deadline)
+	switch j.phase {
+	case queued:
+		if abandoned {
+			c.withdraw(j)
+		}
+	case running:
+		if (abandoned || late) && !j.open.NonIdempotent {
+			c.stop(j)
+		}
+	case limbo:
+		if late {
+			c.leaveUpstream(j, false)
+			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream did not answer before the deadline"))
+		}
+	case ended:
+		if abandoned {
+			c.forget(j)
+		}
+	}
+}
+
+// stop cancels a begun call at the upstream.
+func (c *Core) stop(j *job) {
+	if !j.stopping {
+		j.stopping = true
+		c.emit(StopCall{Job: j.id, Run: j.run})
+	}
+}
+
+// withdraw refuses a waiting request that nobody waits for.
+func (c *Core) withdraw(j *job) {
+	c.queue.Remove(j.id)
+	c.notRun(j, wire.CodeExpired, "the caller left")
+}
+
+func (c *Core) forget(j *job) {
+	for request := range j.attached {
+		delete(c.requests, request)
+	}
+	delete(c.jobs, j.id)
+	c.emit(ForgetJob{Job: j.id})
+}
+
+// watched reports whether a stream is connected to the job.
+func (j *job) watched() bool {
+	for _, a := range j.attached {
+		if a.stream != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func refuseUnknown(code wire.Code, reason string) *wire.Refuse {
+	return &wire.Refuse{Outcome: wire.OutcomeUnknown, Code: code, Reason: reason}
+}
--- /dev/null
+++ b/pkg/agent/targets.go
@@ -0,0 +1,238 @@
+package agent
+
+import (
+	"errors"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
+	"github.com/hibiscuscross/hibiscuscross/pkg/loadplan"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// targetReady reports whether the job's target can be called now. A plain service has no targets.
+func (c *Core) targetReady(j *job) bool {
+	return !c.models() || c.res.IsReady(j.open.Target)
+}
+
+func (c *Core) loadWait(j *job, cold bool) time.Duration {
+	if !cold {
+		return 0
+	}
+	return c.res.PredictedWait(j.open.Target, c.now)
+}
+
+// want counts a waiting job as a use of its target if that is ready, so that it is not unloaded meanwhile, and asks for
+// the target otherwise.
+func (c *Core) want(j *job) {
+	if c.targetReady(j) {
+		c.ready(j)
+		return
+	}
+	c.residency(residency.Want{Target: j.open.Target, Deadline: j.deadline})
+}
+
+// residency feeds the residency decision and handles its actions. A plain service has none.
+func (c *Core) residency(ev residency.Event) {
+	if c.kind == config.GroupPlain {
+		return
+	}
+	for _, a := range c.res.Step(c.now, ev) {
+		switch a := a.(type) {
+		case residency.ReadObject:
+			c.emit(ReadObject{Key: a.Key})
+		case residency.WriteObject:
+			c.emit(WriteObject{Key: a.Key, Value: a.Value, Expect: a.Expect})
+		case residency.AskPlace:
+			c.askPlace(a)
+		case residency.ReturnPlace:
+			c.returnPlace(a)
+		case residency.Ready:
+			for _, id := range c.queue.Warm(a.Target) {
+				c.ready(c.jobs[id])
+			}
+		case residency.Failed:
+			c.targetFailed(a)
+		default:
+			c.emit(Residency{Action: a})
+		}
+	}
+}
+
+func (c *Core) targetFailed(a residency.Failed) {
+	for _, id := range c.queue.Fail(a.Target) {
+		c.refuseJob(c.jobs[id], &wire.Refuse{Code: a.Code, Reason: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), Holders: a.Holders})
+	}
+}
+
+func (c *Core) askPlace(a residency.AskPlace) {
+	if a.Coordinator == "" || a.Coordinator == c.o.VM {
+		c.givePlaces(c.places.Step(c.now, loadplan.Ask{Ask: a.Ask}))
+		c.residency(residency.PlaceQueued{ID: a.Ask.ID})
+		return
+	}
+	if u, ok := c.members.Upstream(a.Coordinator); ok {
+		c.emit(AskPlace{Addr: u.Addr, Ask: a.Ask})
+	}
+}
+
+func (c *Core) returnPlace(a residency.ReturnPlace) {
+	if a.Coordinator == "" || a.Coordinator == c.o.VM {
+		c.givePlaces(c.places.Step(c.now, loadplan.Done{ID: a.ID}))
+		return
+	}
+	c.emit(ReturnPlace{ID: a.ID})
+}
+
+// givePlaces hands out the places of this agent as the load coordinator.
+func (c *Core) givePlaces(given []loadplan.Go) {
+	for _, g := range given {
+		if g.VM == c.o.VM {
+			c.residency(residency.PlaceGiven{ID: g.ID})
+			continue
+		}
+		c.emit(GivePlace{ID: g.ID})
+	}
+}
+
+// objectRead hands a read to the decisions that may have asked for it.
+func (c *Core) objectRead(ev ObjectRead) {
+	missing := errors.Is(ev.Err, store.ErrNotFound)
+	if service, ok := isOwners(ev.Key); ok {
+		c.ownersRead(service, ev, missing)
+		return
+	}
+	switch ev.Key {
+	case store.KeyConfig:
+		switch {
+		case ev.Err == nil:
+			c.config(confsync.EnvelopeSeen{Value: ev.Object.Value})
+		case missing:
+			c.config(confsync.StoreEmpty{})
+		default:
+			c.config(confsync.StoreDown{})
+		}
+	case c.listMirror.key:
+		if ev.Err == nil {
+			c.listSeen(ev.Object)
+		}
+		c.listMirror.read(c.now, ev.Object, ev.Err)
+	case c.selfMirror.key:
+		c.selfMirror.read(c.now, ev.Object, ev.Err)
+	default:
+		r := residency.ObjectRead{Key: ev.Key, Version: ev.Object.Version, Value: ev.Object.Value, Err: ev.Err}
+		if missing {
+			r.Err = nil
+		}
+		c.residency(r)
+	}
+}
+
+func (c *Core) ownersRead(service string, ev ObjectRead, missing bool) {
+	seen := once.Seen{Service: service, Version: ev.Object.Version, Err: ev.Err}
+	if missing {
+		seen.Err = nil
+	}
+	if ev.Err == nil {
+		seen.Owners, seen.Err = once.Decode(ev.Object.Value)
+	}
+	c.onceStep(seen)
+}
+
+func (c *Core) listSeen(o store.Object) {
+	entries, err := quarantine.Decode(o.Value)
+	if err != nil {
+		c.emit(Report{Message: "quarantine list ignored", Err: err})
+		return
+	}
+	c.mergeQuarantine(entries)
+}
+
+func (c *Core) objectWritten(ev ObjectWritten) {
+	if service, ok := isOwners(ev.Key); ok {
+		c.onceStep(once.Written{Service: service, Expect: ev.Expect, Version: ev.Version, Err: ev.Err})
+		return
+	}
+	switch ev.Key {
+	case c.listMirror.key:
+		c.listMirror.written(c.now, ev.Value, ev.Version, ev.Err)
+	case c.selfMirror.key:
+		c.selfMirror.written(c.now, ev.Value, ev.Version, ev.Err)
+	default:
+		c.residency(residency.ObjectWritten{Key: ev.Key, Version: ev.Version, Err: ev.Err})
+	}
+}
+
+// objectChanged hands a change seen by the watch to the decisions.
+func (c *Core) objectChanged(o store.Object) {
+	if service, ok := isOwners(o.Key); ok {
+		if !o.Deleted {
+			c.ownersRead(service, ObjectRead{Key: o.Key, Object: o}, false)
+		}
+		return
+	}
+	switch o.Key {
+	case store.KeyConfig:
+		if !o.Deleted {
+			c.config(confsync.EnvelopeSeen{Value: o.Value})
+		}
+	case c.listMirror.key:
+		if !o.Deleted {
+			c.listSeen(o)
+		}
+		c.listMirror.seen(o)
+	case c.selfMirror.key:
+		c.selfMirror.seen(o)
+		c.memberChanged(o)
+	default:
+		c.memberChanged(o)
+		r := residency.ObjectRead{Key: o.Key, Version: o.Version, Value: o.Value}
+		if o.Deleted {
+			r.Value = nil
+		}
+		if isGrants(o.Key) {
+			c.residency(r)
+		}
+	}
+}
+
+func (c *Core) memberChanged(o store.Object) {
+	if err := c.members.SeeObject(o); err != nil {
+		c.emit(Report{Message: "upstream record ignored", Err: err})
+	}
+	c.feedMembers()
+}
+
+func (c *Core) vmsSeen(ev VMsSeen) {
+	c.members.SeeVMs(ev.Began, ev.VMs)
+	c.residency(residency.VMsSeen{VMs: ev.VMs})
+	c.feedMembers()
+	if c.members.Leaving(c.o.VM) {
+		c.drain(true)
+	}
+}
+
+// feedMembers tells the decisions which agents are live.
+func (c *Core) feedMembers() {
+	var group, models, addrs []string
+	for _, u := range c.members.Candidates() {
+		if u.VM != c.o.VM {
+			addrs = append(addrs, u.Addr)
+		}
+		if u.Group == c.o.Group {
+			group = append(group, u.VM)
+		}
+		if u.Kind == config.GroupModels {
+			models = append(models, u.VM)
+		}
+	}
+	c.onceStep(once.Members{Live: group, Gone: c.members.GoneVMs()})
+	c.residency(residency.Candidates{VMs: models})
+	if c.conf.Version() == 0 {
+		c.config(confsync.PeersKnown{Addrs: addrs})
+	}
+}
--- /dev/null
+++ b/pkg/once/machine_test.go
@@ -0,0 +1,236 @@
+package once_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+)
+
+// flight is a store call on its way. A call whose process has ended has no agent; it still takes effect.
+type flight struct {
+	from   *process
+	action once.Action
+	// lost says that the sender has already been told that the outcome is unknown.
+	lost bool
+}
+
+type process struct {
+	vm    string
+	state *once.State
+	skew  time.Duration
+}
+
+// machine runs several agents on one fake object with late writes, lost answers, restarts and reclaimed VMs.
+type machine struct {
+	now     time.Time
+	agents  []*process
+	absent  map[string]time.Time
+	flights []flight
+	owners  once.Owners
+	version uint64
+	calls   []once.Call
+	runs    map[string]int
+	nextVM  int
+	keys    int
+	history []once.Seen // earlier states of the object, for stale reads
+}
+
+func (m *machine) step(p *process, ev once.Event) {
+	for _, a := range p.state.Step(m.now.Add(p.skew), ev) {
+		m.flights = append(m.flights, flight{from: p, action: a})
+	}
+}
+
+func (m *machine) launch(vm string, skew time.Duration) *process {
+	p := &process{vm: vm, skew: skew, state: once.New(vm, m.now.Add(skew), once.Limits{Entries: 4, AnswerBytes: 10, TableBytes: 100})}
+	m.step(p, once.Services{Names: []string{"orders"}})
+	return p
+}
+
+func (m *machine) members() once.Members {
+	var ev once.Members
+	for _, p := range m.agents {
+		ev.Live = append(ev.Live, p.vm)
+	}
+	for vm, since := range m.absent {
+		if m.now.Sub(since) > 30*time.Second {
+			ev.Gone = append(ev.Gone, vm)
+		}
+	}
+	slices.Sort(ev.Gone)
+	return ev
+}
+
+func (m *machine) pick(t *rapid.T) *process {
+	return m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(t, "agent")]
+}
+
+// alive reports whether the process may still receive answers.
+func (m *machine) alive(p *process) bool { return slices.Contains(m.agents, p) }
+
+// deliver answers a call, loses the answer, refuses the call, or reports it lost before it arrives.
+func (m *machine) deliver(t *rapid.T) {
+	if len(m.flights) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.flights)-1).Draw(t, "flight")
+	f := m.flights[i]
+	w, write := f.action.(once.Write)
+	switch how := rapid.SampledFrom([]string{"answer", "stale", "lose", "late", "unavailable"}).Draw(t, "how"); {
+	case f.lost || how == "answer":
+		m.arrive(i, f.lost)
+	case how == "stale" && !write && len(m.history) > 0:
+		m.flights = slices.Delete(m.flights, i, i+1)
+		m.tell(f, m.history[max(0, len(m.history)-rapid.IntRange(1, 3).Draw(t, "old"))])
+	case how == "lose":
+		m.arrive(i, true)
+		m.tell(f, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnknown})
+	case write && how == "late":
+		m.flights[i].lost = true
+		m.tell(f, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnknown})
+	default:
+		m.flights = slices.Delete(m.flights, i, i+1)
+		m.tell(f, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnavailable})
+		m.tell(f, once.Seen{Service: "orders", Err: store.ErrUnavailable})
+	}
+}
+
+// arrive lets one call take effect and answers it unless silent.
+func (m *machine) arrive(i int, silent bool) {
+	f := m.flights[i]
+	m.flights = slices.Delete(m.flights, i, i+1)
+	var res once.Event = once.Seen{Service: "orders", Version: m.version, Owners: m.owners}
+	if w, ok := f.action.(once.Write); ok {
+		done := once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrConflict}
+		if w.Expect == m.version {
+			m.history = append(m.history, once.Seen{Service: "orders", Version: m.version, Owners: m.owners})
+			m.version++
+			m.owners = w.Owners
+			done.Version, done.Err = m.version, nil
+		}
+		res = done
+	}
+	if !silent {
+		m.tell(f, res)
+	}
+}
+
+func (m *machine) tell(f flight, ev once.Event) {
+	if m.alive(f.from) {
+		m.step(f.from, ev)
+	}
+}
+
+// settle lets all agents see the members and the object, and answers all their calls but those counted as lost.
+func (m *machine) settle(*rapid.T) {
+	for _, p := range m.agents {
+		m.step(p, m.members())
+		m.step(p, once.Seen{Service: "orders", Version: m.version, Owners: m.owners})
+	}
+	for range 20 {
+		i := slices.IndexFunc(m.flights, func(f flight) bool { return !f.lost && m.alive(f.from) })
+		if i < 0 {
+			return
+		}
+		m.arrive(i, false)
+	}
+}
+
+// newKey returns an unused key of one of the first slots, which are the first to be handed over.
+func (m *machine) newKey() string {
+	for {
+		m.keys++
+		if key := fmt.Sprint(m.keys); once.SlotOf("shop", key) < 3 {
+			return key
+		}
+	}
+}
+
+// admit sends a new or a known key to all agents in turn, as routers with a wrong view and callers that retry may do.
+func (m *machine) admit(t *rapid.T) {
+	if len(m.calls) == 0 || rapid.IntRange(0, 3).Draw(t, "new") == 0 {
+		issued := m.now.Add(time.Duration(rapid.IntRange(-10, 20).Draw(t, "ahead")) * 100 * time.Millisecond)
+		m.calls = append(m.calls, call(m.newKey(), issued))
+	}
+	known := m.calls[max(0, len(m.calls)-6):]
+	c := rapid.SampledFrom(known).Draw(t, "call")
+	for _, p := range m.agents {
+		if p.state.Admit(m.now.Add(p.skew), c, p.vm).Decision != once.Start {
+			continue
+		}
+		if rapid.IntRange(0, 9).Draw(t, "abort") == 0 {
+			p.state.Abort(c)
+			continue
+		}
+		m.runs[c.Key]++
+		if m.runs[c.Key] > 1 {
+			t.Fatalf("key %s ran %d times, last on %s", c.Key, m.runs[c.Key], p.vm)
+		}
+		if rapid.IntRange(0, 2).Draw(t, "finish") > 0 {
+			p.state.Finish(c, &once.Answer{Status: 200})
+		}
+	}
+}
+
+func (m *machine) restart(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.agents)-1).Draw(t, "restarted")
+	old := m.agents[i]
+	m.agents[i] = &process{}
+	m.agents[i] = m.launch(old.vm, old.skew)
+}
+
+func (m *machine) reclaim(t *rapid.T) {
+	if len(m.agents) < 2 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.agents)-1).Draw(t, "reclaimed")
+	m.absent[m.agents[i].vm] = m.now
+	m.agents = slices.Delete(m.agents, i, i+1)
+}
+
+func (m *machine) join(t *rapid.T) {
+	if len(m.agents) == 3 {
+		return
+	}
+	m.nextVM++
+	skew := time.Duration(rapid.IntRange(-5, 5).Draw(t, "skew")) * 100 * time.Millisecond
+	m.agents = append(m.agents, m.launch(fmt.Sprintf("vm-%d", m.nextVM), skew))
+}
+
+// Guards against a second run of a key under interleavings of late and lost writes, restarts, drains, reclaimed VMs,
+// evictions, pauses and wrong routing.
+func TestNoSecondRun(t *testing.T) {
+	// The library's default of 100 runs of 30 steps rarely reaches a late write after a restart.
+	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.steps": "60"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := f.Value.Set(value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{now: start, absent: map[string]time.Time{}, runs: map[string]int{}}
+		m.join(t)
+		advance := func(d time.Duration) func(*rapid.T) { return func(*rapid.T) { m.now = m.now.Add(d) } }
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": m.admit, "admit2": m.admit, "admit3": m.admit,
+			"deliver": m.deliver, "deliver2": m.deliver,
+			"settle": m.settle, "settle2": m.settle, "settle3": m.settle,
+			"tick":    func(t *rapid.T) { m.step(m.pick(t), once.Tick{}) },
+			"short":   advance(300 * time.Millisecond),
+			"second":  advance(time.Second),
+			"long":    advance(16 * time.Second),
+			"restart": m.restart,
+			"reclaim": m.reclaim,
+			"join":    m.join,
+			"drain":   func(t *rapid.T) { m.step(m.pick(t), once.Drain{}) },
+		})
+	})
+}
--- /dev/null
+++ b/pkg/once/once_test.go
@@ -0,0 +1,208 @@
+package once_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+)
+
+func TestOnce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "once")
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// serve carries out the store calls of one agent on an object until none is left.
+func serve(s *once.State, now time.Time, o *once.Owners, version *uint64, acts []once.Action) {
+	for len(acts) > 0 {
+		a := acts[0]
+		acts = acts[1:]
+		switch a := a.(type) {
+		case once.Read:
+			acts = append(acts, s.Step(now, once.Seen{Service: a.Service, Version: *version, Owners: *o})...)
+		case once.Write:
+			Expect(a.Expect).To(Equal(*version))
+			*o, *version = a.Owners, *version+1
+			acts = append(acts, s.Step(now, once.Written{Service: a.Service, Expect: a.Expect, Version: *version})...)
+		}
+	}
+}
+
+// owner returns a started agent that owns all slots of service "orders".
+func owner(vm string, limits once.Limits, o *once.Owners, version *uint64) *once.State {
+	s := once.New(vm, start, limits)
+	serve(s, start, o, version, s.Step(start, once.Members{Live: []string{vm}}))
+	serve(s, start, o, version, s.Step(start, once.Services{Names: []string{"orders"}}))
+	Expect(s.Held("orders")).To(Equal(once.Slots))
+	return s
+}
+
+func call(key string, issued time.Time) once.Call {
+	return once.Call{Service: "orders", Caller: "shop", Key: key, Fingerprint: 7, Issued: issued}
+}
+
+// keyOfChange returns a key of the slot in which two objects differ.
+func keyOfChange(a, b once.Owners) string {
+	for i := 0; ; i++ {
+		key := strconv.Itoa(i)
+		if slot := once.SlotOf("shop", key); a.Slots[slot] != b.Slots[slot] {
+			return key
+		}
+	}
+}
+
+var _ = Describe("the key table", func() {
+	var s *once.State
+	var o once.Owners
+	var version uint64
+	now := start.Add(10 * time.Second)
+	decide := func(c once.Call) once.Decision { return s.Admit(now, c, "run").Decision }
+	BeforeEach(func() {
+		o, version = once.Owners{}, 0
+		s = owner("vm-a", once.Limits{Entries: 4, AnswerBytes: 100, TableBytes: 1000}, &o, &version)
+	})
+
+	// Guards against a second run by a resend during and after the first run.
+	It("joins a running call and repeats a stored answer", func() {
+		c := call("k", now)
+		Expect(decide(c)).To(Equal(once.Start))
+		Expect(s.Admit(now, c, "other")).To(Equal(once.Verdict{Decision: once.Join, Run: "run"}))
+		s.Finish(c, &once.Answer{Status: 201, Body: []byte("made")})
+		v := s.Admit(now, c, "other")
+		Expect(v.Decision).To(Equal(once.Stored))
+		Expect(v.Answer.Body).To(Equal([]byte("made")))
+	})
+
+	// Guards against a truncated or lost answer being repeated as whole.
+	DescribeTable("records an answer that is not kept as unknown", func(a *once.Answer) {
+		c := call("k", now)
+		Expect(decide(c)).To(Equal(once.Start))
+		s.Finish(c, a)
+		Expect(decide(c)).To(Equal(once.Unknown))
+	}, Entry("lost", nil), Entry("too large", &once.Answer{Body: make([]byte, 101)}))
+
+	// Guards against keys outside the window of issue times being run.
+	DescribeTable("bounds the issue time", func(issued time.Time, want once.Decision) {
+		Expect(decide(call("k", issued))).To(Equal(want))
+	},
+		Entry("before the restart floor", start.Add(2*time.Second), once.KeyTooOld),
+		Entry("just above the restart floor", start.Add(2001*time.Millisecond), once.Start),
+		Entry("at the clock allowance", now.Add(2*time.Second), once.Start),
+		Entry("beyond the clock allowance", now.Add(2001*time.Millisecond), once.KeyInFuture),
+	)
+
+	// Guards against one caller receiving the answer to another request under the same key.
+	It("refuses a key that names another request", func() {
+		c := call("k", now)
+		Expect(decide(c)).To(Equal(once.Start))
+		c.Fingerprint++
+		Expect(decide(c)).To(Equal(once.KeyReused))
+	})
+
+	// Guards against a key that was evicted from the bounded table being run again.
+	It("raises the floor on eviction", func() {
+		first := call("k0", now)
+		for i, k := range []string{"k0", "k1", "k2", "k3"} {
+			c := call(k, now.Add(time.Duration(i)*time.Millisecond))
+			Expect(decide(c)).To(Equal(once.Start))
+			s.Finish(c, &once.Answer{})
+		}
+		Expect(decide(call("k4", now.Add(time.Second)))).To(Equal(once.Start))
+		Expect(decide(first)).To(Equal(once.KeyTooOld))
+	})
+
+	// Guards against the eviction of a running call, which a resend would start again.
+	It("refuses a call when all entries run", func() {
+		for _, k := range []string{"k0", "k1", "k2", "k3"} {
+			Expect(decide(call(k, now))).To(Equal(once.Start))
+		}
+		Expect(decide(call("k4", now))).To(Equal(once.TableFull))
+		s.Abort(call("k0", now))
+		Expect(decide(call("k4", now))).To(Equal(once.Start))
+	})
+
+	// Guards against a handover while a call runs, and against a lost answer to it being taken for a refusal.
+	It("hands over after running calls and settles a lost answer by reading back", func() {
+		c := call("k", now)
+		Expect(decide(c)).To(Equal(once.Start))
+		acts := s.Step(now, once.Drain{})
+		Expect(decide(call("k2", now))).To(Equal(once.Releasing))
+		serve(s, now, &o, &version, acts)
+		Expect(s.Held("orders")).To(Equal(1))
+		s.Finish(c, &once.Answer{})
+		acts = s.Step(now, once.Tick{})
+		w := acts[0].(once.Write)
+		Expect(w.Owners.Slots[once.SlotOf("shop", "k")].FloorMS).To(Equal(now.UnixMilli()))
+		acts = s.Step(now, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnknown})
+		Expect(acts).To(BeEmpty())
+		Expect(s.Released()).To(BeFalse())
+		later := now.Add(time.Second)
+		Expect(s.Step(later, once.Tick{})).To(Equal([]once.Action{once.Read{Service: "orders"}}))
+		// The object is unchanged: the write may still be on its way, so it is repeated and not forgotten.
+		acts = s.Step(later, once.Seen{Service: "orders", Version: version, Owners: o})
+		Expect(acts).To(Equal([]once.Action{w}))
+		serve(s, later, &o, &version, acts)
+		Expect(s.Released()).To(BeTrue())
+	})
+
+	// Guards against a handover that takes effect late, after its owner has begun to admit calls again.
+	It("admits nothing to a slot while its handover may still take effect", func() {
+		serve(s, now, &o, &version, s.Step(now, once.Members{Live: []string{"vm-a", "vm-b"}}))
+		t := now.Add(16 * time.Second)
+		w := s.Step(t, once.Tick{})[0].(once.Write)
+		key := keyOfChange(o, w.Owners)
+		releasing := func() { Expect(s.Admit(t, call(key, t), "run").Decision).To(Equal(once.Releasing)) }
+		s.Step(t, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnknown})
+		t = t.Add(500 * time.Millisecond)
+		Expect(s.Step(t, once.Tick{})).To(Equal([]once.Action{once.Read{Service: "orders"}}))
+		Expect(s.Step(t, once.Seen{Service: "orders", Version: version, Owners: o})).To(Equal([]once.Action{w}))
+		releasing()
+		s.Step(t, once.Written{Service: "orders", Expect: w.Expect, Err: store.ErrUnavailable}) // the first send may yet arrive
+		releasing()
+		s.Step(t, once.Seen{Service: "orders", Version: version + 1, Owners: o}) // another write has won
+		Expect(s.Admit(t, call(key, t), "run").Decision).To(Equal(once.Start))
+	})
+
+	// Guards against the takeover of slots of a paused owner that is still listed, and against a takeover whose floor
+	// lets a key of the earlier owner run again.
+	It("takes over only from a VM proved gone", func() {
+		b := once.New("vm-b", start, once.DefaultLimits())
+		serve(b, now, &o, &version, b.Step(now, once.Members{Live: []string{"vm-a", "vm-b"}}))
+		serve(b, now, &o, &version, b.Step(now, once.Services{Names: []string{"orders"}}))
+		late := now.Add(time.Minute)
+		serve(b, late, &o, &version, b.Step(late, once.Tick{}))
+		Expect(b.Held("orders")).To(BeZero())
+		Expect(s.Admit(late, call("k", late), "run").Decision).To(Equal(once.Start)) // the paused owner wakes up
+		serve(b, late, &o, &version, b.Step(late, once.Members{Live: []string{"vm-b"}, Gone: []string{"vm-a"}}))
+		Expect(b.Held("orders")).To(Equal(once.Slots))
+		Expect(b.Admit(late, call("k", late), "run").Decision).To(Equal(once.KeyTooOld))
+		s.Step(late, once.Seen{Service: "orders", Version: version, Owners: o})
+		Expect(s.Admit(late, call("k9", late), "run")).To(Equal(once.Verdict{Decision: once.NotOwner, Owner: "vm-b"}))
+	})
+
+	// Guards against all slots staying with the first agent.
+	It("hands excess slots over one at a time until the shares are even", func() {
+		b := once.New("vm-b", start, once.DefaultLimits())
+		members := once.Members{Live: []string{"vm-b", "vm-a"}}
+		t := now
+		serve(s, t, &o, &version, s.Step(t, members))
+		serve(b, t, &o, &version, b.Step(t, members))
+		serve(b, t, &o, &version, b.Step(t, once.Services{Names: []string{"orders"}}))
+		for range 80 {
+			t = t.Add(time.Second)
+			before := s.Held("orders")
+			serve(s, t, &o, &version, s.Step(t, once.Seen{Service: "orders", Version: version, Owners: o}))
+			Expect(before - s.Held("orders")).To(BeNumerically("<=", 1))
+			serve(b, t, &o, &version, b.Step(t, once.Seen{Service: "orders", Version: version, Owners: o}))
+		}
+		Expect(s.Held("orders")).To(Equal(once.Slots / 2))
+		Expect(b.Held("orders")).To(Equal(once.Slots / 2))
+	})
+})
