Run the request life cycle at the agent

Cause: the agent served each stream on its own, without a queue, ownership of keys, residency or a resume. Change: Core composes once, admission, quarantine, residency, confsync and membership as one state machine. The runtime has one goroutine for each duty and each stream; a request runs independently of its router's connection, its output is kept for 10 s, and calls are resumed at the upstream or run again in isolation after its end.

--- a/pkg/agent/admit.go
+++ b/pkg/agent/admit.go
@@ -156,7 +156,7 @@
 	a := &attachment{request: ev.Open.Request, attempt: ev.Open.Attempt, stream: ev.Stream, job: j}
 	j.attached[a.request] = a
 	c.requests[a.request], c.streams[ev.Stream] = a, a
-	c.emit(Attach{Stream: ev.Stream, Job: j.id, Request: a.request, Attempt: a.attempt, Offset: ev.Open.Offset})
+	c.emit(Attach{Stream: ev.Stream, Job: j.id, Open: j.open, Request: a.request, Attempt: a.attempt, Offset: ev.Open.Offset})
 }
 
 // reattach lets a later attempt replace the earlier one. An attempt that is not later is a late frame and dropped.
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -173,7 +173,7 @@
 		case confsync.Accepted:
 			c.accepted(a.Document)
 		case confsync.Report:
-			c.emit(Report{Message: "configuration ignored", Err: a.Err})
+			c.emit(LogChange{Message: "configuration ignored", Err: a.Err})
 		}
 	}
 }
@@ -191,7 +191,7 @@
 			keyed = append(keyed, s.Name)
 		}
 	}
-	c.emit(Report{Message: "configuration in force"})
+	c.emit(LogChange{Message: "configuration in force"})
 	c.onceStep(once.Services{Names: keyed})
 	c.residency(residency.Configured{Document: d})
 	c.feedMembers()
@@ -229,12 +229,13 @@
 func (c *Core) drain(leaving bool) {
 	if leaving && !c.leaving {
 		c.leaving = true
-		c.emit(Report{Message: "VM is leaving"})
+		c.emit(LogChange{Message: "VM is leaving"})
 		c.residency(residency.Drain{})
 	}
 	if !c.draining {
 		c.draining = true
-		c.emit(Report{Message: "draining"})
+		c.selfMirror.writeAt = time.Time{} // routers have to learn of it within seconds
+		c.emit(LogChange{Message: "draining"})
 		c.onceStep(once.Drain{})
 	}
 }
--- /dev/null
+++ b/pkg/agent/core_test.go
@@ -0,0 +1,300 @@
+package agent
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+var limits = admission.Limits{Count: 3, Bytes: 1000}
+
+var _ = Describe("keyed calls", func() {
+	var r *rig
+	BeforeEach(func() { r = newRig("p", limits) })
+
+	// Guards against a second run by a resend, during the first run and after it.
+	It("run once", func() {
+		key := keyAt(r.now, 1)
+		r.open(loan("a", key))
+		Expect(r.started()).To(Equal([]string{"a"}))
+		joined := r.open(loan("b", key))
+		at, _ := last[Attach](r)
+		Expect(at.Stream).To(Equal(joined))
+		Expect(at.Job).To(Equal("a"))
+		r.done("a", &once.Answer{Status: 201, Body: []byte("made")})
+		r.after(20 * time.Second) // the output is forgotten, the key is not
+		r.open(loan("c", key))
+		stored, ok := last[AnswerStream](r)
+		Expect(ok).To(BeTrue())
+		Expect(stored.Answer.Body).To(Equal([]byte("made")))
+		Expect(r.started()).To(BeEmpty())
+	})
+
+	// Guards against a loan being cancelled or repeated after its router, its deadline or its connection was lost.
+	It("are neither cancelled nor sent twice once begun", func() {
+		o := loan("a", keyAt(r.now, 1))
+		o.TimeoutMS = 1000
+		st := r.open(o)
+		r.step(Cancelled{Stream: st})
+		r.after(30 * time.Second)
+		_, stopped := last[StopCall](r)
+		Expect(stopped).To(BeFalse())
+		Expect(r.started()).To(Equal([]string{"a"}))
+		r.step(CallEnded{Job: "a", Run: 1, Err: engine.ErrUnknown})
+		check, _ := last[CheckEngine](r)
+		r.step(EngineSeen{Number: check.Number, Listing: r.listing})
+		Expect(r.refusal().Outcome).To(Equal(wire.OutcomeUnknown))
+		r.open(loan("b", o.Key))
+		Expect(r.refusal().Outcome).To(Equal(wire.OutcomeUnknown))
+		Expect(r.started()).To(BeEmpty())
+	})
+
+	// Guards against a call that never reached the service being reported as unknown, or its key being burnt.
+	It("may be sent again after a proved failure", func() {
+		key := keyAt(r.now, 1)
+		r.open(loan("a", key))
+		r.step(CallEnded{Job: "a", Run: 1, Err: engine.ErrNotStarted})
+		Expect(r.refusal().Outcome).To(Equal(wire.OutcomeNotRun))
+		r.open(loan("b", key))
+		Expect(r.started()).To(Equal([]string{"a", "b"}))
+	})
+
+	// Guards against the restarted owner running a key that the process before it has run.
+	It("are unknown after a restart, unless the caller vouches for the first send", func() {
+		key := keyAt(r.now, 1)
+		r.open(loan("a", key))
+		r.restart("p", limits)
+		r.open(loan("b", key))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeKeyTooOld), HaveField("Outcome", wire.OutcomeUnknown)))
+		first := loan("c", key)
+		first.FirstSend = true
+		r.open(first)
+		Expect(r.refusal().Outcome).To(Equal(wire.OutcomeNotRun))
+		r.open(loan("d", keyAt(r.now, 2)))
+		Expect(r.started()).To(Equal([]string{"d"}))
+	})
+
+	// Guards against slots being given away while a call runs, and new calls being taken meanwhile.
+	It("are finished before a planned handover", func() {
+		key := keyAt(r.now, 1)
+		r.open(loan("a", key))
+		r.step(Drain{})
+		n := byte(2)
+		for once.SlotOf("c", keyAt(r.now, n)) != once.SlotOf("c", key) {
+			n++
+		}
+		r.open(loan("b", keyAt(r.now, n)))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeDraining), HaveField("Outcome", wire.OutcomeNotRun)))
+		r.after(time.Second)
+		Expect(r.c.once.Held("loans")).To(Equal(1))
+		Expect(r.c.Drained()).To(BeFalse())
+		r.done("a", &once.Answer{})
+		r.step(Closed{Stream: 1})
+		r.after(time.Second)
+		Expect(r.c.once.Held("loans")).To(BeZero())
+		r.after(KeepOutput) // a router may still resume
+		r.after(time.Second)
+		Expect(r.c.Drained()).To(BeTrue())
+		o, err := once.Decode(r.objects[once.Key("loans")].Value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Slots[once.SlotOf("c", key)].Owner).To(BeEmpty())
+	})
+
+	// Guards against calls stopping with the object API.
+	It("go on during an outage of the store", func() {
+		r.storeUp = false
+		r.after(time.Minute)
+		r.open(loan("a", keyAt(r.now, 1)))
+		Expect(r.started()).To(Equal([]string{"a"}))
+	})
+
+	// Guards against the proof of an agent that cannot give it: without a configuration it knows no owner.
+	It("are refused truthfully before a configuration", func() {
+		r.c = NewCore(Options{VM: "vm-a", Group: "p", Start: r.now, Queue: limits, Once: once.DefaultLimits()})
+		r.open(loan("a", keyAt(r.now, 1)))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeNoConfig), HaveField("Outcome", wire.OutcomeUnknown)))
+		r.open(lookup("b"))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeNoConfig), HaveField("Outcome", wire.OutcomeNotRun)))
+	})
+
+	// Guards against routers that keep sending to an agent that does not own the slot.
+	It("are redirected to the owner", func() {
+		key := keyAt(r.now, 1)
+		var o once.Owners
+		for i := range o.Slots {
+			o.Slots[i] = once.Slot{Owner: "vm-z", Epoch: 9}
+		}
+		r.step(ObjectRead{Key: once.Key("loans"), Object: storeObject(once.Key("loans"), 99, o.Encode())})
+		r.open(loan("a", key))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeNotOwner), HaveField("Outcome", wire.OutcomeNotRun), HaveField("Holders", []string{"vm-z"})))
+		resumed := loan("b", key)
+		resumed.Resume = true
+		r.open(resumed)
+		Expect(r.refusal().Outcome).To(Equal(wire.OutcomeUnknown))
+	})
+})
+
+var _ = Describe("waiting requests", func() {
+	var r *rig
+	BeforeEach(func() { r = newRig("p", limits) })
+
+	// Guards against memory without bound, and against requests that are dropped instead of refused at their deadline.
+	It("are bounded, expire as not run and leave with their caller", func() {
+		for _, id := range []string{"a", "b", "c", "d", "e"} { // two run
+			o := lookup(id)
+			if id == "c" {
+				o.TimeoutMS = 500
+			}
+			r.open(o)
+		}
+		Expect(r.started()).To(Equal([]string{"a", "b"}))
+		r.open(lookup("f"))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeQueueFull), HaveField("Outcome", wire.OutcomeNotRun)))
+		r.after(500 * time.Millisecond)
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeExpired), HaveField("Outcome", wire.OutcomeNotRun)))
+		r.step(Cancelled{Stream: 4}) // d
+		r.done("a", nil)
+		Expect(r.started()).To(Equal([]string{"e"}))
+	})
+
+	// Guards against the work of a router that died going on for ever, and against its end before a resume can come.
+	It("and idempotent calls are ended 10 s after the last connection", func() {
+		st := r.open(lookup("a"))
+		r.step(Closed{Stream: st})
+		r.after(9 * time.Second)
+		_, stopped := last[StopCall](r)
+		Expect(stopped).To(BeFalse())
+		second := lookup("a")
+		second.Attempt, second.Resume, second.Offset = 2, true, 7
+		st = r.open(second)
+		at, _ := last[Attach](r)
+		Expect(at).To(And(HaveField("Stream", st), HaveField("Offset", uint64(7)), HaveField("Attempt", uint32(2))))
+		r.after(5 * time.Second)
+		r.step(Closed{Stream: st})
+		r.after(10 * time.Second)
+		_, stopped = last[StopCall](r)
+		Expect(stopped).To(BeTrue())
+	})
+
+	// Guards against an older attempt's late frames taking the answer away from the newer one.
+	It("follow the highest attempt", func() {
+		newer := lookup("a")
+		newer.Attempt = 2
+		first := r.open(newer)
+		late := r.open(lookup("a"))
+		Expect(r.acts).To(ContainElement(DropStream{Stream: late}))
+		newest := lookup("a")
+		newest.Attempt = 3
+		r.open(newest)
+		Expect(r.acts).To(ContainElement(DropStream{Stream: first}))
+	})
+})
+
+var _ = Describe("model calls", func() {
+	var r *rig
+	BeforeEach(func() { r = newRig("g", admission.Limits{Count: 10, Bytes: 1000}) })
+
+	// Guards against a cold model whose requests hold up those for a loaded one.
+	It("wait for their load beside the queue", func() {
+		r.open(prompt("a", "m"))
+		r.after(100 * time.Millisecond)
+		Expect(r.started()).To(Equal([]string{"a"}))
+		Expect(r.listing.Resident).To(HaveLen(1))
+		r.done("a", nil)
+	})
+
+	crash := func(epoch string) {
+		r.listing.Epoch, r.listing.Resident = epoch, nil
+		r.step(EngineSeen{Listing: r.listing})
+		for range 20 {
+			r.after(100 * time.Millisecond)
+		}
+	}
+
+	// Guards against a request that crashes each upstream being retried for ever, and against innocents refused with it.
+	It("run again in isolation after a crash, and the culprit is quarantined", func() {
+		r.open(prompt("culprit", "m"))
+		r.after(100 * time.Millisecond)
+		r.open(prompt("innocent", "m"))
+		Expect(r.started()).To(Equal([]string{"culprit", "innocent"}))
+		crash("e2")
+		first := r.started()
+		Expect(first).To(HaveLen(1)) // one suspect at a time
+		r.open(prompt("other", "m"))
+		r.after(time.Second)
+		Expect(r.started()).To(BeEmpty()) // others wait
+		if first[0] == "innocent" {
+			r.step(CallEnded{Job: "innocent", Run: 2})
+			Expect(r.started()).To(Equal([]string{"culprit"}))
+		}
+		crash("e3")
+		Expect(r.c.jail.Convicted(fingerprint(prompt("culprit", "m")))).To(BeTrue())
+		Expect(r.c.jail.Convicted(fingerprint(prompt("innocent", "m")))).To(BeFalse())
+		r.open(prompt("culprit", "m"))
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeQuarantined)))
+		entries, err := quarantine.Decode(r.objects["quarantine/list"].Value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(HaveLen(1))
+	})
+
+	// Guards against an answer from the beginning after a part of it was given on.
+	It("continue after a crash from the bytes given on", func() {
+		r.open(prompt("a", "m"))
+		r.after(100 * time.Millisecond)
+		r.open(prompt("b", "m"))
+		r.started()
+		r.step(CallEnded{Job: "b", Run: 1, Err: engine.ErrDied, Sent: true})
+		crash("e2")
+		again, ok := last[StartCall](r)
+		Expect(ok).To(BeTrue())
+		if again.Job == "a" {
+			r.step(CallEnded{Job: "a", Run: 2})
+			again, _ = last[StartCall](r)
+		}
+		Expect(again).To(And(HaveField("Job", "b"), HaveField("Run", 2), HaveField("Continue", true)))
+	})
+
+	// Guards against a silent connection to a living upstream being taken for its end, and against a resume by a listing
+	// that is older than the loss.
+	It("resume at the upstream on a new connection", func() {
+		r.open(prompt("a", "m"))
+		r.after(100 * time.Millisecond)
+		r.step(CallEnded{Job: "a", Run: 1, Err: engine.ErrSilent, Sent: true})
+		r.step(EngineSeen{Listing: r.listing})
+		_, resumed := last[ResumeCall](r)
+		Expect(resumed).To(BeFalse())
+		check, _ := last[CheckEngine](r)
+		r.step(EngineSeen{Number: check.Number, Listing: r.listing})
+		again, resumed := last[ResumeCall](r)
+		Expect(resumed).To(BeTrue())
+		Expect(again.Run).To(Equal(1))
+		r.step(CallEnded{Job: "a", Run: 1, Sent: true})
+		Expect(r.acts).To(ContainElement(EndJob{Job: "a"}))
+	})
+
+	// Guards against a leaving VM that keeps its models or grants, or takes new work.
+	It("end when the VM leaves, and its grants are released", func() {
+		r.open(prompt("a", "m"))
+		r.after(100 * time.Millisecond)
+		r.step(VMsSeen{Began: r.now, VMs: []vmlist.VM{{ID: "vm-a", State: vmlist.StateLeaving}}})
+		r.open(prompt("b", "m"))
+		Expect(r.refusal()).To(HaveField("Code", wire.CodeDraining))
+		r.step(Closed{Stream: 1})
+		Expect(r.listing.Resident).NotTo(BeEmpty())
+		r.done("a", nil)
+		for range 200 {
+			r.after(100 * time.Millisecond)
+		}
+		Expect(r.listing.Resident).To(BeEmpty())
+		Expect(r.c.res.Held()).To(BeEmpty())
+		Expect(r.c.Drained()).To(BeTrue())
+	})
+})
--- a/pkg/agent/events.go
+++ b/pkg/agent/events.go
@@ -135,10 +135,12 @@
 // Action is an output of Core.Step.
 type Action interface{ isAction() }
 
-// Attach connects a stream to the output of a job, from Offset on. Frames carry Request and Attempt.
+// Attach connects a stream to the output of a job, from Offset on, and creates the output with the first stream. Frames
+// carry Request and Attempt; Open is the frame that began the job.
 type Attach struct {
 	Stream  uint64
 	Job     string
+	Open    *wire.Open
 	Request string
 	Attempt uint32
 	Offset  uint64
@@ -163,20 +165,20 @@
 type DropStream struct{ Stream uint64 }
 
 // StartCall begins the job's call at the upstream; the agent reports CallEnded with the same Run. Keep says that the
-// whole answer is reported.
+// whole answer is reported, Continue that the upstream continues after the output so far.
 type StartCall struct {
-	Job  string
-	Run  int
-	Call engine.Call
-	Keep bool
+	Job      string
+	Run      int
+	Call     engine.Call
+	Keep     bool
+	Continue bool
 }
 
-// ResumeCall continues the job's call at the upstream on a new connection, at the offset that its output has reached.
+// ResumeCall continues the job's call at the upstream on a new connection, at the offset that its output has reached. Only calls of models are resumed.
 type ResumeCall struct {
 	Job  string
 	Run  int
 	Call engine.Call
-	Keep bool
 }
 
 // StopCall ends the job's call; the upstream cancels it.
@@ -231,8 +233,8 @@
 // ReturnPlace ends an ask for a place.
 type ReturnPlace struct{ ID string }
 
-// Report asks for a log line about a change of state.
-type Report struct {
+// LogChange asks for a log line about a change of state.
+type LogChange struct {
 	Message string
 	Err     error
 }
@@ -257,5 +259,5 @@
 func (GivePlace) isAction()          {}
 func (AskPlace) isAction()           {}
 func (ReturnPlace) isAction()        {}
-func (Report) isAction()             {}
+func (LogChange) isAction()          {}
 func (Residency) isAction()          {}
--- /dev/null
+++ b/pkg/agent/harness_test.go
@@ -0,0 +1,232 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
+	"github.com/hibiscuscross/hibiscuscross/pkg/devcert"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport/quic"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// piece is what a scripted call gives next.
+type piece struct {
+	bytes string
+	err   error
+}
+
+// script is an upstream whose calls give what the test sends.
+type script struct {
+	mu       sync.Mutex
+	epoch    string
+	starts   []engine.Call
+	resumes  []engine.Call
+	pieces   chan piece
+	ended    chan struct{} // receives an item at each Close of a stream
+	startErr error
+}
+
+func newScript() *script {
+	return &script{epoch: "e1", pieces: make(chan piece, 64), ended: make(chan struct{}, 64)}
+}
+
+func (s *script) Order(context.Context, engine.Order) error { return nil }
+
+func (s *script) Listing(context.Context) (engine.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return engine.Listing{Epoch: s.epoch, Slots: 4, MemoryBytes: 100, Resident: []engine.Resident{{Target: engine.Target{Model: "m"}, MemoryBytes: 40}}}, nil
+}
+
+func (s *script) Start(_ context.Context, c engine.Call) (engine.Stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts = append(s.starts, c)
+	return &scriptStream{s}, s.startErr
+}
+
+func (s *script) Resume(_ context.Context, c engine.Call) (engine.Stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes = append(s.resumes, c)
+	return &scriptStream{s}, nil
+}
+
+func (s *script) restart(epoch string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = epoch
+}
+
+func (s *script) seen() (starts, resumes []engine.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]engine.Call(nil), s.starts...), append([]engine.Call(nil), s.resumes...)
+}
+
+func (s *script) give(parts ...string) {
+	for _, p := range parts {
+		s.pieces <- piece{bytes: p}
+	}
+}
+
+func (s *script) fail(err error) { s.pieces <- piece{err: err} }
+
+type scriptStream struct{ s *script }
+
+func (t *scriptStream) Head() engine.Head { return engine.Head{Status: 200} }
+
+func (t *scriptStream) Next(ctx context.Context) ([]byte, error) {
+	select {
+	case p := <-t.s.pieces:
+		return []byte(p.bytes), p.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *scriptStream) Close() error {
+	t.s.ended <- struct{}{}
+	return nil
+}
+
+// oneVM is a VM list with the agent's VM.
+type oneVM struct{}
+
+func (oneVM) List(context.Context) ([]vmlist.VM, error) {
+	return []vmlist.VM{{ID: "vm-a", State: vmlist.StateLive}}, nil
+}
+
+// harness runs an agent on loopback QUIC.
+type harness struct {
+	ctx    context.Context
+	agent  *Agent
+	engine *script
+	store  *standin.MemStore
+	addr   string
+	client *quic.Transport
+}
+
+func newHarness(group string) *harness {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	authority, err := devcert.NewAuthority()
+	Expect(err).NotTo(HaveOccurred())
+	newTransport := func(vm string) *quic.Transport {
+		cert, err := authority.Issue(vm)
+		Expect(err).NotTo(HaveOccurred())
+		return quic.New(cert, authority.Pool())
+	}
+	h := &harness{ctx: ctx, engine: newScript(), store: standin.NewMemStore(0), client: newTransport("vm-r")}
+	_, err = h.store.Put(ctx, store.KeyConfig, testConfig(), store.MustNotExist)
+	Expect(err).NotTo(HaveOccurred())
+	server := newTransport("vm-a")
+	l, err := server.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	h.addr = l.Addr()
+	ready := make(chan struct{})
+	h.agent = New(
+		Options{VM: "vm-a", Incarnation: "i1", Group: group, Addr: h.addr, Start: time.Now().Add(-once.ClockAllowance - time.Second),
+			Queue: admission.DefaultLimits(), Once: once.DefaultLimits()},
+		Parts{Listener: l, Transport: server, Engine: h.engine, Store: h.store, VMs: oneVM{}, Scope: tally.NoopScope,
+			Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(io.Discard), OnReady: func() { close(ready) }},
+	)
+	ended := make(chan error, 1)
+	go func() { ended <- h.agent.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended, "5s").Should(Receive(BeNil()))
+		Expect(l.Close()).To(Succeed())
+	})
+	Eventually(ready, "5s").Should(BeClosed())
+	return h
+}
+
+func (h *harness) dial() transport.Conn {
+	GinkgoHelper()
+	c, err := h.client.Dial(h.ctx, h.addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return c
+}
+
+// exchange is one stream to the agent.
+type exchange struct {
+	st    transport.Stream
+	rd    *wire.Reader
+	body  string
+	pings int
+}
+
+func (h *harness) send(c transport.Conn, m wire.Message) *exchange {
+	GinkgoHelper()
+	st, err := c.OpenStream(h.ctx)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(wire.Write(st, m)).To(Succeed())
+	Expect(st.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	return &exchange{st: st, rd: wire.NewReader(st)}
+}
+
+// next returns the next frame other than Accept and Ping. Bytes of Data frames are added to body.
+func (e *exchange) next() (wire.Message, error) {
+	for {
+		m, err := e.rd.Next()
+		switch m := m.(type) {
+		case *wire.Accept:
+			continue
+		case *wire.Ping:
+			e.pings++
+			continue
+		case *wire.Data:
+			if m.Offset != uint64(len(e.body)) {
+				Fail("bytes at a wrong offset")
+			}
+			e.body += string(m.Bytes)
+		}
+		return m, err
+	}
+}
+
+// until reads frames until the body has n bytes.
+func (e *exchange) until(n int) {
+	GinkgoHelper()
+	for len(e.body) < n {
+		_, err := e.next()
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// end reads to the last frame.
+func (e *exchange) end() wire.Message {
+	GinkgoHelper()
+	for {
+		m, err := e.next()
+		Expect(err).NotTo(HaveOccurred())
+		switch m.(type) {
+		case *wire.End, *wire.Refuse:
+			return m
+		}
+	}
+}
+
+// status returns the agent's status over the wire.
+func (h *harness) status(c transport.Conn) string {
+	GinkgoHelper()
+	m, err := h.send(c, &wire.StatusGet{}).next()
+	Expect(err).NotTo(HaveOccurred())
+	return string(m.(*wire.Status).JSON)
+}
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -90,7 +90,7 @@
 	j.phase, j.epoch = running, c.epoch
 	j.run++
 	j.resumes = 0
-	c.emit(StartCall{Job: j.id, Run: j.run, Call: j.engineCall(), Keep: j.keyed})
+	c.emit(StartCall{Job: j.id, Run: j.run, Call: j.engineCall(), Keep: j.keyed, Continue: j.sent})
 }
 
 func (j *job) engineCall() engine.Call {
@@ -110,19 +110,30 @@
 	case ev.Err == nil:
 		c.leaveUpstream(j, true)
 		c.finish(j, ev.Answer, nil)
-	case errors.Is(ev.Err, engine.ErrNotStarted), errors.Is(ev.Err, engine.ErrRefused) && !j.sent:
+	case j.resumes == 0 && (errors.Is(ev.Err, engine.ErrNotStarted) || errors.Is(ev.Err, engine.ErrRefused)):
 		c.leaveUpstream(j, false)
 		c.notRun(j, wire.CodeUpstreamDown, ev.Err.Error())
 	case j.stopping:
 		c.leaveUpstream(j, false)
 		c.finish(j, nil, refuseUnknown(wire.CodeExpired, "the request was cancelled or its deadline passed"))
+	case !c.models() && errors.Is(ev.Err, engine.ErrDied):
+		c.dropped(j)
 	default:
 		// A listing that was begun earlier may show the upstream as it was before the loss.
-		j.phase, j.check = limbo, c.checks+1
+		j.phase, j.began, j.check = limbo, true, c.checks+1
 		c.check()
 	}
 }
 
+// dropped handles a call that a plain service dropped without a whole answer. Its listing has no epoch that would tell
+// whether the service ended.
+func (c *Core) dropped(j *job) {
+	c.jail.Died(c.now, j.fp)
+	c.queue.Done(c.now, j.id, false)
+	c.lost(j)
+	c.refuseConvicted()
+}
+
 // check asks for a listing, which tells whether the upstream process still is the one that had the calls.
 func (c *Core) check() {
 	if !c.checking {
@@ -145,7 +156,7 @@
 func (c *Core) engineSeen(l engine.Listing, err error, number uint64) {
 	if c.engineDown != (err != nil) {
 		c.engineDown = err != nil
-		c.emit(Report{Message: "upstream reachable: " + map[bool]string{true: "no", false: "yes"}[c.engineDown], Err: err})
+		c.emit(LogChange{Message: "upstream reachable: " + map[bool]string{true: "no", false: "yes"}[c.engineDown], Err: err})
 	}
 	if err != nil {
 		return
@@ -173,19 +184,19 @@
 // reconnect continues a call whose connection was lost while the upstream lives. A non-idempotent call is not sent a
 // second time, not even as a resume, because the upstream may take it for a new call.
 func (c *Core) reconnect(j *job) {
-	if j.open.NonIdempotent || j.epoch == "" || j.resumes >= maxEngineResumes {
+	if j.open.NonIdempotent || !c.models() || j.epoch == "" || j.resumes >= maxEngineResumes {
 		c.leaveUpstream(j, false)
 		c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the connection to the upstream was lost"))
 		return
 	}
 	j.resumes++
 	j.phase = running
-	c.emit(ResumeCall{Job: j.id, Run: j.run, Call: j.engineCall(), Keep: j.keyed})
+	c.emit(ResumeCall{Job: j.id, Run: j.run, Call: j.engineCall()})
 }
 
 // engineDied makes suspects of all calls that the upstream had, and runs the ones again that may be.
 func (c *Core) engineDied() {
-	c.emit(Report{Message: "upstream process ended"})
+	c.emit(LogChange{Message: "upstream process ended"})
 	c.jail.Crashed(c.now)
 	for _, j := range c.ordered() {
 		if j.phase != running && j.phase != limbo {
@@ -193,14 +204,7 @@
 		}
 		c.emit(StopCall{Job: j.id, Run: j.run})
 		c.leaveUpstream(j, false)
-		switch {
-		case c.jail.Convicted(j.fp):
-			c.finish(j, nil, refuseUnknown(wire.CodeQuarantined, "the request has crashed upstreams"))
-		case j.open.NonIdempotent || j.sent || j.run >= maxRuns || j.stopping:
-			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream ended during the call"))
-		default:
-			c.requeue(j)
-		}
+		c.lost(j)
 	}
 	if c.models() {
 		c.residency(residency.EngineLost{})
@@ -208,7 +212,23 @@
 	c.refuseConvicted()
 }
 
-// requeue queues a call again whose upstream ended before a part of the answer was given on.
+// lost decides what becomes of a call whose upstream ended.
+func (c *Core) lost(j *job) {
+	switch {
+	case c.jail.Convicted(j.fp):
+		c.finish(j, nil, refuseUnknown(wire.CodeQuarantined, "the request has crashed upstreams"))
+	case j.open.NonIdempotent || j.run >= maxRuns || j.stopping || j.sent && !j.continuable():
+		c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream ended during the call"))
+	default:
+		c.requeue(j)
+	}
+}
+
+// continuable reports whether the upstream can continue the answer after the bytes given on. A job that itself continues
+// another upstream's text cannot name both parts.
+func (j *job) continuable() bool { return j.open.Kind == wire.KindModel && len(j.open.Prefix) == 0 }
+
+// requeue queues a call again.
 func (c *Core) requeue(j *job) {
 	j.phase, j.began = queued, true
 	c.queue.Requeue(c.now, c.admissionRequest(j), !c.targetReady(j))
--- /dev/null
+++ b/pkg/agent/metrics.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// metrics are the agent's counters and gauges.
+type metrics struct{ scope tally.Scope }
+
+func newMetrics(s tally.Scope) *metrics { return &metrics{scope: s} }
+
+func (m *metrics) outcome(o wire.Outcome) {
+	m.scope.Tagged(map[string]string{"outcome": o.String()}).Counter("requests").Inc(1)
+}
+
+func (m *metrics) refused(r *wire.Refuse) {
+	m.outcome(r.Outcome)
+	m.scope.Tagged(map[string]string{"code": string(r.Code)}).Counter("refusals").Inc(1)
+}
+
+func (m *metrics) order(o engine.Order, err error) {
+	result := "confirmed"
+	if err != nil {
+		result = "failed"
+	}
+	m.scope.Tagged(map[string]string{"kind": string(o.Kind), "result": result}).Counter("orders").Inc(1)
+}
+
+func (m *metrics) gauges(s Status) {
+	m.scope.Gauge("queue_length").Update(float64(s.Load.Queued))
+	m.scope.Gauge("running").Update(float64(s.Load.Running))
+	m.scope.Gauge("residents").Update(float64(len(s.Residents)))
+	m.scope.Gauge("grants").Update(float64(len(s.Grants)))
+	m.scope.Gauge("memory_booked_bytes").Update(float64(s.MemoryBooked))
+	m.scope.Gauge("idempotency_keys").Update(float64(s.Keys))
+	m.scope.Gauge("quarantined").Update(float64(s.Quarantined))
+}
--- /dev/null
+++ b/pkg/agent/output.go
@@ -0,0 +1,159 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+const (
+	// maxOutputBytes bounds the part of an answer that is kept for a resume. It holds about 5,000 tokens.
+	maxOutputBytes = 1 << 20
+	// maxDataBytes bounds the bytes of one Data frame.
+	maxDataBytes = 32 << 10
+)
+
+// output is the answer of a job as far as it is kept. Its readers are the streams attached to the job. It is safe for
+// concurrent use.
+type output struct {
+	lossy   bool // the call is never held up: without a reader, the oldest bytes are dropped
+	mu      sync.Mutex
+	head    *engine.Head
+	base    uint64 // offset of buf[0] in the answer
+	buf     []byte
+	end     *ending
+	readers map[uint64]uint64 // offset reached, by stream
+	changed chan struct{}     // closed and replaced at each change
+}
+
+// ending is the end of an output. A nil refuse says that the answer is whole.
+type ending struct{ refuse *wire.Refuse }
+
+func newOutput(lossy bool) *output {
+	return &output{lossy: lossy, readers: map[uint64]uint64{}, changed: make(chan struct{})}
+}
+
+func (o *output) wake() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// setHead sets the head once. The head of a later run is the same or does not matter any more.
+func (o *output) setHead(h engine.Head) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.head == nil {
+		o.head = &h
+		o.wake()
+	}
+}
+
+// length returns the bytes of the answer so far and whether a head or bytes have been received.
+func (o *output) length() (n uint64, begun bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n = o.base + uint64(len(o.buf))
+	return n, o.head != nil || n > 0
+}
+
+// whole returns a copy of all bytes so far, or false if some are no longer kept.
+func (o *output) whole() ([]byte, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]byte{}, o.buf...), o.base == 0
+}
+
+// append adds bytes. While the buffer is full it waits for the slowest reader, which limits the call to the speed of
+// its receiver.
+func (o *output) append(ctx context.Context, b []byte) error {
+	for {
+		o.mu.Lock()
+		if o.room(len(b)) {
+			o.buf = append(o.buf, b...)
+			o.wake()
+			o.mu.Unlock()
+			return nil
+		}
+		changed := o.changed
+		o.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// room drops bytes that all readers have until n more fit, and reports whether they do.
+func (o *output) room(n int) bool {
+	excess := len(o.buf) + n - maxOutputBytes
+	if excess <= 0 {
+		return true
+	}
+	if len(o.readers) == 0 && !o.lossy {
+		return false
+	}
+	drop := uint64(min(excess, len(o.buf)))
+	for _, pos := range o.readers {
+		if pos < o.base+drop {
+			return false
+		}
+	}
+	o.buf = append([]byte(nil), o.buf[drop:]...)
+	o.base += drop
+	return true
+}
+
+// finish ends the output.
+func (o *output) finish(refuse *wire.Refuse) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.end == nil {
+		o.end = &ending{refuse: refuse}
+		o.wake()
+	}
+}
+
+// errDropped says that bytes of an answer are no longer kept.
+var errDropped = fault.New(fault.StepStream, "", "the answer from the offset on is no longer kept")
+
+// part is what a reader gets next.
+type part struct {
+	head    *engine.Head
+	bytes   []byte
+	end     *ending // nil while more bytes may follow
+	changed <-chan struct{}
+}
+
+// read returns what follows after offset, copied into buf, and records the reader's progress.
+func (o *output) read(stream, offset uint64, buf []byte) (part, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	length := o.base + uint64(len(o.buf))
+	if offset < o.base || offset > length {
+		return part{}, errDropped
+	}
+	if old, ok := o.readers[stream]; !ok || old != offset {
+		o.readers[stream] = offset
+		if len(o.buf) >= maxOutputBytes/2 {
+			o.wake() // append may wait for room
+		}
+	}
+	n := copy(buf, o.buf[offset-o.base:])
+	p := part{head: o.head, bytes: buf[:n], changed: o.changed}
+	if offset+uint64(n) == length {
+		p.end = o.end
+	}
+	return p, nil
+}
+
+// leave removes a reader.
+func (o *output) leave(stream uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.readers, stream)
+	o.wake()
+}
--- /dev/null
+++ b/pkg/agent/runtime_test.go
@@ -0,0 +1,212 @@
+package agent
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func attempt(o *wire.Open, n uint32, offset int) *wire.Open {
+	o.Attempt, o.Resume, o.Offset = n, n > 1, uint64(offset)
+	return o
+}
+
+var _ = Describe("an agent on loopback", func() {
+	var h *harness
+
+	Context("beside a model engine", func() {
+		BeforeEach(func() { h = newHarness("g") })
+
+		// Guards against truncated answers, a missing length, and routers that take a slow start for a dead path.
+		It("answers in full and gives signs of life meanwhile", func() {
+			e := h.send(h.dial(), attempt(prompt("a", "m"), 1, 0))
+			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(1))
+			_, err := e.rd.Next() // Accept
+			Expect(err).NotTo(HaveOccurred())
+			h.engine.give("hello ")
+			e.until(6)
+			m, err := e.rd.Next()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(m).To(BeAssignableToTypeOf(&wire.Ping{}))
+			h.engine.give("world")
+			h.engine.fail(io.EOF)
+			Expect(e.end()).To(And(HaveField("Outcome", wire.OutcomeDone), HaveField("Length", uint64(11))))
+			Expect(e.body).To(Equal("hello world"))
+		})
+
+		// Guards against a run that ends, or starts again, with the router's connection.
+		It("goes on without the connection and resumes at the offset", func() {
+			first := h.dial()
+			e := h.send(first, attempt(prompt("a", "m"), 1, 0))
+			h.engine.give("one ")
+			e.until(4)
+			Expect(first.Close()).To(Succeed())
+			h.engine.give("two ")
+			again := h.send(h.dial(), attempt(prompt("a", "m"), 2, 4))
+			again.body = "one "
+			again.until(8)
+			h.engine.fail(io.EOF)
+			Expect(again.end()).To(HaveField("Length", uint64(8)))
+			Expect(again.body).To(Equal("one two "))
+			starts, resumes := h.engine.seen()
+			Expect(starts).To(HaveLen(1))
+			Expect(resumes).To(BeEmpty())
+		})
+
+		// Guards against two streams of one request that both deliver.
+		It("ends the older stream of a request", func() {
+			c := h.dial()
+			old := h.send(c, attempt(prompt("a", "m"), 1, 0))
+			h.engine.give("x")
+			old.until(1)
+			newer := h.send(c, attempt(prompt("a", "m"), 2, 0))
+			newer.until(1)
+			_, err := old.next()
+			Expect(err).To(HaveOccurred())
+			h.engine.fail(io.EOF)
+			newer.end()
+		})
+
+		// Guards against a connection to the upstream that goes silent for good.
+		It("resumes at the upstream after a silent connection", func() {
+			e := h.send(h.dial(), attempt(prompt("a", "m"), 1, 0))
+			h.engine.give("abc")
+			h.engine.fail(engine.ErrSilent)
+			h.engine.give("def")
+			h.engine.fail(io.EOF)
+			Expect(e.end()).To(HaveField("Outcome", wire.OutcomeDone))
+			Expect(e.body).To(Equal("abcdef"))
+			_, resumes := h.engine.seen()
+			Expect(resumes).To(HaveLen(1))
+			Expect(resumes[0].Offset).To(Equal(uint64(3)))
+		})
+
+		// Guards against a request that is lost with the upstream's process.
+		It("runs the call again after the upstream ended", func() {
+			c := h.dial()
+			e := h.send(c, attempt(prompt("a", "m"), 1, 0))
+			beside := h.send(c, attempt(prompt("b", "m"), 1, 0))
+			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(2))
+			h.engine.restart("e2")
+			h.engine.fail(engine.ErrDied)
+			h.engine.fail(engine.ErrDied)
+			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(3))
+			h.engine.give("again")
+			h.engine.fail(io.EOF)
+			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(4))
+			h.engine.give("again")
+			h.engine.fail(io.EOF)
+			for _, x := range []*exchange{e, beside} {
+				Expect(x.end()).To(HaveField("Outcome", wire.OutcomeDone))
+				Expect(x.body).To(Equal("again"))
+			}
+		})
+
+		// Guards against an answer larger than the buffer being cut, or held in memory as a whole.
+		It("passes on answers larger than its buffer", func() {
+			e := h.send(h.dial(), attempt(prompt("a", "m"), 1, 0))
+			block := strings.Repeat("x", 100<<10)
+			go func() {
+				for range 30 {
+					h.engine.give(block)
+				}
+				h.engine.fail(io.EOF)
+			}()
+			Expect(e.end()).To(HaveField("Length", uint64(30*100<<10)))
+			Expect(e.body).To(HaveLen(30 * 100 << 10))
+		})
+
+		// Guards against the work of a caller that left going on.
+		It("cancels the call when the router asks", func() {
+			e := h.send(h.dial(), attempt(prompt("a", "m"), 1, 0))
+			h.engine.give("x")
+			e.until(1)
+			Expect(wire.Write(e.st, &wire.Cancel{Request: "a"})).To(Succeed())
+			Eventually(h.engine.ended, "5s").Should(Receive())
+		})
+
+		// Guards against peers that cannot get the configuration, the list or a place from this agent.
+		It("answers other processes", func() {
+			c := h.dial()
+			m, err := h.send(c, &wire.ConfigGet{}).next()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(m).To(HaveField("Version", uint64(1)))
+			m, err = h.send(c, &wire.ConfigGet{Have: 1}).next()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(m).To(HaveField("Document", BeEmpty()))
+			bad := []wire.QuarantineEntry{{Fingerprint: fingerprint(prompt("bad", "m")), UnixMS: 1, Reason: "x"}}
+			_, err = h.send(c, &wire.QuarantineGet{Entries: bad}).next()
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() []wire.QuarantineEntry {
+				m, err := h.send(c, &wire.QuarantineGet{}).next()
+				Expect(err).NotTo(HaveOccurred())
+				return m.(*wire.QuarantineList).Entries
+			}, "5s").Should(Equal(bad))
+			Expect(h.send(c, attempt(prompt("bad", "m"), 1, 0)).end()).To(HaveField("Code", wire.CodeQuarantined))
+			Eventually(func() string { return h.status(c) }, "5s").Should(ContainSubstring(`"Quarantined":1`))
+			place := h.send(c, &wire.LoadAsk{ID: "p1", VM: "vm-r", Model: "m", Bytes: 1, TimeoutMS: 1000})
+			m, err = place.next()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(m).To(Equal(&wire.LoadGo{ID: "p1"}))
+			Expect(wire.Write(place.st, &wire.LoadDone{ID: "p1"})).To(Succeed())
+			_, err = place.next()
+			Expect(err).To(HaveOccurred()) // the stream has ended
+		})
+	})
+
+	Context("beside a plain service", func() {
+		BeforeEach(func() {
+			h = newHarness("p")
+			c := h.dial()
+			Eventually(func() string { return h.status(c) }, "10s").Should(ContainSubstring(`"KeySlots":{"loans":64}`))
+		})
+
+		// Guards against a second loan by a resend over another connection, during the first run and after it.
+		It("runs a keyed call once", func() {
+			key := keyAt(time.Now(), 1)
+			first := h.send(h.dial(), attempt(loan("a", key), 1, 0))
+			second := h.send(h.dial(), attempt(loan("b", key), 1, 0))
+			h.engine.give("made")
+			h.engine.fail(io.EOF)
+			third := func() *exchange { return h.send(h.dial(), attempt(loan("c", key), 1, 0)) }
+			for _, e := range []*exchange{first, second, third()} {
+				Expect(e.end()).To(HaveField("Outcome", wire.OutcomeDone))
+				Expect(e.body).To(Equal("made"))
+			}
+			starts, _ := h.engine.seen()
+			Expect(starts).To(HaveLen(1))
+		})
+
+		// Guards against a loan being sent again, or called not run, after its answer was lost.
+		It("reports a lost answer as unknown", func() {
+			key := keyAt(time.Now(), 1)
+			h.engine.fail(engine.ErrUnknown)
+			for _, id := range []string{"a", "b"} {
+				m := h.send(h.dial(), attempt(loan(id, key), 1, 0)).end()
+				Expect(m).To(HaveField("Outcome", wire.OutcomeUnknown))
+			}
+			starts, resumes := h.engine.seen()
+			Expect(starts).To(HaveLen(1))
+			Expect(resumes).To(BeEmpty())
+		})
+
+		// Guards against a planned stop that interrupts a call or keeps the key slots.
+		It("drains after the running call", func() {
+			e := h.send(h.dial(), attempt(loan("a", keyAt(time.Now(), 1)), 1, 0))
+			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(1))
+			Expect(h.agent.Drain(h.ctx)).To(Succeed())
+			Expect(h.send(h.dial(), attempt(lookup("b"), 1, 0)).end()).To(HaveField("Code", wire.CodeDraining))
+			Expect(h.agent.Drained()).NotTo(BeClosed())
+			h.engine.give("made")
+			h.engine.fail(io.EOF)
+			Expect(e.end()).To(HaveField("Outcome", wire.OutcomeDone))
+			Eventually(h.agent.Drained(), "15s").Should(BeClosed())
+		})
+	})
+})
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -146,7 +146,7 @@
 func (c *Core) listSeen(o store.Object) {
 	entries, err := quarantine.Decode(o.Value)
 	if err != nil {
-		c.emit(Report{Message: "quarantine list ignored", Err: err})
+		c.emit(LogChange{Message: "quarantine list ignored", Err: err})
 		return
 	}
 	c.mergeQuarantine(entries)
@@ -162,6 +162,9 @@
 		c.listMirror.written(c.now, ev.Value, ev.Version, ev.Err)
 	case c.selfMirror.key:
 		c.selfMirror.written(c.now, ev.Value, ev.Version, ev.Err)
+		if ev.Err == nil { // the watch would show it seconds later
+			c.memberChanged(store.Object{Key: ev.Key, Version: ev.Version, Value: ev.Value})
+		}
 	default:
 		c.residency(residency.ObjectWritten{Key: ev.Key, Version: ev.Version, Err: ev.Err})
 	}
@@ -202,7 +205,7 @@
 
 func (c *Core) memberChanged(o store.Object) {
 	if err := c.members.SeeObject(o); err != nil {
-		c.emit(Report{Message: "upstream record ignored", Err: err})
+		c.emit(LogChange{Message: "upstream record ignored", Err: err})
 	}
 	c.feedMembers()
 }
--- a/pkg/once/slots.go
+++ b/pkg/once/slots.go
@@ -148,8 +148,8 @@
 	if ev.Version >= svc.version {
 		svc.version, svc.owners = ev.Version, ev.Owners
 	}
-	if p := svc.pending; p != nil {
-		p.readBack = !p.inFlight
+	if p := svc.pending; p != nil && !p.inFlight {
+		p.readBack = true
 		if svc.version > p.expect {
 			s.settle(svc)
 		}
@@ -174,6 +174,8 @@
 	case errors.Is(ev.Err, store.ErrUnavailable) && !p.uncertain:
 		s.settle(svc)
 		svc.retryAt = now.Add(retryDelay)
+	case svc.version > p.expect:
+		s.settle(svc) // the watch has shown a newer object already
 	default:
 		// After a conflict the object is newer than expect; after a lost answer it may be. Both are read back.
 		p.uncertain = true
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -128,6 +128,17 @@
 	return changed
 }
 
+// Died records that the upstream dropped one call without an answer, where an end of the upstream cannot be told from
+// that of the call, and reports whether the list changed. Other calls are not suspected, and running alone proves
+// nothing.
+func (s *State) Died(now time.Time, fp uint64) bool {
+	s.End(fp, false)
+	if s.accuse(fp) < crashLimit {
+		return false
+	}
+	return s.convict(now, fp, ReasonTwice)
+}
+
 // accuse makes fp a suspect and returns the number of crashes in which it ran.
 func (s *State) accuse(fp uint64) int {
 	sus := s.suspects[fp]
