Wire the agent role with checked settings and a drain

Cause: the agent role took two flags and knew neither store nor VM list. Change: kong flags with environment variables for place, group, engine module, store, VM list, drain and traces, checked together before anything listens. A signal drains; POST /drain on the operators' port marks the VM as leaving. The demo starts a store, a VM list and an engine that serves loaded models only. Measurement: go test -race ./pkg/agent ./cmd/hibiscuscrossd passes; scripts/demo.sh passes with a cold start under a grant.

--- a/cmd/hibiscuscrossd/agent.go
+++ b/cmd/hibiscuscrossd/agent.go
@@ -2,43 +2,238 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
 	"os"
+	"os/signal"
+	"regexp"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"syscall"
+	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
 	"github.com/hibiscuscross/hibiscuscross/pkg/agent"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/openai"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/plain"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/store/httpstore"
+	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/vmlist/httplist"
 )
 
 type agentCmd struct {
 	commonFlags
-	Listen string `help:"Address for peers, ip:port." default:"127.0.0.1:7001" env:"HIBISCUSCROSS_PEER_LISTEN"`
-	Engine string `help:"URL of the upstream." required:"" env:"HIBISCUSCROSS_ENGINE_URL"`
+	VM            string        `name:"vm" help:"Id of this VM; the certificate's common name." required:"" env:"HIBISCUSCROSS_VM"`
+	Region        string        `help:"Region of this VM." required:"" env:"HIBISCUSCROSS_REGION"`
+	Zone          string        `help:"Availability zone of this VM." required:"" env:"HIBISCUSCROSS_ZONE"`
+	Group         string        `help:"Group of the upstream, as in the configuration." required:"" env:"HIBISCUSCROSS_GROUP"`
+	Listen        string        `help:"Address for peers, ip:port, as peers reach it. The port is the same on all VMs." default:"127.0.0.1:7001" env:"HIBISCUSCROSS_PEER_LISTEN"`
+	OpsListen     string        `help:"Address for operators, ip:port." default:"127.0.0.1:7002" env:"HIBISCUSCROSS_OPS_LISTEN"`
+	Module        string        `name:"engine-module" help:"Module that speaks to the upstream." default:"engine.openai" env:"HIBISCUSCROSS_ENGINE_MODULE"`
+	Engine        string        `name:"engine" help:"URL of the upstream." required:"" env:"HIBISCUSCROSS_ENGINE_URL"`
+	TrustFence    bool          `help:"The upstream refuses orders with an old fencing number." env:"HIBISCUSCROSS_TRUST_FENCE"`
+	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
+	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
+	DrainTimeout  time.Duration `help:"Longest time from SIGTERM to the end; 1s to 1h." default:"15m" env:"HIBISCUSCROSS_DRAIN_TIMEOUT"`
+	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
+	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
 }
 
-// Run runs the agent until a signal arrives.
+// Names become parts of object keys.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$`)
+
+// Validate checks the settings before anything listens.
+func (a *agentCmd) Validate() error {
+	var errs []error
+	check := func(ok bool, flag, value, allowed string) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("--%s=%q: allowed is %s", flag, value, allowed))
+		}
+	}
+	const name, addr, link = "a name of letters, digits, '.', '_' and '-'", "an IP address and a port, such as 127.0.0.1:7001", "an http or https URL"
+	for flag, value := range map[string]string{"vm": a.VM, "region": a.Region, "zone": a.Zone, "group": a.Group} {
+		check(namePattern.MatchString(value), flag, value, name)
+	}
+	for flag, value := range map[string]string{"listen": a.Listen, "ops-listen": a.OpsListen} {
+		check(isEndpoint(value), flag, value, addr)
+	}
+	for flag, value := range map[string]string{"engine": a.Engine, "store-url": a.StoreURL, "vm-list-url": a.VMListURL} {
+		check(isLink(value), flag, value, link)
+	}
+	modules := kernel.IDs(kernel.KindEngine)
+	check(slices.Contains(modules, a.Module), "engine-module", a.Module, strings.Join(modules, " or "))
+	check(a.DrainTimeout >= time.Second && a.DrainTimeout <= time.Hour, "drain-timeout", a.DrainTimeout.String(), "1s to 1h")
+	exporters := []string{string(telemetry.ExporterNone), string(telemetry.ExporterStdout), string(telemetry.ExporterOTLP)}
+	check(slices.Contains(exporters, a.TraceExporter), "trace-exporter", a.TraceExporter, strings.Join(exporters, " or "))
+	otlp := a.TraceExporter == string(telemetry.ExporterOTLP)
+	check(!otlp || isLink(a.TraceURL), "trace-url", a.TraceURL, link+" for the exporter otlp")
+	slices.SortFunc(errs, func(x, y error) int { return strings.Compare(x.Error(), y.Error()) })
+	return errors.Join(errs...)
+}
+
+// isEndpoint reports whether s is an address that peers can be told: a definite IP number and port.
+func isEndpoint(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified()
+}
+
+func isLink(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+// agentProcess is an agent with its listeners open.
+type agentProcess struct {
+	cmd    *agentCmd
+	log    *log.Logger
+	kernel *kernel.Kernel
+	agent  *agent.Agent
+	peers  transport.Listener
+	ops    net.Listener
+	ready  atomic.Bool
+	flush  func(context.Context) error
+	scope  tally.Scope
+}
+
+// Run runs the agent until a signal arrives or the VM leaves, and its work is finished.
 func (a *agentCmd) Run() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	k := kernel.New()
-	defer k.Cleanup()
-	t, err := a.transport(ctx, k)
+	signals, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := &agentProcess{cmd: a, log: telemetry.NewLogger("agent", a.VM), kernel: kernel.New()}
+	defer p.close()
+	if err := p.start(signals); err != nil {
+		return err
+	}
+	return p.run(signals)
+}
+
+func (p *agentProcess) start(ctx context.Context) (err error) {
+	t, err := p.cmd.transport(ctx, p.kernel)
+	if err != nil {
+		return err
+	}
+	e, err := kernel.LoadAs[engine.Engine](ctx, p.kernel, p.cmd.Module, kernel.Settings{"url": p.cmd.Engine})
 	if err != nil {
 		return err
 	}
-	e, err := kernel.LoadAs[engine.Engine](ctx, k, "engine.openai", kernel.Settings{"url": a.Engine})
+	objects, err := kernel.LoadAs[store.Store](ctx, p.kernel, "store.http", kernel.Settings{"url": p.cmd.StoreURL})
 	if err != nil {
 		return err
 	}
-	l, err := t.Listen(a.Listen)
+	vms, err := kernel.LoadAs[vmlist.Lister](ctx, p.kernel, "vmlist.http", kernel.Settings{"url": p.cmd.VMListURL})
 	if err != nil {
 		return err
 	}
+	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.Exporter(p.cmd.TraceExporter), p.cmd.TraceURL, "agent")
+	if err != nil {
+		return err
+	}
+	p.flush = flush
+	// The port is bound before anything is read or ordered: it excludes a second agent on the VM.
+	if p.peers, err = t.Listen(p.cmd.Listen); err != nil {
+		return err
+	}
+	if p.ops, err = net.Listen("tcp", p.cmd.OpsListen); err != nil {
+		return err
+	}
+	p.scope = tally.NoopScope
+	p.agent = agent.New(p.options(), agent.Parts{Listener: p.peers, Transport: t, Engine: e, Store: objects, VMs: vms,
+		Scope: p.scope, Tracer: tracer, Log: p.log, OnReady: func() { p.ready.Store(true); p.log.Info("ready") }})
+	return nil
+}
+
+func (p *agentProcess) options() agent.Options {
+	a := p.cmd
+	return agent.Options{VM: a.VM, Incarnation: uuid.NewString(), Region: a.Region, Zone: a.Zone, Group: a.Group, Addr: a.Listen,
+		Start: time.Now(), TrustFence: a.TrustFence, Queue: admission.DefaultLimits(), Once: once.DefaultLimits()}
+}
+
+// run serves until the work is finished after a signal, the VM leaves or the drain takes too long.
+func (p *agentProcess) run(signals context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	operator := &http.Server{Handler: p.operators(), ReadHeaderTimeout: 5 * time.Second}
 	var g run.Group
-	g.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
-	g.Add(func() error { return agent.NewServer(l, e).Run(ctx) }, func(error) { cancel(); _ = l.Close() })
-	return ignoreSignal(g.Run())
+	g.Add(func() error { return p.agent.Run(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return p.waitDrained(ctx, signals) }, func(error) { cancel() })
+	g.Add(func() error { return operator.Serve(p.ops) }, func(error) { _ = operator.Close() })
+	p.log.Info("started", "version", version, "listen", p.peers.Addr(), "ops", p.ops.Addr())
+	return g.Run()
+}
+
+// waitDrained starts the drain at the signal and returns at its end.
+func (p *agentProcess) waitDrained(ctx, signals context.Context) error {
+	select {
+	case <-signals.Done():
+	case <-p.agent.Drained(): // the VM list showed this VM as leaving
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	p.ready.Store(false)
+	if err := p.agent.Drain(ctx, false); err != nil {
+		return nil
+	}
+	timeout := time.NewTimer(p.cmd.DrainTimeout)
+	defer timeout.Stop()
+	select {
+	case <-p.agent.Drained():
+	case <-timeout.C:
+		p.log.Warn("drain took too long", "limit", p.cmd.DrainTimeout)
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// operators returns the handler of the operators' port. POST /drain says that the VM is leaving.
+func (p *agentProcess) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.ready.Load() {
+			http.Error(w, "starting or stopping", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.agent.Status())
+	})
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		if err := p.agent.Drain(r.Context(), true); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (p *agentProcess) close() {
+	if p.peers != nil {
+		_ = p.peers.Close()
+	}
+	if p.ops != nil {
+		_ = p.ops.Close()
+	}
+	if p.flush != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = p.flush(ctx)
+	}
+	_ = p.kernel.Cleanup()
 }
--- /dev/null
+++ b/cmd/hibiscuscrossd/agent_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func validAgent() agentCmd {
+	return agentCmd{VM: "vm-1", Region: "lagos", Zone: "lagos-a", Group: "reading-aid", Listen: "127.0.0.1:7001", OpsListen: "127.0.0.1:7002",
+		Module: "engine.openai", Engine: "http://127.0.0.1:9000", StoreURL: "http://127.0.0.1:9100", VMListURL: "http://127.0.0.1:9200",
+		DrainTimeout: time.Minute, TraceExporter: "none"}
+}
+
+// Guards against an agent that starts with a wrong setting, and against an error that does not say which one.
+func TestAgentSettings(t *testing.T) {
+	g := NewWithT(t)
+	ok := validAgent()
+	g.Expect(ok.Validate()).To(Succeed())
+	for _, c := range []struct {
+		change  func(*agentCmd)
+		message string
+	}{
+		{func(a *agentCmd) { a.VM = "vm/1" }, `--vm="vm/1": allowed is a name`},
+		{func(a *agentCmd) { a.Group = "" }, `--group="": allowed is a name`},
+		{func(a *agentCmd) { a.Listen = "0.0.0.0:7001" }, `--listen="0.0.0.0:7001": allowed is an IP address`},
+		{func(a *agentCmd) { a.OpsListen = "localhost:1" }, `--ops-listen="localhost:1": allowed is an IP address`},
+		{func(a *agentCmd) { a.Module = "engine.x" }, `--engine-module="engine.x": allowed is engine.openai or engine.plain`},
+		{func(a *agentCmd) { a.Engine = "127.0.0.1:9000" }, `--engine="127.0.0.1:9000": allowed is an http or https URL`},
+		{func(a *agentCmd) { a.StoreURL = "" }, `--store-url="": allowed is an http`},
+		{func(a *agentCmd) { a.VMListURL = "ftp://x" }, `--vm-list-url="ftp://x": allowed is an http`},
+		{func(a *agentCmd) { a.DrainTimeout = 0 }, `--drain-timeout="0s": allowed is 1s to 1h`},
+		{func(a *agentCmd) { a.TraceExporter = "x" }, `--trace-exporter="x": allowed is none or stdout or otlp`},
+		{func(a *agentCmd) { a.TraceExporter = "otlp" }, `--trace-url="": allowed is an http or https URL for the exporter otlp`},
+	} {
+		a := validAgent()
+		c.change(&a)
+		g.Expect(a.Validate()).To(MatchError(HavePrefix(c.message)))
+	}
+	all := agentCmd{}
+	g.Expect(strings.Count(all.Validate().Error(), "\n")).To(BeNumerically(">=", 10)) // all faults at once
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -89,9 +89,15 @@
 
 // jobState is the runtime's side of a job.
 type jobState struct {
-	output    *output
-	carrier   propagation.MapCarrier
-	queueSpan trace.Span
+	output  *output
+	carrier propagation.MapCarrier
+	waiting trace.Span // "load" until the target is ready, then "queue" until the call starts
+}
+
+// wait ends the span of the wait so far and begins the next one.
+func (a *Agent) wait(j *jobState, name string) {
+	j.waiting.End()
+	_, j.waiting = a.tracer.Start(j.parent(a.ctx), name)
 }
 
 // parent returns ctx with the span context of the request's traceparent.
@@ -139,8 +145,11 @@
 	}()
 }
 
-// Drain makes the agent refuse new work and finish what runs. Drained tells the end.
-func (a *Agent) Drain(ctx context.Context) error { return a.events.Push(ctx, Drain{}) }
+// Drain makes the agent refuse new work and finish what runs. If the VM is leaving, it also unloads and releases its
+// grants; otherwise the next process on the VM keeps them. Drained tells the end. The error is ctx's.
+func (a *Agent) Drain(ctx context.Context, leaving bool) error {
+	return a.events.Push(ctx, Drain{Leaving: leaving})
+}
 
 // Drained is closed when a draining agent has finished its work and handed over its key slots.
 func (a *Agent) Drained() <-chan struct{} { return a.drained }
@@ -243,6 +252,10 @@
 		a.decide(act.Stream, verdict{answer: &act})
 	case DropStream:
 		a.dropStream(act.Stream)
+	case TargetReady:
+		if j := a.jobs[act.Job]; j != nil {
+			a.wait(j, "queue")
+		}
 	case StartCall:
 		a.startCall(act)
 	case ResumeCall:
@@ -262,7 +275,7 @@
 	j := a.jobs[act.Job]
 	if j == nil {
 		j = &jobState{output: newOutput(act.Open.NonIdempotent), carrier: propagation.MapCarrier{"traceparent": act.Open.Traceparent}}
-		_, j.queueSpan = a.tracer.Start(j.parent(a.ctx), "queue")
+		_, j.waiting = a.tracer.Start(j.parent(a.ctx), "load")
 		a.jobs[act.Job] = j
 	}
 	a.decide(act.Stream, verdict{attach: &act, output: j.output})
@@ -270,7 +283,7 @@
 
 func (a *Agent) endJob(act EndJob) {
 	j := a.jobs[act.Job]
-	j.queueSpan.End()
+	j.waiting.End()
 	j.output.finish(act.Refuse)
 	if act.Refuse != nil {
 		a.metrics.refused(act.Refuse)
--- a/pkg/agent/calls.go
+++ b/pkg/agent/calls.go
@@ -29,7 +29,7 @@
 	if j == nil {
 		return
 	}
-	j.queueSpan.End()
+	j.waiting.End()
 	call := s.Call
 	if s.Continue {
 		prefix, ok := j.output.whole()
--- a/pkg/agent/events.go
+++ b/pkg/agent/events.go
@@ -164,6 +164,9 @@
 // DropStream ends a stream without a further frame, because a later attempt has replaced it.
 type DropStream struct{ Stream uint64 }
 
+// TargetReady says that a waiting job's target is loaded, so that it lacks only a slot.
+type TargetReady struct{ Job string }
+
 // StartCall begins the job's call at the upstream; the agent reports CallEnded with the same Run. Keep says that the
 // whole answer is reported, Continue that the upstream continues after the output so far.
 type StartCall struct {
@@ -246,6 +249,7 @@
 func (RefuseStream) isAction()       {}
 func (AnswerStream) isAction()       {}
 func (DropStream) isAction()         {}
+func (TargetReady) isAction()        {}
 func (StartCall) isAction()          {}
 func (ResumeCall) isAction()         {}
 func (StopCall) isAction()           {}
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -154,13 +154,17 @@
 
 // engineSeen handles a listing: a new epoch proves that the upstream process ended with all calls that it had.
 func (c *Core) engineSeen(l engine.Listing, err error, number uint64) {
-	if c.engineDown != (err != nil) {
-		c.engineDown = err != nil
-		c.emit(LogChange{Message: "upstream reachable: " + map[bool]string{true: "no", false: "yes"}[c.engineDown], Err: err})
-	}
 	if err != nil {
+		if !c.engineDown {
+			c.engineDown = true
+			c.emit(LogChange{Message: "upstream unreachable", Err: err})
+		}
 		return
 	}
+	if c.engineDown {
+		c.engineDown = false
+		c.emit(LogChange{Message: "upstream reachable"})
+	}
 	if l.Slots > 0 {
 		c.queue.SetSlots(l.Slots)
 	}
@@ -266,6 +270,7 @@
 	if !j.waits {
 		j.waits = true
 		c.jail.Wait(j.fp)
+		c.emit(TargetReady{Job: j.id})
 	}
 	if c.models() && !j.counted {
 		j.counted = true
--- a/pkg/agent/runtime_test.go
+++ b/pkg/agent/runtime_test.go
@@ -200,7 +200,7 @@
 		It("drains after the running call", func() {
 			e := h.send(h.dial(), attempt(loan("a", keyAt(time.Now(), 1)), 1, 0))
 			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(1))
-			Expect(h.agent.Drain(h.ctx)).To(Succeed())
+			Expect(h.agent.Drain(h.ctx, false)).To(Succeed())
 			Expect(h.send(h.dial(), attempt(lookup("b"), 1, 0)).end()).To(HaveField("Code", wire.CodeDraining))
 			Expect(h.agent.Drained()).NotTo(BeClosed())
 			h.engine.give("made")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,8 +12,17 @@
 }
 trap cleanup EXIT
 bin/hibiscuscross-standin certs "$dir" vm-router vm-agent
-bin/hibiscuscross-standin engine --listen 127.0.0.1:19000 & pids+=($!)
-bin/hibiscuscrossd agent --cert "$dir/vm-agent.pem" --key "$dir/vm-agent-key.pem" --ca "$dir/ca.pem" --listen 127.0.0.1:17001 --engine http://127.0.0.1:19000 & pids+=($!)
+echo '[{"id":"vm-agent","addr":"127.0.0.1","region":"lagos","zone":"lagos-1","state":"live"}]' > "$dir/vms.json"
+bin/hibiscuscross-standin store --listen 127.0.0.1:19100 & pids+=($!)
+bin/hibiscuscross-standin vms --listen 127.0.0.1:19101 --file "$dir/vms.json" & pids+=($!)
+echo '{"models":{"reading-aid-01":{"memoryBytes":15032385536,"tier":"memory"}}}' > "$dir/catalogue.json"
+bin/hibiscuscross-standin engine --listen 127.0.0.1:19000 --require-loaded --catalogue "$dir/catalogue.json" & pids+=($!)
+go run ./examples/okonkwo-adeyemi > "$dir/config.json"
+bin/hibiscuscrossctl --store http://127.0.0.1:19100 apply --base 0 "$dir/config.json"
+bin/hibiscuscrossd agent --cert "$dir/vm-agent.pem" --key "$dir/vm-agent-key.pem" --ca "$dir/ca.pem" --vm vm-agent \
+  --region lagos --zone lagos-1 --group reading-aid --listen 127.0.0.1:17001 --ops-listen 127.0.0.1:17002 \
+  --engine http://127.0.0.1:19000 --store-url http://127.0.0.1:19100 --vm-list-url http://127.0.0.1:19101 & pids+=($!)
+curl -sS -o /dev/null --fail --retry 20 --retry-all-errors --retry-delay 1 --max-time 5 http://127.0.0.1:17002/readyz
 bin/hibiscuscrossd router --cert "$dir/vm-router.pem" --key "$dir/vm-router-key.pem" --ca "$dir/ca.pem" --listen 127.0.0.1:18080 --agent 127.0.0.1:17001 & pids+=($!)
 curl -sS --retry 20 --retry-connrefused --retry-delay 1 --max-time 20 -N -H 'Content-Type: application/json' \
   -d '{"model":"reading-aid-01","stream":true}' http://127.0.0.1:18080/v1/chat/completions | tee "$dir/out"
