--- /dev/null
+++ b/cmd/hibiscuscross-bench/path_roles.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/agent"
+	"github.com/hibiscuscross/hibiscuscross/pkg/api"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/openai"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/router"
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/transport/quic"
+)
+
+const benchKey = "bench"
+
+// childCmd runs one process. It ends when its input closes.
+type childCmd struct {
+	Role     string `arg:"" enum:"engine,agent,router,source,floor"`
+	Dir      string
+	To       string
+	Interval time.Duration
+	Tokens   int
+}
+
+// Run serves until the input closes.
+func (c *childCmd) Run() error {
+	switch c.Role {
+	case "engine":
+		e := &standin.Engine{TokenInterval: c.Interval, Tokens: c.Tokens}
+		return serveHTTP(e.Handler())
+	case "agent":
+		return c.agent()
+	case "router":
+		return c.router()
+	case "source":
+		return c.source()
+	}
+	return c.floor()
+}
+
+func serveHTTP(h http.Handler) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(l, h) }()
+	return announce(l.Addr().String())
+}
+
+func (c *childCmd) transport(vm string) (transport.Transport, error) {
+	return kernel.LoadAs[transport.Transport](context.Background(), kernel.New(), "transport.quic", kernel.Settings{
+		"cert": filepath.Join(c.Dir, vm+".pem"), "key": filepath.Join(c.Dir, vm+"-key.pem"), "ca": filepath.Join(c.Dir, "ca.pem"),
+	})
+}
+
+func (c *childCmd) agent() error {
+	ctx := context.Background()
+	t, err := c.transport("vm-agent")
+	if err != nil {
+		return err
+	}
+	e, err := kernel.LoadAs[engine.Engine](ctx, kernel.New(), "engine.openai", kernel.Settings{"url": "http://" + c.To})
+	if err != nil {
+		return err
+	}
+	l, err := t.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = agent.NewServer(l, e).Run(ctx) }()
+	return announce(l.Addr())
+}
+
+func (c *childCmd) router() error {
+	t, err := c.transport("vm-router")
+	if err != nil {
+		return err
+	}
+	r := router.New(transport.NewPool(t), router.Options{Region: "r", Zone: "z"})
+	r.SetView(routing.View{
+		Upstreams: []routing.Upstream{{VM: "vm-agent", Addr: c.To, Region: "r", Zone: "z", Group: "g"}},
+		Grants:    map[string]grant.Object{"m": {Grants: []grant.Grant{{VM: "vm-agent"}}}},
+	})
+	s := api.New(r, nil)
+	s.Configure(benchConfig())
+	return serveHTTP(s)
+}
+
+func benchConfig() *config.Document {
+	hash := sha256.Sum256([]byte(benchKey))
+	return &config.Document{Version: 1, Config: &config.Config{
+		Models:   []config.Model{{Name: "m", Group: "g", MaxReplicas: 1}},
+		Services: []config.Service{{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 30000}},
+		Callers:  []config.Caller{{Name: "c", KeySHA256: hex.EncodeToString(hash[:]), Services: []string{"s"}}},
+	}}
+}
+
+// floorFrame is what the source sends for each token, with the size of the stand-in's events.
+func floorFrame(i int) []byte {
+	return fmt.Appendf(nil, "data: {\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token%d \"}}]}\n\n", i)
+}
