--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -34,6 +34,8 @@
 	Sync func() wire.Sync
 	// OnSync is told what an agent's message says, if that differs from Sync. It must not block.
 	OnSync func(addr string, s wire.Sync)
+	// OnDraining is told of an agent that announces that it is leaving. It must not block.
+	OnDraining func(vm string)
 }
 
 // Router forwards requests. It is safe for concurrent use.
@@ -105,8 +107,11 @@
 // report takes the load and the versions that an agent's message carries.
 func (r *Router) report(to routing.Upstream, l wire.Load, s wire.Sync) {
 	r.mu.Lock()
-	r.state.Report(to.VM, l, time.Now())
+	draining := r.state.Report(to.VM, l, time.Now())
 	r.mu.Unlock()
+	if draining && r.opts.OnDraining != nil {
+		r.opts.OnDraining(to.VM)
+	}
 	if r.opts.OnSync != nil && s != r.opts.Sync() {
 		r.opts.OnSync(to.Addr, s)
 	}
@@ -135,3 +140,10 @@
 	defer r.mu.Unlock()
 	return r.state.CrossRegion(vm)
 }
+
+// Counts returns what the router knows of upstreams, for operators.
+func (r *Router) Counts() routing.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Counts()
+}
