--- a/cmd/hibiscuscross-bench/path_load.go
+++ b/cmd/hibiscuscross-bench/path_load.go
@@ -77,7 +77,6 @@
 	body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("word ", 200) + `"}]}`
 	url := "http://" + addr + "/v1/chat/completions"
 	if tokens > 0 {
-		url += fmt.Sprintf("?tokens=%d", tokens)
 		body = body[:len(body)-1] + fmt.Sprintf(`,"max_tokens":%d}`, tokens)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
@@ -106,7 +105,7 @@
 		switch {
 		case bytes.HasPrefix(line, []byte("data: [DONE]")):
 			whole = true
-		case bytes.HasPrefix(line, []byte("data: {\"object\"")):
+		case bytes.HasPrefix(line, []byte("data: {")) && bytes.Contains(line, []byte(`"choices"`)) && !bytes.Contains(line, []byte(`"finish_reason":"`)):
 			now := time.Now()
 			if n == 0 {
 				first = now
--- a/cmd/hibiscuscross-bench/path_roles.go
+++ b/cmd/hibiscuscross-bench/path_roles.go
@@ -27,6 +27,9 @@
 
 const benchKey = "bench"
 
+// engineSlots lets all calls of the load run at once, so that no queue hides what the path adds.
+const engineSlots = 4096
+
 // childCmd runs one process. It ends when its input closes.
 type childCmd struct {
 	Role     string `arg:"" enum:"engine,agent,router,source,floor"`
@@ -40,7 +43,7 @@
 func (c *childCmd) Run() error {
 	switch c.Role {
 	case "engine":
-		e := &standin.Engine{TokenInterval: c.Interval, Tokens: c.Tokens}
+		e := standin.NewEngine(standin.EngineOptions{TokenInterval: c.Interval, Tokens: c.Tokens, Slots: engineSlots, ServeUnloaded: true}, nil)
 		return serveHTTP(e.Handler())
 	case "agent":
 		return c.agent()
@@ -110,7 +113,7 @@
 	}}
 }
 
-// floorFrame is what the source sends for each token, with the size of the stand-in's events.
+// floorFrame is what the source sends for each token, with the form and size of the stand-in's events.
 func floorFrame(i int) []byte {
-	return fmt.Appendf(nil, "data: {\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token%d \"}}]}\n\n", i)
+	return fmt.Appendf(nil, "data: {\"id\":\"019ae2f0-0000-7000-8000-000000000000\",\"object\":\"chat.completion.chunk\",\"created\":1796358984,\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"t%d-abcd \"},\"finish_reason\":null}]}\n\n", i)
 }
--- a/cmd/hibiscuscrossd/router.go
+++ b/cmd/hibiscuscrossd/router.go
@@ -192,9 +192,11 @@
 	_, _ = seed.Write([]byte(p.cmd.VM))
 	r := router.New(pool, router.Options{
 		Region: p.cmd.Region, Zone: p.cmd.Zone, Seed: seed.Sum64(), Scope: scope, Tracer: tracer,
-		Sync:       func() wire.Sync { return p.control.Sync() },
-		OnSync:     func(addr string, s wire.Sync) { p.control.Heard(addr, s) },
-		OnDraining: func(vm string) { p.control.Draining(vm) },
+		Sync:        func() wire.Sync { return p.control.Sync() },
+		OnSync:      func(addr string, s wire.Sync) { p.control.Heard(addr, s) },
+		OnDraining:  func(vm string) { p.control.Draining(vm) },
+		Answer:      func(m wire.Message) wire.Message { return p.control.Answer(m) },
+		Quarantined: func(fp uint64) bool { return p.control.Quarantined(fp) },
 	})
 	p.api = api.New(r, tracer)
 	p.ops = ops.New(ops.Options{Metrics: metrics, Status: func() any { return p.status(r) }, Profiles: p.cmd.Profiles})
--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -37,6 +37,8 @@
 	OnReady  func()
 	Log      *log.Logger
 	Scope    tally.Scope
+	// Quarantine holds the list of requests that have crashed upstreams; nil for none.
+	Quarantine Quarantine
 }
 
 // Control is the duty that turns updates of the store, the VM list and peers into views and configurations.
@@ -47,7 +49,8 @@
 	members *membership.State
 	grants  map[string]grant.Object
 	owners  map[string]once.Owners
-	version atomic.Uint64
+	current atomic.Pointer[config.Document]
+	jail    jail
 	storeUp bool
 	ignored tally.Counter
 }
@@ -66,18 +69,49 @@
 	return &Control{
 		o: o, events: ring.New[any](controlEvents), conf: confsync.New(), members: membership.New(),
 		grants: map[string]grant.Object{}, owners: map[string]once.Owners{}, storeUp: true,
-		ignored: o.Scope.Counter("ignored_objects"),
+		ignored: o.Scope.Counter("ignored_objects"), jail: newJail(o.Quarantine),
 	}
 }
 
+// Version returns the configuration's version in force, or 0.
+func (c *Control) Version() uint64 {
+	if doc := c.current.Load(); doc != nil {
+		return doc.Version
+	}
+	return 0
+}
+
 // Sync returns what this process says of itself on messages.
-func (c *Control) Sync() wire.Sync { return wire.Sync{ConfigVersion: c.version.Load()} }
+func (c *Control) Sync() wire.Sync {
+	return wire.Sync{ConfigVersion: c.Version(), QuarantineHash: c.jail.hash()}
+}
 
-// Heard takes the versions that a peer's message names. It does not block.
+// Answer answers a peer's question, or returns nil if there is no answer to it.
+func (c *Control) Answer(m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.ConfigGet:
+		if doc := c.current.Load(); doc != nil && doc.Version > m.Have {
+			return &wire.ConfigDoc{Version: doc.Version, Digest: doc.Digest, Document: doc.Raw}
+		}
+		return &wire.ConfigDoc{}
+	case *wire.QuarantineGet:
+		c.events.TryPush(listHeard{entries: m.Entries})
+		return &wire.QuarantineList{Entries: c.jail.entries()}
+	}
+	return nil
+}
+
+// Quarantined reports whether a fingerprint is quarantined.
+func (c *Control) Quarantined(fingerprint uint64) bool { return c.jail.holds(fingerprint) }
+
+// Heard takes the versions and the hash that a peer's message names. It does not block.
 func (c *Control) Heard(addr string, s wire.Sync) {
-	if s.ConfigVersion > c.version.Load() {
+	if s.ConfigVersion > c.Version() {
 		c.events.TryPush(confsync.VersionHeard{Peer: addr, Version: s.ConfigVersion})
 	}
+	if s.QuarantineHash != c.jail.hash() && c.jail.mayExchange(time.Now()) {
+		c.events.TryPush(exchangeList{addr: addr})
+	}
 }
 
 // Draining takes an agent's notice that it is leaving. It does not block.
@@ -107,6 +141,10 @@
 	case draining:
 		c.members.Announce(ev.vm)
 		c.publish()
+	case listHeard:
+		c.jail.merge(ev.entries)
+	case exchangeList:
+		go c.exchangeList(ctx, ev.addr)
 	case confsync.Event:
 		c.step(ctx, ev)
 	}
@@ -148,6 +186,8 @@
 	switch {
 	case o.Key == store.KeyConfig && !o.Deleted:
 		c.step(ctx, confsync.EnvelopeSeen{Value: o.Value})
+	case o.Key == store.KeyQuarantine && !o.Deleted:
+		err = c.jail.decode(o.Value)
 	case strings.HasPrefix(o.Key, store.PrefixUpstreams):
 		err = c.members.SeeObject(o)
 	case strings.HasPrefix(o.Key, store.PrefixGrants):
@@ -193,7 +233,7 @@
 		switch a := a.(type) {
 		case confsync.Accepted:
 			c.o.OnConfig(a.Document)
-			c.version.Store(a.Document.Version)
+			c.current.Store(a.Document)
 			c.o.Log.Info("configuration in force", "version", a.Document.Version, "digest", a.Document.Digest)
 		case confsync.Ready:
 			c.o.OnReady()
@@ -234,31 +274,3 @@
 	}
 	_ = c.events.Push(ctx, ev)
 }
-
-// Ask sends one message to a peer on a stream of its own and returns the answer.
-func Ask(ctx context.Context, pool *transport.Pool, addr string, m wire.Message) (wire.Message, error) {
-	conn, err := pool.Get(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	st, err := conn.OpenStream(ctx)
-	if err != nil {
-		return nil, err
-	}
-	defer st.Reset()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = st.SetReadDeadline(deadline)
-		_ = st.SetWriteDeadline(deadline)
-	}
-	if err := wire.Write(st, m); err != nil {
-		return nil, err
-	}
-	if err := st.CloseWrite(); err != nil {
-		return nil, err
-	}
-	answer, err := wire.NewReader(st).Next()
-	if err != nil {
-		pool.Discard(addr, conn) // the path may be dead
-	}
-	return answer, err
-}
--- a/pkg/router/core.go
+++ b/pkg/router/core.go
@@ -12,8 +12,8 @@
 // Event is an input of Core.Step.
 type Event interface{ isEvent() }
 
-// Start begins the request.
-type Start struct{}
+// Start begins the request. Quarantined says that the request has crashed upstreams.
+type Start struct{ Quarantined bool }
 
 // Chosen is the result of a Choose action. A code says why there is no upstream.
 type Chosen struct {
@@ -124,6 +124,10 @@
 func (c *Core) Step(now time.Time, ev Event) Action {
 	switch ev := ev.(type) {
 	case Start:
+		if ev.Quarantined {
+			c.refuse(wire.CodeQuarantined, "the request has crashed upstreams")
+			return c.finish(false)
+		}
 		return c.choose(now, false)
 	case Chosen:
 		return c.chosen(now, ev)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -38,6 +38,10 @@
 	Sync func() wire.Sync
 	// OnSync is told what an agent's message says, if that differs from Sync. It must not block.
 	OnSync func(addr string, s wire.Sync)
+	// Answer answers questions of agents; nil answers none.
+	Answer func(m wire.Message) wire.Message
+	// Quarantined reports whether a request with the fingerprint is refused; default never.
+	Quarantined func(fingerprint uint64) bool
 	// OnDraining is told of an agent that announces that it is leaving. It must not block.
 	OnDraining func(vm string)
 }
@@ -47,6 +51,7 @@
 	opts    Options
 	pool    *transport.Pool
 	metrics metrics
+	served  sync.Map   // connections whose questions are answered
 	mu      sync.Mutex // guards state and budget
 	state   *routing.State
 	budget  routing.Budget
@@ -66,6 +71,9 @@
 	if o.Sync == nil {
 		o.Sync = func() wire.Sync { return wire.Sync{} }
 	}
+	if o.Quarantined == nil {
+		o.Quarantined = func(uint64) bool { return false }
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	return &Router{opts: o, pool: pool, metrics: newMetrics(o.Scope), state: routing.NewState(o.Region, o.Zone, random)}
 }
