--- a/cmd/hibiscuscross-bench/main.go
+++ b/cmd/hibiscuscross-bench/main.go
@@ -1,4 +1,5 @@
-// Command hibiscuscross-bench measures decisions against their baselines in virtual time.
+// Command hibiscuscross-bench measures the system against its stated targets and its baselines, and exits with an error if
+// a bound is broken.
 package main
 
 import (
@@ -26,7 +27,9 @@
 }
 
 var cli struct {
-	Policies policiesCmd `cmd:"" help:"Idle policies and the order of loads."`
+	Path     pathCmd     `cmd:"" help:"Measure what the router and the agent add to a request and what they use."`
+	Policies policiesCmd `cmd:"" help:"Idle policies and the order of loads, in virtual time."`
+	Child    childCmd    `cmd:"" hidden:"" help:"Run one process of a benchmark."`
 }
 
 func main() {
