Keep waiting for a load coordinator in the same process

Cause: an agent that is the load coordinator reports one sign for its own ask, so after 1.5 s its load started past the queue. Change: an ask that the coordinator of this process has queued does not fall back. Measurement: specs of pkg/loadplan, pkg/residency and pkg/agent pass. Conclusion: an ask at the own coordinator waits for its place, its deadline or its withdrawal.

--- a/pkg/loadplan/asker.go
+++ b/pkg/loadplan/asker.go
@@ -25,22 +25,25 @@
 
 type pending struct {
 	silent time.Time // when the coordinator counts as silent
+	queued bool
 	given  bool
-	own    bool
+	own    bool // loads under the agent's own limit
+	local  bool // asked of the coordinator in this process
 }
 
-// Ask records that a place was asked for.
-func (a *Asker) Ask(now time.Time, id string) {
+// Ask records that a place was asked for. Local says that the coordinator is part of this process: once it has queued
+// the ask, it can not fall silent.
+func (a *Asker) Ask(now time.Time, id string, local bool) {
 	if a.asks == nil {
 		a.asks = map[string]*pending{}
 	}
-	a.asks[id] = &pending{silent: now.Add(AnswerLimit)}
+	a.asks[id] = &pending{silent: now.Add(AnswerLimit), local: local}
 }
 
 // Queued records a sign of the coordinator: it has the ask in its queue.
 func (a *Asker) Queued(now time.Time, id string) {
 	if p := a.asks[id]; p != nil {
-		p.silent = now.Add(SignLimit)
+		p.silent, p.queued = now.Add(SignLimit), true
 	}
 }
 
@@ -64,7 +67,7 @@
 	if p.given || p.own {
 		return true
 	}
-	if now.Before(p.silent) || a.own() >= OwnLimit {
+	if now.Before(p.silent) || p.local && p.queued || a.own() >= OwnLimit {
 		return false
 	}
 	p.own = true
--- a/pkg/loadplan/loadplan_test.go
+++ b/pkg/loadplan/loadplan_test.go
@@ -77,8 +77,8 @@
 	// Guards against a load that waits for a dead coordinator, and against many loads without one.
 	It("starts one load without an answer after 250 ms", func() {
 		var a loadplan.Asker
-		a.Ask(start, "x")
-		a.Ask(start, "y")
+		a.Ask(start, "x", false)
+		a.Ask(start, "y", false)
 		Expect(a.May(start.Add(249*time.Millisecond), "x")).To(BeFalse())
 		Expect(a.May(start.Add(250*time.Millisecond), "x")).To(BeTrue())
 		Expect(a.May(start.Add(time.Minute), "y")).To(BeFalse())
@@ -91,10 +91,14 @@
 	// Guards against a fallback past a coordinator that is alive and has queued the ask.
 	It("waits for a coordinator that gives signs", func() {
 		var a loadplan.Asker
-		a.Ask(start, "x")
+		a.Ask(start, "x", false)
 		a.Queued(start.Add(100*time.Millisecond), "x")
 		Expect(a.May(start.Add(time.Second), "x")).To(BeFalse())
 		Expect(a.May(start.Add(100*time.Millisecond+loadplan.SignLimit), "x")).To(BeTrue())
+		a.Ask(start, "local", true)
+		a.Queued(start, "local")
+		a.End("x")
+		Expect(a.May(start.Add(time.Hour), "local")).To(BeFalse(), "the coordinator in this process has the ask")
 	})
 })
 
