Count cold starts and idle accelerator time

Cause: the two metrics of the project, cold-start time and idle accelerator hours, could not be read from an agent.

--- a/pkg/policybench/stepcost.go
+++ b/pkg/policybench/stepcost.go
@@ -54,6 +54,7 @@
 	began := time.Now()
 	for range stepRounds {
 		for _, ev := range events {
+			now = now.Add(time.Millisecond)
 			s.Step(now, ev)
 		}
 	}
--- a/pkg/residency/api.go
+++ b/pkg/residency/api.go
@@ -132,8 +132,12 @@
 	ID          string
 }
 
-// Ready says that the target can be called now.
-type Ready struct{ Target engine.Target }
+// Ready says that the target can be called now. Waited is how long the first of the waiting requests waited for the
+// cold start, 0 if the target was ready.
+type Ready struct {
+	Target engine.Target
+	Waited time.Duration
+}
 
 // Failed says that the requests waiting for the target have to be refused (outcome not-run).
 type Failed struct {
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -54,6 +54,9 @@
 	if errors.Is(ev.Err, engine.ErrStaleFence) {
 		s.fence += fenceJump
 	}
+	if ev.Err != nil && !noEffect(ev.Err) {
+		s.stats.UnknownOrders++
+	}
 	if ev.Order.Kind == engine.OrderLoad {
 		s.loadDone(now, m, t, ev.Err)
 		return
@@ -72,6 +75,10 @@
 	case err == nil:
 		s.loaded(now, t)
 		s.observe(now, m, t)
+		if t == m.base {
+			s.stats.Loads++
+			s.stats.LoadTime += now.Sub(m.orderAt)
+		}
 	case noEffect(err):
 		s.gone(now, t)
 		if errors.Is(err, engine.ErrStaleFence) {
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -74,9 +74,13 @@
 
 // ready tells the waiting requests to begin and keeps the target loaded until they have.
 func (s *State) ready(now time.Time, m *model, t *target) {
+	r := Ready{Target: t.id}
+	if t.wanted {
+		r.Waited = now.Sub(t.wantedAt)
+	}
 	t.wanted, t.protected = false, now.Add(readyProtection)
 	m.base.protected = t.protected
-	s.emit(Ready{Target: t.id})
+	s.emit(r)
 }
 
 // refused refuses the requests of a target that can not be loaded here at all.
--- a/pkg/residency/state.go
+++ b/pkg/residency/state.go
@@ -53,6 +53,7 @@
 	// listedLoading says that the last listing showed a load in progress.
 	listedLoading bool
 	wanted        bool
+	wantedAt      time.Time // when the first of the waiting requests came
 	first, last   time.Time // earliest and latest deadline of the waiting requests
 	inUse         int
 	lastUse       time.Time
@@ -104,6 +105,8 @@
 	asks         uint64
 	speeds       map[engine.Tier]float64
 	out          []Action
+	stats        Stats
+	accrued      time.Time // idle accelerator time is added up to here
 }
 
 // New returns the state of a starting process. It loads nothing before it has a configuration and a listing.
@@ -120,8 +123,9 @@
 // Step takes an event and returns the actions to carry out, in order.
 func (s *State) Step(now time.Time, ev Event) []Action {
 	if s.started.IsZero() {
-		s.started = now
+		s.started, s.accrued = now, now
 	}
+	s.accrue(now)
 	s.out = nil
 	if s.apply(now, ev) {
 		s.plan(now)
@@ -237,7 +241,7 @@
 		return false
 	}
 	if !t.wanted {
-		t.wanted, t.first, t.last = true, w.Deadline, w.Deadline
+		t.wanted, t.wantedAt, t.first, t.last = true, now, w.Deadline, w.Deadline
 		return true
 	}
 	if w.Deadline.Before(t.first) || t.first.Before(now) {
--- a/pkg/residency/unload.go
+++ b/pkg/residency/unload.go
@@ -60,6 +60,7 @@
 	for _, m := range s.sorted() {
 		if s.isIdle(now, m) && s.o.Policy.Unload(&m.base.arrivals, now.Sub(m.base.lastUse), s.prices(m)) {
 			m.base.unload = true
+			s.stats.IdleUnloads++
 		}
 	}
 }
@@ -148,6 +149,7 @@
 	for _, c := range cs {
 		_, t := s.find(c.Target)
 		t.unload = true
+		s.stats.Evictions++
 	}
 }
 
