Leave the removal of grants to candidates

Cause: a VM that is not a candidate had turn -1 and removed the grants of VMs that are gone at once. Change: it has no turn. Measurement: tests of pkg/residency and pkg/agent pass with the race detector. Conclusion: a leaving VM removes such grants only with its own acquisitions.

--- a/pkg/residency/grants.go
+++ b/pkg/residency/grants.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	turn := slices.Index(loadplan.Rank(m.name, s.peers), s.o.VM)
-	return gone > min(time.Duration(turn)*repairTurn, maxRepairWait)
+	return turn >= 0 && gone > min(time.Duration(turn)*repairTurn, maxRepairWait)
 }
 
 func (s *State) isGone(vm string) bool { return vm != s.o.VM && s.absence.Gone(vm) }
