--- a/pkg/residency/api.go
+++ b/pkg/residency/api.go
@@ -47,6 +47,10 @@
 	Err     error
 }
 
+// GrantsListed says that a listing of all keys with the prefix grants/ was read and that every object in it was reported
+// as ObjectRead before. Models that were not reported have no object. It spares one read for each of them at the start.
+type GrantsListed struct{}
+
 // ObjectWritten is the result of a WriteObject action. Err is nil or one of package store's errors.
 type ObjectWritten struct {
 	Key     string
@@ -85,6 +89,7 @@
 func (OrderDone) isEvent()     {}
 func (Listed) isEvent()        {}
 func (ObjectRead) isEvent()    {}
+func (GrantsListed) isEvent()  {}
 func (ObjectWritten) isEvent() {}
 func (Configured) isEvent()    {}
 func (VMsSeen) isEvent()       {}
@@ -127,8 +132,12 @@
 	ID          string
 }
 
-// Ready says that the target can be called now.
-type Ready struct{ Target engine.Target }
+// Ready says that the target can be called now. Waited is how long the first of the waiting requests waited for the
+// cold start, 0 if the target was ready.
+type Ready struct {
+	Target engine.Target
+	Waited time.Duration
+}
 
 // Failed says that the requests waiting for the target have to be refused (outcome not-run).
 type Failed struct {
