--- a/pkg/capacity/baddays.go
+++ b/pkg/capacity/baddays.go
@@ -28,7 +28,7 @@
 
 	starting := float64(processes) / regions
 	agents := float64(upstreams) / regions
-	listing := upstreams*entryBytes("upstreams/"+vm(0), upstreamValue(0)) + entryBytes(store.KeyConfig, make([]byte, int(b.fits["doc.stored"].At(adapters))))
+	listing := upstreams*entryBytes("upstreams/"+vm(0), upstreamValue(0)) + b.configEntry
 	row("a region restarts", fmt.Sprintf("%.0f processes within %.0f s: %.0f reads/s (limit %d), %.0f writes/s (limit %d) for records and stamps; %s of listings for each process",
 		starting, startSpread, starting*startReads/startSpread, budgetStoreReads, agents*(1+grantsPerVM)/startSpread, budgetStoreWrites, size(listing)),
 		"standing grants keep the replicas; conditional writes retry; a process takes its configuration from the store or up to 3 peers. If all start within 1 s, reads are at "+
--- a/pkg/capacity/budget.go
+++ b/pkg/capacity/budget.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
 )
@@ -28,12 +29,13 @@
 	memberCores   float64
 	fits          map[string]Fit
 	watchCall     float64
+	configEntry   float64 // bytes in the answer to a watch
 }
 
 var gcFactor = 2.0 // the collector lets the heap grow to twice the live state
 
 func work(fits map[string]Fit, base, watchCall, watchSign, watchCPU float64) Budget {
-	b := Budget{fits: fits, watchCall: watchCall}
+	b := Budget{fits: fits, watchCall: watchCall, configEntry: entryBytes(store.KeyConfig, storedValue(document(models, adapters)))}
 	at := func(id string, n float64) float64 { return fits[id].At(n) }
 	for _, role := range []string{"router", "agent"} {
 		inFlight, requests := routerInFlight, float64(routerRequests)
@@ -49,7 +51,7 @@
 		}
 		add(Line{What: "process without state", Memory: base})
 		add(Line{What: fmt.Sprintf("configuration, %d changes a day", changesPerDay),
-			Bytes: entryBytes(store.KeyConfig, make([]byte, int(at("doc.stored", adapters)))) * changesPerDay / day,
+			Bytes: b.configEntry * changesPerDay / day,
 			Cores: at("doc.cpu", adapters) * changesPerDay / day / 1e6, Memory: gcFactor * at("doc.state", adapters),
 			Change:  "a document is sent as its difference from the base version, checked by the digest of the result",
 			Changed: entryBytes(store.KeyConfig, limitChange()) * changesPerDay / day})
@@ -76,6 +78,8 @@
 		add(Line{What: "requests in flight: reader and Open", Memory: gcFactor * at("request.state", inFlight)})
 		if role == "agent" {
 			add(Line{What: "residency: 10 ticks a second while busy, state", Cores: at("residency.tick.cpu", models) * 10 / 1e6, Memory: gcFactor * at("residency.state", adapters)})
+			add(Line{What: "admission, quarantine: decisions on each request", Cores: requests * (at("admission.cpu", inFlight) + at("quarantine.cpu", inFlight)) / 1e6, Memory: gcFactor * at("admission.state", inFlight)})
+			add(Line{What: fmt.Sprintf("once: a full table of %d keys", once.MaxEntries), Memory: gcFactor * at("once.state", once.MaxEntries)})
 			add(Line{What: "residency: configuration changes", Cores: at("residency.config.cpu", adapters) * changesPerDay / day / 1e6})
 		}
 	}
--- a/pkg/capacity/series.go
+++ b/pkg/capacity/series.go
@@ -1,13 +1,10 @@
 package capacity
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
@@ -165,75 +162,6 @@
 	return m
 }
 
-const requestID = "0190a0b0-0000-7000-8000-000000000000"
-
-func flightSeries() []Series {
-	s := func(id, role, what, unit string, f func(n int) float64) Series {
-		return Series{id, role, what, unit, "request in flight", flightSizes, f}
-	}
-	round := func(m wire.Message) func(n int) float64 {
-		return func(n int) float64 { return float64(n * len(frame(m))) }
-	}
-	cpu := func(m wire.Message) func(n int) float64 {
-		return func(n int) float64 { return cpuMicros(func() { exchange(n, m) }) }
-	}
-	sync, load := wire.Sync{ConfigVersion: 100000, QuarantineHash: 1 << 63}, wire.Load{Queued: 100, Running: 16, Slots: 16, PredictedMS: 5000}
-	ping := &wire.Ping{Load: load, Sync: sync}
-	token := &wire.Data{Request: requestID, Attempt: 1, Offset: 4000, Bytes: bytes.Repeat([]byte("x"), 120)}
-	return []Series{
-		s("request.state", "router, agent", "reader and decoded Open of 2 KB", "B", func(n int) float64 {
-			return heapBytes(func() any { return openRequests(n) })
-		}),
-		s("ping.bytes", "router, agent", "one Ping for each request", "B", round(ping)),
-		s("ping.cpu", "router, agent", "encode and decode one Ping for each request", "µs", cpu(ping)),
-		s("token.bytes", "router, agent", "one Data frame for each request, without its 120 B of payload", "B",
-			func(n int) float64 { return float64(n * (len(frame(token)) - len(token.Bytes))) }),
-		s("token.cpu", "router, agent", "encode and decode one Data frame for each request", "µs", cpu(token)),
-		s("sync.bytes", "router, agent", "versions and load in Accept and End for each request", "B", func(n int) float64 {
-			return float64(2 * n * len(must(cbor.Marshal(struct {
-				Load wire.Load `cbor:"3,keyasint"`
-				Sync wire.Sync `cbor:"4,keyasint"`
-			}{load, sync}))))
-		}),
-		s("accept.cpu", "router, agent", "encode and decode Accept for each request", "µs", cpu(&wire.Accept{Request: requestID, Attempt: 1, Load: load, Sync: sync})),
-		s("open.cpu", "router, agent", "encode and decode an Open of 2 KB for each request", "µs", cpu(openMessage())),
-	}
-}
-
-func openMessage() *wire.Open {
-	return &wire.Open{Request: requestID, Attempt: 1, Kind: wire.KindModel, Caller: "caller", Service: "service-1", Target: engine.Target{Model: "model-001", Adapter: "model-001-adapter-00001"},
-		Method: "POST", Path: "/v1/chat/completions", Header: []engine.Header{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, 2048), TimeoutMS: 10000, Priority: 5}
-}
-
-func frame(m wire.Message) []byte { return must(wire.Append(nil, m)) }
-
-// exchange encodes and decodes m n times on one stream.
-func exchange(n int, m wire.Message) {
-	var stream bytes.Buffer
-	r := wire.NewReader(&stream)
-	var buf []byte
-	for range n {
-		buf = must(wire.Append(buf[:0], m))
-		stream.Write(buf)
-		must(r.Next())
-	}
-}
-
-type request struct {
-	reader *wire.Reader
-	open   wire.Message
-}
-
-func openRequests(n int) []request {
-	encoded := frame(openMessage())
-	out := make([]request, n)
-	for i := range out {
-		r := wire.NewReader(bytes.NewReader(encoded))
-		out[i] = request{reader: r, open: must(r.Next())}
-	}
-	return out
-}
-
 func modelSeries() []Series {
 	return []Series{
 		{"residency.tick.cpu", "agent", "residency tick", "µs", "model", []int{10, 50, 150}, func(n int) float64 {
--- a/pkg/operate/apply_test.go
+++ b/pkg/operate/apply_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/agent"
 	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
@@ -172,19 +173,19 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		put(membership.Key("vm-a"), string(membership.Upstream{VM: "vm-a", Group: "g", Draining: true}.Encode()))
-		put(store.KeyQuarantine, `{"entries":[{"fingerprint":255,"unixMs":0,"reason":"crashed alone"}]}`)
+		put(store.KeyQuarantine, `[{"fingerprint":255,"unixMs":0,"reason":"crashed alone"}]`)
 		put("owners/loans", "{")
 		drained := false
 		p := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			drained = drained || r.Method == http.MethodPost && r.URL.Path == "/drain"
-			_, _ = w.Write([]byte(`{"version":1}`))
+			Expect(json.NewEncoder(w).Encode(agent.Status{VM: "vm-a"})).To(Succeed())
 		}))
 		defer p.Close()
 		addr := strings.TrimPrefix(p.URL, "http://")
 		st, err := ReadStatus(ctx, s, p.Client(), []string{addr, "127.0.0.1:1"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(st.Text()).To(And(ContainSubstring("vm-b (to release)"), MatchRegexp(`vm-a +g .*draining +m`), ContainSubstring("00000000000000ff"),
-			ContainSubstring("version: 1"), ContainSubstring("process 127.0.0.1:1: not asked"), ContainSubstring("problem: owners/loans")))
+			MatchRegexp(`vm-a +0 +behind version 1`), ContainSubstring("Quarantined: 0"), MatchRegexp(`127.0.0.1:1 .*not asked`), ContainSubstring("problem: owners/loans")))
 		Expect(Drain(ctx, p.Client(), addr)).To(Succeed())
 		Expect(drained).To(BeTrue())
 		Expect(Drain(ctx, p.Client(), "127.0.0.1:1")).NotTo(Succeed())
--- a/pkg/operate/status.go
+++ b/pkg/operate/status.go
@@ -15,8 +15,8 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
-	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
 // Status is the system as the object API and the asked processes show it.
@@ -70,6 +70,9 @@
 // ProcessStatus is what one process says of itself on its operators' port.
 type ProcessStatus struct {
 	Addr string `json:"addr"`
+	VM   string `json:"vm,omitempty"`
+	// Version is the configuration that the process has in force, 0 for none.
+	Version uint64 `json:"version"`
 	// Error says why the process could not be asked.
 	Error string `json:"error,omitempty"`
 	// Answer is the process's JSON as received.
@@ -184,7 +187,7 @@
 }
 
 func (st *Status) addQuarantine(_ string, value []byte) error {
-	entries, err := quarantineEntries(value)
+	entries, err := quarantine.Decode(value)
 	if err != nil {
 		return err
 	}
@@ -195,19 +198,6 @@
 	return nil
 }
 
-// quarantineEntries accepts a list and an object that holds one under entries.
-func quarantineEntries(value []byte) ([]wire.QuarantineEntry, error) {
-	var list []wire.QuarantineEntry
-	if json.Unmarshal(value, &list) == nil {
-		return list, nil
-	}
-	var holder struct {
-		Entries []wire.QuarantineEntry `json:"entries"`
-	}
-	err := json.Unmarshal(value, &holder)
-	return holder.Entries, fault.Wrap(err, fault.StepStore, store.KeyQuarantine, "decode quarantine list")
-}
-
 // maxAnswerBytes bounds a process's answer.
 const maxAnswerBytes = 8 << 20
 
@@ -216,10 +206,15 @@
 	if err != nil {
 		return ProcessStatus{Addr: addr, Error: err.Error()}
 	}
-	if !json.Valid(body) {
-		return ProcessStatus{Addr: addr, Error: "the answer is not JSON"}
+	// The roles have different statuses; only what they share is decoded.
+	var common struct {
+		VM            string
+		ConfigVersion uint64
+	}
+	if err := json.Unmarshal(body, &common); err != nil {
+		return ProcessStatus{Addr: addr, Error: "the answer is not a status: " + err.Error()}
 	}
-	return ProcessStatus{Addr: addr, Answer: body}
+	return ProcessStatus{Addr: addr, VM: common.VM, Version: common.ConfigVersion, Answer: body}
 }
 
 // Drain marks the VM of the agent with the operators' port at addr as leaving. Repeating it has no further effect.
--- a/pkg/operate/text.go
+++ b/pkg/operate/text.go
@@ -19,12 +19,9 @@
 	st.writeTables(w)
 	_ = w.Flush() // a strings.Builder does not fail
 	for _, p := range st.Processes {
-		fmt.Fprintf(&b, "\nprocess %s: ", p.Addr)
-		if p.Error != "" {
-			fmt.Fprintf(&b, "not asked: %s\n", p.Error)
-			continue
+		if p.Error == "" {
+			fmt.Fprintf(&b, "\nprocess %s:\n%s", p.Addr, fields(p.Answer))
 		}
-		b.WriteString("\n" + fields(p.Answer))
 	}
 	for _, p := range st.Problems {
 		fmt.Fprintf(&b, "problem: %s\n", p)
@@ -59,6 +56,23 @@
 	for _, q := range st.Refused {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", q.Fingerprint, q.Since.Format(time.RFC3339), q.Reason)
 	}
+	fmt.Fprintln(w, "\nPROCESS\tVM\tVERSION\tSTATE")
+	for _, p := range st.Processes {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", p.Addr, orNone([]string{p.VM}), p.Version, p.state(st.Version))
+	}
+}
+
+// state compares the process with the version in force.
+func (p ProcessStatus) state(inForce uint64) string {
+	switch {
+	case p.Error != "":
+		return "not asked: " + p.Error
+	case p.Version < inForce:
+		return fmt.Sprintf("behind version %d", inForce)
+	case p.Version > inForce:
+		return "ahead of what was read from the object API"
+	}
+	return "in force"
 }
 
 func orNone(list []string) string {
