--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,251 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
+var now = time.Unix(1000, 0)
+
+// up returns the upstream named "<region><zone>-<n>", such as "a1-0".
+func up(vm string) routing.Upstream {
+	return routing.Upstream{VM: vm, Addr: vm + ":1", Region: vm[:1], Zone: vm[1:2], Group: "g", MemoryBytes: 100}
+}
+
+func ups(vms ...string) (out []routing.Upstream) {
+	for _, vm := range vms {
+		out = append(out, up(vm))
+	}
+	return out
+}
+
+func holders(vms ...string) map[string]grant.Object {
+	var o grant.Object
+	for _, vm := range vms {
+		o.Grants = append(o.Grants, grant.Grant{VM: vm})
+	}
+	return map[string]grant.Object{"m": o}
+}
+
+func state(seed uint64, v routing.View) *routing.State {
+	s := routing.NewState("a", "1", rand.New(rand.NewPCG(seed, 0)))
+	s.SetView(v)
+	return s
+}
+
+func ask() routing.Ask {
+	return routing.Ask{Kind: wire.KindModel, Group: "g", Target: engine.Target{Model: "m"}, MemoryBytes: 50, Ceiling: 3, Left: 4 * time.Second}
+}
+
+var _ = Describe("choice for a model", func() {
+	// Guards against requests that leave the zone or region while a nearer holder can serve them.
+	DescribeTable("prefers near holders", func(want string, vms ...string) {
+		s := state(1, routing.View{Upstreams: ups("a1-0", "a2-0", "b1-0"), Grants: holders(vms...)})
+		c, code := s.Choose(now, ask())
+		Expect(code).To(BeEmpty())
+		Expect(c.Upstream.VM).To(Equal(want))
+		Expect(c.Expand).To(BeFalse())
+	},
+		Entry("zone", "a1-0", "b1-0", "a2-0", "a1-0"),
+		Entry("region", "a2-0", "b1-0", "a2-0"),
+		Entry("elsewhere", "b1-0", "b1-0"),
+	)
+
+	// Guards against a burst at many routers causing loads at several upstreams.
+	It("sends a cold start of every router to one upstream, the cheapest checkpoint first", func() {
+		all := ups("a1-0", "a2-0", "b1-0", "b1-1")
+		seen := map[string]int{}
+		for i := range 20 {
+			s := routing.NewState([]string{"a", "b"}[i%2], "1", rand.New(rand.NewPCG(uint64(i), 0)))
+			s.SetView(routing.View{Upstreams: all})
+			c, _ := s.Choose(now, ask())
+			Expect(c.Expand).To(BeTrue())
+			seen[c.Upstream.VM]++
+		}
+		Expect(seen).To(HaveLen(1))
+		for i := range all {
+			if seen[all[i].VM] == 0 {
+				all[i].Tiers = map[string]engine.Tier{"m": engine.TierDisk}
+				c, _ := state(1, routing.View{Upstreams: all}).Choose(now, ask())
+				Expect(c.Upstream.VM).To(Equal(all[i].VM))
+				break
+			}
+		}
+	})
+
+	// Guards against new work on leaving, excluded or unreachable upstreams (I7).
+	DescribeTable("leaves out", func(change func(v *routing.View, a *routing.Ask, s *routing.State)) {
+		v := routing.View{Upstreams: ups("a1-0", "a1-1"), Grants: holders("a1-0", "a1-1")}
+		a := ask()
+		change(&v, &a, nil)
+		s := state(1, v)
+		change(&v, &a, s)
+		for range 20 {
+			c, _ := s.Choose(now, a)
+			Expect(c.Upstream.VM).To(Equal("a1-1"))
+		}
+	},
+		Entry("a VM that the list calls leaving", func(v *routing.View, _ *routing.Ask, _ *routing.State) { v.Upstreams[0].Draining = true }),
+		Entry("an agent that says so itself", func(_ *routing.View, _ *routing.Ask, s *routing.State) {
+			if s != nil {
+				s.Report("a1-0", wire.Load{Draining: true}, now)
+			}
+		}),
+		Entry("a VM that failed the request", func(_ *routing.View, a *routing.Ask, _ *routing.State) { a.Exclude = []string{"a1-0"} }),
+		Entry("a VM that could not be reached", func(_ *routing.View, _ *routing.Ask, s *routing.State) {
+			if s != nil {
+				s.Unreachable("a1-0", now)
+			}
+		}),
+	)
+
+	// Guards against all routers choosing the one upstream that looked idle, and against load being ignored.
+	It("takes the less loaded of two", func() {
+		s := state(1, routing.View{Upstreams: ups("a1-0", "a1-1"), Grants: holders("a1-0", "a1-1")})
+		s.Report("a1-0", wire.Load{Running: 9}, now)
+		c, _ := s.Choose(now, ask())
+		Expect(c.Upstream.VM).To(Equal("a1-1"))
+		for range 12 {
+			s.Begin("a1-1")
+		}
+		c, _ = s.Choose(now, ask())
+		Expect(c.Upstream.VM).To(Equal("a1-0"))
+	})
+
+	// Guards against prefix affinity piling requests on a full upstream.
+	It("returns to the upstream with the prefix while its queue allows it", func() {
+		a := ask()
+		a.PrefixHash = 7
+		s := state(3, routing.View{Upstreams: ups("a1-0", "a1-1", "a1-2"), Grants: holders("a1-0", "a1-1", "a1-2")})
+		first, _ := s.Choose(now, a)
+		for range 20 {
+			c, _ := s.Choose(now, a)
+			Expect(c.Upstream.VM).To(Equal(first.Upstream.VM))
+		}
+		s.Report(first.Upstream.VM, wire.Load{Queued: 5}, now)
+		c, _ := s.Choose(now, a)
+		Expect(c.Upstream.VM).NotTo(Equal(first.Upstream.VM))
+	})
+
+	// Guards against waiting at full holders below the ceiling, and against asking for replicas beyond it (I1).
+	DescribeTable("asks for one more replica", func(ceiling int, predicted uint32, expand bool) {
+		s := state(1, routing.View{Upstreams: ups("a1-0", "a1-1"), Grants: holders("a1-0")})
+		s.Report("a1-0", wire.Load{PredictedMS: predicted}, now)
+		a := ask()
+		a.Ceiling = ceiling
+		c, _ := s.Choose(now, a)
+		Expect(c.Expand).To(Equal(expand))
+	},
+		Entry("when the wait exceeds half of the deadline", 2, uint32(2001), true),
+		Entry("not when it does not", 2, uint32(2000), false),
+		Entry("not at the ceiling", 1, uint32(2001), false),
+	)
+
+	// Guards against a lagging view hiding the holders that an agent has named.
+	It("follows hints", func() {
+		a := ask()
+		a.Exclude, a.Hints = []string{"a1-0"}, []string{"b1-0"}
+		c, _ := state(1, routing.View{Upstreams: ups("a1-0", "a1-1", "b1-0"), Grants: holders("a1-0")}).Choose(now, a)
+		Expect(c.Upstream.VM).To(Equal("b1-0"))
+	})
+})
+
+var _ = Describe("choice for a keyed call", func() {
+	// Guards against a keyed call at an agent that does not own its slot (I6).
+	DescribeTable("takes the slot's owner only", func(change func(a *routing.Ask, u []routing.Upstream), vm string, code wire.Code) {
+		var o once.Owners
+		o.Slots[5] = once.Slot{Owner: "a1-1", Epoch: 3}
+		u := ups("a1-0", "a1-1")
+		a := routing.Ask{Kind: wire.KindPlain, Service: "s", Group: "g", NonIdempotent: true, Slot: 5, FirstSend: true}
+		change(&a, u)
+		c, got := state(1, routing.View{Upstreams: u, Owners: map[string]once.Owners{"s": o}}).Choose(now, a)
+		Expect(got).To(Equal(code))
+		Expect(c.Upstream.VM).To(Equal(vm))
+	},
+		Entry("live", func(*routing.Ask, []routing.Upstream) {}, "a1-1", wire.Code("")),
+		Entry("failed", func(a *routing.Ask, _ []routing.Upstream) { a.Exclude = []string{"a1-1"} }, "", wire.CodeUpstreamDown),
+		Entry("draining, first send", func(_ *routing.Ask, u []routing.Upstream) { u[1].Draining = true }, "", wire.CodeDraining),
+		Entry("draining, repeated send", func(a *routing.Ask, u []routing.Upstream) { u[1].Draining, a.FirstSend = true, false }, "a1-1", wire.Code("")),
+		Entry("gone from the list", func(_ *routing.Ask, u []routing.Upstream) { u[1].VM = "a1-2" }, "", wire.CodeUpstreamDown),
+	)
+})
+
+var _ = Describe("retries", func() {
+	// Guards against a second run of a non-idempotent call (I6), endless resumes, a truncated answer that is started
+	// anew, and a request that takes down one upstream after the other.
+	DescribeTable("are decided by", func(e routing.Ended, want routing.Next) {
+		Expect(routing.Decide(e)).To(Equal(want))
+	},
+		Entry("path lost", routing.Ended{Sent: true, Lost: true}, routing.Resume),
+		Entry("path lost, keyed", routing.Ended{Sent: true, Lost: true, NonIdempotent: true}, routing.Resume),
+		Entry("resume failed", routing.Ended{Sent: true, Lost: true, Resumes: 1}, routing.Elsewhere),
+		Entry("resume failed, keyed", routing.Ended{Sent: true, Lost: true, Resumes: 1, NonIdempotent: true}, routing.Return),
+		Entry("resume failed, bytes out", routing.Ended{Sent: true, Lost: true, Resumes: 1, Stuck: true}, routing.Return),
+		Entry("dial failed", routing.Ended{Lost: true}, routing.Elsewhere),
+		Entry("dial failed, keyed", routing.Ended{Lost: true, NonIdempotent: true}, routing.Return),
+		Entry("no replica", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeNoReplica}, routing.Elsewhere),
+		Entry("engine died", routing.Ended{Sent: true, Outcome: wire.OutcomeUnknown, Code: wire.CodeUpstreamDown, Crashes: 1}, routing.Elsewhere),
+		Entry("two engines died", routing.Ended{Sent: true, Outcome: wire.OutcomeUnknown, Code: wire.CodeUpstreamDown, Crashes: 2}, routing.Return),
+		Entry("engine died, keyed", routing.Ended{Sent: true, Outcome: wire.OutcomeUnknown, Code: wire.CodeUpstreamDown, NonIdempotent: true}, routing.Return),
+		Entry("queue full, keyed", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeQueueFull, NonIdempotent: true}, routing.Return),
+		Entry("not the owner", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeNotOwner, NonIdempotent: true}, routing.Redirect),
+		Entry("not the owner after a lost send", routing.Ended{Sent: true, EverLost: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeNotOwner, NonIdempotent: true}, routing.Return),
+		Entry("expired", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeExpired}, routing.Return),
+		Entry("quarantined", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeQuarantined}, routing.Return),
+	)
+
+	// Guards against retries that multiply an overload, and against a quiet router that can never retry.
+	DescribeTable("stay within the budget", func(requests, allowed int) {
+		var b routing.Budget
+		for range requests {
+			b.Request(now)
+		}
+		got := 0
+		for b.Retry(now.Add(9 * time.Second)) {
+			got++
+		}
+		Expect(got).To(Equal(allowed))
+		Expect(b.Retry(now.Add(30 * time.Second))).To(BeTrue())
+	},
+		Entry(nil, 0, 3), Entry(nil, 30, 3), Entry(nil, 100, 10), Entry(nil, 1000, 100),
+	)
+})
+
+// Guards against a choice that depends on map order or on anything but the seed.
+func TestChoiceIsDeterministic(t *testing.T) {
+	run := func() (out []string) {
+		var vms []string
+		for i := range 50 {
+			vms = append(vms, fmt.Sprintf("a1-%d", i))
+		}
+		s := state(9, routing.View{Upstreams: ups(vms...), Grants: holders(vms...)})
+		for range 100 {
+			c, _ := s.Choose(now, ask())
+			s.Begin(c.Upstream.VM)
+			out = append(out, c.Upstream.VM)
+		}
+		return out
+	}
+	a, b := run(), run()
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("choice %d: %s and %s", i, a[i], b[i])
+		}
+	}
+}
--- /dev/null
+++ b/pkg/routing/view.go
@@ -0,0 +1,190 @@
+// Package routing decides which upstream gets a request, what happens after a failed attempt and how many retries are
+// allowed. It is pure: time and the random source are passed in.
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// Upstream is one upstream that a router may send to.
+type Upstream struct {
+	VM          string
+	Addr        string // "ip:port" of the agent
+	Region      string
+	Zone        string
+	Group       string
+	MemoryBytes int64
+	Tiers       map[string]engine.Tier // checkpoint copies by model, remote left out
+	Draining    bool                   // by its own record or by the VM list
+}
+
+// View is what the router knows of the deployment. It lags and is never changed after SetView.
+type View struct {
+	Upstreams []Upstream
+	Grants    map[string]grant.Object // by model
+	Owners    map[string]once.Owners  // by service
+}
+
+// Ask describes a request that needs an upstream.
+type Ask struct {
+	Kind    wire.Kind
+	Service string
+	Group   string
+	Target  engine.Target
+	// MemoryBytes is what a load of the target's base model needs, bytes.
+	MemoryBytes int64
+	// Ceiling is the voted number of replicas.
+	Ceiling int
+	// Left is the time to the deadline.
+	Left time.Duration
+	// PrefixHash names the beginning of the prompt; 0 for none.
+	PrefixHash    uint64
+	NonIdempotent bool
+	// FirstSend says that the key was never sent before, so the call is new work.
+	FirstSend bool
+	Slot      uint32
+	// Exclude holds VMs that failed this request, Hints those that another agent named.
+	Exclude []string
+	Hints   []string
+}
+
+// Choice is the chosen upstream.
+type Choice struct {
+	Upstream Upstream
+	// Epoch is the slot's epoch for a non-idempotent call.
+	Epoch uint64
+	// Expand says that the upstream holds no grant and is asked to acquire one.
+	Expand bool
+}
+
+// place is how far an upstream is from the router.
+type place uint8
+
+const (
+	placeZone place = iota
+	placeRegion
+	placeElsewhere
+)
+
+// node is an upstream with what this router knows of its load.
+type node struct {
+	Upstream
+	place       place
+	outstanding int
+	load        wire.Load
+	loadAt      time.Time
+	avoidUntil  time.Time
+}
+
+// reportLife is how long a reported load counts. Reports come with each ping, so an older one describes another queue.
+const reportLife = 5 * time.Second
+
+// score is the number of requests at the upstream, as far as known. Requests of this router are in both terms when the
+// report is fresh; the doubled weight is the same for all candidates.
+func (n *node) score(now time.Time) int {
+	if now.Sub(n.loadAt) > reportLife {
+		return n.outstanding
+	}
+	return n.outstanding + int(n.load.Queued) + int(n.load.Running)
+}
+
+// wait is the predicted wait for a new request.
+func (n *node) wait(now time.Time) time.Duration {
+	if now.Sub(n.loadAt) > reportLife {
+		return 0
+	}
+	return time.Duration(n.load.PredictedMS) * time.Millisecond
+}
+
+func (n *node) draining() bool { return n.Draining || n.load.Draining }
+
+// State chooses upstreams. It is not safe for concurrent use.
+type State struct {
+	region, zone string
+	random       Random
+	nodes        []*node // sorted by VM
+	byVM         map[string]*node
+	grants       map[string]grant.Object
+	owners       map[string]once.Owners
+	affinity     affinity
+}
+
+// Random is a seeded source of random numbers; *math/rand/v2.Rand implements it.
+type Random interface{ IntN(n int) int }
+
+// NewState returns a state without upstreams for a router in a region and zone.
+func NewState(region, zone string, random Random) *State {
+	return &State{region: region, zone: zone, random: random, byVM: map[string]*node{}, affinity: newAffinity()}
+}
+
+// SetView replaces the view. What is known of the load at upstreams that stay is kept.
+func (s *State) SetView(v View) {
+	byVM := make(map[string]*node, len(v.Upstreams))
+	nodes := make([]*node, 0, len(v.Upstreams))
+	for _, u := range v.Upstreams {
+		n := s.byVM[u.VM]
+		if n == nil || n.Addr != u.Addr {
+			n = &node{}
+		}
+		n.Upstream, n.place = u, s.placeOf(u)
+		byVM[u.VM] = n
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(a, b *node) int { return strings.Compare(a.VM, b.VM) })
+	s.nodes, s.byVM, s.grants, s.owners = nodes, byVM, v.Grants, v.Owners
+}
+
+func (s *State) placeOf(u Upstream) place {
+	switch {
+	case u.Region == s.region && u.Zone == s.zone:
+		return placeZone
+	case u.Region == s.region:
+		return placeRegion
+	}
+	return placeElsewhere
+}
+
+// Begin counts a request sent to the VM; End takes it back.
+func (s *State) Begin(vm string) {
+	if n := s.byVM[vm]; n != nil {
+		n.outstanding++
+	}
+}
+
+// End counts a request as finished at the VM.
+func (s *State) End(vm string) {
+	if n := s.byVM[vm]; n != nil && n.outstanding > 0 {
+		n.outstanding--
+	}
+}
+
+// Report records the load that the VM's agent reported.
+func (s *State) Report(vm string, l wire.Load, now time.Time) {
+	if n := s.byVM[vm]; n != nil {
+		n.load, n.loadAt = l, now
+	}
+}
+
+// avoidFor is how long an upstream that could not be reached is not chosen while others can be. It covers one failed
+// dial and is short enough for a restarted agent to be found again.
+const avoidFor = 2 * time.Second
+
+// Unreachable records that the VM could not be reached.
+func (s *State) Unreachable(vm string, now time.Time) {
+	if n := s.byVM[vm]; n != nil {
+		n.avoidUntil = now.Add(avoidFor)
+	}
+}
+
+// CrossRegion reports whether traffic to the VM leaves the router's region.
+func (s *State) CrossRegion(vm string) bool {
+	n := s.byVM[vm]
+	return n != nil && n.place == placeElsewhere
+}
