Route, resume and continue requests behind the callers' interface

Cause: the router forwarded to one fixed agent, knew no configuration and gave on whatever arrived until the stream ended. Conclusion: what is left is the wiring to the watches and the configuration.

--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -2,15 +2,18 @@
 package api
 
 import (
-	"encoding/json"
-	"io"
+	"context"
 	"net/http"
-	"time"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
-	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/router"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
@@ -19,73 +22,135 @@
 const (
 	HeaderOutcome   = "Hibiscuscross-Outcome"
 	HeaderRequestID = "X-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+	HeaderAttempt   = "Hibiscuscross-Attempt"
+	HeaderDeadline  = "Hibiscuscross-Deadline-Ms"
+	HeaderPriority  = "Hibiscuscross-Priority"
 )
 
+// EventOutcome is the name of the trailing event of a model's stream.
+const EventOutcome = "hibiscuscross"
+
 // MaxBodyBytes bounds a request's body.
 const MaxBodyBytes = 8 << 20
 
-// defaultTimeout is the time to the deadline of a request that names none.
-const defaultTimeout = 30 * time.Second
-
-// New returns the handler of the callers' interface.
-func New(f *router.Forwarder) http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	h := &handler{forwarder: f}
-	e.POST("/v1/chat/completions", h.complete)
-	e.POST("/v1/completions", h.complete)
-	return e
+// Forwarder sends requests to upstreams. *router.Router implements it.
+type Forwarder interface {
+	Serve(ctx context.Context, req *router.Request, sink router.Sink) (router.Result, error)
 }
 
-type handler struct{ forwarder *router.Forwarder }
-
-// completion holds the fields of a body that the router needs.
-type completion struct {
-	Model string `json:"model"`
+// Server is the callers' interface. It refuses everything until it has a configuration.
+type Server struct {
+	forwarder Forwarder
+	tracer    trace.Tracer
+	catalog   atomic.Pointer[Catalog]
+	draining  atomic.Bool
+	echo      *echo.Echo
 }
 
-func (h *handler) complete(c echo.Context) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes))
-	if err != nil {
-		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, "body is larger than 8 MiB")
-	}
-	var in completion
-	if err := json.Unmarshal(body, &in); err != nil || in.Model == "" {
-		return echo.NewHTTPError(http.StatusBadRequest, "field model is missing or malformed")
+// New returns a server without a configuration. A nil tracer makes no spans.
+func New(f Forwarder, tracer trace.Tracer) *Server {
+	if tracer == nil {
+		tracer = noop.NewTracerProvider().Tracer("")
 	}
-	id := uuid.NewString()
-	c.Response().Header().Set(HeaderRequestID, id)
-	open := &wire.Open{
-		Request: id, Attempt: 1, Kind: wire.KindModel, Target: engine.Target{Model: in.Model},
-		Method: http.MethodPost, Path: c.Request().URL.Path, Body: body,
-		Header:    []engine.Header{{Name: "Content-Type", Value: "application/json"}},
-		TimeoutMS: defaultTimeout.Milliseconds(),
-	}
-	sink := &responseSink{c: c}
-	res, err := h.forwarder.Forward(c.Request().Context(), open, sink)
-	if err != nil && !c.Response().Committed {
-		c.Response().Header().Set(HeaderOutcome, res.Outcome.String())
-		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	s := &Server{forwarder: f, tracer: tracer, echo: echo.New()}
+	s.echo.HideBanner = true
+	s.echo.HTTPErrorHandler = s.onError
+	s.echo.Use(s.identify)
+	s.echo.POST("/v1/chat/completions", s.complete)
+	s.echo.POST("/v1/completions", s.complete)
+	s.echo.GET("/v1/models", s.models)
+	s.echo.Any("/services/:service", s.plain)
+	s.echo.Any("/services/:service/*", s.plain)
+	return s
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// Configure puts a configuration in force. An older version than the one in force is ignored.
+func (s *Server) Configure(doc *config.Document) {
+	next := NewCatalog(doc)
+	for {
+		old := s.catalog.Load()
+		if old != nil && old.version > next.version {
+			return
+		}
+		if s.catalog.CompareAndSwap(old, next) {
+			return
+		}
 	}
-	return err
 }
 
-type responseSink struct{ c echo.Context }
+// Configured reports whether a configuration is in force.
+func (s *Server) Configured() bool { return s.catalog.Load() != nil }
 
-func (s *responseSink) Head(h engine.Head) error {
-	for _, f := range h.Header {
-		if f.Name == "Content-Type" {
-			s.c.Response().Header().Set(f.Name, f.Value)
+// Drain asks callers to close their connections with the next answer, so that few are idle when the listener closes.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+const keyRequestID = "request-id"
+
+// identify gives each request an id and a span that continues the caller's trace.
+func (s *Server) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := newID()
+		c.Set(keyRequestID, id)
+		h := c.Response().Header()
+		h.Set(HeaderRequestID, id)
+		if s.draining.Load() {
+			h.Set("Connection", "close")
+		}
+		ctx := propagation.TraceContext{}.Extract(c.Request().Context(), propagation.HeaderCarrier(c.Request().Header))
+		ctx, span := s.tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		if span.IsRecording() {
+			span.SetAttributes(attribute.String("request", id), attribute.String("path", c.Path()))
 		}
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
 	}
-	s.c.Response().WriteHeader(h.Status)
-	return nil
 }
 
-func (s *responseSink) Data(b []byte) error {
-	if _, err := s.c.Response().Write(b); err != nil {
+func newID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+// caller returns the catalog's entry of the request's caller.
+func (s *Server) caller(c echo.Context) (*caller, error) {
+	catalog := s.catalog.Load()
+	if catalog == nil {
+		return nil, refuse(http.StatusServiceUnavailable, wire.CodeNoConfig, "", "the router has no configuration yet")
+	}
+	key, ok := bearer(c.Request().Header.Get(echo.HeaderAuthorization))
+	if !ok {
+		return nil, refuse(http.StatusUnauthorized, codeUnauthorized, echo.HeaderAuthorization, "the header must be Bearer and a key")
+	}
+	x, ok := catalog.authenticate(key)
+	if !ok {
+		return nil, refuse(http.StatusUnauthorized, codeUnauthorized, echo.HeaderAuthorization, "the key is not known")
+	}
+	return x, nil
+}
+
+func (s *Server) models(c echo.Context) error {
+	x, err := s.caller(c)
+	if err != nil {
 		return err
 	}
-	s.c.Response().Flush()
-	return nil
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	data := make([]model, 0, len(x.models))
+	for _, name := range x.models {
+		data = append(data, model{ID: name, Object: "model", OwnedBy: x.targets[name].service.name})
+	}
+	c.Response().Header().Set(HeaderOutcome, wire.OutcomeDone.String())
+	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": data})
 }
--- /dev/null
+++ b/pkg/api/input.go
@@ -0,0 +1,205 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// bearer returns the key of an Authorization header.
+func bearer(value string) (string, bool) {
+	scheme, key, ok := strings.Cut(value, " ")
+	key = strings.TrimSpace(key)
+	return key, ok && strings.EqualFold(scheme, "Bearer") && key != ""
+}
+
+// readBody returns the whole body.
+func readBody(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, refuse(http.StatusRequestEntityTooLarge, codeTooLarge, "body", "the body is larger than %d bytes", MaxBodyBytes)
+	case err != nil:
+		return nil, refuse(http.StatusBadRequest, wire.CodeBadRequest, "body", "the body cannot be read")
+	}
+	return body, nil
+}
+
+// completion holds the fields of a body that the router needs.
+type completion struct {
+	model  string
+	prompt []byte // raw JSON of messages or prompt
+}
+
+// parseCompletion reads the top-level fields of a body. It refuses a second field model in any case of letters, because
+// the engine could read another one than the router checked.
+func parseCompletion(body []byte) (completion, error) {
+	var out completion
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return out, malformed("body", "the body is not a JSON object")
+	}
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return out, malformed("body", "the body is not a JSON object")
+		}
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return out, malformed("body", "the value of field %v is malformed", name)
+		}
+		field, _ := name.(string)
+		switch {
+		case field == "messages" || field == "prompt":
+			out.prompt = value
+		case !strings.EqualFold(field, "model"):
+		case field != "model" || out.model != "":
+			return out, malformed("model", "field model occurs more than once or in another case")
+		case json.Unmarshal(value, &out.model) != nil || out.model == "":
+			return out, malformed("model", "field model is not a non-empty string")
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return out, malformed("body", "the body is not a JSON object")
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return out, malformed("body", "the body goes on after the JSON object")
+	}
+	if out.model == "" {
+		return out, malformed("model", "field model is missing")
+	}
+	return out, nil
+}
+
+func malformed(param, format string, args ...any) error {
+	return refuse(http.StatusBadRequest, wire.CodeBadRequest, param, format, args...)
+}
+
+// prefixBytes is how much of a prompt names its beginning. Engines cache prefixes in blocks of about this size.
+const prefixBytes = 256
+
+// prefixHash names the beginning of a prompt for a target. Short prompts have none, because nothing is saved.
+func prefixHash(t engine.Target, prompt []byte) uint64 {
+	if len(prompt) < prefixBytes {
+		return 0
+	}
+	return hashOf([]byte(t.Model), []byte(t.Adapter), prompt[:prefixBytes])
+}
+
+// hashOf hashes the parts with their borders.
+func hashOf(parts ...[]byte) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.Write(strconv.AppendInt(nil, int64(len(p)), 10))
+		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(p)
+	}
+	return d.Sum64()
+}
+
+// parseKey returns the canonical form of an idempotency key.
+func parseKey(value string) (string, error) {
+	if value == "" {
+		return "", malformed(HeaderKey, "the call is non-idempotent and needs a key")
+	}
+	id, err := uuid.Parse(value)
+	if err != nil || len(value) != 36 || id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return "", malformed(HeaderKey, "the key is not a UUID of version 7")
+	}
+	return id.String(), nil
+}
+
+// firstSend reports whether the caller vouches that it never sent the key before.
+func firstSend(h http.Header) (bool, error) {
+	value := h.Get(HeaderAttempt)
+	if value == "" {
+		return false, nil
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 1 {
+		return false, malformed(HeaderAttempt, "the attempt is not a whole number of at least 1")
+	}
+	return n == 1, nil
+}
+
+// deadline returns when the answer has to begin: after the service's longest wait, or earlier if the caller says so.
+func deadline(h http.Header, s *service, now time.Time) (time.Time, error) {
+	wait := s.maxWait
+	if value := h.Get(HeaderDeadline); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || ms < 1 {
+			return now, malformed(HeaderDeadline, "the deadline is not a whole number of milliseconds of at least 1")
+		}
+		if ms < wait.Milliseconds() {
+			wait = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return now.Add(wait), nil
+}
+
+// priority returns the service's priority, or a lower one if the caller asks for it. Priorities are 0 to 9.
+func priority(h http.Header, s *service) (int, error) {
+	value := h.Get(HeaderPriority)
+	if value == "" {
+		return s.priority, nil
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 || n > 9 {
+		return 0, malformed(HeaderPriority, "the priority is not a whole number from 0 to 9")
+	}
+	return min(n, s.priority), nil
+}
+
+// checkPath refuses paths that an upstream may resolve to others than the one whose call was looked up.
+func checkPath(escaped, below string) error {
+	lower := strings.ToLower(escaped)
+	clean := path.Clean(below)
+	if strings.HasSuffix(below, "/") && clean != "/" {
+		clean += "/"
+	}
+	if clean != below || strings.Contains(lower, "%2f") || strings.Contains(lower, "%5c") || strings.Contains(below, "\\") || strings.Contains(below, ";") {
+		return malformed("path", "the path has empty, dot or encoded segments")
+	}
+	return nil
+}
+
+// notForwarded are headers of a request that concern this hop, this system, or would change the call that was checked.
+var notForwarded = map[string]bool{
+	"Authorization": true, "Connection": true, "Content-Length": true, "Cookie": true, "Expect": true, "Host": true,
+	"Idempotency-Key": true, "Keep-Alive": true, "Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Traceparent": true, "Tracestate": true,
+	"X-Request-Id": true, "X-Http-Method": true, "X-Http-Method-Override": true, "X-Method-Override": true,
+	"X-Original-Url": true, "X-Rewrite-Url": true, "X-Priority": true, "X-Resume-Offset": true, "Accept-Encoding": true,
+}
+
+// forwardable returns the headers to send on, in the order of their names.
+func forwardable(h http.Header) []engine.Header {
+	named := map[string]bool{}
+	for _, name := range strings.Split(strings.Join(h.Values("Connection"), ","), ",") {
+		named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+	}
+	var out []engine.Header
+	for _, name := range sortedNames(h) {
+		if notForwarded[name] || named[name] || strings.HasPrefix(name, "Hibiscuscross-") {
+			continue
+		}
+		for _, v := range h[name] {
+			out = append(out, engine.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/api/refusal.go
@@ -0,0 +1,140 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// Codes of refusals that arise in this package only.
+const (
+	codeUnauthorized wire.Code = "unauthorized"
+	codeNotFound     wire.Code = "not_found"
+	codeTooLarge     wire.Code = "too_large"
+	codeInternal     wire.Code = "internal"
+)
+
+// refusal is an answer that the interface itself gives.
+type refusal struct {
+	status       int
+	code         wire.Code
+	param        string // field or header at fault
+	message      string
+	outcome      wire.Outcome // zero if nothing was forwarded
+	retryAfterMS int64
+}
+
+func (r *refusal) Error() string { return string(r.code) + ": " + r.message }
+
+func refuse(status int, code wire.Code, param, format string, args ...any) error {
+	return &refusal{status: status, code: code, param: param, message: fmt.Sprintf(format, args...)}
+}
+
+// errorBody is the JSON shape of refusals.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Code    wire.Code `json:"code"`
+	Message string    `json:"message"`
+	Outcome string    `json:"outcome"`
+	Param   string    `json:"param,omitempty"`
+}
+
+func (r *refusal) body() errorBody {
+	return errorBody{Error: errorFields{Code: r.code, Message: r.message, Outcome: r.outcome.String(), Param: r.param}}
+}
+
+// onError writes a refusal. Echo's own errors (unknown path or method) become refusals.
+func (s *Server) onError(err error, c echo.Context) {
+	var r *refusal
+	var e *echo.HTTPError
+	switch {
+	case errors.As(err, &r):
+	case errors.As(err, &e):
+		r = &refusal{status: e.Code, code: codeNotFound, param: "path", message: fmt.Sprint(e.Message)}
+	default:
+		r = &refusal{status: http.StatusInternalServerError, code: codeInternal, message: "the router failed", outcome: wire.OutcomeUnknown}
+	}
+	if c.Response().Committed {
+		return
+	}
+	if r.outcome == 0 {
+		r.outcome = unforwarded(c.Request())
+	}
+	h := c.Response().Header()
+	h.Set(HeaderOutcome, r.outcome.String())
+	if r.status >= http.StatusInternalServerError || r.retryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatInt(max(1, (r.retryAfterMS+999)/1000), 10))
+	}
+	_ = c.JSON(r.status, r.body())
+}
+
+// unforwarded returns the outcome of a request that was not sent on. An earlier send with the same key may have run, so
+// only a first send is proved not to have run.
+func unforwarded(r *http.Request) wire.Outcome {
+	if !strings.HasPrefix(r.URL.Path, "/services/") || r.Header.Get(HeaderAttempt) == "1" {
+		return wire.OutcomeNotRun
+	}
+	if _, err := parseKey(r.Header.Get(HeaderKey)); err != nil {
+		return wire.OutcomeNotRun // such a key is never accepted
+	}
+	return wire.OutcomeUnknown
+}
+
+// fromWire returns the answer to a request that was refused by the router or an agent.
+func fromWire(m *wire.Refuse) *refusal {
+	return &refusal{
+		status: statusOf(m), code: m.Code, param: paramOf(m.Code), message: m.Reason, outcome: m.Outcome,
+		retryAfterMS: m.RetryAfterMS,
+	}
+}
+
+func statusOf(m *wire.Refuse) int {
+	switch m.Code {
+	case wire.CodeBadRequest, wire.CodeKeyInFuture:
+		return http.StatusBadRequest
+	case wire.CodeKeyTooOld:
+		return http.StatusConflict
+	case wire.CodeQuarantined:
+		return http.StatusUnprocessableEntity
+	case wire.CodeExpired:
+		return http.StatusGatewayTimeout
+	case wire.CodePeerLost, wire.CodeUpstreamDown:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+func paramOf(c wire.Code) string {
+	switch c {
+	case wire.CodeKeyInFuture, wire.CodeKeyTooOld:
+		return HeaderKey
+	case wire.CodeBadRequest, wire.CodeQuarantined:
+		return "body"
+	}
+	return ""
+}
+
+// trailingEvent returns the events that end a model's stream. A stream that is not whole has an error event without a
+// name first, which clients that read no named events report.
+func trailingEvent(outcome wire.Outcome, r *refusal) []byte {
+	if r == nil {
+		return fmt.Appendf(nil, "event: %s\ndata: {\"outcome\":%q}\n\n", EventOutcome, outcome)
+	}
+	body := r.body()
+	b, _ := json.Marshal(body) // strings only
+	named, _ := json.Marshal(struct {
+		Outcome string      `json:"outcome"`
+		Error   errorFields `json:"error"`
+	}{outcome.String(), body.Error})
+	return fmt.Appendf(nil, "data: %s\n\nevent: %s\ndata: %s\n\n", b, EventOutcome, named)
+}
--- /dev/null
+++ b/pkg/ops/ops_test.go
@@ -0,0 +1,59 @@
+package ops_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
+	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
+)
+
+func TestOps(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ops")
+}
+
+func get(s *ops.Server, path string) (int, string) {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+	return w.Code, w.Body.String()
+}
+
+var _ = Describe("operators' port", func() {
+	// Guards against a balancer that sends callers to a process that starts or stops, and against a stopping process
+	// that becomes ready again.
+	It("is ready only between start and stop", func() {
+		s := ops.New(ops.Options{})
+		steps := []struct {
+			do   func()
+			code int
+		}{{func() {}, 503}, {s.Ready, 200}, {func() { s.Unready("x") }, 503}, {s.Ready, 200}, {s.Stopping, 503}, {s.Ready, 503}}
+		for _, step := range steps {
+			step.do()
+			code, _ := get(s, "/readyz")
+			Expect(code).To(Equal(step.code))
+			code, _ = get(s, "/livez")
+			Expect(code).To(Equal(200))
+		}
+	})
+
+	// Guards against metrics that never reach the operators.
+	It("serves metrics, status and profiles as asked", func() {
+		reporter, handler := telemetry.NewReporter(func(err error) { Fail(err.Error()) })
+		scope, closer := telemetry.NewScope("router", reporter)
+		scope.Counter("attempts").Inc(3)
+		Expect(closer.Close()).To(Succeed())
+		s := ops.New(ops.Options{Metrics: handler, Status: func() any { return map[string]int{"a": 1} }})
+		_, body := get(s, "/metrics")
+		Expect(body).To(ContainSubstring(`hibiscuscross_attempts{role="router"} 3`))
+		_, body = get(s, "/status")
+		Expect(body).To(MatchJSON(`{"a":1}`))
+		code, _ := get(s, "/debug/pprof/")
+		Expect(code).To(Equal(404))
+		code, _ = get(ops.New(ops.Options{Profiles: true}), "/debug/pprof/")
+		Expect(code).To(Equal(200))
+	})
+})
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,137 @@
+// Package router implements the process on an entry VM that forwards callers' requests to the agents beside upstreams.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/stream"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// Options are a router's settings. Zero values mean the defaults named.
+type Options struct {
+	Region string
+	Zone   string
+	// Seed seeds the random choices.
+	Seed uint64
+	// SilenceLimit is the longest silence of a live path; default stream.SilenceLimit.
+	SilenceLimit time.Duration
+	// Scope gets the metrics; default none.
+	Scope tally.Scope
+	// Tracer makes the spans; default none.
+	Tracer trace.Tracer
+	// Sync returns what every message to an agent says of this process's configuration and quarantine list. It is
+	// called for each attempt.
+	Sync func() wire.Sync
+	// OnSync is told what an agent's message says, if that differs from Sync. It must not block.
+	OnSync func(addr string, s wire.Sync)
+}
+
+// Router forwards requests. It is safe for concurrent use.
+type Router struct {
+	opts    Options
+	pool    *transport.Pool
+	metrics metrics
+	mu      sync.Mutex // guards state and budget
+	state   *routing.State
+	budget  routing.Budget
+}
+
+// New returns a router without upstreams that connects through pool.
+func New(pool *transport.Pool, o Options) *Router {
+	if o.SilenceLimit == 0 {
+		o.SilenceLimit = stream.SilenceLimit
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	if o.Sync == nil {
+		o.Sync = func() wire.Sync { return wire.Sync{} }
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	return &Router{opts: o, pool: pool, metrics: newMetrics(o.Scope), state: routing.NewState(o.Region, o.Zone, random)}
+}
+
+// SetView replaces what the router knows of upstreams, grants and slot owners. V must not be changed afterwards.
+func (r *Router) SetView(v routing.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.SetView(v)
+}
+
+// Serve forwards one request and gives the answer to the sink. It returns before the request's deadline unless the
+// answer has begun. The error is the sink's.
+func (r *Router) Serve(ctx context.Context, req *Request, sink Sink) (Result, error) {
+	now := time.Now()
+	r.mu.Lock()
+	r.budget.Request(now)
+	r.mu.Unlock()
+	out := newAnswer(req, sink)
+	x := &exchange{r: r, req: req, out: out, core: NewCore(req, out, now), start: now}
+	defer x.leave()
+	res, err := x.run(ctx)
+	r.metrics.finished(res, time.Since(now))
+	return res, err
+}
+
+// choose carries out a Choose action.
+func (r *Router) choose(a Action) Chosen {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, code := r.state.Choose(now, a.Ask)
+	if code == "" && a.Retry {
+		if !r.budget.Retry(now) {
+			r.metrics.budgetSpent.Inc(1)
+			return Chosen{Code: wire.CodeBudget}
+		}
+		r.metrics.retries.Inc(1)
+	}
+	return Chosen{Choice: c, Code: code}
+}
+
+// report takes the load and the versions that an agent's message carries.
+func (r *Router) report(to routing.Upstream, l wire.Load, s wire.Sync) {
+	r.mu.Lock()
+	r.state.Report(to.VM, l, time.Now())
+	r.mu.Unlock()
+	if r.opts.OnSync != nil && s != r.opts.Sync() {
+		r.opts.OnSync(to.Addr, s)
+	}
+}
+
+func (r *Router) begin(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Begin(vm)
+}
+
+func (r *Router) end(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.End(vm)
+}
+
+func (r *Router) unreachable(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Unreachable(vm, time.Now())
+}
+
+func (r *Router) isFar(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.CrossRegion(vm)
+}
--- /dev/null
+++ b/pkg/telemetry/metrics.go
@@ -0,0 +1,18 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// NewReporter returns a reporter for NewScope and the handler that serves its metrics, and those of the Go runtime, in
+// Prometheus text format. Failures to register a metric go to onError.
+func NewReporter(onError func(error)) (tally.CachedStatsReporter, http.Handler) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewGoCollector(), prometheus.NewProcessCollector(prometheus.ProcessCollectorOpts{}))
+	r := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry, OnRegisterError: onError})
+	return r, r.HTTPHandler()
+}
