Follow the platform, answer agents and measure the path

Cause: the router had no source of its view and configuration, served no operators, and nothing showed what it adds to a request. Change: a control duty turns updates of the watch and of peers into views and configurations, exchanges the quarantine list and answers agents' questions on the connections that the router dials. hibiscuscrossd router checks its settings before it listens and stops without cutting a stream. Data frames are decoded without reflection and without an allocation for each token. hibiscuscross-bench path measures added latency, CPU time, allocations and memory beside the floor of one bare QUIC frame and one bare flush.

--- a/cmd/hibiscuscross-bench/main.go
+++ b/cmd/hibiscuscross-bench/main.go
@@ -1,4 +1,5 @@
-// Command hibiscuscross-bench measures decisions against their baselines in virtual time.
+// Command hibiscuscross-bench measures decisions against their baselines in virtual time, and the path of
+// a request against its bounds.
 package main
 
 import (
@@ -27,6 +28,8 @@
 
 var cli struct {
 	Policies policiesCmd `cmd:"" help:"Idle policies and the order of loads."`
+	Path     pathCmd     `cmd:"" help:"Measure what the router and the agent add to a request and what they use."`
+	Child    childCmd    `cmd:"" hidden:"" help:"Run one process of a benchmark."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/hibiscuscrossd/router.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/api"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
+	"github.com/hibiscuscross/hibiscuscross/pkg/router"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/store/httpstore"
+	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	_ "github.com/hibiscuscross/hibiscuscross/pkg/vmlist/httplist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/watch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+type routerCmd struct {
+	commonFlags
+	VM            string        `name:"vm" help:"Id of this VM; the certificate's common name." required:"" env:"HIBISCUSCROSS_VM"`
+	Region        string        `help:"Region of this VM." required:"" env:"HIBISCUSCROSS_REGION"`
+	Zone          string        `help:"Availability zone of this VM." required:"" env:"HIBISCUSCROSS_ZONE"`
+	Listen        string        `help:"Address for callers, ip:port." default:"127.0.0.1:8080" env:"HIBISCUSCROSS_LISTEN"`
+	OpsListen     string        `help:"Address for operators, ip:port." default:"127.0.0.1:8081" env:"HIBISCUSCROSS_OPS_LISTEN"`
+	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
+	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
+	Peers         []string      `help:"Addresses of processes to ask for the configuration at start, ip:port." env:"HIBISCUSCROSS_PEERS"`
+	ShutdownDelay time.Duration `help:"Time between becoming unready and refusing connections, for the balancer; 0s to 5m." default:"5s" env:"HIBISCUSCROSS_SHUTDOWN_DELAY"`
+	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
+	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
+	Profiles      bool          `help:"Serve profiles under /debug/pprof/ on the operators' port." env:"HIBISCUSCROSS_PROFILES"`
+}
+
+// maxShutdownDelay bounds the wait for the balancer.
+const maxShutdownDelay = 5 * time.Minute
+
+// Validate checks the settings before anything listens.
+func (r *routerCmd) Validate() error {
+	check := func(ok bool, flag, value, allowed string) error {
+		if ok {
+			return nil
+		}
+		return fmt.Errorf("--%s=%q: allowed is %s", flag, value, allowed)
+	}
+	const name = "a name of letters, digits, '.', '_' and '-'"
+	errs := []error{
+		check(namePattern.MatchString(r.VM), "vm", r.VM, name),
+		check(namePattern.MatchString(r.Region), "region", r.Region, name),
+		check(namePattern.MatchString(r.Zone), "zone", r.Zone, name),
+		check(isAddr(r.Listen), "listen", r.Listen, "an IP address and port, such as 127.0.0.1:8080"),
+		check(isAddr(r.OpsListen), "ops-listen", r.OpsListen, "an IP address and port, such as 127.0.0.1:8081"),
+		check(isLink(r.StoreURL), "store-url", r.StoreURL, "an http or https URL"),
+		check(isLink(r.VMListURL), "vm-list-url", r.VMListURL, "an http or https URL"),
+		check(r.ShutdownDelay >= 0 && r.ShutdownDelay <= maxShutdownDelay, "shutdown-delay", r.ShutdownDelay.String(), "0s to 5m"),
+		check(r.exporter() != "", "trace-exporter", r.TraceExporter, "none, stdout or otlp"),
+		check(r.TraceExporter != string(telemetry.ExporterOTLP) || isLink(r.TraceURL), "trace-url", r.TraceURL, "an http or https URL for the exporter otlp"),
+	}
+	for _, p := range r.Peers {
+		errs = append(errs, check(isAddr(p), "peers", p, "IP addresses and ports, such as 10.0.0.1:7001,10.0.0.2:7001"))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	return r.checkCert()
+}
+
+// checkCert checks that the files hold a key pair for this VM and authorities.
+func (r *routerCmd) checkCert() error {
+	pair, err := tls.LoadX509KeyPair(r.Cert, r.Key)
+	if err != nil {
+		return fmt.Errorf("--cert=%q, --key=%q: allowed is a PEM certificate and its key: %w", r.Cert, r.Key, err)
+	}
+	leaf, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil || leaf.Subject.CommonName != r.VM {
+		return fmt.Errorf("--cert=%q: allowed is a certificate whose common name is --vm=%q", r.Cert, r.VM)
+	}
+	pem, err := os.ReadFile(r.CA)
+	if err != nil || !x509.NewCertPool().AppendCertsFromPEM(pem) {
+		return fmt.Errorf("--ca=%q: allowed is a file with PEM certificates", r.CA)
+	}
+	return nil
+}
+
+func isAddr(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func (r *routerCmd) exporter() telemetry.Exporter {
+	switch e := telemetry.Exporter(r.TraceExporter); e {
+	case telemetry.ExporterNone, telemetry.ExporterStdout, telemetry.ExporterOTLP:
+		return e
+	}
+	return ""
+}
+
+// Run runs the router until a signal arrives.
+func (r *routerCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	router.Tune()
+	p, err := r.start(ctx)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+// routerProcess is a router with its listeners open.
+type routerProcess struct {
+	cmd      *routerCmd
+	log      *log.Logger
+	kernel   *kernel.Kernel
+	pool     *transport.Pool
+	api      *api.Server
+	ops      *ops.Server
+	control  *router.Control
+	watcher  *watch.Watcher
+	callers  net.Listener
+	operator net.Listener
+	closers  []func()
+}
+
+// start builds the parts and opens the listeners. The context bounds the start only.
+func (r *routerCmd) start(ctx context.Context) (p *routerProcess, err error) {
+	p = &routerProcess{cmd: r, log: telemetry.NewLogger("router", r.VM), kernel: kernel.New()}
+	defer func() {
+		if err != nil {
+			p.close()
+		}
+	}()
+	t, err := r.transport(ctx, p.kernel)
+	if err != nil {
+		return nil, err
+	}
+	objects, err := kernel.LoadAs[store.Store](ctx, p.kernel, "store.http", kernel.Settings{"url": r.StoreURL})
+	if err != nil {
+		return nil, err
+	}
+	vms, err := kernel.LoadAs[vmlist.Lister](ctx, p.kernel, "vmlist.http", kernel.Settings{"url": r.VMListURL})
+	if err != nil {
+		return nil, err
+	}
+	if err := p.build(ctx, transport.NewPool(t), objects, vms); err != nil {
+		return nil, err
+	}
+	return p, p.listen()
+}
+
+// build connects the parts.
+func (p *routerProcess) build(ctx context.Context, pool *transport.Pool, objects store.Store, vms vmlist.Lister) error {
+	p.pool = pool
+	tracer, flush, err := telemetry.NewTracer(ctx, p.cmd.exporter(), p.cmd.TraceURL, "router")
+	if err != nil {
+		return err
+	}
+	reporter, metrics := telemetry.NewReporter(func(err error) { p.log.Error("metric not registered", "err", err) })
+	scope, closer := telemetry.NewScope("router", reporter)
+	p.closers = append(p.closers, func() { _ = closer.Close() }, func() {
+		flushCtx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = flush(flushCtx)
+	})
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(p.cmd.VM))
+	r := router.New(pool, router.Options{
+		Region: p.cmd.Region, Zone: p.cmd.Zone, Seed: seed.Sum64(), Scope: scope, Tracer: tracer,
+		Sync:        func() wire.Sync { return p.control.Sync() },
+		OnSync:      func(addr string, s wire.Sync) { p.control.Heard(addr, s) },
+		OnDraining:  func(vm string) { p.control.Draining(vm) },
+		Answer:      func(m wire.Message) wire.Message { return p.control.Answer(m) },
+		Quarantined: func(fp uint64) bool { return p.control.Quarantined(fp) },
+	})
+	p.api = api.New(r, tracer)
+	p.ops = ops.New(ops.Options{Metrics: metrics, Status: func() any { return p.status(r) }, Profiles: p.cmd.Profiles})
+	p.control = router.NewControl(router.ControlOptions{
+		Store: objects, Pool: pool, Peers: p.cmd.Peers, Log: p.log, Scope: scope, OnView: r.SetView,
+		OnConfig: func(doc *config.Document) { p.api.Configure(doc) }, OnReady: p.ops.Ready,
+	})
+	p.watcher = watch.New(objects, vms, watch.Options{Seed: seed.Sum64()})
+	return nil
+}
+
+func (p *routerProcess) listen() (err error) {
+	if p.callers, err = net.Listen("tcp", p.cmd.Listen); err != nil {
+		return err
+	}
+	p.operator, err = net.Listen("tcp", p.cmd.OpsListen)
+	return err
+}
+
+// run serves until ctx ends, and then stops without cutting a request.
+func (p *routerProcess) run(ctx context.Context) error {
+	defer p.close()
+	duties, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers := &http.Server{Handler: p.api, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+	operator := &http.Server{Handler: p.ops, ReadHeaderTimeout: 5 * time.Second}
+	stopped := make(chan struct{})
+	var g run.Group // the first actor is interrupted first and the others keep serving it until it has ended
+	g.Add(func() error { return p.serve(callers, stopped) }, func(error) { p.drain(callers); close(stopped) })
+	g.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
+	g.Add(func() error { return operator.Serve(p.operator) }, func(error) { _ = operator.Close() })
+	g.Add(func() error { return p.control.Run(duties, p.watcher.Updates()) }, func(error) { cancel() })
+	g.Add(func() error { return p.watcher.Run(duties) }, func(error) { cancel() })
+	p.log.Info("started", "version", version, "listen", p.callers.Addr(), "ops", p.operator.Addr())
+	return g.Run()
+}
+
+// serve returns when all requests have ended after a shutdown.
+func (p *routerProcess) serve(s *http.Server, stopped <-chan struct{}) error {
+	err := s.Serve(p.callers)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-stopped
+		return nil
+	}
+	return err
+}
+
+// drain becomes unready, waits for the balancer, stops accepting and waits for the requests that run.
+func (p *routerProcess) drain(s *http.Server) {
+	p.log.Info("stopping", "delay", p.cmd.ShutdownDelay)
+	p.ops.Stopping()
+	p.api.Drain()
+	<-time.After(p.cmd.ShutdownDelay)
+	_ = s.Shutdown(context.Background())
+	p.log.Info("stopped")
+}
+
+func (p *routerProcess) close() {
+	for _, l := range []net.Listener{p.callers, p.operator} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if p.pool != nil {
+		p.pool.Close()
+	}
+	for _, f := range p.closers {
+		f()
+	}
+	_ = p.kernel.Cleanup()
+}
+
+// routerStatus is the answer on /status.
+type routerStatus struct {
+	Role          string `json:"role"`
+	VM            string `json:"vm"`
+	Version       string `json:"version"`
+	Region        string `json:"region"`
+	Zone          string `json:"zone"`
+	Unready       string `json:"unready,omitempty"` // why
+	ConfigVersion uint64 `json:"configVersion"`
+	Upstreams     int    `json:"upstreams"`
+	Candidates    int    `json:"candidates"`
+	Outstanding   int    `json:"outstanding"`
+}
+
+func (p *routerProcess) status(r *router.Router) routerStatus {
+	c := r.Counts()
+	return routerStatus{
+		Role: "router", VM: p.cmd.VM, Version: version, Region: p.cmd.Region, Zone: p.cmd.Zone, Unready: p.ops.State(),
+		ConfigVersion: p.control.Sync().ConfigVersion, Upstreams: c.Upstreams, Candidates: c.Candidates, Outstanding: c.Outstanding,
+	}
+}
--- /dev/null
+++ b/cmd/hibiscuscrossd/router_test.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/devcert"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+func TestDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hibiscuscrossd")
+}
+
+// site is the platform and one agent that a router runs against.
+type site struct {
+	dir, storeURL, vmsURL, agentAddr string
+	objects                          *standin.MemStore
+	raw                              []byte
+	step                             chan string // tokens that the agent sends; it ends its answer when closed
+}
+
+func newSite() *site {
+	s := &site{dir: GinkgoT().TempDir(), objects: standin.NewMemStore(0), step: make(chan string)}
+	a, err := devcert.NewAuthority()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(a.WriteFiles(s.dir, "vm-r", "vm-a")).To(Succeed())
+	hash := sha256.Sum256([]byte("key"))
+	s.raw, err = json.Marshal(config.Config{
+		APIVersion: config.APIVersion, Deployment: "d", Weights: config.Weights{ColdStart: 1},
+		Limits:   config.Limits{MaxWaitMS: 60000, UpstreamMemoryBytes: 100},
+		Groups:   []config.Group{{Name: "g", Kind: config.GroupModels}},
+		Models:   []config.Model{{Name: "m", Group: "g", MaxReplicas: 1, MemoryBytes: 10, KVReserveBytes: 1, Accelerators: 1}},
+		Services: []config.Service{{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 20000}},
+		Callers:  []config.Caller{{Name: "c", KeySHA256: hex.EncodeToString(hash[:]), Services: []string{"s"}}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	s.agentAddr = s.agent()
+	objects, err := standin.Serve("127.0.0.1:0", (&standin.StoreServer{Store: s.objects}).Handler(), nil)
+	Expect(err).NotTo(HaveOccurred())
+	vms, err := standin.Serve("127.0.0.1:0", standin.NewVMs(vmlist.VM{ID: "vm-a", Addr: "127.0.0.1", Region: "r", Zone: "z", State: vmlist.StateLive}).Handler(), nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { objects.Close(); vms.Close(); http.DefaultClient.CloseIdleConnections() })
+	s.storeURL, s.vmsURL = objects.URL(), vms.URL()
+	return s
+}
+
+func (s *site) put(key string, value []byte) {
+	_, err := s.objects.Put(context.Background(), key, value, store.MustNotExist)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// publish stores the configuration, the agent's record and its grant.
+func (s *site) publish() {
+	envelope, err := config.NewEnvelope(0, s.raw).Encode()
+	Expect(err).NotTo(HaveOccurred())
+	s.put(store.KeyConfig, envelope)
+	s.put(membership.Key("vm-a"), membership.Upstream{VM: "vm-a", Addr: s.agentAddr, Region: "r", Zone: "z", Group: "g", Kind: config.GroupModels, MemoryBytes: 100}.Encode())
+	s.put(grant.Key("m"), grant.Object{Ceiling: 1, Grants: []grant.Grant{{VM: "vm-a"}}}.Encode())
+}
+
+func (s *site) flags(more ...string) []string {
+	file := func(name string) string { return filepath.Join(s.dir, name) }
+	return append([]string{
+		"router", "--cert", file("vm-r.pem"), "--key", file("vm-r-key.pem"), "--ca", file("ca.pem"), "--vm", "vm-r", "--region", "r",
+		"--zone", "z", "--listen", "127.0.0.1:0", "--ops-listen", "127.0.0.1:0", "--store-url", s.storeURL, "--vm-list-url", s.vmsURL,
+		"--shutdown-delay", "0s",
+	}, more...)
+}
+
+// agent answers Open with the tokens of s.step, and ConfigGet with the configuration.
+func (s *site) agent() string {
+	t, err := kernel.LoadAs[transport.Transport](context.Background(), kernel.New(), "transport.quic", kernel.Settings{
+		"cert": filepath.Join(s.dir, "vm-a.pem"), "key": filepath.Join(s.dir, "vm-a-key.pem"), "ca": filepath.Join(s.dir, "ca.pem")})
+	Expect(err).NotTo(HaveOccurred())
+	l, err := t.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept(ctx)
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				for st, err := conn.AcceptStream(ctx); err == nil; st, err = conn.AcceptStream(ctx) {
+					wg.Go(func() { s.answer(st) })
+				}
+			})
+		}
+	})
+	DeferCleanup(func() { cancel(); _ = l.Close(); wg.Wait() })
+	return l.Addr()
+}
+
+func (s *site) answer(st transport.Stream) {
+	defer func() { _ = st.CloseWrite() }()
+	switch m, _ := wire.NewReader(st).Next(); m := m.(type) {
+	case *wire.ConfigGet:
+		_ = wire.Write(st, &wire.ConfigDoc{Version: 1, Digest: config.Digest(s.raw), Document: s.raw})
+	case *wire.Open:
+		_ = wire.Write(st, &wire.Head{Request: m.Request, Attempt: m.Attempt, Status: 200, Header: []engine.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
+		offset := uint64(0)
+		for text := range s.step {
+			_ = wire.Write(st, &wire.Data{Request: m.Request, Attempt: m.Attempt, Offset: offset, Bytes: []byte(text)})
+			offset += uint64(len(text))
+		}
+		_ = wire.Write(st, &wire.End{Request: m.Request, Attempt: m.Attempt, Outcome: wire.OutcomeDone, Length: offset})
+	}
+}
+
+func parse(args []string) (*routerCmd, error) {
+	var cli struct {
+		Router routerCmd `cmd:""`
+	}
+	p, err := kong.New(&cli, kong.Exit(func(int) {}))
+	Expect(err).NotTo(HaveOccurred())
+	_, err = p.Parse(args)
+	return &cli.Router, err
+}
+
+// running is a router in this process.
+type running struct {
+	p    *routerProcess
+	stop context.CancelFunc
+	done chan error
+}
+
+func (s *site) start(more ...string) *running {
+	cmd, err := parse(s.flags(more...))
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	p, err := cmd.start(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	p.log.SetOutput(io.Discard)
+	r := &running{p: p, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- p.run(ctx) }()
+	DeferCleanup(cancel)
+	return r
+}
+
+func (r *running) get(path string) (int, string) {
+	resp, err := http.Get("http://" + r.p.operator.Addr().String() + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+func (r *running) ready() int { code, _ := r.get("/readyz"); return code }
+
+func (r *running) ask() (*http.Response, error) {
+	req, _ := http.NewRequest("POST", "http://"+r.p.callers.Addr().String()+"/v1/chat/completions", strings.NewReader(`{"model":"m","stream":true}`))
+	req.Header.Set("Authorization", "Bearer key")
+	return http.DefaultClient.Do(req)
+}
+
+var _ = Describe("router process", func() {
+	BeforeEach(func() {
+		before := goleak.IgnoreCurrent()
+		DeferCleanup(func() {
+			Eventually(func() error { return goleak.Find(before) }).WithTimeout(5 * time.Second).Should(Succeed())
+		})
+	})
+
+	// Guards against a router that cuts a stream when it stops, or tells the balancer too late (I8).
+	It("serves with the stored configuration and stops without cutting a stream", func() {
+		s := newSite()
+		s.publish()
+		r := s.start()
+		Eventually(r.ready).WithTimeout(5 * time.Second).Should(Equal(200))
+		Eventually(func() string { _, b := r.get("/status"); return b }).WithTimeout(5 * time.Second).Should(ContainSubstring(`"candidates":1`))
+		go func() { s.step <- "data: {\"a\":1}\n\n" }()
+		resp, err := r.ask()
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body := bufio.NewReader(resp.Body)
+		Expect(body.ReadString('\n')).To(Equal("data: {\"a\":1}\n"))
+		r.stop()
+		Eventually(r.p.ops.State).Should(Equal("stopping"))
+		Consistently(r.done, 100*time.Millisecond).ShouldNot(Receive())
+		s.step <- "data: [DONE]\n\n"
+		close(s.step)
+		rest, err := io.ReadAll(body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(Equal("\ndata: [DONE]\n\nevent: hibiscuscross\ndata: {\"outcome\":\"done\"}\n\n"))
+		Eventually(r.done).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+
+	// Guards against a router that cannot start during an outage of the object API, and one that serves without the
+	// members' limits.
+	It("takes its configuration from a peer while the store is down", func() {
+		s := newSite()
+		s.objects.SetFaults(standin.StoreFaults{Down: true})
+		alone := s.start()
+		r := s.start("--peers", s.agentAddr)
+		Eventually(r.ready).WithTimeout(5 * time.Second).Should(Equal(200))
+		Expect(alone.ready()).To(Equal(503))
+		resp, err := alone.ask()
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(503))
+		for _, x := range []*running{alone, r} {
+			x.stop()
+			Eventually(x.done).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		}
+	})
+
+	// Guards against a router that listens with settings it cannot serve with, and errors that do not help to mend them.
+	DescribeTable("refuses the setting", func(allowed string, flags ...string) {
+		s := &site{dir: GinkgoT().TempDir(), storeURL: "http://127.0.0.1:1", vmsURL: "http://127.0.0.1:1"}
+		a, err := devcert.NewAuthority()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.WriteFiles(s.dir, "vm-r", "vm-a")).To(Succeed())
+		_, err = parse(s.flags())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = parse(s.flags(flags...))
+		Expect(err).To(MatchError(And(ContainSubstring(flags[0]), ContainSubstring(flags[1]), ContainSubstring(allowed))))
+	},
+		Entry(nil, "certificate whose common name", "--vm", "vm-x"),
+		Entry(nil, "a name of letters", "--zone", "a b"),
+		Entry(nil, "IP address and port", "--listen", "localhost"),
+		Entry(nil, "IP address and port", "--ops-listen", ":8081"),
+		Entry(nil, "http or https URL", "--store-url", "127.0.0.1:1"),
+		Entry(nil, "http or https URL", "--vm-list-url", "ftp://x"),
+		Entry(nil, "IP addresses and ports", "--peers", "vm-1:7001"),
+		Entry(nil, "0s to 5m", "--shutdown-delay", "10m0s"),
+		Entry(nil, "none, stdout or otlp", "--trace-exporter", "file"),
+	)
+
+	// Guards against a router that listens before it knows that it can connect to agents.
+	It("refuses files that are no certificates", func() {
+		s := &site{dir: GinkgoT().TempDir(), storeURL: "http://127.0.0.1:1", vmsURL: "http://127.0.0.1:1"}
+		for _, name := range []string{"vm-r.pem", "vm-r-key.pem", "ca.pem"} {
+			Expect(os.WriteFile(filepath.Join(s.dir, name), bytes.Repeat([]byte("x"), 9), 0o600)).To(Succeed())
+		}
+		_, err := parse(s.flags())
+		Expect(err).To(MatchError(ContainSubstring("--cert")))
+	})
+})
--- a/pkg/api/input.go
+++ b/pkg/api/input.go
@@ -26,8 +26,14 @@
 	return key, ok && strings.EqualFold(scheme, "Bearer") && key != ""
 }
 
+// bodyTimeout bounds the time in which a body arrives, so that slow senders do not hold memory.
+const bodyTimeout = 30 * time.Second
+
 // readBody returns the whole body.
 func readBody(c echo.Context) ([]byte, error) {
+	conn := http.NewResponseController(c.Response().Writer)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes))
 	var large *http.MaxBytesError
 	switch {
--- a/pkg/router/answer.go
+++ b/pkg/router/answer.go
@@ -62,7 +62,7 @@
 	if !ok || finished && a.usage {
 		return nil, true, false
 	}
-	return t, false, finished
+	return prefixOf(t, a.kept), false, finished
 }
 
 func (a *answer) onHead(h engine.Head) error {
--- a/pkg/router/core.go
+++ b/pkg/router/core.go
@@ -12,8 +12,8 @@
 // Event is an input of Core.Step.
 type Event interface{ isEvent() }
 
-// Start begins the request.
-type Start struct{}
+// Start begins the request. Quarantined says that the request has crashed upstreams.
+type Start struct{ Quarantined bool }
 
 // Chosen is the result of a Choose action. A code says why there is no upstream.
 type Chosen struct {
@@ -59,12 +59,12 @@
 	Finish
 )
 
-// Action is the output of Core.Step.
+// Action is the output of Core.Step. It is small, because one is returned for each frame.
 type Action struct {
 	Kind   ActionKind
-	Ask    routing.Ask
+	Ask    *routing.Ask
 	Retry  bool
-	To     routing.Upstream
+	To     *routing.Upstream
 	Open   *wire.Open
 	Fresh  bool
 	Result Result
@@ -124,6 +124,10 @@
 func (c *Core) Step(now time.Time, ev Event) Action {
 	switch ev := ev.(type) {
 	case Start:
+		if ev.Quarantined {
+			c.refuse(wire.CodeQuarantined, "the request has crashed upstreams")
+			return c.finish(false)
+		}
 		return c.choose(now, false)
 	case Chosen:
 		return c.chosen(now, ev)
@@ -143,7 +147,7 @@
 
 func (c *Core) choose(now time.Time, retry bool) Action {
 	r := c.req
-	return Action{Kind: Choose, Retry: retry, Ask: routing.Ask{
+	return Action{Kind: Choose, Retry: retry, Ask: &routing.Ask{
 		Kind: r.Kind, Service: r.Service, Group: r.Group, Target: r.Target, MemoryBytes: r.MemoryBytes,
 		Ceiling: r.Ceiling, Left: c.refuseAt.Sub(now), PrefixHash: r.PrefixHash, NonIdempotent: r.NonIdempotent,
 		FirstSend: r.FirstSend, Slot: slotOf(r), Exclude: c.exclude, Hints: c.hints,
@@ -165,8 +169,9 @@
 
 func (c *Core) open(now time.Time, fresh bool) Action {
 	r := c.req
+	to := c.to
 	c.heard, c.headSeen = false, c.headSeen && c.resume
-	return Action{Kind: Open, To: c.to, Fresh: fresh, Open: &wire.Open{
+	return Action{Kind: Open, To: &to, Fresh: fresh, Open: &wire.Open{
 		Request: r.ID, Attempt: c.asm.Attempt(), Kind: r.Kind, Caller: r.Caller, Service: r.Service, Target: r.Target,
 		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, TimeoutMS: agentTimeout(c.refuseAt, now),
 		Priority: r.Priority, NonIdempotent: r.NonIdempotent, Key: r.Key, FirstSend: r.FirstSend && !c.everLost,
--- a/pkg/router/events.go
+++ b/pkg/router/events.go
@@ -74,6 +74,16 @@
 	return text, finished, ok
 }
 
+// prefixOf returns the text in a form that engines cannot take for the start of events, which they accept as well: the
+// bare text, or the events if the text begins like one.
+func prefixOf(text, events []byte) []byte {
+	first := bytes.TrimLeft(text, "\r\n")
+	if len(text) > 0 && (bytes.HasPrefix([]byte("data: "), first[:min(len(first), len("data: "))]) || bytes.HasPrefix(first, dataField)) {
+		return events
+	}
+	return text
+}
+
 // rewriter makes the events of an upstream that continues an answer look like those of the first one.
 type rewriter struct{ id, created json.RawMessage }
 
--- a/pkg/router/exchange.go
+++ b/pkg/router/exchange.go
@@ -37,7 +37,7 @@
 func (x *exchange) run(ctx context.Context) (Result, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, x.core.RefuseAt())
 	defer cancel()
-	a := x.core.Step(time.Now(), Start{})
+	a := x.core.Step(time.Now(), Start{Quarantined: x.r.opts.Quarantined(x.req.Fingerprint)})
 	for {
 		var err error
 		switch a.Kind {
@@ -116,7 +116,7 @@
 		x.r.pool.Discard(x.to.Addr, old)
 		_ = old.Close()
 	}
-	x.to, x.far = a.To, x.r.isFar(a.To.VM)
+	x.to, x.far = *a.To, x.r.isFar(a.To.VM)
 	x.r.metrics.attempts.Inc(1)
 	x.r.begin(x.to.VM)
 	x.counted = true
@@ -150,7 +150,7 @@
 
 // send connects and writes the Open frame. Sent says that the frame may have arrived.
 func (x *exchange) send(ctx context.Context, o *wire.Open) (sent bool, err error) {
-	if x.conn, err = x.r.pool.Get(ctx, x.to.Addr); err != nil {
+	if x.conn, err = x.r.connect(ctx, x.to.Addr); err != nil {
 		return false, err
 	}
 	if x.st, err = x.conn.OpenStream(ctx); err != nil {
@@ -188,6 +188,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.SetReadDeadline(time.Now()) })
 	defer stop()
 	frames := wire.NewReader(st)
+	frames.ShareData() // the answer copies what it keeps
 	var armed time.Time
 	begun := x.out.Begun()
 	for {
--- a/pkg/router/fake_test.go
+++ b/pkg/router/fake_test.go
@@ -75,6 +75,8 @@
 	mu       sync.Mutex
 	opens    []*wire.Open
 	remotes  []string
+	// quarantine answers QuarantineGet; got holds the asker's entries.
+	quarantine, got []wire.QuarantineEntry
 }
 
 func newFakeAgent(vm string, serve func(c *call)) *fakeAgent {
@@ -104,6 +106,12 @@
 		}
 		wg.Go(func() {
 			m, err := wire.NewReader(st).Next()
+			if q, ok := m.(*wire.QuarantineGet); ok {
+				a.mu.Lock()
+				a.got = q.Entries
+				a.mu.Unlock()
+				_ = wire.Write(st, &wire.QuarantineList{Entries: a.quarantine})
+			}
 			open, ok := m.(*wire.Open)
 			if err != nil || !ok {
 				return
@@ -123,6 +131,12 @@
 	return append([]*wire.Open(nil), a.opens...)
 }
 
+func (a *fakeAgent) heard() []wire.QuarantineEntry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.got
+}
+
 func (a *fakeAgent) ports() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -34,6 +34,12 @@
 	Sync func() wire.Sync
 	// OnSync is told what an agent's message says, if that differs from Sync. It must not block.
 	OnSync func(addr string, s wire.Sync)
+	// Answer answers questions of agents; nil answers none.
+	Answer func(m wire.Message) wire.Message
+	// Quarantined reports whether a request with the fingerprint is refused; default never.
+	Quarantined func(fingerprint uint64) bool
+	// OnDraining is told of an agent that announces that it is leaving. It must not block.
+	OnDraining func(vm string)
 }
 
 // Router forwards requests. It is safe for concurrent use.
@@ -41,6 +47,7 @@
 	opts    Options
 	pool    *transport.Pool
 	metrics metrics
+	served  sync.Map   // connections whose questions are answered
 	mu      sync.Mutex // guards state and budget
 	state   *routing.State
 	budget  routing.Budget
@@ -60,6 +67,9 @@
 	if o.Sync == nil {
 		o.Sync = func() wire.Sync { return wire.Sync{} }
 	}
+	if o.Quarantined == nil {
+		o.Quarantined = func(uint64) bool { return false }
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	return &Router{opts: o, pool: pool, metrics: newMetrics(o.Scope), state: routing.NewState(o.Region, o.Zone, random)}
 }
@@ -91,7 +101,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c, code := r.state.Choose(now, a.Ask)
+	c, code := r.state.Choose(now, *a.Ask)
 	if code == "" && a.Retry {
 		if !r.budget.Retry(now) {
 			r.metrics.budgetSpent.Inc(1)
@@ -105,8 +115,11 @@
 // report takes the load and the versions that an agent's message carries.
 func (r *Router) report(to routing.Upstream, l wire.Load, s wire.Sync) {
 	r.mu.Lock()
-	r.state.Report(to.VM, l, time.Now())
+	draining := r.state.Report(to.VM, l, time.Now())
 	r.mu.Unlock()
+	if draining && r.opts.OnDraining != nil {
+		r.opts.OnDraining(to.VM)
+	}
 	if r.opts.OnSync != nil && s != r.opts.Sync() {
 		r.opts.OnSync(to.Addr, s)
 	}
@@ -135,3 +148,10 @@
 	defer r.mu.Unlock()
 	return r.state.CrossRegion(vm)
 }
+
+// Counts returns what the router knows of upstreams, for operators.
+func (r *Router) Counts() routing.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Counts()
+}
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -16,6 +16,7 @@
 // Upstream is one upstream that a router may send to.
 type Upstream struct {
 	VM          string
+	Incarnation string // of the agent process
 	Addr        string // "ip:port" of the agent
 	Region      string
 	Zone        string
@@ -124,13 +125,13 @@
 	return &State{region: region, zone: zone, random: random, byVM: map[string]*node{}, affinity: newAffinity()}
 }
 
-// SetView replaces the view. What is known of the load at upstreams that stay is kept.
+// SetView replaces the view. What is known of the load at agents that stay is kept.
 func (s *State) SetView(v View) {
 	byVM := make(map[string]*node, len(v.Upstreams))
 	nodes := make([]*node, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		n := s.byVM[u.VM]
-		if n == nil || n.Addr != u.Addr {
+		if n == nil || n.Addr != u.Addr || n.Incarnation != u.Incarnation {
 			n = &node{}
 		}
 		n.Upstream, n.place = u, s.placeOf(u)
@@ -165,11 +166,15 @@
 	}
 }
 
-// Report records the load that the VM's agent reported.
-func (s *State) Report(vm string, l wire.Load, now time.Time) {
-	if n := s.byVM[vm]; n != nil {
-		n.load, n.loadAt = l, now
+// Report records the load that the VM's agent reported. It reports whether the agent began to drain.
+func (s *State) Report(vm string, l wire.Load, now time.Time) (draining bool) {
+	n := s.byVM[vm]
+	if n == nil {
+		return false
 	}
+	draining = l.Draining && !n.draining()
+	n.load, n.loadAt = l, now
+	return draining
 }
 
 // avoidFor is how long an upstream that could not be reached is not chosen while others can be. It covers one failed
@@ -188,3 +193,22 @@
 	n := s.byVM[vm]
 	return n != nil && n.place == placeElsewhere
 }
+
+// Counts summarizes the state for operators.
+type Counts struct {
+	Upstreams   int
+	Candidates  int // upstreams that may get new work
+	Outstanding int // requests of this router at upstreams
+}
+
+// Counts returns the summary.
+func (s *State) Counts() Counts {
+	c := Counts{Upstreams: len(s.nodes)}
+	for _, n := range s.nodes {
+		if !n.draining() {
+			c.Candidates++
+		}
+		c.Outstanding += n.outstanding
+	}
+	return c
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
@@ -12,7 +13,7 @@
 // Prometheus text format. Failures to register a metric go to onError.
 func NewReporter(onError func(error)) (tally.CachedStatsReporter, http.Handler) {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(prometheus.NewGoCollector(), prometheus.NewProcessCollector(prometheus.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry, OnRegisterError: onError})
 	return r, r.HTTPHandler()
 }
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"io"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -65,3 +67,31 @@
 		}
 	})
 }
+
+// Guards against the decoder of Data frames reading another message than the CBOR library does.
+func FuzzData(f *testing.F) {
+	for _, d := range []*wire.Data{{Request: "r", Attempt: 300, Offset: 1 << 40, Bytes: []byte("x")}, {Request: "\u00e9", Bytes: make([]byte, 300)}} {
+		frame, _ := wire.Append(nil, d)
+		f.Add(frame[5:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		frame := binary.BigEndian.AppendUint32(nil, uint32(len(body)+1))
+		got, err := wire.NewReader(bytes.NewReader(append(append(frame, 4), body...))).Next()
+		var want wire.Data
+		wantErr := cbor.Unmarshal(body, &want)
+		if (err == nil) != (wantErr == nil) {
+			t.Fatalf("error %v, want %v", err, wantErr)
+		}
+		if err == nil && !bytes.Equal(mustAppend(t, got), mustAppend(t, &want)) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
+
+func mustAppend(t *testing.T, m wire.Message) []byte {
+	frame, err := wire.Append(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
