Leave dead paths out at once and name what the retry budget stopped

Cause: after an agent died, new requests still went to it until a dial had failed, and spent the retry budget; a refused cold start was retried where no copy is cheaper; the refusal for a spent budget hid the agent's reason. Change: a dead path leaves its VM out until a report or 2 s; too_late for a cold start is returned; the budget's refusal names the refusal before it.

--- a/pkg/router/core.go
+++ b/pkg/router/core.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -99,6 +100,7 @@
 	hints    []string
 	prefix   []byte
 	resume   bool
+	cold     bool // the upstream was asked to load the target
 	heard    bool // a frame arrived in this attempt
 	headSeen bool // in this run
 	resumes  int  // in a row without a sign of life
@@ -156,12 +158,15 @@
 
 func (c *Core) chosen(now time.Time, ev Chosen) Action {
 	if ev.Code != "" {
-		if c.last.Code == "" || ev.Code == wire.CodeBudget {
+		if ev.Code == wire.CodeBudget {
+			c.last.Reason = fmt.Sprintf("%s after %s: %s", reasonOf(ev.Code), c.last.Code, c.last.Reason)
+			c.last.Code = ev.Code
+		} else if c.last.Code == "" {
 			c.refuse(ev.Code, reasonOf(ev.Code))
 		}
 		return c.finish(false)
 	}
-	c.to, c.epoch = ev.Choice.Upstream, ev.Choice.Epoch
+	c.to, c.epoch, c.cold = ev.Choice.Upstream, ev.Choice.Epoch, ev.Choice.Expand
 	c.resumes, c.resume, c.sent = 0, false, false
 	c.asm.Restart()
 	return c.open(now, false)
@@ -217,6 +222,7 @@
 
 // next asks the retry table and carries out its answer.
 func (c *Core) next(now time.Time, e routing.Ended) Action {
+	e.Cold = c.cold
 	e.NonIdempotent, e.Resumes, e.Crashes, e.EverLost = c.req.NonIdempotent, c.resumes, c.crashes, c.everLost
 	if !now.Before(c.refuseAt) && !c.progress.Begun() {
 		return c.expired()
--- a/pkg/router/exchange.go
+++ b/pkg/router/exchange.go
@@ -232,6 +232,7 @@
 		err = fault.New(fault.StepStream, x.to.Addr, "the agent closed the stream before the end of the answer")
 	default:
 		x.r.metrics.deadPaths.Inc(1)
+		x.r.unreachable(x.to.VM) // new requests go elsewhere until the resume shows whether the agent is alive
 		err = fault.Wrap(err, fault.StepStream, x.to.Addr, "read frame")
 	}
 	x.span.RecordError(err)
--- a/pkg/routing/retry.go
+++ b/pkg/routing/retry.go
@@ -34,6 +34,8 @@
 	EverLost bool
 	// Stuck says that the caller has bytes of the answer that another upstream cannot continue.
 	Stuck bool
+	// Cold says that the upstream was asked to load the target first.
+	Cold bool
 }
 
 const (
@@ -59,6 +61,9 @@
 	if e.Stuck || !worthElsewhere(e.Code) || e.Crashes >= maxCrashes {
 		return Return
 	}
+	if e.Cold && e.Code == wire.CodeTooLate {
+		return Return // the order of cold starts begins with the cheapest copy, so no other upstream loads it sooner
+	}
 	return Elsewhere
 }
 
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -115,6 +115,17 @@
 		}),
 	)
 
+	// Guards against an upstream that stays left out after its path has been replaced.
+	It("returns to an upstream that reports again", func() {
+		s := state(1, routing.View{Upstreams: ups("a1-0", "a2-0"), Grants: holders("a1-0", "a2-0")})
+		s.Unreachable("a1-0", now)
+		c, _ := s.Choose(now, ask())
+		Expect(c.Upstream.VM).To(Equal("a2-0"))
+		s.Report("a1-0", wire.Load{}, now)
+		c, _ = s.Choose(now, ask())
+		Expect(c.Upstream.VM).To(Equal("a1-0"))
+	})
+
 	// Guards against all routers choosing the one upstream that looked idle, and against load being ignored.
 	It("takes the less loaded of two", func() {
 		s := state(1, routing.View{Upstreams: ups("a1-0", "a1-1"), Grants: holders("a1-0", "a1-1")})
@@ -206,6 +217,8 @@
 		Entry("queue full, keyed", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeQueueFull, NonIdempotent: true}, routing.Return),
 		Entry("not the owner", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeNotOwner, NonIdempotent: true}, routing.Redirect),
 		Entry("not the owner after a lost send", routing.Ended{Sent: true, EverLost: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeNotOwner, NonIdempotent: true}, routing.Return),
+		Entry("too late at a holder", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeTooLate}, routing.Elsewhere),
+		Entry("too late for a load", routing.Ended{Sent: true, Cold: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeTooLate}, routing.Return),
 		Entry("expired", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeExpired}, routing.Return),
 		Entry("quarantined", routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: wire.CodeQuarantined}, routing.Return),
 	)
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	draining = l.Draining && !n.draining()
-	n.load, n.loadAt = l, now
+	n.load, n.loadAt, n.avoidUntil = l, now, time.Time{}
 	return draining
 }
 
@@ -181,7 +181,7 @@
 // dial and is short enough for a restarted agent to be found again.
 const avoidFor = 2 * time.Second
 
-// Unreachable records that the VM could not be reached.
+// Unreachable records that the VM could not be reached or that its path is dead. A report from it ends this.
 func (s *State) Unreachable(vm string, now time.Time) {
 	if n := s.byVM[vm]; n != nil {
 		n.avoidUntil = now.Add(avoidFor)
