Add the fault matrix and merge the router's control duty

Cause: the decisions had been tested one by one, not together under failure. Change: pkg/matrix drives the cores of routers, agents and operators in virtual time, injects a fault at a step and checks I1 to I10 after each event.

--- a/cmd/hibiscuscross-bench/path.go
+++ b/cmd/hibiscuscross-bench/path.go
@@ -82,6 +82,9 @@
 		return err
 	}
 	idleRouter, idleAgent := router.usage(), agent.usage()
+	if _, _, _, err := stream(router.addr, 1); err != nil {
+		return fmt.Errorf("first request, with the cold start: %w", err)
+	}
 	length := time.Duration(p.Seconds) * time.Second
 	short := load(router, loadSpec{name: "router, 1 token", length: 5 * time.Second, rate: requestsPerSec, tokens: 1})
 	if p.Profile != "" {
--- a/cmd/hibiscuscross-bench/path_floor.go
+++ b/cmd/hibiscuscross-bench/path_floor.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"time"
 
 	quicgo "github.com/quic-go/quic-go"
@@ -81,7 +80,7 @@
 }
 
 func (c *childCmd) floor() error {
-	debug.SetGCPercent(router.GCPercent)
+	router.Tune()
 	conf, err := c.floorTLS("vm-router")
 	if err != nil {
 		return err
--- a/cmd/hibiscuscross-bench/path_roles.go
+++ b/cmd/hibiscuscross-bench/path_roles.go
@@ -6,11 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
-	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -32,6 +31,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/transport/quic"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
 )
 
 const benchKey = "bench"
@@ -93,37 +93,36 @@
 	if err != nil {
 		return err
 	}
-	objects, err := benchStore(ctx)
+	objects := standin.NewMemStore(0)
+	envelope, err := config.NewEnvelope(0, benchDocument()).Encode()
 	if err != nil {
 		return err
 	}
-	o := agent.Options{VM: "vm-agent", Incarnation: "1", Region: "r", Zone: "z", Group: "g", Addr: l.Addr(), Start: time.Now(),
-		Queue: admission.DefaultLimits(), Once: once.DefaultLimits()}
+	if _, err := objects.Put(ctx, store.KeyConfig, envelope, store.MustNotExist); err != nil {
+		return err
+	}
 	ready := make(chan struct{})
-	a := agent.New(o, agent.Parts{Listener: l, Transport: t, Engine: e, Store: objects, Scope: tally.NoopScope,
-		Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(io.Discard), OnReady: func() { close(ready) }})
+	a := agent.New(agent.Options{
+		VM: "vm-agent", Incarnation: "bench", Region: "r", Zone: "z", Group: "g", Addr: l.Addr(), Start: time.Now(),
+		Queue: admission.DefaultLimits(), Once: once.DefaultLimits(),
+	}, agent.Parts{
+		Listener: l, Transport: t, Engine: e, Store: objects, VMs: benchVMs{}, Scope: tally.NoopScope,
+		Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(os.Stderr), OnReady: func() { close(ready) },
+	})
 	go func() { _ = a.Run(ctx) }()
 	<-ready
 	return announce(l.Addr())
 }
 
-// benchStore returns an object API in memory that holds the configuration.
-func benchStore(ctx context.Context) (store.Store, error) {
-	raw, err := json.Marshal(benchConfig().Config)
-	if err != nil {
-		return nil, err
-	}
-	value, err := config.NewEnvelope(0, raw).Encode()
-	if err != nil {
-		return nil, err
-	}
-	objects := standin.NewMemStore(0)
-	_, err = objects.Put(ctx, store.KeyConfig, value, store.MustNotExist)
-	return objects, err
+// benchVMs is the VM list of a benchmark.
+type benchVMs struct{}
+
+func (benchVMs) List(context.Context) ([]vmlist.VM, error) {
+	return []vmlist.VM{{ID: "vm-agent", Addr: "127.0.0.1", Region: "r", Zone: "z", State: vmlist.StateLive}}, nil
 }
 
 func (c *childCmd) router() error {
-	debug.SetGCPercent(router.GCPercent)
+	router.Tune()
 	t, err := c.transport("vm-router")
 	if err != nil {
 		return err
@@ -134,20 +133,29 @@
 		Grants:    map[string]grant.Object{"m": {Grants: []grant.Grant{{VM: "vm-agent"}}}},
 	})
 	s := api.New(r, nil)
-	s.Configure(benchConfig())
+	doc, err := config.Parse(1, benchDocument())
+	if err != nil {
+		return err
+	}
+	s.Configure(doc)
 	return serveHTTP(s)
 }
 
-func benchConfig() *config.Document {
+// benchDocument returns a document with one model and one caller.
+func benchDocument() []byte {
 	hash := sha256.Sum256([]byte(benchKey))
-	return &config.Document{Version: 1, Config: &config.Config{
-		APIVersion: config.APIVersion, Deployment: "bench", Weights: config.Weights{ColdStart: 1, IdleAccelerator: 1},
-		Limits:   config.Limits{MaxWaitMS: 30000, UpstreamMemoryBytes: 1 << 40},
+	raw, err := json.Marshal(config.Config{
+		APIVersion: config.APIVersion, Deployment: "bench", Weights: config.Weights{ColdStart: 1},
+		Limits:   config.Limits{MaxWaitMS: 60000, UpstreamMemoryBytes: 80 << 30},
 		Groups:   []config.Group{{Name: "g", Kind: config.GroupModels}},
-		Models:   []config.Model{{Name: "m", Group: "g", MaxReplicas: 1, MemoryBytes: 1 << 30, KVReserveBytes: 1 << 30, Accelerators: 1}},
-		Services: []config.Service{{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 30000}},
+		Models:   []config.Model{{Name: "m", Group: "g", MaxReplicas: 1, MemoryBytes: 1 << 20, KVReserveBytes: 1 << 20, Accelerators: 1}},
+		Services: []config.Service{{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 60000}},
 		Callers:  []config.Caller{{Name: "c", KeySHA256: hex.EncodeToString(hash[:]), Services: []string{"s"}}},
-	}}
+	})
+	if err != nil {
+		panic(err) // the type has only fields that encode
+	}
+	return raw
 }
 
 // floorFrame is what the source sends for each token, with the form and size of the stand-in's events.
--- a/cmd/hibiscuscrossd/router.go
+++ b/cmd/hibiscuscrossd/router.go
@@ -10,11 +10,8 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"os"
 	"os/signal"
-	"runtime/debug"
-	"strings"
 	"syscall"
 	"time"
 
@@ -63,17 +60,18 @@
 		}
 		return fmt.Errorf("--%s=%q: allowed is %s", flag, value, allowed)
 	}
+	const name = "a name of letters, digits, '.', '_' and '-'"
 	errs := []error{
-		check(isName(r.VM), "vm", r.VM, "a name without spaces or slashes"),
-		check(isName(r.Region), "region", r.Region, "a name without spaces or slashes"),
-		check(isName(r.Zone), "zone", r.Zone, "a name without spaces or slashes"),
+		check(namePattern.MatchString(r.VM), "vm", r.VM, name),
+		check(namePattern.MatchString(r.Region), "region", r.Region, name),
+		check(namePattern.MatchString(r.Zone), "zone", r.Zone, name),
 		check(isAddr(r.Listen), "listen", r.Listen, "an IP address and port, such as 127.0.0.1:8080"),
 		check(isAddr(r.OpsListen), "ops-listen", r.OpsListen, "an IP address and port, such as 127.0.0.1:8081"),
-		check(isURL(r.StoreURL), "store-url", r.StoreURL, "an http or https URL"),
-		check(isURL(r.VMListURL), "vm-list-url", r.VMListURL, "an http or https URL"),
+		check(isLink(r.StoreURL), "store-url", r.StoreURL, "an http or https URL"),
+		check(isLink(r.VMListURL), "vm-list-url", r.VMListURL, "an http or https URL"),
 		check(r.ShutdownDelay >= 0 && r.ShutdownDelay <= maxShutdownDelay, "shutdown-delay", r.ShutdownDelay.String(), "0s to 5m"),
 		check(r.exporter() != "", "trace-exporter", r.TraceExporter, "none, stdout or otlp"),
-		check(r.TraceExporter != string(telemetry.ExporterOTLP) || isURL(r.TraceURL), "trace-url", r.TraceURL, "an http or https URL for the exporter otlp"),
+		check(r.TraceExporter != string(telemetry.ExporterOTLP) || isLink(r.TraceURL), "trace-url", r.TraceURL, "an http or https URL for the exporter otlp"),
 	}
 	for _, p := range r.Peers {
 		errs = append(errs, check(isAddr(p), "peers", p, "IP addresses and ports, such as 10.0.0.1:7001,10.0.0.2:7001"))
@@ -101,18 +99,11 @@
 	return nil
 }
 
-func isName(s string) bool { return s != "" && !strings.ContainsAny(s, " \t\r\n/") }
-
 func isAddr(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
 }
 
-func isURL(s string) bool {
-	u, err := url.Parse(s)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-}
-
 func (r *routerCmd) exporter() telemetry.Exporter {
 	switch e := telemetry.Exporter(r.TraceExporter); e {
 	case telemetry.ExporterNone, telemetry.ExporterStdout, telemetry.ExporterOTLP:
@@ -125,7 +116,7 @@
 func (r *routerCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	debug.SetGCPercent(router.GCPercent)
+	router.Tune()
 	p, err := r.start(ctx)
 	if err != nil {
 		return err
--- a/cmd/hibiscuscrossd/router_test.go
+++ b/cmd/hibiscuscrossd/router_test.go
@@ -248,7 +248,7 @@
 		Expect(err).To(MatchError(And(ContainSubstring(flags[0]), ContainSubstring(flags[1]), ContainSubstring(allowed))))
 	},
 		Entry(nil, "certificate whose common name", "--vm", "vm-x"),
-		Entry(nil, "name without spaces", "--zone", "a b"),
+		Entry(nil, "a name of letters", "--zone", "a b"),
 		Entry(nil, "IP address and port", "--listen", "localhost"),
 		Entry(nil, "IP address and port", "--ops-listen", ":8081"),
 		Entry(nil, "http or https URL", "--store-url", "127.0.0.1:1"),
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -341,3 +341,9 @@
 	}
 	return s
 }
+
+// Document returns the configuration in force, or nil.
+func (c *Core) Document() *config.Document { return c.conf.Current() }
+
+// Quarantine returns the quarantine list.
+func (c *Core) Quarantine() []wire.QuarantineEntry { return c.jail.Entries() }
--- /dev/null
+++ b/pkg/matrix/cells.go
@@ -0,0 +1,101 @@
+package matrix
+
+import (
+	"fmt"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// Cell is one fault at one step.
+type Cell struct {
+	Step  Step
+	Fault Fault
+}
+
+// String returns "step/fault".
+func (c Cell) String() string { return string(c.Step) + "/" + string(c.Fault) }
+
+// Cells returns all cells, step by step.
+func Cells() []Cell {
+	var out []Cell
+	for _, s := range Steps {
+		for _, f := range Faults {
+			out = append(out, Cell{Step: s, Fault: f})
+		}
+	}
+	return out
+}
+
+// Stats counts what happened in a run, so that a cell shows that it exercised something.
+type Stats struct {
+	Orders, Done, NotRun, Unknown, Lost int // requests by their last answer
+	KeysRun                             int
+	StoreCalls                          int
+	Injected                            bool
+	Refused                             map[wire.Code]int
+}
+
+// String returns the counts on one line.
+func (s Stats) String() string {
+	return fmt.Sprintf("requests %d done %d not-run %d unknown %d lost %d keys run %d store calls %d refusals %v injected %v",
+		s.Orders, s.Done, s.NotRun, s.Unknown, s.Lost, s.KeysRun, s.StoreCalls, s.Refused, s.Injected)
+}
+
+// Stats returns the counts of the run so far.
+func (w *World) Stats() Stats {
+	s := Stats{StoreCalls: w.store.calls, KeysRun: len(w.check.runsOfKey), Injected: w.Injected(), Refused: map[wire.Code]int{}}
+	for _, o := range w.callers.orders {
+		s.Orders++
+		last := o.sends[len(o.sends)-1]
+		switch {
+		case !last.answered:
+			s.Lost++
+		case last.result.Outcome == wire.OutcomeDone:
+			s.Done++
+		case last.result.Outcome == wire.OutcomeNotRun:
+			s.NotRun++
+		default:
+			s.Unknown++
+		}
+		if last.answered && last.result.Refusal != nil {
+			s.Refused[last.result.Refusal.Code]++
+		}
+	}
+	return s
+}
+
+// Trace makes the run report what happens, a line each.
+func (w *World) Trace(f func(string)) { w.trace = f }
+
+// SetupOf returns the set-up of a cell's run. The fault hits at the n-th time that the step is reached, n drawn from the
+// seed. Engines ignore fencing numbers with every other seed.
+func SetupOf(c Cell, seed uint64) Setup {
+	return setup(seed, Injection{Step: c.Step, Fault: c.Fault, Nth: int(seed % 7)})
+}
+
+// RunCell runs one cell.
+func RunCell(c Cell, seed uint64, broken Broken) (Stats, error) {
+	s := SetupOf(c, seed)
+	s.Broken = broken
+	return run(seed, s)
+}
+
+// RunPair runs two faults in one run; the same cell may be given twice.
+func RunPair(a, b Cell, seed uint64) (Stats, error) {
+	n := int(seed % 5)
+	return run(seed, setup(seed, Injection{Step: a.Step, Fault: a.Fault, Nth: n}, Injection{Step: b.Step, Fault: b.Fault, Nth: n + 1}))
+}
+
+func setup(seed uint64, in ...Injection) Setup {
+	s := Setup{Injections: in, IgnoreFence: seed%2 == 0}
+	for _, i := range in {
+		s.IgnoreFence = s.IgnoreFence || i.Fault == FaultNoFence
+	}
+	return s
+}
+
+func run(seed uint64, s Setup) (Stats, error) {
+	w := NewWorld(seed, s)
+	err := w.Run()
+	return w.Stats(), err
+}
--- /dev/null
+++ b/pkg/matrix/routers.go
@@ -0,0 +1,436 @@
+package matrix
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
+	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/router"
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/stream"
+	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
+)
+
+// routerNode is a router process. It carries out the actions of router.Core for each request.
+type routerNode struct {
+	*process
+	conf     *confsync.State
+	members  *membership.State
+	state    *routing.State
+	budget   routing.Budget
+	grants   map[string]grant.Object
+	owners   map[string]once.Owners
+	conns    map[string]*conn
+	active   map[*exchange]bool
+	order    []*exchange // active ones in the order of their start
+	stopping bool
+	jail     *quarantine.State
+	heardAt  time.Time // last exchange of quarantine lists
+}
+
+func (w *World) newRouter(name string) *routerNode {
+	r := &routerNode{process: &process{w: w, name: name}}
+	w.routers = append(w.routers, r)
+	r.start()
+	return r
+}
+
+func (r *routerNode) addr() string { return r.name + ":8080" }
+
+func (r *routerNode) start() {
+	r.process.begin()
+	r.conf, r.members = confsync.New(), membership.New()
+	r.state = routing.NewState("r1", "z1", rand.New(rand.NewPCG(r.w.rng.Uint64(), 1)))
+	r.budget = routing.Budget{}
+	r.grants, r.owners = map[string]grant.Object{}, map[string]once.Owners{}
+	r.conns, r.active, r.order = map[string]*conn{}, map[*exchange]bool{}, nil
+	r.stopping, r.jail = false, quarantine.New()
+	r.config(confsync.PeersKnown{Addrs: r.w.peerAddrs(r.name)})
+	r.every(confsync.TickInterval, func() { r.config(confsync.Tick{}) })
+	r.every(vmPoll, func() {
+		r.members.SeeVMs(r.w.now, r.w.vms.read())
+		r.publish()
+	})
+	r.follow(r.storeUpdate)
+}
+
+func (r *routerNode) kill() {
+	r.process.end()
+	for _, x := range r.order {
+		x.callerLost()
+	}
+	for _, c := range r.conns {
+		c.silent = true
+		for _, st := range c.streams {
+			st.reset()
+		}
+	}
+}
+
+func (r *routerNode) restartSoon() {
+	r.w.after(restartTime, func() {
+		if !r.alive && !r.reclaimed {
+			r.start()
+		}
+	})
+}
+
+func (r *routerNode) storeUpdate(objects []store.Object, err error) {
+	if err != nil {
+		r.config(confsync.StoreDown{})
+		return
+	}
+	r.config(confsync.StoreUp{})
+	for _, o := range objects {
+		r.object(o)
+	}
+	r.publish()
+}
+
+func (r *routerNode) object(o store.Object) {
+	switch {
+	case o.Key == store.KeyConfig:
+		r.config(confsync.EnvelopeSeen{Value: o.Value})
+	case strings.HasPrefix(o.Key, store.PrefixUpstreams):
+		_ = r.members.SeeObject(o)
+	case strings.HasPrefix(o.Key, store.PrefixGrants):
+		r.grants[strings.TrimPrefix(o.Key, store.PrefixGrants)], _ = grant.Decode(o.Value)
+	case strings.HasPrefix(o.Key, store.PrefixOwners):
+		r.owners[strings.TrimPrefix(o.Key, store.PrefixOwners)], _ = once.Decode(o.Value)
+	case o.Key == store.KeyQuarantine:
+		if entries, err := quarantine.Decode(o.Value); err == nil {
+			r.jail.Merge(entries)
+		}
+	}
+}
+
+// publish renews the view from which upstreams are chosen.
+func (r *routerNode) publish() {
+	v := routing.View{Grants: map[string]grant.Object{}, Owners: map[string]once.Owners{}}
+	for k, g := range r.grants {
+		v.Grants[k] = g
+	}
+	for k, o := range r.owners {
+		v.Owners[k] = o
+	}
+	for _, u := range r.members.Upstreams() {
+		draining := !r.members.Candidate(u.VM) && !r.w.broken.ignoreLeaving
+		v.Upstreams = append(v.Upstreams, routing.Upstream{VM: u.VM, Incarnation: u.Incarnation, Addr: u.Addr, Region: u.Region, Zone: u.Zone,
+			Group: u.Group, MemoryBytes: u.MemoryBytes, Tiers: u.Tiers, Draining: draining})
+	}
+	r.state.SetView(v)
+}
+
+func (r *routerNode) config(ev confsync.Event) {
+	for _, a := range r.conf.Step(r.w.now, ev) {
+		switch a := a.(type) {
+		case confsync.ReadStore:
+			r.w.reached(StepSpread, r.name)
+			r.w.store.get(store.KeyConfig, func(o store.Object, err error) {
+				r.deliver(0, func() { r.config(configEvent(o, err)) })
+			})
+		case confsync.AskPeer:
+			r.w.askConfig(r.process, a.Peer, a.Have, func(doc *wire.ConfigDoc) {
+				r.deliver(0, func() { r.config(peerEvent(a.Peer, doc)) })
+			})
+		}
+	}
+}
+
+func configEvent(o store.Object, err error) confsync.Event {
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return confsync.StoreEmpty{}
+	case err != nil:
+		return confsync.StoreDown{}
+	}
+	return confsync.EnvelopeSeen{Value: o.Value}
+}
+
+func peerEvent(peer string, doc *wire.ConfigDoc) confsync.Event {
+	if doc == nil {
+		return confsync.PeerFailed{Peer: peer}
+	}
+	return confsync.PeerAnswered{Peer: peer, Version: doc.Version, Digest: doc.Digest, Raw: doc.Document}
+}
+
+// exchange is one request at a router.
+type exchange struct {
+	r      *routerNode
+	req    *router.Request
+	core   *router.Core
+	out    *simAnswer
+	to     routing.Upstream
+	count  bool
+	st     *simStream
+	conn   *conn
+	opened int // grows with each attempt, so that earlier time-outs are ignored
+	heard  time.Time
+	over   bool
+	done   func(router.Result, string)
+	lost   func()
+}
+
+// simAnswer is the answer as the caller has it. A streamed answer is given on at once, another one when it is whole.
+type simAnswer struct {
+	streamed bool
+	hold     []byte
+	given    []byte
+}
+
+func (a *simAnswer) Begun() bool { return len(a.given) > 0 }
+
+func (a *simAnswer) Prefix() (text []byte, stuck, complete bool) { return a.given, false, false }
+
+func (a *simAnswer) Restart() { a.hold = nil }
+
+func (a *simAnswer) data(b []byte) {
+	if a.streamed {
+		a.given = append(a.given, b...)
+		return
+	}
+	a.hold = append(a.hold, b...)
+}
+
+// whole returns the answer once it is whole.
+func (a *simAnswer) whole() string { return string(a.given) + string(a.hold) }
+
+// serve forwards a request. Lost is called if the router dies before it has answered.
+func (r *routerNode) serve(req *router.Request, streamed bool, done func(router.Result, string), lost func()) *exchange {
+	now := r.w.now
+	r.budget.Request(now)
+	x := &exchange{r: r, req: req, out: &simAnswer{streamed: streamed}, done: done, lost: lost}
+	x.core = router.NewCore(req, x.out, now)
+	r.active[x] = true
+	r.order = append(r.order, x)
+	if !r.w.broken.noDeadline {
+		r.deliver(x.core.RefuseAt().Sub(now), func() {
+			if !x.over && !x.out.Begun() {
+				x.do(x.core.Step(r.w.now, router.Expired{}))
+			}
+		})
+	}
+	if r.jail.Convicted(req.Fingerprint) {
+		refuse := &wire.Refuse{Request: req.ID, Outcome: wire.OutcomeNotRun, Code: wire.CodeQuarantined}
+		x.do(router.Action{Kind: router.Finish, Result: router.Result{Outcome: wire.OutcomeNotRun, Refusal: refuse}})
+		return x
+	}
+	x.do(x.core.Step(now, router.Start{}))
+	return x
+}
+
+// gone says that the caller has closed its connection.
+func (x *exchange) gone() {
+	if !x.over {
+		x.do(x.core.Step(x.r.w.now, router.CallerGone{}))
+	}
+}
+
+func (x *exchange) callerLost() {
+	if !x.over {
+		x.over = true
+		x.lost()
+	}
+}
+
+func (x *exchange) do(a router.Action) {
+	for !x.over {
+		switch a.Kind {
+		case router.Receive:
+			return
+		case router.Choose:
+			a = x.core.Step(x.r.w.now, x.choose(a))
+		case router.Open:
+			x.open(a)
+			return
+		case router.Finish:
+			x.finish(a)
+			return
+		}
+	}
+}
+
+func (x *exchange) choose(a router.Action) router.Chosen {
+	r := x.r
+	r.w.reached(StepRoute, r.name)
+	c, code := r.state.Choose(r.w.now, *a.Ask)
+	if code == "" && a.Retry && !r.budget.Retry(r.w.now) {
+		return router.Chosen{Code: wire.CodeBudget}
+	}
+	return router.Chosen{Choice: c, Code: code}
+}
+
+func (x *exchange) finish(a router.Action) {
+	x.over = true
+	x.leave(a.Cancel)
+	delete(x.r.active, x)
+	body := ""
+	if a.Result.Outcome == wire.OutcomeDone {
+		body = x.out.whole()
+	}
+	x.done(a.Result, body)
+}
+
+// leave ends the current attempt.
+func (x *exchange) leave(cancel bool) {
+	if x.st != nil {
+		if cancel {
+			x.st.cancel()
+		} else {
+			x.st.reset()
+		}
+		x.st = nil
+	}
+	if x.count {
+		x.count = false
+		x.r.state.End(x.to.VM)
+	}
+}
+
+func (x *exchange) open(a router.Action) {
+	r := x.r
+	x.leave(false)
+	if a.Fresh {
+		delete(r.conns, x.to.VM)
+	}
+	x.to, x.count = *a.To, true
+	r.state.Begin(x.to.VM)
+	x.opened++
+	attempt := x.opened
+	a.Open.Sync = r.sync()
+	if r.w.broken.retryUnknown && x.req.NonIdempotent && attempt > 1 {
+		a.Open.NonIdempotent, a.Open.Resume, a.Open.Request = false, false, a.Open.Request+"-again"
+	}
+	use := func(c *conn) {
+		if x.over || x.opened != attempt {
+			return
+		}
+		if c == nil {
+			r.state.Unreachable(x.to.VM, r.w.now)
+			x.do(x.core.Step(r.w.now, router.Lost{Reason: "dial failed"}))
+			return
+		}
+		r.conns[x.to.VM] = c
+		x.conn, x.heard = c, r.w.now
+		x.st = c.open(a.Open, func(m wire.Message) { x.receive(attempt, m) })
+		x.watch(attempt)
+		x.do(x.core.Step(r.w.now, router.Opened{}))
+	}
+	if c := r.conns[x.to.VM]; c != nil && c.usable() {
+		use(c)
+		return
+	}
+	r.dial(r.w.agentAt(a.To.Addr), use)
+}
+
+// watch declares the path dead after stream.SilenceLimit without a frame.
+func (x *exchange) watch(attempt int) {
+	x.r.deliver(stream.SilenceLimit-x.r.w.now.Sub(x.heard), func() {
+		if x.over || x.opened != attempt {
+			return
+		}
+		if x.r.w.now.Sub(x.heard) < stream.SilenceLimit {
+			x.watch(attempt)
+			return
+		}
+		x.r.state.Unreachable(x.to.VM, x.r.w.now)
+		x.do(x.core.Step(x.r.w.now, router.Lost{Sent: true, Reason: "path silent"}))
+	})
+}
+
+// receive handles a frame of an attempt; nil says that the stream ended by a failure.
+func (x *exchange) receive(attempt int, m wire.Message) {
+	if x.over || x.opened != attempt {
+		return
+	}
+	now := x.r.w.now
+	x.heard = now
+	switch m := m.(type) {
+	case nil:
+		if x.conn != nil && x.conn.dropped {
+			delete(x.r.conns, x.to.VM)
+		}
+		x.do(x.core.Step(now, router.Lost{Sent: true, Reason: "stream ended"}))
+	case *wire.Accept:
+		x.core.Heard()
+		x.report(m.Load, m.Sync)
+	case *wire.Ping:
+		x.core.Heard()
+		x.report(m.Load, m.Sync)
+	case *wire.Head:
+		x.core.Head(m)
+	case *wire.Data:
+		x.data(now, m)
+	case *wire.End:
+		x.report(m.Load, m.Sync)
+		a, _ := x.core.End(now, m)
+		x.do(a)
+	case *wire.Refuse:
+		x.report(m.Load, m.Sync)
+		if x.r.w.broken.claimNotRun && m.Outcome == wire.OutcomeUnknown {
+			m.Outcome = wire.OutcomeNotRun
+		}
+		x.do(x.core.Refused(now, m))
+	}
+}
+
+func (x *exchange) data(now time.Time, m *wire.Data) {
+	if x.r.w.broken.takeAnyFrame {
+		x.out.data(m.Bytes)
+	}
+	fresh, a, _ := x.core.Data(now, m)
+	if !x.r.w.broken.takeAnyFrame {
+		x.out.data(fresh)
+	}
+	if len(fresh) > 0 {
+		x.r.w.reached(StepStream, x.to.VM)
+	}
+	x.do(a)
+}
+
+func (x *exchange) report(l wire.Load, s wire.Sync) {
+	r := x.r
+	r.state.Report(x.to.VM, l, r.w.now)
+	if l.Draining && !r.w.broken.ignoreLeaving {
+		r.members.Announce(x.to.VM)
+		r.publish()
+	}
+	if s.ConfigVersion > r.conf.Version() {
+		r.config(confsync.VersionHeard{Peer: x.to.Addr, Version: s.ConfigVersion})
+	}
+	if s.QuarantineHash != r.jail.Hash() && r.w.now.Sub(r.heardAt) >= exchangeInterval {
+		r.heardAt = r.w.now
+		r.w.exchangeQuarantine(r.process, x.to.Addr, r.jail.Entries(), func(entries []wire.QuarantineEntry) {
+			r.deliver(0, func() { r.jail.Merge(entries) })
+		})
+	}
+}
+
+// exchangeInterval is the least time between two exchanges of quarantine lists that a router starts.
+const exchangeInterval = 2 * time.Second
+
+func (r *routerNode) sync() wire.Sync {
+	return wire.Sync{ConfigVersion: r.conf.Version(), QuarantineHash: r.jail.Hash()}
+}
+
+// model returns the model's entry in the configuration in force at this router.
+func (r *routerNode) model(name string) (config.Model, bool) {
+	d := r.conf.Current()
+	if d == nil {
+		return config.Model{}, false
+	}
+	for _, m := range d.Config.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return config.Model{}, false
+}
--- /dev/null
+++ b/pkg/matrix/vms.go
@@ -0,0 +1,60 @@
+package matrix
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+)
+
+// vmList is the platform's list. Readers see it as it was lag ago.
+type vmList struct {
+	w       *World
+	current map[string]vmlist.VM
+	history []vmSnapshot
+	lag     time.Duration
+}
+
+type vmSnapshot struct {
+	at  time.Time
+	vms []vmlist.VM
+}
+
+// usualLag is the list's lag without a fault. With the fault it lags by vmlist.MaxLag.
+const usualLag = 2 * time.Second
+
+func newVMList(w *World) *vmList {
+	return &vmList{w: w, current: map[string]vmlist.VM{}, lag: usualLag}
+}
+
+func (l *vmList) set(vm vmlist.VM) {
+	l.current[vm.ID] = vm
+	l.record()
+}
+
+func (l *vmList) remove(id string) {
+	delete(l.current, id)
+	l.record()
+}
+
+func (l *vmList) record() {
+	var vms []vmlist.VM
+	for _, vm := range l.current {
+		vms = append(vms, vm)
+	}
+	slices.SortFunc(vms, func(a, b vmlist.VM) int { return strings.Compare(a.ID, b.ID) })
+	l.history = append(l.history, vmSnapshot{at: l.w.now, vms: vms})
+}
+
+// read returns the list as it was the lag ago, or as it was first.
+func (l *vmList) read() []vmlist.VM {
+	at := l.w.now.Add(-l.lag)
+	view := l.history[0]
+	for _, s := range l.history {
+		if !s.at.After(at) {
+			view = s
+		}
+	}
+	return view.vms
+}
--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ring"
 	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
@@ -37,8 +38,6 @@
 	OnReady  func()
 	Log      *log.Logger
 	Scope    tally.Scope
-	// Quarantine holds the list of requests that have crashed upstreams; nil for none.
-	Quarantine Quarantine
 }
 
 // Control is the duty that turns updates of the store, the VM list and peers into views and configurations.
@@ -69,7 +68,7 @@
 	return &Control{
 		o: o, events: ring.New[any](controlEvents), conf: confsync.New(), members: membership.New(),
 		grants: map[string]grant.Object{}, owners: map[string]once.Owners{}, storeUp: true,
-		ignored: o.Scope.Counter("ignored_objects"), jail: newJail(o.Quarantine),
+		ignored: o.Scope.Counter("ignored_objects"), jail: jail{list: quarantine.New()},
 	}
 }
 
--- a/pkg/router/control_test.go
+++ b/pkg/router/control_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ring"
 	"github.com/hibiscuscross/hibiscuscross/pkg/router"
 	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
@@ -24,30 +25,6 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
-// fingerprints is a Quarantine. Its hash is the sum of its fingerprints.
-type fingerprints map[uint64]bool
-
-func (f fingerprints) Merge(entries []wire.QuarantineEntry) bool {
-	for _, e := range entries {
-		f[e.Fingerprint] = true
-	}
-	return true
-}
-func (f fingerprints) Entries() (out []wire.QuarantineEntry) {
-	for fp := range f {
-		out = append(out, wire.QuarantineEntry{Fingerprint: fp})
-	}
-	return out
-}
-func (f fingerprints) Hash() (sum uint64) {
-	for fp := range f {
-		sum += fp
-	}
-	return sum
-}
-func (f fingerprints) Convicted(fp uint64) bool                          { return f[fp] }
-func (f fingerprints) DecodeList([]byte) ([]wire.QuarantineEntry, error) { return nil, nil }
-
 // control is a running control duty.
 type control struct {
 	*router.Control
@@ -55,11 +32,11 @@
 	views   chan routing.View
 }
 
-func newControl(q router.Quarantine, ready func()) *control {
+func newControl(ready func()) *control {
 	pool := transport.NewPool(newTransport("vm-router"))
 	c := &control{updates: ring.New[watch.Update](8), views: make(chan routing.View, 8)}
 	c.Control = router.NewControl(router.ControlOptions{
-		Store: standin.NewMemStore(0), Pool: pool, Quarantine: q, Log: log.New(io.Discard), OnReady: ready,
+		Store: standin.NewMemStore(0), Pool: pool, Log: log.New(io.Discard), OnReady: ready,
 		OnView: func(v routing.View) { c.views <- v }, OnConfig: func(*config.Document) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,7 +54,7 @@
 	// Guards against new work on a VM that the list or its own notice calls leaving (I7), and against a leaving owner of
 	// key slots that can no longer be asked for an answer.
 	It("keeps leaving upstreams in the view as draining", func() {
-		c := newControl(nil, func() {})
+		c := newControl(func() {})
 		for i, vm := range []string{"vm-a", "vm-b", "vm-c"} {
 			c.update(watch.Update{Source: watch.SourceStore, Objects: []store.Object{{Key: membership.Key(vm), Version: uint64(i + 1), Value: membership.Upstream{VM: vm, Addr: "127.0.0.1:1"}.Encode()}}})
 			Eventually(c.views).Should(Receive())
@@ -92,11 +69,15 @@
 	It("exchanges the quarantine list with an agent that has another one", func() {
 		agent := newFakeAgent("vm-0", func(*call) {})
 		agent.quarantine = []wire.QuarantineEntry{{Fingerprint: 7}}
-		c := newControl(fingerprints{5: true}, func() {})
+		c := newControl(func() {})
+		list := quarantine.New()
+		list.Merge([]wire.QuarantineEntry{{Fingerprint: 5}})
+		c.update(watch.Update{Source: watch.SourceStore, Objects: []store.Object{{Key: store.KeyQuarantine, Version: 1, Value: list.Encode()}}})
+		Eventually(func() bool { return c.Quarantined(5) }).Should(BeTrue())
 		Expect(c.Quarantined(7)).To(BeFalse())
 		c.Heard(agent.listener.Addr(), wire.Sync{QuarantineHash: 7})
 		Eventually(func() bool { return c.Quarantined(7) }).Should(BeTrue())
-		Expect(agent.heard()).To(Equal([]wire.QuarantineEntry{{Fingerprint: 5}}))
+		Expect(agent.heard()).To(HaveExactElements(HaveField("Fingerprint", uint64(5))))
 		res, _ := serve(newRouter(router.Options{Quarantined: c.Quarantined}, agent), &router.Request{ID: "a", Fingerprint: 7, Deadline: time.Now().Add(time.Second)})
 		Expect([]any{res.Outcome, res.Refusal.Code}).To(Equal([]any{wire.OutcomeNotRun, wire.CodeQuarantined}))
 		Expect(agent.calls()).To(BeEmpty())
@@ -108,7 +89,7 @@
 		envelope, err := config.NewEnvelope(0, raw).Encode()
 		Expect(err).NotTo(HaveOccurred())
 		ready := make(chan struct{})
-		c := newControl(nil, func() { close(ready) })
+		c := newControl(func() { close(ready) })
 		c.update(watch.Update{Source: watch.SourceStore, Objects: []store.Object{{Key: store.KeyConfig, Version: 1, Value: envelope}}})
 		Eventually(ready).WithTimeout(5 * time.Second).Should(BeClosed())
 		answer := make(chan wire.Message, 1)
