--- a/pkg/agent/admit.go
+++ b/pkg/agent/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/url"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,29 @@
 		return wire.CodeNoConfig, "the agent has no configuration for its group"
 	case c.models() != (o.Kind == wire.KindModel):
 		return wire.CodeNoUpstream, "the upstream is of another kind"
+	case o.Kind == wire.KindPlain:
+		return c.precheckPlain(o)
+	}
+	return "", ""
+}
+
+// precheckPlain checks a call of a plain service against the configuration in force here. The router's may be older, and
+// must not make a call without a key of one that runs at most once.
+func (c *Core) precheckPlain(o *wire.Open) (wire.Code, string) {
+	s := c.services[o.Service]
+	if s == nil {
+		return wire.CodeNoUpstream, "the service is not one of the upstream's group"
+	}
+	u, err := url.ParseRequestURI(o.Path)
+	if err != nil {
+		return wire.CodeBadRequest, "field path is malformed"
+	}
+	call := s.Match(o.Method, u.Path)
+	switch {
+	case call == nil:
+		return wire.CodeBadRequest, "the service has no such call"
+	case call.NonIdempotent && !o.NonIdempotent:
+		return wire.CodeBadRequest, "the call needs an idempotency key"
 	}
 	return "", ""
 }
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -44,15 +44,16 @@
 
 // Core composes the decisions of an agent. It is a pure state machine and not safe for concurrent use.
 type Core struct {
-	o       Options
-	conf    *confsync.State
-	kind    config.GroupKind
-	members *membership.State
-	once    *once.State
-	queue   *admission.Queue
-	jail    *quarantine.State
-	res     *residency.State
-	places  *loadplan.Coordinator
+	o        Options
+	conf     *confsync.State
+	kind     config.GroupKind           // of the group, "" before a configuration
+	services map[string]*config.Service // of the group
+	members  *membership.State
+	once     *once.State
+	queue    *admission.Queue
+	jail     *quarantine.State
+	res      *residency.State
+	places   *loadplan.Coordinator
 
 	jobs     map[string]*job        // by run id
 	requests map[string]*attachment // by request id
@@ -78,7 +79,7 @@
 // NewCore returns the core of a starting agent.
 func NewCore(o Options) *Core {
 	return &Core{
-		o: o, conf: confsync.New(), members: membership.New(), once: once.New(o.VM, o.Start, o.Once),
+		o: o, conf: confsync.New(), services: map[string]*config.Service{}, members: membership.New(), once: once.New(o.VM, o.Start, o.Once),
 		queue: admission.New(o.Queue, defaultSlots), jail: quarantine.New(),
 		res:    residency.New(residency.Options{VM: o.VM, Incarnation: o.Incarnation, Group: o.Group, TrustFence: o.TrustFence}),
 		places: loadplan.NewCoordinator(loadplan.Places, weightStoreSpeed),
@@ -139,6 +140,7 @@
 		for _, o := range ev.Objects {
 			c.objectChanged(o)
 		}
+		c.feedMembers() // once for all: the first listing has a record of each agent
 	case StoreFailed:
 		c.config(confsync.StoreDown{})
 	case VMsSeen:
@@ -186,7 +188,11 @@
 		}
 	}
 	var keyed []string
+	clear(c.services)
 	for _, s := range d.Config.Services {
+		if s.Group == c.o.Group {
+			c.services[s.Name] = &s
+		}
 		if s.Group == c.o.Group && slices.ContainsFunc(s.Calls, func(call config.Call) bool { return call.NonIdempotent }) {
 			keyed = append(keyed, s.Name)
 		}
--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -125,6 +125,19 @@
 		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeNoConfig), HaveField("Outcome", wire.OutcomeNotRun)))
 	})
 
+	// Guards against a router with an older configuration that sends a loan without a key.
+	It("are told from idempotent ones by the configuration in force here", func() {
+		o := loan("a", "")
+		o.NonIdempotent = false
+		r.open(o)
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeBadRequest), HaveField("Outcome", wire.OutcomeNotRun)))
+		o = lookup("b")
+		o.Service = "other"
+		r.open(o)
+		Expect(r.refusal()).To(HaveField("Code", wire.CodeNoUpstream))
+		Expect(r.started()).To(BeEmpty())
+	})
+
 	// Guards against routers that keep sending to an agent that does not own the slot.
 	It("are redirected to the owner", func() {
 		key := keyAt(r.now, 1)
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -122,7 +122,16 @@
 	client *quic.Transport
 }
 
+// newHarness starts an agent beside a scripted upstream.
 func newHarness(group string) *harness {
+	s := newScript()
+	h := startHarness(group, s)
+	h.engine = s
+	return h
+}
+
+// startHarness starts an agent beside any upstream.
+func startHarness(group string, upstream engine.Engine) *harness {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	authority, err := devcert.NewAuthority()
 	Expect(err).NotTo(HaveOccurred())
@@ -131,7 +140,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		return quic.New(cert, authority.Pool())
 	}
-	h := &harness{ctx: ctx, engine: newScript(), store: standin.NewMemStore(0), client: newTransport("vm-r")}
+	h := &harness{ctx: ctx, store: standin.NewMemStore(0), client: newTransport("vm-r")}
 	_, err = h.store.Put(ctx, store.KeyConfig, testConfig(), store.MustNotExist)
 	Expect(err).NotTo(HaveOccurred())
 	server := newTransport("vm-a")
@@ -142,7 +151,7 @@
 	h.agent = New(
 		Options{VM: "vm-a", Incarnation: "i1", Group: group, Addr: h.addr, Start: time.Now().Add(-once.ClockAllowance - time.Second),
 			Queue: admission.DefaultLimits(), Once: once.DefaultLimits()},
-		Parts{Listener: l, Transport: server, Engine: h.engine, Store: h.store, VMs: oneVM{}, Scope: tally.NoopScope,
+		Parts{Listener: l, Transport: server, Engine: upstream, Store: h.store, VMs: oneVM{}, Scope: tally.NoopScope,
 			Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(io.Discard), OnReady: func() { close(ready) }},
 	)
 	ended := make(chan error, 1)
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -113,6 +113,7 @@
 	case j.resumes == 0 && (errors.Is(ev.Err, engine.ErrNotStarted) || errors.Is(ev.Err, engine.ErrRefused)):
 		c.leaveUpstream(j, false)
 		c.notRun(j, wire.CodeUpstreamDown, ev.Err.Error())
+		c.check() // the upstream may have a new process that holds nothing
 	case j.stopping:
 		c.leaveUpstream(j, false)
 		c.finish(j, nil, refuseUnknown(wire.CodeExpired, "the request was cancelled or its deadline passed"))
@@ -202,6 +203,7 @@
 func (c *Core) engineDied() {
 	c.emit(LogChange{Message: "upstream process ended"})
 	c.jail.Crashed(c.now)
+	c.residency(residency.EngineLost{}) // the targets of the calls that run again are cold now
 	for _, j := range c.ordered() {
 		if j.phase != running && j.phase != limbo {
 			continue
@@ -210,9 +212,6 @@
 		c.leaveUpstream(j, false)
 		c.lost(j)
 	}
-	if c.models() {
-		c.residency(residency.EngineLost{})
-	}
 	c.refuseConvicted()
 }
 
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -164,6 +164,7 @@
 		c.selfMirror.written(c.now, ev.Value, ev.Version, ev.Err)
 		if ev.Err == nil { // the watch would show it seconds later
 			c.memberChanged(store.Object{Key: ev.Key, Version: ev.Version, Value: ev.Value})
+			c.feedMembers()
 		}
 	default:
 		c.residency(residency.ObjectWritten{Key: ev.Key, Version: ev.Version, Err: ev.Err})
@@ -207,7 +208,6 @@
 	if err := c.members.SeeObject(o); err != nil {
 		c.emit(LogChange{Message: "upstream record ignored", Err: err})
 	}
-	c.feedMembers()
 }
 
 func (c *Core) vmsSeen(ev VMsSeen) {
