--- a/cmd/hibiscuscrossd/agent.go
+++ b/cmd/hibiscuscrossd/agent.go
@@ -51,6 +51,7 @@
 	TrustFence    bool          `help:"The upstream refuses orders with an old fencing number." env:"HIBISCUSCROSS_TRUST_FENCE"`
 	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
 	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
+	Peers         []string      `help:"Addresses of processes to ask for the configuration at start, ip:port, beside those of the VM list." env:"HIBISCUSCROSS_PEERS"`
 	DrainTimeout  time.Duration `help:"Longest time from SIGTERM to the end; 1s to 1h." default:"15m" env:"HIBISCUSCROSS_DRAIN_TIMEOUT"`
 	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
 	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
@@ -74,6 +75,9 @@
 	for flag, value := range map[string]string{"listen": a.Listen, "ops-listen": a.OpsListen} {
 		check(isEndpoint(value), flag, value, addr)
 	}
+	for _, value := range a.Peers {
+		check(isEndpoint(value), "peers", value, addr)
+	}
 	for flag, value := range map[string]string{"engine": a.Engine, "store-url": a.StoreURL, "vm-list-url": a.VMListURL} {
 		check(isLink(value), flag, value, link)
 	}
@@ -161,7 +165,7 @@
 
 func (p *agentProcess) options() agent.Options {
 	a := p.cmd
-	return agent.Options{VM: a.VM, Incarnation: uuid.NewString(), Region: a.Region, Zone: a.Zone, Group: a.Group, Addr: a.Listen,
+	return agent.Options{VM: a.VM, Incarnation: uuid.NewString(), Region: a.Region, Zone: a.Zone, Group: a.Group, Addr: a.Listen, Peers: a.Peers,
 		Start: time.Now(), TrustFence: a.TrustFence, Queue: admission.DefaultLimits(), Once: once.DefaultLimits()}
 }
 
--- a/cmd/hibiscuscrossd/agent_test.go
+++ b/cmd/hibiscuscrossd/agent_test.go
@@ -27,6 +27,7 @@
 		{func(a *agentCmd) { a.Group = "" }, `--group="": allowed is a name`},
 		{func(a *agentCmd) { a.Listen = "0.0.0.0:7001" }, `--listen="0.0.0.0:7001": allowed is an IP address`},
 		{func(a *agentCmd) { a.OpsListen = "localhost:1" }, `--ops-listen="localhost:1": allowed is an IP address`},
+		{func(a *agentCmd) { a.Peers = []string{"x"} }, `--peers="x": allowed is an IP address`},
 		{func(a *agentCmd) { a.Module = "engine.x" }, `--engine-module="engine.x": allowed is engine.openai or engine.plain`},
 		{func(a *agentCmd) { a.Engine = "127.0.0.1:9000" }, `--engine="127.0.0.1:9000": allowed is an http or https URL`},
 		{func(a *agentCmd) { a.StoreURL = "" }, `--store-url="": allowed is an http`},
--- a/pkg/agent/admit.go
+++ b/pkg/agent/admit.go
@@ -98,7 +98,11 @@
 	case once.Start:
 		c.enqueue(ev, &job{keyed: true, call: call})
 	case once.Join:
-		c.attach(ev, c.jobs[v.Run]) // the job of a running entry is kept until the entry is finished
+		if j := c.jobs[v.Run]; j != nil {
+			c.attach(ev, j)
+			return
+		}
+		c.refuseKey(ev, once.Unknown)
 	case once.Stored:
 		c.emit(AnswerStream{Stream: ev.Stream, Request: o.Request, Attempt: o.Attempt, Offset: o.Offset, Answer: v.Answer})
 	case once.NotOwner:
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -35,7 +35,8 @@
 // Options name the agent and its place.
 type Options struct {
 	VM, Incarnation, Region, Zone, Group string
-	Addr                                 string // "ip:port" for peers
+	Addr                                 string   // "ip:port" for peers
+	Peers                                []string // "ip:port" of processes that may have the configuration at the start
 	Start                                time.Time
 	TrustFence                           bool // the engine refuses orders with old fencing numbers
 	Queue                                admission.Limits
@@ -63,6 +64,7 @@
 	capacity   int64
 	epoch      string // of the engine process, "" before the first listing
 	engineDown bool
+	storeDown  bool
 	checking   bool   // a listing asked for by check is out
 	checks     uint64 // number of the last one
 
@@ -137,12 +139,14 @@
 		c.objectWritten(ev)
 	case StoreChanged:
 		c.config(confsync.StoreUp{})
+		c.storeSeen(nil)
 		for _, o := range ev.Objects {
 			c.objectChanged(o)
 		}
 		c.feedMembers() // once for all: the first listing has a record of each agent
 	case StoreFailed:
 		c.config(confsync.StoreDown{})
+		c.storeSeen(ev.Err)
 	case VMsSeen:
 		c.vmsSeen(ev)
 	case ConfigAnswered:
@@ -164,6 +168,14 @@
 	}
 }
 
+// storeSeen reports the beginning and the end of an outage of the store.
+func (c *Core) storeSeen(err error) {
+	if down := err != nil; down != c.storeDown {
+		c.storeDown = down
+		c.emit(LogChange{Message: map[bool]string{true: "object API unreachable", false: "object API reachable"}[down], Err: err})
+	}
+}
+
 // config feeds the configuration decision.
 func (c *Core) config(ev confsync.Event) {
 	for _, a := range c.conf.Step(c.now, ev) {
@@ -314,40 +326,6 @@
 	return wire.Sync{ConfigVersion: c.conf.Version(), QuarantineHash: c.jail.Hash()}
 }
 
-// Status is what operators see of an agent.
-type Status struct {
-	VM, Incarnation, Group string
-	ConfigVersion          uint64
-	Load                   wire.Load
-	EngineEpoch            string
-	EngineDown             bool
-	Residents, Grants      []string
-	MemoryBooked           int64 // bytes
-	MemoryLimit            int64 // bytes
-	Quarantined            int
-	Keys                   int
-	KeySlots               map[string]int // by service
-}
-
-// Status returns the present status.
-func (c *Core) Status() Status {
-	s := Status{VM: c.o.VM, Incarnation: c.o.Incarnation, Group: c.o.Group, ConfigVersion: c.conf.Version(), Load: c.Load(),
-		EngineEpoch: c.epoch, EngineDown: c.engineDown, Quarantined: len(c.jail.Entries()), KeySlots: map[string]int{}}
-	for _, t := range c.res.Residents() {
-		s.Residents = append(s.Residents, strings.TrimSuffix(t.Model+"/"+t.Adapter, "/"))
-	}
-	s.Grants, s.MemoryBooked, s.MemoryLimit = c.res.Held(), c.res.MemoryBooked(), c.res.MemoryLimit()
-	s.Keys, _ = c.once.Len()
-	if d := c.conf.Current(); d != nil {
-		for _, svc := range d.Config.Services {
-			if n := c.once.Held(svc.Name); n > 0 {
-				s.KeySlots[svc.Name] = n
-			}
-		}
-	}
-	return s
-}
-
 // Document returns the configuration in force, or nil.
 func (c *Core) Document() *config.Document { return c.conf.Current() }
 
--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
@@ -125,6 +126,22 @@
 		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeNoConfig), HaveField("Outcome", wire.OutcomeNotRun)))
 	})
 
+	// Guards against an agent that cannot start while the object API is down.
+	It("are served with a configuration from a peer, whose address is in the VM list", func() {
+		r.storeUp = false
+		r.c = NewCore(Options{VM: "vm-a", Addr: "10.0.0.1:7001", Group: "p", Start: r.now, Queue: limits, Once: once.DefaultLimits()})
+		r.step(Tick{})
+		r.step(VMsSeen{Began: r.now, VMs: []vmlist.VM{{ID: "vm-a", Addr: "10.0.0.1"}, {ID: "vm-b", Addr: "10.0.0.2"}}})
+		r.after(100 * time.Millisecond)
+		Expect(r.acts).To(ContainElement(AskConfig{Peer: "10.0.0.2:7001"}))
+		e, err := config.DecodeEnvelope(testConfig())
+		Expect(err).NotTo(HaveOccurred())
+		r.step(ConfigAnswered{Peer: "10.0.0.2:7001", Doc: &wire.ConfigDoc{Version: 1, Digest: e.Digest, Document: e.Raw}})
+		r.after(3 * time.Second)
+		r.open(lookup("a"))
+		Expect(r.started()).To(Equal([]string{"a"}))
+	})
+
 	// Guards against a router with an older configuration that sends a loan without a key.
 	It("are told from idempotent ones by the configuration in force here", func() {
 		o := loan("a", "")
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/goleak"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
 	"github.com/hibiscuscross/hibiscuscross/pkg/devcert"
@@ -34,6 +35,7 @@
 type script struct {
 	mu       sync.Mutex
 	epoch    string
+	life     chan struct{} // closed when the epoch ends
 	starts   []engine.Call
 	resumes  []engine.Call
 	pieces   chan piece
@@ -42,7 +44,7 @@
 }
 
 func newScript() *script {
-	return &script{epoch: "e1", pieces: make(chan piece, 64), ended: make(chan struct{}, 64)}
+	return &script{epoch: "e1", life: make(chan struct{}), pieces: make(chan piece, 64), ended: make(chan struct{}, 64)}
 }
 
 func (s *script) Order(context.Context, engine.Order) error { return nil }
@@ -57,20 +59,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starts = append(s.starts, c)
-	return &scriptStream{s}, s.startErr
+	return &scriptStream{s, s.life}, s.startErr
 }
 
 func (s *script) Resume(_ context.Context, c engine.Call) (engine.Stream, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.resumes = append(s.resumes, c)
-	return &scriptStream{s}, nil
+	return &scriptStream{s, s.life}, nil
 }
 
+// restart begins an epoch and ends the calls of the one before.
 func (s *script) restart(epoch string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch = epoch
+	close(s.life)
+	s.life = make(chan struct{})
 }
 
 func (s *script) seen() (starts, resumes []engine.Call) {
@@ -87,7 +92,10 @@
 
 func (s *script) fail(err error) { s.pieces <- piece{err: err} }
 
-type scriptStream struct{ s *script }
+type scriptStream struct {
+	s    *script
+	life chan struct{}
+}
 
 func (t *scriptStream) Head() engine.Head { return engine.Head{Status: 200} }
 
@@ -95,6 +103,8 @@
 	select {
 	case p := <-t.s.pieces:
 		return []byte(p.bytes), p.err
+	case <-t.life:
+		return nil, engine.ErrDied
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -132,6 +142,7 @@
 
 // startHarness starts an agent beside any upstream.
 func startHarness(group string, upstream engine.Engine) *harness {
+	others := goleak.IgnoreCurrent()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	authority, err := devcert.NewAuthority()
 	Expect(err).NotTo(HaveOccurred())
@@ -160,6 +171,7 @@
 		cancel()
 		Eventually(ended, "5s").Should(Receive(BeNil()))
 		Expect(l.Close()).To(Succeed())
+		Eventually(func() error { return goleak.Find(others) }, "5s").Should(Succeed())
 	})
 	Eventually(ready, "5s").Should(BeClosed())
 	return h
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -297,8 +297,11 @@
 	if j.began || j.sent {
 		r.Outcome = wire.OutcomeUnknown
 	}
-	if j.keyed && r.Outcome == wire.OutcomeNotRun {
+	switch {
+	case j.keyed && r.Outcome == wire.OutcomeNotRun:
 		c.once.Abort(j.call)
+	case j.keyed:
+		c.once.Finish(j.call, nil)
 	}
 	c.end(j, r)
 }
--- a/pkg/agent/metrics.go
+++ b/pkg/agent/metrics.go
@@ -30,8 +30,8 @@
 }
 
 func (m *metrics) gauges(s Status) {
-	m.scope.Gauge("queue_length").Update(float64(s.Load.Queued))
-	m.scope.Gauge("running").Update(float64(s.Load.Running))
+	m.scope.Gauge("queue_length").Update(float64(s.Queued))
+	m.scope.Gauge("running").Update(float64(s.Running))
 	m.scope.Gauge("residents").Update(float64(len(s.Residents)))
 	m.scope.Gauge("grants").Update(float64(len(s.Grants)))
 	m.scope.Gauge("memory_booked_bytes").Update(float64(s.MemoryBooked))
--- a/pkg/agent/runtime_test.go
+++ b/pkg/agent/runtime_test.go
@@ -94,8 +94,6 @@
 			beside := h.send(c, attempt(prompt("b", "m"), 1, 0))
 			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(2))
 			h.engine.restart("e2")
-			h.engine.fail(engine.ErrDied)
-			h.engine.fail(engine.ErrDied)
 			Eventually(func() []engine.Call { s, _ := h.engine.seen(); return s }, "5s").Should(HaveLen(3))
 			h.engine.give("again")
 			h.engine.fail(io.EOF)
@@ -149,7 +147,7 @@
 				return m.(*wire.QuarantineList).Entries
 			}, "5s").Should(Equal(bad))
 			Expect(h.send(c, attempt(prompt("bad", "m"), 1, 0)).end()).To(HaveField("Code", wire.CodeQuarantined))
-			Eventually(func() string { return h.status(c) }, "5s").Should(ContainSubstring(`"Quarantined":1`))
+			Eventually(func() string { return h.status(c) }, "5s").Should(ContainSubstring(`"quarantined":1`))
 			place := h.send(c, &wire.LoadAsk{ID: "p1", VM: "vm-r", Model: "m", Bytes: 1, TimeoutMS: 1000})
 			m, err = place.next()
 			Expect(err).NotTo(HaveOccurred())
@@ -164,7 +162,7 @@
 		BeforeEach(func() {
 			h = newHarness("p")
 			c := h.dial()
-			Eventually(func() string { return h.status(c) }, "10s").Should(ContainSubstring(`"KeySlots":{"loans":64}`))
+			Eventually(func() string { return h.status(c) }, "10s").Should(ContainSubstring(`"keySlots":{"loans":64}`))
 		})
 
 		// Guards against a second loan by a resend over another connection, during the first run and after it.
--- a/pkg/agent/standin_test.go
+++ b/pkg/agent/standin_test.go
@@ -73,6 +73,7 @@
 			Expect(strings.Count(e.body, "data: [DONE]")).To(Equal(1))
 			Expect(strings.Count(e.body, "data: ")).To(BeNumerically(">=", 200))
 			Expect(model.Counts()).To(And(HaveField("Calls", uint64(1)), HaveField("Resumes", BeNumerically(">=", 1))))
+			conns.Drop() // ends the stand-in's side of the silent connections
 		})
 
 		// Guards against a request that crashes each engine which runs it, and against the loss of the requests beside it.
@@ -106,7 +107,7 @@
 		DeferCleanup(server.Close)
 		h := startHarness("p", provision(ctx, &plain.Engine{}, server.URL()))
 		c := h.dial()
-		Eventually(func() string { return h.status(c) }, "10s").Should(ContainSubstring(`"KeySlots":{"loans":64}`))
+		Eventually(func() string { return h.status(c) }, "10s").Should(ContainSubstring(`"keySlots":{"loans":64}`))
 		service.SetFaults(standin.PlainFaults{LoseAnswers: 1})
 		outcomes := map[wire.Outcome]int{}
 		for i := range 12 {
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/config"
@@ -11,6 +13,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
@@ -212,6 +215,7 @@
 
 func (c *Core) vmsSeen(ev VMsSeen) {
 	c.members.SeeVMs(ev.Began, ev.VMs)
+	c.feedPeers(ev.VMs)
 	c.residency(residency.VMsSeen{VMs: ev.VMs})
 	c.feedMembers()
 	if c.members.Leaving(c.o.VM) {
@@ -221,11 +225,8 @@
 
 // feedMembers tells the decisions which agents are live.
 func (c *Core) feedMembers() {
-	var group, models, addrs []string
+	var group, models []string
 	for _, u := range c.members.Candidates() {
-		if u.VM != c.o.VM {
-			addrs = append(addrs, u.Addr)
-		}
 		if u.Group == c.o.Group {
 			group = append(group, u.VM)
 		}
@@ -235,7 +236,23 @@
 	}
 	c.onceStep(once.Members{Live: group, Gone: c.members.GoneVMs()})
 	c.residency(residency.Candidates{VMs: models})
-	if c.conf.Version() == 0 {
-		c.config(confsync.PeersKnown{Addrs: addrs})
+}
+
+// feedPeers tells a starting process whom to ask for the configuration. During an outage of the store no agent's record
+// can be read, so the addresses come from the VM list and the port that is the same on all VMs. Each read of the list
+// gives another order, because the first ones asked may be entry VMs or not answer.
+func (c *Core) feedPeers(vms []vmlist.VM) {
+	if c.conf.Version() != 0 {
+		return
+	}
+	_, port, _ := net.SplitHostPort(c.o.Addr)
+	addrs := slices.Clone(c.o.Peers)
+	for _, vm := range vms {
+		if vm.ID != c.o.VM {
+			addrs = append(addrs, net.JoinHostPort(vm.Addr, port))
+		}
 	}
+	slices.Sort(addrs)
+	key := c.o.Incarnation + c.now.String()
+	c.config(confsync.PeersKnown{Addrs: loadplan.Rank(key, slices.Compact(addrs))})
 }
