Ignore late listings and late attempts at the agent

Cause: listings run side by side, so that one of an ended upstream process could arrive after one of its successor and count a second crash. The Open frame of an older attempt could arrive after a newer one was refused as not run, and run. The scripted engine of the tests ignored unload orders, which made a spec flaky. Change: ended epochs and ended requests are remembered for a while; listings and attempts that belong to them are dropped. The script carries out orders, and the tests write the agent's log lines to the report of a failed spec. Conclusion: a crash is counted once, and a not-run stays true.

--- a/pkg/agent/admit.go
+++ b/pkg/agent/admit.go
@@ -20,6 +20,10 @@
 		c.reattach(ev, a)
 		return
 	}
+	if c.late.isLate(o.Request, o.Attempt) {
+		c.emit(DropStream{Stream: ev.Stream})
+		return
+	}
 	if code, reason := c.precheck(o); code != "" {
 		c.refuse(ev, code, reason, unproved(o))
 		return
@@ -238,6 +242,7 @@
 
 func (c *Core) send(stream uint64, o *wire.Open, r *wire.Refuse) {
 	r.Request, r.Attempt = o.Request, o.Attempt
+	c.late.add(c.now, o.Request, o.Attempt)
 	c.emit(RefuseStream{Stream: stream, Refuse: r})
 }
 
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -59,10 +59,12 @@
 	jobs     map[string]*job        // by run id
 	requests map[string]*attachment // by request id
 	streams  map[uint64]*attachment
+	late     lateGuard
 
 	tiers      map[string]engine.Tier
 	capacity   int64
-	epoch      string // of the engine process, "" before the first listing
+	epoch      string   // of the engine process, "" before the first listing
+	past       []string // earlier epochs, the latest last
 	engineDown bool
 	storeDown  bool
 	checking   bool   // a listing asked for by check is out
@@ -117,7 +119,11 @@
 		}
 		c.engineSeen(ev.Listing, ev.Err, ev.Number)
 	case Listed:
-		c.engineSeen(ev.Listing, ev.Err, 0)
+		if ev.Err == nil && c.isPast(ev.Listing.Epoch) {
+			ev.Err = errPastEpoch
+		} else {
+			c.engineSeen(ev.Listing, ev.Err, 0)
+		}
 		c.residency(residency.Listed{Listing: ev.Listing, Err: ev.Err})
 	case OrderDone:
 		c.residency(residency.OrderDone{Order: ev.Order, Err: ev.Err})
--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -214,6 +214,22 @@
 		Expect(stopped).To(BeTrue())
 	})
 
+	// Guards against a false not-run: an older attempt arrives after a newer one was refused, and runs.
+	It("do not run by an older attempt that arrives after a refusal", func() {
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			r.open(lookup(id))
+		}
+		o := loan("late", keyAt(r.now, 1))
+		o.Attempt, o.Resume = 2, true
+		r.open(o)
+		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeQueueFull), HaveField("Outcome", wire.OutcomeNotRun)))
+		r.done("a", nil)
+		r.started()
+		first := r.open(loan("late", o.Key))
+		Expect(r.acts).To(ContainElement(DropStream{Stream: first}))
+		Expect(r.started()).To(BeEmpty())
+	})
+
 	// Guards against an older attempt's late frames taking the answer away from the newer one.
 	It("follow the highest attempt", func() {
 		newer := lookup("a")
@@ -275,6 +291,22 @@
 		Expect(entries).To(HaveLen(1))
 	})
 
+	// Guards against a second crash being counted because an old listing arrives after a newer one.
+	It("are not suspected again by a late listing of the ended process", func() {
+		old := r.listing
+		r.open(prompt("a", "m"))
+		r.after(100 * time.Millisecond)
+		r.open(prompt("b", "m"))
+		crash("e2")
+		again, _ := last[StartCall](r)
+		r.step(EngineSeen{Listing: old})
+		r.step(Listed{Listing: old})
+		r.step(EngineSeen{Listing: r.listing})
+		Expect(r.c.jail.Entries()).To(BeEmpty())
+		r.step(CallEnded{Job: again.Job, Run: 2, Sent: true})
+		Expect(r.acts).To(ContainElement(EndJob{Job: again.Job}))
+	})
+
 	// Guards against an answer from the beginning after a part of it was given on.
 	It("continue after a crash from the bytes given on", func() {
 		r.open(prompt("a", "m"))
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -36,6 +35,7 @@
 	mu       sync.Mutex
 	epoch    string
 	life     chan struct{} // closed when the epoch ends
+	loaded   bool          // the model m
 	starts   []engine.Call
 	resumes  []engine.Call
 	pieces   chan piece
@@ -47,12 +47,21 @@
 	return &script{epoch: "e1", life: make(chan struct{}), pieces: make(chan piece, 64), ended: make(chan struct{}, 64)}
 }
 
-func (s *script) Order(context.Context, engine.Order) error { return nil }
+func (s *script) Order(_ context.Context, o engine.Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = o.Kind == engine.OrderLoad
+	return nil
+}
 
 func (s *script) Listing(context.Context) (engine.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return engine.Listing{Epoch: s.epoch, Slots: 4, MemoryBytes: 100, Resident: []engine.Resident{{Target: engine.Target{Model: "m"}, MemoryBytes: 40}}}, nil
+	l := engine.Listing{Epoch: s.epoch, Slots: 4, MemoryBytes: 100}
+	if s.loaded {
+		l.Resident = []engine.Resident{{Target: engine.Target{Model: "m"}, MemoryBytes: 40}}
+	}
+	return l, nil
 }
 
 func (s *script) Start(_ context.Context, c engine.Call) (engine.Stream, error) {
@@ -73,7 +82,7 @@
 func (s *script) restart(epoch string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.epoch = epoch
+	s.epoch, s.loaded = epoch, false
 	close(s.life)
 	s.life = make(chan struct{})
 }
@@ -163,7 +172,7 @@
 		Options{VM: "vm-a", Incarnation: "i1", Group: group, Addr: h.addr, Start: time.Now().Add(-once.ClockAllowance - time.Second),
 			Queue: admission.DefaultLimits(), Once: once.DefaultLimits()},
 		Parts{Listener: l, Transport: server, Engine: upstream, Store: h.store, VMs: oneVM{}, Scope: tally.NoopScope,
-			Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(io.Discard), OnReady: func() { close(ready) }},
+			Tracer: noop.NewTracerProvider().Tracer(""), Log: log.New(GinkgoWriter), OnReady: func() { close(ready) }},
 	)
 	ended := make(chan error, 1)
 	go func() { ended <- h.agent.Run(ctx) }()
