Refuse expiring requests before their deadline

Cause: a waiting request was refused at the tick after its deadline, up to 100 ms late. The exchanges that the agent starts had no test. Change: a request that would expire before the next tick is refused at this one. Specs cover the exchange of the quarantine list over a router's connection and the return of a place to a coordinator. Measurement: the core's specs and the two new ones pass (race detector for the latter). Conclusion: a refusal reaches the router in time.

--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -188,7 +188,7 @@
 		Expect(r.started()).To(Equal([]string{"a", "b"}))
 		r.open(lookup("f"))
 		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeQueueFull), HaveField("Outcome", wire.OutcomeNotRun)))
-		r.after(500 * time.Millisecond)
+		r.after(400 * time.Millisecond) // the next tick would be too late
 		Expect(r.refusal()).To(And(HaveField("Code", wire.CodeExpired), HaveField("Outcome", wire.OutcomeNotRun)))
 		r.step(Cancelled{Stream: 4}) // d
 		r.done("a", nil)
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -15,6 +15,9 @@
 const (
 	// KeepOutput is how long an output is kept after its last stream was lost (design page, section 4.6).
 	KeepOutput = 10 * time.Second
+	// expireMargin is the time between two ticks: a waiting request that would expire before the next one is refused now,
+	// so that its refusal does not come after the deadline.
+	expireMargin = tickInterval
 	// maxEngineResumes bounds how often one call is continued at the upstream on a new connection.
 	maxEngineResumes = 3
 	// maxRuns bounds how often an idempotent call is started here. A second crash convicts it anyway.
@@ -218,8 +221,8 @@
 
 // expire refuses waiting requests whose deadline has passed, stops calls that nobody waits for, and forgets outputs.
 func (c *Core) expire() {
-	for _, id := range c.queue.Expire(c.now) {
-		c.notRun(c.jobs[id], wire.CodeExpired, "the deadline passed before the request started")
+	for _, id := range c.queue.Expire(c.now.Add(expireMargin)) {
+		c.notRun(c.jobs[id], wire.CodeExpired, "the request cannot start before its deadline")
 	}
 	for _, j := range c.ordered() {
 		c.expireJob(j)
--- a/pkg/agent/runtime_test.go
+++ b/pkg/agent/runtime_test.go
@@ -158,6 +158,41 @@
 		})
 	})
 
+	Context("among other processes", func() {
+		BeforeEach(func() { h = newHarness("g") })
+
+		// Guards against a quarantine list that does not reach an agent during an outage of the store.
+		It("fetches a list that differs over the router's own connection", func() {
+			c := h.dial()
+			o := attempt(prompt("a", "m"), 1, 0)
+			o.Sync.QuarantineHash = 5
+			h.send(c, o)
+			st, err := c.AcceptStream(h.ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(wire.NewReader(st).Next()).To(BeAssignableToTypeOf(&wire.QuarantineGet{}))
+			Expect(wire.Write(st, &wire.QuarantineList{Entries: []wire.QuarantineEntry{{Fingerprint: 7, UnixMS: 1, Reason: "x"}}})).To(Succeed())
+			Eventually(func() string { return h.status(c) }, "5s").Should(ContainSubstring(`"quarantined":1`))
+		})
+
+		// Guards against a place at the weight store that stays taken after its load has ended.
+		It("asks a coordinator for a place and returns it", func() {
+			l, err := h.client.Listen("127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			defer l.Close()
+			h.agent.askPlace(AskPlace{Addr: l.Addr(), Ask: wire.LoadAsk{ID: "p", VM: "vm-a"}})
+			c, err := l.Accept(h.ctx)
+			Expect(err).NotTo(HaveOccurred())
+			st, err := c.AcceptStream(h.ctx)
+			Expect(err).NotTo(HaveOccurred())
+			rd := wire.NewReader(st)
+			Expect(rd.Next()).To(HaveField("ID", "p"))
+			Expect(wire.Write(st, &wire.LoadGo{ID: "p"})).To(Succeed())
+			h.agent.doPeers(ReturnPlace{ID: "p"})
+			Expect(rd.Next()).To(Equal(&wire.LoadDone{ID: "p"}))
+			Expect(st.CloseWrite()).To(Succeed())
+		})
+	})
+
 	Context("beside a plain service", func() {
 		BeforeEach(func() {
 			h = newHarness("p")
