Serve the agent's metrics and check its certificate at the start

Cause: the agent role served only liveness and status, counted metrics that nobody could read, and found a wrong certificate after other settings were used. Change: the role uses package ops and the Prometheus reporter like the router, and both roles share the check of certificate, key and authorities. Measurement: go test -race of pkg/agent, pkg/once, pkg/admission, pkg/quarantine and cmd/hibiscuscrossd passes. scripts/demo.sh with other ports on a copy passes: /metrics shows requests, orders and gauges, and a loan and its resend at another router ran once.

--- a/cmd/hibiscuscrossd/agent.go
+++ b/cmd/hibiscuscrossd/agent.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,14 +14,12 @@
 	"regexp"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/oklog/run"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
 	"github.com/hibiscuscross/hibiscuscross/pkg/agent"
@@ -30,6 +28,7 @@
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/plain"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/store/httpstore"
 	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
@@ -55,6 +54,7 @@
 	DrainTimeout  time.Duration `help:"Longest time from SIGTERM to the end; 1s to 1h." default:"15m" env:"HIBISCUSCROSS_DRAIN_TIMEOUT"`
 	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
 	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
+	Profiles      bool          `help:"Serve profiles under /debug/pprof/ on the operators' port." env:"HIBISCUSCROSS_PROFILES"`
 }
 
 // Names become parts of object keys.
@@ -88,6 +88,9 @@
 	check(slices.Contains(exporters, a.TraceExporter), "trace-exporter", a.TraceExporter, strings.Join(exporters, " or "))
 	otlp := a.TraceExporter == string(telemetry.ExporterOTLP)
 	check(!otlp || isLink(a.TraceURL), "trace-url", a.TraceURL, link+" for the exporter otlp")
+	if err := a.check(a.VM); err != nil {
+		errs = append(errs, err)
+	}
 	slices.SortFunc(errs, func(x, y error) int { return strings.Compare(x.Error(), y.Error()) })
 	return errors.Join(errs...)
 }
@@ -111,9 +114,10 @@
 	agent  *agent.Agent
 	peers  transport.Listener
 	ops    net.Listener
-	ready  atomic.Bool
-	flush  func(context.Context) error
-	scope  tally.Scope
+	// operator serves the operators' port but for /drain.
+	operator *ops.Server
+	flush    func(context.Context) error
+	scope    io.Closer
 }
 
 // Run runs the agent until a signal arrives or the VM leaves, and its work is finished.
@@ -157,9 +161,12 @@
 	if p.ops, err = net.Listen("tcp", p.cmd.OpsListen); err != nil {
 		return err
 	}
-	p.scope = tally.NoopScope
+	reporter, metrics := telemetry.NewReporter(func(err error) { p.log.Error("metric not registered", "err", err) })
+	scope, closer := telemetry.NewScope("agent", reporter)
+	p.scope = closer
+	p.operator = ops.New(ops.Options{Metrics: metrics, Status: func() any { return p.agent.Status() }, Profiles: p.cmd.Profiles})
 	p.agent = agent.New(p.options(), agent.Parts{Listener: p.peers, Transport: t, Engine: e, Store: objects, VMs: vms,
-		Scope: p.scope, Tracer: tracer, Log: p.log, OnReady: func() { p.ready.Store(true); p.log.Info("ready") }})
+		Scope: scope, Tracer: tracer, Log: p.log, OnReady: func() { p.operator.Ready(); p.log.Info("ready") }})
 	return nil
 }
 
@@ -173,11 +180,11 @@
 func (p *agentProcess) run(signals context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	operator := &http.Server{Handler: p.operators(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: p.operators(), ReadHeaderTimeout: 5 * time.Second}
 	var g run.Group
 	g.Add(func() error { return p.agent.Run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.waitDrained(ctx, signals) }, func(error) { cancel() })
-	g.Add(func() error { return operator.Serve(p.ops) }, func(error) { _ = operator.Close() })
+	g.Add(func() error { return server.Serve(p.ops) }, func(error) { _ = server.Close() })
 	p.log.Info("started", "version", version, "listen", p.peers.Addr(), "ops", p.ops.Addr())
 	return g.Run()
 }
@@ -191,7 +198,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	p.ready.Store(false)
+	p.operator.Stopping()
 	if err := p.agent.Drain(ctx, false); err != nil {
 		return nil
 	}
@@ -209,17 +216,9 @@
 // operators returns the handler of the operators' port. POST /drain says that the VM is leaving.
 func (p *agentProcess) operators() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.ready.Load() {
-			http.Error(w, "starting or stopping", http.StatusServiceUnavailable)
-		}
-	})
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(p.agent.Status())
-	})
+	mux.Handle("/", p.operator)
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		p.operator.Stopping()
 		if err := p.agent.Drain(r.Context(), true); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
@@ -234,6 +233,9 @@
 	if p.ops != nil {
 		_ = p.ops.Close()
 	}
+	if p.scope != nil {
+		_ = p.scope.Close()
+	}
 	if p.flush != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/cmd/hibiscuscrossd/main.go
+++ b/cmd/hibiscuscrossd/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"os"
 
@@ -35,6 +37,23 @@
 	}
 }
 
+// check checks that the files hold a key pair of the VM and authorities.
+func (f *commonFlags) check(vm string) error {
+	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return fmt.Errorf("--cert=%q, --key=%q: allowed is a PEM certificate and its key: %w", f.Cert, f.Key, err)
+	}
+	leaf, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil || leaf.Subject.CommonName != vm {
+		return fmt.Errorf("--cert=%q: allowed is a certificate whose common name is --vm=%q", f.Cert, vm)
+	}
+	pem, err := os.ReadFile(f.CA)
+	if err != nil || !x509.NewCertPool().AppendCertsFromPEM(pem) {
+		return fmt.Errorf("--ca=%q: allowed is a file with PEM certificates", f.CA)
+	}
+	return nil
+}
+
 func (f *commonFlags) transport(ctx context.Context, k *kernel.Kernel) (transport.Transport, error) {
 	return kernel.LoadAs[transport.Transport](ctx, k, "transport.quic", kernel.Settings{"cert": f.Cert, "key": f.Key, "ca": f.CA})
 }
--- a/cmd/hibiscuscrossd/router.go
+++ b/cmd/hibiscuscrossd/router.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -79,24 +77,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
-	return r.checkCert()
-}
-
-// checkCert checks that the files hold a key pair for this VM and authorities.
-func (r *routerCmd) checkCert() error {
-	pair, err := tls.LoadX509KeyPair(r.Cert, r.Key)
-	if err != nil {
-		return fmt.Errorf("--cert=%q, --key=%q: allowed is a PEM certificate and its key: %w", r.Cert, r.Key, err)
-	}
-	leaf, err := x509.ParseCertificate(pair.Certificate[0])
-	if err != nil || leaf.Subject.CommonName != r.VM {
-		return fmt.Errorf("--cert=%q: allowed is a certificate whose common name is --vm=%q", r.Cert, r.VM)
-	}
-	pem, err := os.ReadFile(r.CA)
-	if err != nil || !x509.NewCertPool().AppendCertsFromPEM(pem) {
-		return fmt.Errorf("--ca=%q: allowed is a file with PEM certificates", r.CA)
-	}
-	return nil
+	return r.check(r.VM)
 }
 
 func isAddr(s string) bool {
