--- a/cmd/hibiscuscross-matrix/main.go
+++ b/cmd/hibiscuscross-matrix/main.go
@@ -15,7 +15,7 @@
 	Seeds   uint64 `help:"Seeds for each cell." default:"2"`
 	First   uint64 `help:"First seed." default:"1"`
 	Pairs   int    `help:"Pairs of faults to run, drawn by seed; every tenth is a cell twice." default:"100"`
-	Cell    string `help:"Run one cell only, as step/fault."`
+	Cell    string `help:"Run one cell only, as step/fault; with --trace also a pair, as step/fault+step/fault."`
 	Trace   bool   `help:"Print the course of the run; with --cell."`
 	Workers int    `help:"Runs at once." default:"6"`
 	Verbose bool   `help:"Print the counts of each run."`
@@ -106,18 +106,18 @@
 
 // traceOne prints the course of one run.
 func traceOne() int {
-	for _, c := range matrix.Cells() {
-		if c.String() != cli.Cell {
-			continue
-		}
-		w := matrix.NewWorld(cli.First, matrix.SetupOf(c, cli.First))
-		w.Trace(func(line string) { fmt.Println(line) })
-		err := w.Run()
-		fmt.Println(w.Stats())
-		if err != nil {
-			fmt.Println(err)
-			return 1
-		}
+	setup, err := matrix.Parse(cli.Cell, cli.First)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	w := matrix.NewWorld(cli.First, setup)
+	w.Trace(func(line string) { fmt.Println(line) })
+	err = w.Run()
+	fmt.Println(w.Stats())
+	if err != nil {
+		fmt.Println(err)
+		return 1
 	}
 	return 0
 }
--- a/pkg/matrix/agents.go
+++ b/pkg/matrix/agents.go
@@ -76,9 +76,13 @@
 	a.jobs, a.streams = map[string]*jobOutput{}, map[uint64]*simStream{}
 	a.places, a.asked = map[string]*agentNode{}, map[string]*agentNode{}
 	a.stopped, a.stopping = false, false
+	started := a.w.now
+	if a.w.broken.ForgetFloor {
+		started = epoch.Add(-time.Hour)
+	}
 	a.core = agent.NewCore(agent.Options{
 		VM: a.vm, Incarnation: fmt.Sprintf("%s-%d", a.vm, a.incarnation), Region: "r1", Zone: "z1", Group: a.group, Addr: a.addr(),
-		Start: a.w.now, Queue: admission.DefaultLimits(), Once: once.DefaultLimits(),
+		Start: started, Queue: admission.DefaultLimits(), Once: once.DefaultLimits(),
 	})
 	a.every(agentTick, func() { a.step(agent.Tick{}) })
 	a.every(engineCheck, func() { a.checkEngine(0) })
@@ -281,6 +285,7 @@
 }
 
 func (a *agentNode) refusal(r *wire.Refuse) *wire.Refuse {
+	a.w.note("%s refuses %s: %s %s %s", a.vm, r.Request, r.Outcome, r.Code, r.Reason)
 	r.Load, r.Sync = a.core.Load(), a.core.Sync()
 	return r
 }
--- a/pkg/matrix/callers.go
+++ b/pkg/matrix/callers.go
@@ -171,6 +171,9 @@
 		req.Path, req.Method = "/loans", "POST"
 	}
 	req.Fingerprint = hash("c", req.Service, o.body)
+	if c.w.broken.NoQuarantine {
+		req.Fingerprint = hash(s.id)
+	}
 	if m, ok := r.model(o.target.Model); ok {
 		req.MemoryBytes, req.Ceiling = m.MemoryBytes+m.KVReserveBytes, m.MaxReplicas
 	}
--- a/pkg/matrix/cells.go
+++ b/pkg/matrix/cells.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
@@ -80,10 +82,33 @@
 	return run(seed, s)
 }
 
-// RunPair runs two faults in one run; the same cell may be given twice.
-func RunPair(a, b Cell, seed uint64) (Stats, error) {
+// PairSetup returns the set-up of two faults in one run; the same cell may be given twice.
+func PairSetup(a, b Cell, seed uint64) Setup {
 	n := int(seed % 5)
-	return run(seed, setup(seed, Injection{Step: a.Step, Fault: a.Fault, Nth: n}, Injection{Step: b.Step, Fault: b.Fault, Nth: n + 1}))
+	return setup(seed, Injection{Step: a.Step, Fault: a.Fault, Nth: n}, Injection{Step: b.Step, Fault: b.Fault, Nth: n + 1})
+}
+
+// RunPair runs two faults in one run.
+func RunPair(a, b Cell, seed uint64) (Stats, error) { return run(seed, PairSetup(a, b, seed)) }
+
+// Parse returns the set-up of a cell ("step/fault") or a pair ("step/fault+step/fault").
+func Parse(name string, seed uint64) (Setup, error) {
+	var cells []Cell
+	for _, part := range strings.Split(name, "+") {
+		step, fault, _ := strings.Cut(part, "/")
+		c := Cell{Step: Step(step), Fault: Fault(fault)}
+		if !slices.Contains(Cells(), c) {
+			return Setup{}, fmt.Errorf("no cell %q; a cell is step/fault, a pair step/fault+step/fault", part)
+		}
+		cells = append(cells, c)
+	}
+	switch len(cells) {
+	case 1:
+		return SetupOf(cells[0], seed), nil
+	case 2:
+		return PairSetup(cells[0], cells[1], seed), nil
+	}
+	return Setup{}, fmt.Errorf("%q names more than two cells", name)
 }
 
 func setup(seed uint64, in ...Injection) Setup {
--- a/pkg/matrix/check.go
+++ b/pkg/matrix/check.go
@@ -118,7 +118,7 @@
 	for _, r := range c.w.routers {
 		if r.alive && !c.w.now.Before(r.pausedTill.Add(spreadLimit)) {
 			v := r.conf.Version()
-			if c.w.broken.revert && c.w.now.Sub(epoch) > 40*time.Second {
+			if c.w.broken.Revert && c.w.now.Sub(epoch) > 40*time.Second {
 				v = 1
 			}
 			c.configuration(r.process, v)
@@ -235,8 +235,12 @@
 	c.w.note("disturbed by %s at %s", f, subject)
 }
 
-// cut checks I8: without a fault, a request that a stopping process had is answered in full.
+// cut checks I8: without a fault, a request that a stopping process had is answered in full, unless its own deadline
+// ended it.
 func (c *checker) cut(s *send) {
+	if r := s.result.Refusal; r != nil && r.Code == wire.CodeExpired && s.deadline.Sub(c.w.now) < answerSlack {
+		return
+	}
 	if name, ok := c.mustFinish[s.id]; ok && !c.spoiled && !s.order.poison {
 		c.fail("I8", "%s was cut by the planned stop of %s", s.id, name)
 	}
--- a/pkg/matrix/network.go
+++ b/pkg/matrix/network.go
@@ -49,6 +49,7 @@
 		a.streams[st.id] = st
 		a.w.reached(StepAdmit, a.vm)
 		frame := *o
+		a.w.note("%s gets %s attempt %d resume %v", a.vm, o.Request, o.Attempt, o.Resume)
 		a.step(agent.Opened{Stream: st.id, Peer: c.from.addr(), Open: &frame})
 		a.ping(st)
 	})
--- a/pkg/matrix/object_api.go
+++ b/pkg/matrix/object_api.go
@@ -114,7 +114,7 @@
 }
 
 func (s *objectAPI) apply(key string, value []byte, expect uint64) (uint64, error) {
-	if s.objects[key].Version != expect && !s.w.broken.ignoreCondition {
+	if s.objects[key].Version != expect && !s.w.broken.IgnoreCondition {
 		return 0, store.ErrConflict
 	}
 	s.revision++
--- a/pkg/matrix/routers.go
+++ b/pkg/matrix/routers.go
@@ -122,7 +122,7 @@
 		v.Owners[k] = o
 	}
 	for _, u := range r.members.Upstreams() {
-		draining := !r.members.Candidate(u.VM) && !r.w.broken.ignoreLeaving
+		draining := !r.members.Candidate(u.VM) && !r.w.broken.IgnoreLeaving
 		v.Upstreams = append(v.Upstreams, routing.Upstream{VM: u.VM, Incarnation: u.Incarnation, Addr: u.Addr, Region: u.Region, Zone: u.Zone,
 			Group: u.Group, MemoryBytes: u.MemoryBytes, Tiers: u.Tiers, Draining: draining})
 	}
@@ -211,19 +211,14 @@
 	x.core = router.NewCore(req, x.out, now)
 	r.active[x] = true
 	r.order = append(r.order, x)
-	if !r.w.broken.noDeadline {
+	if !r.w.broken.NoDeadline {
 		r.deliver(x.core.RefuseAt().Sub(now), func() {
 			if !x.over && !x.out.Begun() {
 				x.do(x.core.Step(r.w.now, router.Expired{}))
 			}
 		})
 	}
-	if r.jail.Convicted(req.Fingerprint) {
-		refuse := &wire.Refuse{Request: req.ID, Outcome: wire.OutcomeNotRun, Code: wire.CodeQuarantined}
-		x.do(router.Action{Kind: router.Finish, Result: router.Result{Outcome: wire.OutcomeNotRun, Refusal: refuse}})
-		return x
-	}
-	x.do(x.core.Step(now, router.Start{}))
+	x.do(x.core.Step(now, router.Start{Quarantined: r.jail.Convicted(req.Fingerprint)}))
 	return x
 }
 
@@ -297,6 +292,7 @@
 
 func (x *exchange) open(a router.Action) {
 	r := x.r
+	r.w.note("%s opens %s attempt %d at %s", r.name, a.Open.Request, a.Open.Attempt, a.To.VM)
 	x.leave(false)
 	if a.Fresh {
 		delete(r.conns, x.to.VM)
@@ -306,9 +302,6 @@
 	x.opened++
 	attempt := x.opened
 	a.Open.Sync = r.sync()
-	if r.w.broken.retryUnknown && x.req.NonIdempotent && attempt > 1 {
-		a.Open.NonIdempotent, a.Open.Resume, a.Open.Request = false, false, a.Open.Request+"-again"
-	}
 	use := func(c *conn) {
 		if x.over || x.opened != attempt {
 			return
@@ -375,7 +368,7 @@
 		x.do(a)
 	case *wire.Refuse:
 		x.report(m.Load, m.Sync)
-		if x.r.w.broken.claimNotRun && m.Outcome == wire.OutcomeUnknown {
+		if x.r.w.broken.ClaimNotRun && m.Outcome == wire.OutcomeUnknown {
 			m.Outcome = wire.OutcomeNotRun
 		}
 		x.do(x.core.Refused(now, m))
@@ -383,11 +376,11 @@
 }
 
 func (x *exchange) data(now time.Time, m *wire.Data) {
-	if x.r.w.broken.takeAnyFrame {
+	if x.r.w.broken.TakeAnyFrame {
 		x.out.data(m.Bytes)
 	}
 	fresh, a, _ := x.core.Data(now, m)
-	if !x.r.w.broken.takeAnyFrame {
+	if !x.r.w.broken.TakeAnyFrame {
 		x.out.data(fresh)
 	}
 	if len(fresh) > 0 {
@@ -399,7 +392,7 @@
 func (x *exchange) report(l wire.Load, s wire.Sync) {
 	r := x.r
 	r.state.Report(x.to.VM, l, r.w.now)
-	if l.Draining && !r.w.broken.ignoreLeaving {
+	if l.Draining && !r.w.broken.IgnoreLeaving {
 		r.members.Announce(x.to.VM)
 		r.publish()
 	}
--- a/pkg/matrix/vms.go
+++ b/pkg/matrix/vms.go
@@ -56,5 +56,12 @@
 			view = s
 		}
 	}
-	return view.vms
+	if !l.w.broken.IgnoreLeaving {
+		return view.vms
+	}
+	vms := slices.Clone(view.vms)
+	for i := range vms {
+		vms[i].State = vmlist.StateLive
+	}
+	return vms
 }
--- a/pkg/matrix/world.go
+++ b/pkg/matrix/world.go
@@ -59,15 +59,16 @@
 
 // Broken turns decisions into deliberately wrong ones, to show that the checks notice.
 type Broken struct {
-	ignoreCondition bool // the object API takes every write
-	understateSizes bool // the configuration states half of the sizes
-	retryUnknown    bool // a keyed call is sent again as another request
-	claimNotRun     bool // an unknown outcome is reported as not-run
-	takeAnyFrame    bool // bytes are taken whatever their attempt and offset
-	noDeadline      bool // no refusal at the deadline
-	ignoreLeaving   bool // nobody notices that a VM is leaving
-	stopAtOnce      bool // a planned stop ends the process at once
-	revert          bool // a process takes an older configuration
+	IgnoreCondition bool // the object API takes every write
+	UnderstateSizes bool // the configuration states half of the sizes
+	ForgetFloor     bool // a restarted agent takes keys for new that an earlier process may have run
+	ClaimNotRun     bool // an unknown outcome is reported as not-run
+	TakeAnyFrame    bool // bytes are taken whatever their attempt and offset
+	NoDeadline      bool // no refusal at the deadline
+	IgnoreLeaving   bool // nobody notices that a VM is leaving
+	StopAtOnce      bool // a planned stop ends the process at once
+	Revert          bool // a process takes an older configuration
+	NoQuarantine    bool // agents and routers see each request under another fingerprint
 }
 
 // NewWorld returns a deployment that has just been started.
@@ -110,7 +111,7 @@
 
 func (w *World) documentFor(revision, ceiling int) *config.Document {
 	d := document(revision, ceiling)
-	if w.broken.understateSizes {
+	if w.broken.UnderstateSizes {
 		d = understate(d)
 	}
 	return d
@@ -158,7 +159,7 @@
 		return
 	}
 	w.check.stopping(a.name)
-	if w.broken.stopAtOnce {
+	if w.broken.StopAtOnce {
 		a.kill()
 		return
 	}
@@ -175,7 +176,7 @@
 func (w *World) stopRouter(r *routerNode) {
 	r.stopping = true
 	w.check.stopping(r.name)
-	if w.broken.stopAtOnce {
+	if w.broken.StopAtOnce {
 		r.kill()
 	}
 }
