Decode all frames with the CBOR library

Cause: token frames were decoded by hand for speed; codecs come from libraries. Change: the decoder and the shared message are removed.

--- a/pkg/router/exchange.go
+++ b/pkg/router/exchange.go
@@ -188,7 +188,6 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.SetReadDeadline(time.Now()) })
 	defer stop()
 	frames := wire.NewReader(st)
-	frames.ShareData() // the answer copies what it keeps
 	var armed time.Time
 	begun := x.out.Begun()
 	for {
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -106,10 +106,8 @@
 
 // Reader reads frames from a stream. It is not safe for concurrent use.
 type Reader struct {
-	r       *bufio.Reader
-	buf     []byte
-	request string // of the last Data frame
-	shared  *Data
+	r   *bufio.Reader
+	buf []byte
 }
 
 // readerBufferBytes holds several token frames; a larger buffer costs memory in each of many idle streams.
@@ -120,12 +118,8 @@
 	return &Reader{r: bufio.NewReaderSize(r, readerBufferBytes)}
 }
 
-// ShareData makes Next return the same Data for each frame of this type, which is valid until the next call. It saves
-// two allocations for each token.
-func (r *Reader) ShareData() { r.shared = new(Data) }
-
 // Next reads one frame. It returns io.EOF at the end of the stream between two frames, and io.ErrUnexpectedEOF inside
-// one. Byte slices of the message are copies, unless ShareData was called.
+// one. Byte slices of the message are copies.
 func (r *Reader) Next() (Message, error) {
 	var head [headerBytes]byte
 	if _, err := io.ReadFull(r.r, head[:]); err != nil {
@@ -142,16 +136,6 @@
 	if err := r.fill(size); err != nil {
 		return nil, err
 	}
-	if head[4] == typeData {
-		d := r.shared
-		if d == nil {
-			d = new(Data)
-		}
-		if decodeData(r.buf[:size], d, r.request) {
-			r.request = d.Request
-			return d, nil
-		}
-	}
 	m := newMessage[kind]()
 	if err := cbor.Unmarshal(r.buf[:size], m); err != nil {
 		return nil, fault.Wrap(err, fault.StepTransport, "", "decode message")
