--- a/pkg/operate/status.go
+++ b/pkg/operate/status.go
@@ -208,8 +208,8 @@
 	}
 	// The roles have different statuses; only what they share is decoded.
 	var common struct {
-		VM            string
-		ConfigVersion uint64
+		VM            string `json:"vm"`
+		ConfigVersion uint64 `json:"configVersion"`
 	}
 	if err := json.Unmarshal(body, &common); err != nil {
 		return ProcessStatus{Addr: addr, Error: "the answer is not a status: " + err.Error()}
