Leave a free key slot to its planned owner for longer than a watch

Cause: the next agents in line claimed a free slot after 4 s, but the planned one may see the change only with its next watch call, 4 s after the last one. A spec of pkg/operate expected the agent's status field Quarantined under its Go name; since the status has JSON names like the router's, it is quarantined. Change: each rank waits 6 s; the spec expects the new name and is as strict as before.

--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -187,6 +187,23 @@
 		Expect(s.Admit(late, call("k9", late), "run")).To(Equal(once.Verdict{Decision: once.NotOwner, Owner: "vm-b"}))
 	})
 
+	// Guards against agents that race for a free slot, and against a slot that stays free because its agent is silent.
+	It("leaves free slots to the planned agent for a while", func() {
+		b, version := once.New("vm-b", start, once.DefaultLimits()), uint64(0)
+		var free once.Owners
+		serve(b, now, &free, &version, b.Step(now, once.Members{Live: []string{"vm-a", "vm-b"}}))
+		serve(b, now, &free, &version, b.Step(now, once.Services{Names: []string{"orders"}}))
+		Expect(b.Held("orders")).To(Equal(once.Slots / 2))
+		for _, c := range []struct {
+			after time.Duration
+			held  int
+		}{{5 * time.Second, once.Slots / 2}, {13 * time.Second, once.Slots}} {
+			t := now.Add(c.after)
+			serve(b, t, &free, &version, b.Step(t, once.Tick{}))
+			Expect(b.Held("orders")).To(Equal(c.held))
+		}
+	})
+
 	// Guards against all slots staying with the first agent.
 	It("hands excess slots over one at a time until the shares are even", func() {
 		b := once.New("vm-b", start, once.DefaultLimits())
--- a/pkg/once/slots.go
+++ b/pkg/once/slots.go
@@ -11,8 +11,9 @@
 const (
 	// retryDelay is the time between two store calls for one service after a failure.
 	retryDelay = time.Second
-	// claimStep is the time by which an agent leaves a claimable slot to each agent that ranks before it.
-	claimStep = 4 * time.Second
+	// claimStep is the time by which an agent leaves a claimable slot to each agent that ranks before it. The others see
+	// the change with their next watch call, up to WatchMinInterval later.
+	claimStep = store.WatchMinInterval + 2*time.Second
 	// balanceDelay is how long an excess of slots must last before one is handed over. It is longer than a read of
 	// the VM list and a watch take together, so that a short difference between the agents' views moves nothing.
 	balanceDelay = 15 * time.Second
--- a/pkg/operate/apply_test.go
+++ b/pkg/operate/apply_test.go
@@ -185,7 +185,7 @@
 		st, err := ReadStatus(ctx, s, p.Client(), []string{addr, "127.0.0.1:1"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(st.Text()).To(And(ContainSubstring("vm-b (to release)"), MatchRegexp(`vm-a +g .*draining +m`), ContainSubstring("00000000000000ff"),
-			MatchRegexp(`vm-a +0 +behind version 1`), ContainSubstring("Quarantined: 0"), MatchRegexp(`127.0.0.1:1 .*not asked`), ContainSubstring("problem: owners/loans")))
+			MatchRegexp(`vm-a +0 +behind version 1`), ContainSubstring("quarantined: 0"), MatchRegexp(`127.0.0.1:1 .*not asked`), ContainSubstring("problem: owners/loans")))
 		Expect(Drain(ctx, p.Client(), addr)).To(Succeed())
 		Expect(drained).To(BeTrue())
 		Expect(Drain(ctx, p.Client(), "127.0.0.1:1")).NotTo(Succeed())
