--- a/pkg/agent/admit.go
+++ b/pkg/agent/admit.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
+	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
@@ -172,6 +173,11 @@
 	cold := !c.targetReady(j)
 	if r := c.queue.Offer(c.now, c.admissionRequest(j), cold, c.loadWait(j, cold)); r != nil {
 		refuse(r.Code, r.Reason, r.RetryAfter)
+		if cold && r.Code == wire.CodeTooLate {
+			// Without a load, a target that takes longer to load than callers wait would never be served. The caller is told
+			// when to come back.
+			c.residency(residency.Want{Target: o.Target, Deadline: c.now.Add(2 * r.RetryAfter)})
+		}
 		return
 	}
 	c.jobs[j.id] = j
--- a/pkg/agent/calls.go
+++ b/pkg/agent/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -73,7 +74,8 @@
 	defer span.End()
 	span.SetAttributes(attribute.String("request", call.Request), attribute.Int64("offset", int64(call.Offset)))
 	ev := CallEnded{Job: key.job, Run: key.run}
-	ev.Answer, ev.Err = a.copyAnswer(ctx, j.output, call, keep, start)
+	began := sync.OnceFunc(func() { _ = a.events.Push(ctx, CallBegan{Job: key.job, Run: key.run}) })
+	ev.Answer, ev.Err = a.copyAnswer(ctx, j.output, call, keep, start, began)
 	if ev.Err != nil {
 		span.SetStatus(codes.Error, ev.Err.Error())
 	}
@@ -81,7 +83,7 @@
 	return ev
 }
 
-func (a *Agent) copyAnswer(ctx context.Context, out *output, call engine.Call, keep bool, start starter) (*once.Answer, error) {
+func (a *Agent) copyAnswer(ctx context.Context, out *output, call engine.Call, keep bool, start starter, began func()) (*once.Answer, error) {
 	st, err := start(ctx, call)
 	if err != nil {
 		return nil, err
@@ -96,6 +98,7 @@
 			if err := out.append(ctx, b); err != nil {
 				return nil, err
 			}
+			began()
 			// One byte more than the bound is kept, by which the decision knows that the answer is too large.
 			if room := once.MaxAnswerBytes + 1 - len(answer.Body); keep && room > 0 {
 				answer.Body = append(answer.Body, b[:min(room, len(b))]...)
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -25,6 +25,10 @@
 	defaultSlots = 8
 	// recordInterval is the least time between two writes of upstreams/<vm> (design page, section 3).
 	recordInterval = 30 * time.Second
+	// handoverLimit is how long a drained agent without requests waits for the store to take its key slots and grants.
+	// Without the store they stay with the VM: a restarted agent takes them over, and those of a VM that is gone are
+	// removed by others.
+	handoverLimit = 30 * time.Second
 	// exchangeInterval is the least time between two exchanges of the quarantine list that this agent starts.
 	exchangeInterval = 2 * time.Second
 	// weightStoreSpeed is the speed of one load from the weight store, bytes per second. It only bounds how long a
@@ -71,6 +75,7 @@
 	checks     uint64 // number of the last one
 
 	draining   bool
+	drainAt    time.Time
 	leaving    bool
 	listMirror mirror
 	selfMirror mirror
@@ -111,6 +116,8 @@
 		c.closed(ev.Stream)
 	case Cancelled:
 		c.cancelled(ev.Stream)
+	case CallBegan:
+		c.callBegan(ev)
 	case CallEnded:
 		c.callEnded(ev)
 	case EngineSeen:
@@ -147,7 +154,7 @@
 		c.config(confsync.StoreUp{})
 		c.storeSeen(nil)
 		for _, o := range ev.Objects {
-			c.objectChanged(o)
+			c.objectChanged(o, ev.Document)
 		}
 		c.feedMembers() // once for all: the first listing has a record of each agent
 	case StoreFailed:
@@ -257,7 +264,7 @@
 		c.residency(residency.Drain{})
 	}
 	if !c.draining {
-		c.draining = true
+		c.draining, c.drainAt = true, c.now
 		c.selfMirror.writeAt = time.Time{} // routers have to learn of it within seconds
 		c.emit(LogChange{Message: "draining"})
 		c.onceStep(once.Drain{})
@@ -266,7 +273,8 @@
 
 // Drained reports whether a draining agent has finished its work and may end.
 func (c *Core) Drained() bool {
-	if !c.draining || !c.once.Released() || c.leaving && c.models() && !c.res.Drained() {
+	released := c.once.Released() && (!c.leaving || !c.models() || c.res.Drained())
+	if !c.draining || !released && c.now.Sub(c.drainAt) < handoverLimit {
 		return false
 	}
 	return len(c.jobs) == 0 && !c.selfMirror.busy && !c.listMirror.busy
--- a/pkg/agent/duties.go
+++ b/pkg/agent/duties.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
@@ -76,7 +77,7 @@
 		return ObjectWritten{Key: act.Key, Value: act.Value, Expect: act.Expect, Version: v, Err: err}
 	case ReadObject:
 		o, err := a.parts.Store.Get(ctx, act.Key)
-		return ObjectRead{Key: act.Key, Object: o, Err: err}
+		return ObjectRead{Key: act.Key, Object: o, Err: err, Document: decodeConfig(o)}
 	}
 	return Tick{}
 }
@@ -152,13 +153,36 @@
 	}
 }
 
+// decodeConfig decodes config/current outside the core's goroutine, because a document of 10,000 adapters takes more than
+// 100 ms of CPU time. It returns nil for another object; a damaged document is left to the core, which reports it.
+func decodeConfig(o store.Object) *config.Document {
+	if o.Key != store.KeyConfig || o.Deleted {
+		return nil
+	}
+	e, err := config.DecodeEnvelope(o.Value)
+	if err != nil {
+		return nil
+	}
+	d, err := e.Document()
+	if err != nil {
+		return nil
+	}
+	return d
+}
+
 // eventOf returns the core's event for an update. A failed read of the VM list proves nothing and is left out.
 func eventOf(u watch.Update) Event {
 	switch {
 	case u.Source == watch.SourceStore && u.Err != nil:
 		return StoreFailed{Err: u.Err}
 	case u.Source == watch.SourceStore:
-		return StoreChanged{Objects: u.Objects}
+		ev := StoreChanged{Objects: u.Objects}
+		for _, o := range u.Objects {
+			if d := decodeConfig(o); d != nil {
+				ev.Document = d
+			}
+		}
+		return ev
 	case u.Err != nil:
 		return nil
 	}
--- a/pkg/agent/events.go
+++ b/pkg/agent/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/residency"
@@ -39,6 +40,12 @@
 	Answer *once.Answer
 }
 
+// CallBegan says that the first bytes of the job's answer have been received.
+type CallBegan struct {
+	Job string
+	Run int
+}
+
 // EngineSeen is a listing read for liveness. Number is that of the CheckEngine action that asked for it, 0 for none.
 type EngineSeen struct {
 	Number  uint64
@@ -58,11 +65,13 @@
 	Err     error
 }
 
-// ObjectRead is the result of a ReadObject action. Err is nil, store.ErrNotFound or another failure.
+// ObjectRead is the result of a ReadObject action. Err is nil, store.ErrNotFound or another failure. Document is the
+// decoded configuration of config/current, or nil if it was not decoded beforehand.
 type ObjectRead struct {
-	Key    string
-	Object store.Object
-	Err    error
+	Key      string
+	Object   store.Object
+	Err      error
+	Document *config.Document
 }
 
 // ObjectWritten is the result of a WriteObject action.
@@ -74,8 +83,11 @@
 	Err     error
 }
 
-// StoreChanged carries changes from the watch.
-type StoreChanged struct{ Objects []store.Object }
+// StoreChanged carries changes from the watch. Document is as in ObjectRead.
+type StoreChanged struct {
+	Objects  []store.Object
+	Document *config.Document
+}
 
 // StoreFailed says that the watch failed.
 type StoreFailed struct{ Err error }
@@ -114,6 +126,7 @@
 func (Opened) isEvent()          {}
 func (Closed) isEvent()          {}
 func (Cancelled) isEvent()       {}
+func (CallBegan) isEvent()       {}
 func (CallEnded) isEvent()       {}
 func (EngineSeen) isEvent()      {}
 func (OrderDone) isEvent()       {}
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -45,13 +45,14 @@
 	phase    phase
 	run      int // counts the starts
 	resumes  int
-	sent     bool   // a part of the answer may have reached a router
-	began    bool   // an earlier run may have had an effect
-	waits    bool   // counted by the quarantine decision as ready to run
-	epoch    string // of the upstream process that has the call
-	check    uint64 // number of the first listing that tells what became of a lost connection
-	counted  bool   // the residency decision counts the target as in use
-	stopping bool   // the call was stopped
+	sent     bool      // a part of the answer may have reached a router
+	began    bool      // an earlier run may have had an effect
+	waits    bool      // counted by the quarantine decision as ready to run
+	epoch    string    // of the upstream process that has the call
+	check    uint64    // number of the first listing that tells what became of a lost connection
+	limboAt  time.Time // when the connection to the upstream was lost
+	counted  bool      // the residency decision counts the target as in use
+	stopping bool      // the call was stopped
 	attached map[string]*attachment
 	// lostAt is when the last stream was lost or the job ended, whichever is later.
 	lostAt time.Time
@@ -102,6 +103,13 @@
 		Priority: o.Priority, Prefix: o.Prefix, Traceparent: o.Traceparent}
 }
 
+// callBegan records that a part of the answer may reach a router.
+func (c *Core) callBegan(ev CallBegan) {
+	if j := c.jobs[ev.Job]; j != nil && j.run == ev.Run {
+		j.sent = true
+	}
+}
+
 // callEnded handles the end of a call at the upstream.
 func (c *Core) callEnded(ev CallEnded) {
 	j := c.jobs[ev.Job]
@@ -124,7 +132,7 @@
 		c.dropped(j)
 	default:
 		// A listing that was begun earlier may show the upstream as it was before the loss.
-		j.phase, j.began, j.check = limbo, true, c.checks+1
+		j.phase, j.began, j.check, j.limboAt = limbo, true, c.checks+1, c.now
 		c.check()
 	}
 }
@@ -231,7 +239,8 @@
 
 func (c *Core) expireJob(j *job) {
 	abandoned := !j.watched() && c.now.Sub(j.lostAt) >= KeepOutput
-	late := !c.now.Before(j.deadline)
+	// The deadline bounds the beginning of the answer. A router that holds an answer back until it is whole cancels it.
+	late := !c.now.Before(j.deadline) && !j.sent
 	switch j.phase {
 	case queued:
 		if abandoned {
@@ -242,9 +251,9 @@
 			c.stop(j)
 		}
 	case limbo:
-		if late {
+		if late || c.now.Sub(j.limboAt) >= KeepOutput {
 			c.leaveUpstream(j, false)
-			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream did not answer before the deadline"))
+			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream did not answer in time"))
 		}
 	case ended:
 		if abandoned {
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -113,7 +113,7 @@
 	case store.KeyConfig:
 		switch {
 		case ev.Err == nil:
-			c.config(confsync.EnvelopeSeen{Value: ev.Object.Value})
+			c.configSeen(ev.Object, ev.Document)
 		case missing:
 			c.config(confsync.StoreEmpty{})
 		default:
@@ -175,7 +175,7 @@
 }
 
 // objectChanged hands a change seen by the watch to the decisions.
-func (c *Core) objectChanged(o store.Object) {
+func (c *Core) objectChanged(o store.Object, d *config.Document) {
 	if service, ok := isOwners(o.Key); ok {
 		if !o.Deleted {
 			c.ownersRead(service, ObjectRead{Key: o.Key, Object: o}, false)
@@ -185,7 +185,7 @@
 	switch o.Key {
 	case store.KeyConfig:
 		if !o.Deleted {
-			c.config(confsync.EnvelopeSeen{Value: o.Value})
+			c.configSeen(o, d)
 		}
 	case c.listMirror.key:
 		if !o.Deleted {
@@ -207,6 +207,15 @@
 	}
 }
 
+// configSeen takes config/current, decoded beforehand if d is set.
+func (c *Core) configSeen(o store.Object, d *config.Document) {
+	if d != nil {
+		c.config(confsync.DocumentSeen{Document: d})
+		return
+	}
+	c.config(confsync.EnvelopeSeen{Value: o.Value})
+}
+
 func (c *Core) memberChanged(o store.Object) {
 	if err := c.members.SeeObject(o); err != nil {
 		c.emit(LogChange{Message: "upstream record ignored", Err: err})
--- a/pkg/matrix/agents.go
+++ b/pkg/matrix/agents.go
@@ -354,6 +354,9 @@
 			}
 			heard = a.w.now
 			if err == nil {
+				if len(b) > 0 {
+					a.step(agent.CallBegan{Job: id, Run: run})
+				}
 				j.head = true
 				if at := base + offset; at <= len(j.bytes) && at+len(b) > len(j.bytes) {
 					j.bytes = append(j.bytes, b[len(j.bytes)-at:]...)
--- a/pkg/router/request.go
+++ b/pkg/router/request.go
@@ -21,6 +21,8 @@
 	Body    []byte
 	// Deadline is when the answer has to begin; an answer that is not streamed has to be whole by then.
 	Deadline time.Time
+	// Margin is how long before the deadline a refusal is sent at the latest; 0 means 20 ms.
+	Margin   time.Duration
 	Priority int
 	// NonIdempotent calls carry a Key. FirstSend says that the caller never sent the key before.
 	NonIdempotent bool
@@ -60,7 +62,11 @@
 
 // refuseAt returns when a request that arrived at now has to be refused unless its answer began.
 func (r *Request) refuseAt(now time.Time) time.Time {
-	return r.Deadline.Add(-min(maxMargin, max(0, r.Deadline.Sub(now)/5)))
+	margin := r.Margin
+	if margin == 0 {
+		margin = maxMargin
+	}
+	return r.Deadline.Add(-min(margin, max(0, r.Deadline.Sub(now)/5)))
 }
 
 // agentTimeout returns the time that an agent gets from now on, in ms, at least 1.
