--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -142,6 +142,11 @@
 	}
 	if ev.Err == nil {
 		seen.Owners, seen.Err = once.Decode(ev.Object.Value)
+		for _, slot := range seen.Owners.Slots {
+			if slot.Owner != "" {
+				c.members.Mention(c.now, slot.Owner)
+			}
+		}
 	}
 	c.onceStep(seen)
 }
@@ -225,7 +230,7 @@
 func (c *Core) vmsSeen(ev VMsSeen) {
 	c.members.SeeVMs(ev.Began, ev.VMs)
 	c.feedPeers(ev.VMs)
-	c.residency(residency.VMsSeen{VMs: ev.VMs})
+	c.residency(residency.VMsSeen{Began: ev.Began, VMs: ev.VMs})
 	c.feedMembers()
 	if c.members.Leaving(c.o.VM) {
 		c.drain(true)
--- a/pkg/grant/absence.go
+++ b/pkg/grant/absence.go
@@ -14,10 +14,10 @@
 // than the list can lag. The zero value has seen none.
 type Absences struct {
 	since map[string]time.Time // first read without the VM; zero while it is listed
-	read  time.Time
+	read  time.Time            // when the last read began
 }
 
-// Seen takes a read of the VM list.
+// Seen takes a read of the VM list that began at now.
 func (a *Absences) Seen(now time.Time, vms []vmlist.VM) {
 	if a.since == nil {
 		a.since = map[string]time.Time{}
@@ -39,6 +39,17 @@
 	}
 }
 
+// Mention says that the VM was named in an object read now, so it existed before. If it was never seen in the list, its
+// absence counts from now on: a read that began more than MaxLag later would show it if it were still there.
+func (a *Absences) Mention(now time.Time, vm string) {
+	if a.since == nil {
+		a.since = map[string]time.Time{}
+	}
+	if _, seen := a.since[vm]; !seen {
+		a.since[vm] = now
+	}
+}
+
 // Gone reports whether the VM is proved gone as of the last read. A VM never seen is not.
 func (a *Absences) Gone(vm string) bool {
 	return a.GoneFor(vm) > 0
@@ -47,7 +58,7 @@
 // GoneFor returns for how long the VM has been proved gone as of the last read, 0 if it is not.
 func (a *Absences) GoneFor(vm string) time.Duration {
 	since, seen := a.since[vm]
-	if !seen || since.IsZero() {
+	if !seen || since.IsZero() || a.read.Before(since) {
 		return 0
 	}
 	return max(0, a.read.Sub(since)-vmlist.MaxLag)
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Mention says that the VM was named in an object read at now, so it existed before. If it was never seen in the list,
+// its absence counts from now on: a read that began more than vmlist.MaxLag later would show it if it were still there.
+func (s *State) Mention(now time.Time, vm string) {
+	if s.vms[vm] == nil {
+		s.vms[vm] = &vmView{absentSince: now}
+	}
+}
+
 // SeeObject takes an object read or changed; objects outside upstreams/ are ignored. A record older than the known
 // one is ignored, so that stale reads cannot undo a change. An undecodable record counts as removed and is returned
 // as an error.
@@ -138,8 +146,8 @@
 	return v != nil && v.present && v.vm.State == vmlist.StateLeaving
 }
 
-// Gone reports whether the VM is proved gone: seen in the list by this process and then absent from all reads for
-// longer than vmlist.MaxLag. A VM never seen is not gone.
+// Gone reports whether the VM is proved gone: seen in the list by this process, or mentioned in an object, and then
+// absent from all reads for longer than vmlist.MaxLag. A VM never seen or mentioned is not gone.
 func (s *State) Gone(vm string) bool {
 	v := s.vms[vm]
 	return v != nil && v.gone
--- a/pkg/membership/state_test.go
+++ b/pkg/membership/state_test.go
@@ -49,6 +49,24 @@
 	)
 })
 
+var _ = Describe("a VM that is only mentioned", func() {
+	// Guards against grants and slots that stay for ever with a VM that died before any running process had seen it.
+	DescribeTable("is gone once a read later than the lag lacks it", func(after time.Duration, listed, gone bool) {
+		s := membership.New()
+		s.SeeVMs(start, live("b"))
+		s.Mention(start, "a")
+		if listed {
+			s.SeeVMs(start.Add(time.Second), live("a", "b"))
+		}
+		s.SeeVMs(start.Add(after), live("b"))
+		Expect(s.Gone("a")).To(Equal(gone))
+		Expect(s.GoneVMs()).NotTo(ContainElement("b"))
+	},
+		Entry("within the lag", vmlist.MaxLag, false, false),
+		Entry("after the lag", vmlist.MaxLag+time.Second, false, true),
+		Entry("listed in between", vmlist.MaxLag+time.Second, true, false))
+})
+
 var _ = Describe("candidates", func() {
 	// Guards against new work for an upstream that leaves, drains or is unknown.
 	It("are live, not draining and have a record", func() {
--- a/pkg/residency/api.go
+++ b/pkg/residency/api.go
@@ -61,8 +61,12 @@
 // Configured carries a newly accepted configuration.
 type Configured struct{ Document *config.Document }
 
-// VMsSeen carries a read of the VM list.
-type VMsSeen struct{ VMs []vmlist.VM }
+// VMsSeen carries a read of the VM list that began at Began; the zero time means now. A process that was paused handles a
+// read later than it began, and must not take it for a fresh one.
+type VMsSeen struct {
+	Began time.Time
+	VMs   []vmlist.VM
+}
 
 // PlaceGiven is the load coordinator's answer to AskPlace.
 type PlaceGiven struct{ ID string }
--- a/pkg/residency/grants.go
+++ b/pkg/residency/grants.go
@@ -38,6 +38,9 @@
 		m.needRead, m.storeAfter = true, now.Add(storeBackoff)
 		return
 	}
+	for _, g := range m.client.Object().Grants {
+		s.absence.Mention(now, g.VM)
+	}
 	m.storeAfter = time.Time{}
 	// A read older than a known conflict is repeated.
 	m.needRead = !m.client.Known()
--- a/pkg/residency/rules_test.go
+++ b/pkg/residency/rules_test.go
@@ -151,6 +151,23 @@
 	})
 })
 
+var _ = Describe("VMs that were never seen", func() {
+	// Guards against a grant that stays for ever with a VM that died before this process started, and against a list that a
+	// paused process takes for a fresh one.
+	It("lose their grants after the lag", func() {
+		a := newAgent(residency.Options{})
+		a.step(residency.Configured{Document: document(1, 10*gib, 1, "m1")})
+		a.objects(&grant.Object{Ceiling: 1, Grants: []grant.Grant{{VM: "vm2"}}}, "m1")
+		a.step(residency.Candidates{VMs: []string{"vm1"}})
+		read := a.now
+		a.later(vmlist.MaxLag + time.Second).step(residency.VMsSeen{Began: read})
+		Expect(count[residency.WriteObject](a)).To(BeZero(), "the read began before the pause")
+		a.step(residency.VMsSeen{})
+		o, _ := grant.Decode(take[residency.WriteObject](a).Value)
+		Expect(o.Grants).To(BeEmpty())
+	})
+})
+
 var _ = Describe("leaving", func() {
 	var a *agent
 	BeforeEach(func() {
@@ -174,6 +191,21 @@
 		Expect(a.s.Status(a.now).Models).To(BeEmpty())
 	})
 
+	// Guards against unload orders that repeat without a pause at an engine that confirms them and keeps the model.
+	It("repeats an unload without effect after a pause", func() {
+		a.step(residency.Drain{})
+		a.step(residency.Use{Target: m1})
+		orders := 0
+		for count[residency.SendOrder](a) > 0 && orders < 20 {
+			orders++
+			a.step(residency.OrderDone{Order: take[residency.SendOrder](a).Order})
+			a.list(res("m1"))
+		}
+		Expect(orders).To(Equal(1))
+		a.later(time.Minute).step(residency.Tick{})
+		Expect(count[residency.SendOrder](a)).To(Equal(1))
+	})
+
 	// Guards against a revoked replica that goes on serving for ever or is cut off.
 	It("takes no new requests when revoked, unloads when idle, and releases", func() {
 		a.objects(&grant.Object{Ceiling: 0, Stamp: newer, Grants: []grant.Grant{{VM: "vm1", Incarnation: "new"}}}, "m1")
--- a/pkg/residency/state.go
+++ b/pkg/residency/state.go
@@ -155,7 +155,10 @@
 	case Configured:
 		s.configured(ev.Document)
 	case VMsSeen:
-		s.absence.Seen(now, ev.VMs)
+		if ev.Began.IsZero() {
+			ev.Began = now
+		}
+		s.absence.Seen(ev.Began, ev.VMs)
 	case Candidates:
 		s.peers = slices.Clone(ev.VMs)
 	case PlaceGiven:
