Publish cold starts and idle accelerator hours, and choose the idle policy by a setting

Cause: the two things that operators weigh were counted but not published, and the idle policies were modules that no setting chose. Conclusion: operators see what they weigh.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 	go tool staticcheck ./...
 test:
 	bash scripts/test.sh
+
 bench:
 	go run ./cmd/hibiscuscross-bench policies
+	go run ./cmd/hibiscuscross-bench path
 matrix:
 	go run ./cmd/hibiscuscross-matrix --seeds 2 --pairs 100
 demo:
--- a/cmd/hibiscuscrossd/agent.go
+++ b/cmd/hibiscuscrossd/agent.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/openai"
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/engine/plain"
+	"github.com/hibiscuscross/hibiscuscross/pkg/idle"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
@@ -47,6 +48,8 @@
 	OpsListen     string        `help:"Address for operators, ip:port." default:"127.0.0.1:7002" env:"HIBISCUSCROSS_OPS_LISTEN"`
 	Module        string        `name:"engine-module" help:"Module that speaks to the upstream." default:"engine.openai" env:"HIBISCUSCROSS_ENGINE_MODULE"`
 	Engine        string        `name:"engine" help:"URL of the upstream." required:"" env:"HIBISCUSCROSS_ENGINE_URL"`
+	IdlePolicy    string        `help:"Module that decides when an idle model is unloaded." default:"policy.idle.cost" env:"HIBISCUSCROSS_IDLE_POLICY"`
+	KeepAlive     time.Duration `help:"Time without requests after which policy.idle.fixed unloads; 1s to 168h." default:"10m" env:"HIBISCUSCROSS_KEEP_ALIVE"`
 	TrustFence    bool          `help:"The upstream refuses orders with an old fencing number." env:"HIBISCUSCROSS_TRUST_FENCE"`
 	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
 	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
@@ -84,6 +87,9 @@
 	modules := kernel.IDs(kernel.KindEngine)
 	check(slices.Contains(modules, a.Module), "engine-module", a.Module, strings.Join(modules, " or "))
 	check(a.DrainTimeout >= time.Second && a.DrainTimeout <= time.Hour, "drain-timeout", a.DrainTimeout.String(), "1s to 1h")
+	policies := kernel.IDs(kernel.KindPolicy)
+	check(slices.Contains(policies, a.IdlePolicy), "idle-policy", a.IdlePolicy, strings.Join(policies, " or "))
+	check(a.KeepAlive >= time.Second && a.KeepAlive <= 168*time.Hour, "keep-alive", a.KeepAlive.String(), "1s to 168h")
 	exporters := []string{string(telemetry.ExporterNone), string(telemetry.ExporterStdout), string(telemetry.ExporterOTLP)}
 	check(slices.Contains(exporters, a.TraceExporter), "trace-exporter", a.TraceExporter, strings.Join(exporters, " or "))
 	otlp := a.TraceExporter == string(telemetry.ExporterOTLP)
@@ -111,6 +117,7 @@
 	cmd    *agentCmd
 	log    *log.Logger
 	kernel *kernel.Kernel
+	policy idle.Policy
 	agent  *agent.Agent
 	peers  transport.Listener
 	ops    net.Listener
@@ -165,6 +172,13 @@
 	scope, closer := telemetry.NewScope("agent", reporter)
 	p.scope = closer
 	p.operator = ops.New(ops.Options{Metrics: metrics, Status: func() any { return p.agent.Status() }, Profiles: p.cmd.Profiles})
+	settings := kernel.Settings{}
+	if p.cmd.IdlePolicy == idle.FixedID {
+		settings["keepalive"] = p.cmd.KeepAlive.String()
+	}
+	if p.policy, err = kernel.LoadAs[idle.Policy](ctx, p.kernel, p.cmd.IdlePolicy, settings); err != nil {
+		return err
+	}
 	p.agent = agent.New(p.options(), agent.Parts{Listener: p.peers, Transport: t, Engine: e, Store: objects, VMs: vms,
 		Scope: scope, Tracer: tracer, Log: p.log, OnReady: func() { p.operator.Ready(); p.log.Info("ready") }})
 	return nil
@@ -173,7 +187,7 @@
 func (p *agentProcess) options() agent.Options {
 	a := p.cmd
 	return agent.Options{VM: a.VM, Incarnation: uuid.NewString(), Region: a.Region, Zone: a.Zone, Group: a.Group, Addr: a.Listen, Peers: a.Peers,
-		Start: time.Now(), TrustFence: a.TrustFence, Queue: admission.DefaultLimits(), Once: once.DefaultLimits()}
+		Start: time.Now(), TrustFence: a.TrustFence, Policy: p.policy, Queue: admission.DefaultLimits(), Once: once.DefaultLimits()}
 }
 
 // run serves until the work is finished after a signal, the VM leaves or the drain takes too long.
--- a/cmd/hibiscuscrossd/agent_test.go
+++ b/cmd/hibiscuscrossd/agent_test.go
@@ -15,7 +15,7 @@
 	files := commonFlags{Cert: filepath.Join(dir, "vm-1.pem"), Key: filepath.Join(dir, "vm-1-key.pem"), CA: filepath.Join(dir, "ca.pem")}
 	return agentCmd{commonFlags: files, VM: "vm-1", Region: "lagos", Zone: "lagos-a", Group: "reading-aid", Listen: "127.0.0.1:7001", OpsListen: "127.0.0.1:7002",
 		Module: "engine.openai", Engine: "http://127.0.0.1:9000", StoreURL: "http://127.0.0.1:9100", VMListURL: "http://127.0.0.1:9200",
-		DrainTimeout: time.Minute, TraceExporter: "none"}
+		DrainTimeout: time.Minute, TraceExporter: "none", IdlePolicy: "policy.idle.cost", KeepAlive: time.Minute}
 }
 
 // Guards against an agent that starts with a wrong setting, and against an error that does not say which one.
@@ -35,6 +35,8 @@
 		{func(a *agentCmd) { a.Cert = filepath.Join(dir, "vm-2.pem") }, `vm-2.pem"`},
 		{func(a *agentCmd) { a.VM = "vm-2" }, `allowed is a certificate whose common name is --vm="vm-2"`},
 		{func(a *agentCmd) { a.CA = a.Key }, `vm-1-key.pem": allowed is a file with PEM certificates`},
+		{func(a *agentCmd) { a.IdlePolicy = "policy.idle.x" }, `--idle-policy="policy.idle.x": allowed is policy.idle.cost`},
+		{func(a *agentCmd) { a.KeepAlive = 0 }, `--keep-alive="0s": allowed is 1s to 168h`},
 		{func(a *agentCmd) { a.Group = "" }, `--group="": allowed is a name`},
 		{func(a *agentCmd) { a.Listen = "0.0.0.0:7001" }, `--listen="0.0.0.0:7001": allowed is an IP address`},
 		{func(a *agentCmd) { a.OpsListen = "localhost:1" }, `--ops-listen="localhost:1": allowed is an IP address`},
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/config"
 	"github.com/hibiscuscross/hibiscuscross/pkg/confsync"
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/idle"
 	"github.com/hibiscuscross/hibiscuscross/pkg/loadplan"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
 	"github.com/hibiscuscross/hibiscuscross/pkg/once"
@@ -43,8 +44,10 @@
 	Peers                                []string // "ip:port" of processes that may have the configuration at the start
 	Start                                time.Time
 	TrustFence                           bool // the engine refuses orders with old fencing numbers
-	Queue                                admission.Limits
-	Once                                 once.Limits
+	// Policy decides about idle models; nil stands for the cost policy.
+	Policy idle.Policy
+	Queue  admission.Limits
+	Once   once.Limits
 }
 
 // Core composes the decisions of an agent. It is a pure state machine and not safe for concurrent use.
@@ -90,7 +93,7 @@
 	return &Core{
 		o: o, conf: confsync.New(), services: map[string]*config.Service{}, members: membership.New(), once: once.New(o.VM, o.Start, o.Once),
 		queue: admission.New(o.Queue, defaultSlots), jail: quarantine.New(),
-		res:    residency.New(residency.Options{VM: o.VM, Incarnation: o.Incarnation, Group: o.Group, TrustFence: o.TrustFence}),
+		res:    residency.New(residency.Options{VM: o.VM, Incarnation: o.Incarnation, Group: o.Group, TrustFence: o.TrustFence, Policy: o.Policy}),
 		places: loadplan.NewCoordinator(loadplan.Places, weightStoreSpeed),
 		jobs:   map[string]*job{}, requests: map[string]*attachment{}, streams: map[uint64]*attachment{},
 		listMirror: mirror{key: store.KeyQuarantine}, selfMirror: mirror{key: membership.Key(o.VM), interval: recordInterval},
--- a/pkg/agent/duties.go
+++ b/pkg/agent/duties.go
@@ -41,6 +41,8 @@
 		a.checks.TryPush(act.Number) // there is one at a time
 	case Residency:
 		a.residency(act.Action)
+	case ColdStart:
+		a.metrics.coldStart(act.Waited)
 	case LogChange:
 		a.report(act)
 	default:
--- a/pkg/agent/events.go
+++ b/pkg/agent/events.go
@@ -255,6 +255,9 @@
 	Err     error
 }
 
+// ColdStart asks for a measurement: requests waited for a target that was not loaded. Waited is the longest wait.
+type ColdStart struct{ Waited time.Duration }
+
 // Residency is an order or a listing that the residency decision asks for.
 type Residency struct{ Action residency.Action }
 
@@ -277,4 +280,5 @@
 func (AskPlace) isAction()           {}
 func (ReturnPlace) isAction()        {}
 func (LogChange) isAction()          {}
+func (ColdStart) isAction()          {}
 func (Residency) isAction()          {}
--- a/pkg/agent/metrics.go
+++ b/pkg/agent/metrics.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
@@ -29,7 +31,20 @@
 	m.scope.Tagged(map[string]string{"kind": string(o.Kind), "result": result}).Counter("orders").Inc(1)
 }
 
+// coldStartBuckets cover a load from memory up to one from the remote tier of a slow weight store.
+var coldStartBuckets = tally.MustMakeExponentialDurationBuckets(50*time.Millisecond, 2, 13)
+
+// coldStart records how long requests waited for a load. Its tail is one of the two things that operators weigh.
+func (m *metrics) coldStart(waited time.Duration) {
+	m.scope.Histogram("cold_start", coldStartBuckets).RecordDuration(waited)
+}
+
 func (m *metrics) gauges(s Status) {
+	m.scope.Gauge("idle_accelerator_hours").Update(s.Models.IdleAcceleratorHours())
+	m.scope.Gauge("model_loads").Update(float64(s.Models.Loads))
+	m.scope.Gauge("evictions").Update(float64(s.Models.Evictions))
+	m.scope.Gauge("idle_unloads").Update(float64(s.Models.IdleUnloads))
+	m.scope.Gauge("unknown_orders").Update(float64(s.Models.UnknownOrders))
 	m.scope.Gauge("queue_length").Update(float64(s.Queued))
 	m.scope.Gauge("running").Update(float64(s.Running))
 	m.scope.Gauge("residents").Update(float64(len(s.Residents)))
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -55,6 +55,9 @@
 		case residency.ReturnPlace:
 			c.returnPlace(a)
 		case residency.Ready:
+			if a.Waited > 0 {
+				c.emit(ColdStart{Waited: a.Waited})
+			}
 			for _, id := range c.queue.Warm(a.Target) {
 				c.ready(c.jobs[id])
 			}
