--- /dev/null
+++ b/pkg/processtest/cluster.go
@@ -0,0 +1,293 @@
+package processtest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/agent"
+	"github.com/hibiscuscross/hibiscuscross/pkg/config"
+	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
+)
+
+// Ports of a cluster, counted from its first port. The stand-ins take consecutive ports.
+const (
+	portStore = iota
+	portVMs
+	portWeights
+	portSummary
+	portEngine
+	_
+	portPlain
+	_
+	portDaemons
+	portCount = portDaemons + 12
+)
+
+// Names in the configuration of a cluster.
+const (
+	Model        = "reading-aid-01"
+	OtherModel   = "reading-aid-02"
+	callerKey    = "example-key"
+	groupModels  = "reading-aid"
+	groupPlain   = "circulation"
+	serviceLoans = "loans"
+	gib          = 1 << 30
+)
+
+// MaxWait is the longest time that the configuration lets a caller wait.
+const MaxWait = 10 * time.Second
+
+// Node is one process of the daemon. An agent's stand-in is the upstream beside it.
+type Node struct {
+	Process
+	// Addr is where callers (router) or peers (agent) reach it, ip:port; Ops is the URL of its operators' port.
+	Addr, Ops string
+	// Standin is the URL of the upstream's stand-in; empty for a router.
+	Standin string
+}
+
+// Cluster is a platform of stand-ins with two routers, two agents of model engines and two agents of a plain service.
+type Cluster struct {
+	Routers, Engines, Plains []*Node
+
+	bin, dir string
+	base     int // first port
+	platform Process
+}
+
+// NewCluster prepares a cluster of the binaries in bin that keeps its files in dir. Nothing is started.
+func NewCluster(bin, dir string) (*Cluster, error) {
+	base, err := freePorts(portCount)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{bin: bin, dir: dir, base: base}
+	port := base + portDaemons
+	for i, vm := range []string{"router-01", "router-02", "engine-01", "engine-02", "plain-01", "plain-02"} {
+		n := &Node{Addr: addr(port), Ops: "http://" + addr(port+1)}
+		n.Process = Process{Name: vm, path: filepath.Join(bin, "hibiscuscrossd")}
+		port += 2
+		switch index := i % 2; i / 2 {
+		case 0:
+			n.args = c.daemonArgs("router", vm, n, "--shutdown-delay", "0s")
+			c.Routers = append(c.Routers, n)
+		case 1:
+			n.Standin = c.url(portEngine + index)
+			n.args = c.daemonArgs("agent", vm, n, "--group", groupModels, "--engine", n.Standin)
+			c.Engines = append(c.Engines, n)
+		case 2:
+			n.Standin = c.url(portPlain + index)
+			n.args = c.daemonArgs("agent", vm, n, "--group", groupPlain, "--engine", n.Standin, "--engine-module", "engine.plain")
+			c.Plains = append(c.Plains, n)
+		}
+	}
+	return c, nil
+}
+
+func addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func (c *Cluster) url(port int) string { return "http://" + addr(c.base+port) }
+
+func (c *Cluster) daemonArgs(role, vm string, n *Node, more ...string) []string {
+	file := func(name string) string { return filepath.Join(c.dir, name) }
+	return append([]string{role, "--cert", file(vm + ".pem"), "--key", file(vm + "-key.pem"), "--ca", file("ca.pem"), "--vm", vm,
+		"--region", "lagos", "--zone", "lagos-1", "--listen", n.Addr, "--ops-listen", n.Ops[len("http://"):],
+		"--store-url", c.url(portStore), "--vm-list-url", c.url(portVMs)}, more...)
+}
+
+// AddArgs adds arguments for the next start of the process.
+func (n *Node) AddArgs(args ...string) { n.args = append(n.args, args...) }
+
+// Nodes returns all processes of the daemon.
+func (c *Cluster) Nodes() []*Node {
+	var all []*Node
+	return append(append(append(all, c.Engines...), c.Plains...), c.Routers...)
+}
+
+// StartPlatform starts the stand-ins and writes the certificates. A token of an engine takes interval.
+func (c *Cluster) StartPlatform(interval time.Duration) error {
+	standins := filepath.Join(c.bin, "hibiscuscross-standin")
+	certs := []string{"certs", c.dir}
+	for _, n := range c.Nodes() {
+		certs = append(certs, n.Name)
+	}
+	if out, err := exec.Command(standins, certs...).CombinedOutput(); err != nil {
+		return fault.Wrap(err, fault.StepSettings, c.dir, "write certificates: "+string(out))
+	}
+	catalogue := filepath.Join(c.dir, "catalogue.json")
+	models := map[string]standin.EngineModel{}
+	for _, m := range []string{Model, OtherModel} {
+		models[m] = standin.EngineModel{MemoryBytes: gib, Tier: engine.TierDisk}
+	}
+	if err := writeJSON(catalogue, standin.Catalogue{Models: models}); err != nil {
+		return err
+	}
+	c.platform = Process{Name: "platform", path: standins, args: []string{"all", "--base-port", fmt.Sprint(c.base),
+		"--engines", "2", "--plains", "2", "--routers", "2", "--zones", "lagos/lagos-1", "--catalogue", catalogue,
+		"--token-interval", interval.String(), "--weight-speed", fmt.Sprint(16 * gib)}}
+	return c.platform.Start()
+}
+
+// Configuration returns the document of the cluster with the replica limit of both models.
+func Configuration(maxReplicas int) config.Config {
+	c := config.Config{
+		APIVersion: config.APIVersion, Deployment: "process-test", Weights: config.Weights{ColdStart: 1},
+		Limits: config.Limits{MaxWaitMS: MaxWait.Milliseconds(), UpstreamMemoryBytes: 16 * gib},
+		Groups: []config.Group{{Name: groupModels, Kind: config.GroupModels}, {Name: groupPlain, Kind: config.GroupPlain}},
+		Services: []config.Service{
+			{Name: "summaries", Group: groupModels, Models: []string{Model, OtherModel}, MaxWaitMS: MaxWait.Milliseconds()},
+			{Name: serviceLoans, Group: groupPlain, MaxWaitMS: MaxWait.Milliseconds(), Calls: []config.Call{{Method: "POST", PathPrefix: "/loans", NonIdempotent: true}}},
+		},
+		Callers: []config.Caller{{Name: "van", KeySHA256: config.Digest([]byte(callerKey)), Services: []string{"summaries", serviceLoans}}},
+	}
+	for _, m := range []string{Model, OtherModel} {
+		c.Models = append(c.Models, config.Model{Name: m, Group: groupModels, MaxReplicas: maxReplicas, MemoryBytes: gib, KVReserveBytes: gib / 4, Accelerators: 1})
+	}
+	return c
+}
+
+// Apply runs hibiscuscrossctl apply with a document made from version base. The error holds what the command printed.
+func (c *Cluster) Apply(base uint64, doc config.Config, timeout time.Duration) error {
+	file := filepath.Join(c.dir, fmt.Sprintf("config-%d.json", base))
+	if err := writeJSON(file, doc); err != nil {
+		return err
+	}
+	cmd := exec.Command(filepath.Join(c.bin, "hibiscuscrossctl"), "--store", c.url(portStore), "--timeout", timeout.String(),
+		"apply", "--base", fmt.Sprint(base), file)
+	out, err := cmd.CombinedOutput()
+	return fault.Wrap(err, fault.StepConfig, "", "apply: "+string(out))
+}
+
+func writeJSON(file string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fault.Wrap(err, fault.StepSettings, file, "encode")
+	}
+	return fault.Wrap(os.WriteFile(file, b, 0o600), fault.StepSettings, file, "write")
+}
+
+// Stop ends all processes at once.
+func (c *Cluster) Stop() {
+	for _, n := range c.Nodes() {
+		if n.cmd != nil {
+			_ = n.Kill()
+		}
+	}
+	if c.platform.cmd != nil {
+		_ = c.platform.Kill()
+	}
+}
+
+// Logs returns what the processes have printed.
+func (c *Cluster) Logs() string {
+	var b bytes.Buffer
+	for _, n := range c.Nodes() {
+		fmt.Fprintf(&b, "== %s\n%s", n.Name, n.Log())
+	}
+	return b.String()
+}
+
+// client serves the requests of tests to stand-ins and operators' ports.
+var client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func get[T any](url string) (v T, err error) {
+	resp, err := client.Get(url)
+	if err != nil {
+		return v, fault.Wrap(err, fault.StepDial, url, "get")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return v, fault.Newf(fault.StepDial, url, "get: %s", resp.Status)
+	}
+	return v, fault.Wrap(json.NewDecoder(resp.Body).Decode(&v), fault.StepDial, url, "decode")
+}
+
+// Ready returns nil once the process serves.
+func (n *Node) Ready() error {
+	resp, err := client.Get(n.Ops + "/readyz")
+	if err != nil {
+		return fault.Wrap(err, fault.StepDial, n.Name, "readiness")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fault.Newf(fault.StepDial, n.Name, "readiness: %s", resp.Status)
+	}
+	return nil
+}
+
+// AgentStatus returns the status of an agent; it is up to 1 s old.
+func (n *Node) AgentStatus() (agent.Status, error) { return get[agent.Status](n.Ops + "/status") }
+
+// EngineCounts returns what the engine's stand-in has counted.
+func (n *Node) EngineCounts() (standin.EngineCounts, error) {
+	return get[standin.EngineCounts](n.Standin + "/standin/counts")
+}
+
+// Listing returns what the engine holds.
+func (n *Node) Listing() (engine.Listing, error) {
+	return get[engine.Listing](n.Standin + "/admin/listing")
+}
+
+// Summary returns what the stand-ins have counted together.
+func (c *Cluster) Summary() (standin.Summary, error) {
+	return get[standin.Summary](c.url(portSummary) + "/standin/summary")
+}
+
+// Runs returns how often the call with the key ran, over all plain services.
+func (c *Cluster) Runs(key string) (runs int, err error) {
+	for _, n := range c.Plains {
+		counts, err := get[standin.PlainCounts](n.Standin + "/standin/counts")
+		if err != nil {
+			return 0, err
+		}
+		runs += counts.Keys[key]
+	}
+	return runs, nil
+}
+
+// StoreURL returns the URL of the object API's stand-in.
+func (c *Cluster) StoreURL() string { return c.url(portStore) }
+
+// SetFaults replaces the faults of the stand-in at the URL.
+func SetFaults(url string, faults any) error {
+	b, err := json.Marshal(faults)
+	if err != nil {
+		return fault.Wrap(err, fault.StepSettings, url, "encode faults")
+	}
+	return send(http.MethodPut, url+"/standin/faults", bytes.NewReader(b))
+}
+
+// Silence makes the connections silent that the stand-in at the URL has open now.
+func Silence(url string) error { return send(http.MethodPost, url+"/standin/silence", nil) }
+
+// Crash crashes the engine whose stand-in is at the URL.
+func Crash(url string) error {
+	_ = send(http.MethodPost, url+"/standin/crash", nil) // the crash resets the connection of this call too
+	_, err := get[standin.EngineCounts](url + "/standin/counts")
+	return err
+}
+
+func send(method, url string, body io.Reader) error {
+	req, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return fault.Wrap(err, fault.StepDial, url, "request")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.StepDial, url, method)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fault.Newf(fault.StepDial, url, "%s: %s", method, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/processtest/process.go
@@ -0,0 +1,134 @@
+// Package processtest runs the system's binaries and the stand-ins as separate processes on loopback, for tests of what
+// callers see when processes die, pause or are stopped. It is never linked into the daemon.
+package processtest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+)
+
+// module is the import path under which the commands are found.
+const module = "github.com/hibiscuscross/hibiscuscross"
+
+// Build builds the daemon, the operators' tool and the stand-ins into dir.
+func Build(dir string) error {
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
+		module+"/cmd/hibiscuscrossd", module+"/cmd/hibiscuscrossctl", module+"/cmd/hibiscuscross-standin")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fault.Wrap(err, fault.StepSettings, dir, "build commands: "+string(out))
+	}
+	return nil
+}
+
+// Process is a running program. It can be started again with the same arguments once it has ended.
+type Process struct {
+	Name string
+
+	path string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the program has ended
+	log  logBuffer
+}
+
+// logBuffer keeps what a process prints. It is safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends to the log.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Start starts the program. With the same Process it starts it again.
+func (p *Process) Start() error {
+	cmd, done := exec.Command(p.path, p.args...), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	if err := cmd.Start(); err != nil {
+		return fault.Wrap(err, fault.StepSettings, p.Name, "start process")
+	}
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // the status is read from ProcessState
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the program.
+func (p *Process) Signal(s syscall.Signal) error {
+	return fault.Wrap(p.cmd.Process.Signal(s), fault.StepDrain, p.Name, "send signal")
+}
+
+// Kill ends the program at once, as a crash does, and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fault.Wrap(err, fault.StepDrain, p.Name, "kill process")
+	}
+	<-p.done
+	return nil
+}
+
+// Ended is closed when the program has ended.
+func (p *Process) Ended() <-chan struct{} { return p.done }
+
+// ExitCode returns the status of a program that has ended, -1 if a signal ended it.
+func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
+
+// Log returns what the program has printed over all its starts.
+func (p *Process) Log() string { return p.log.String() }
+
+// Ports below those that the system gives to outgoing connections are searched.
+const (
+	firstPort = 20000
+	lastPort  = 31000
+)
+
+// freePorts returns the first of count consecutive ports that are free for TCP and UDP on the loopback address. The
+// search starts at a place that depends on the process, because other tests may search at the same time.
+func freePorts(count int) (int, error) {
+	blocks := (lastPort - firstPort) / count
+	for i := range blocks {
+		base := firstPort + (os.Getpid()*7+i)%blocks*count
+		if areFree(base, count) {
+			return base, nil
+		}
+	}
+	return 0, fault.Newf(fault.StepSettings, "", "no %d consecutive free ports", count)
+}
+
+func areFree(base, count int) bool {
+	for port := base; port < base+count; port++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		c, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+	}
+	return true
+}
