Test pauses, silence, outages, planned stops, crashes and lowered limits with real processes

Cause: these faults were tested in one process only. Change: pkg/processtest starts clusters ahead of the specs and covers the remaining faults.

--- a/pkg/processtest/caller.go
+++ b/pkg/processtest/caller.go
@@ -17,6 +17,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/api"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
 )
 
@@ -83,6 +84,9 @@
 // NewKey returns an idempotency key issued now.
 func NewKey() string { return uuid.Must(uuid.NewV7()).String() }
 
+// Slot returns the slot of a key of the cluster's caller.
+func Slot(key string) uint32 { return once.SlotOf(callerName, key) }
+
 // Loan sends a loan under the key. The attempt counts the sends of the key from 1.
 func Loan(router *Node, key string, attempt int, deadline time.Duration) *Request {
 	header := http.Header{}
--- a/pkg/processtest/cluster.go
+++ b/pkg/processtest/cluster.go
@@ -36,6 +36,7 @@
 const (
 	Model        = "reading-aid-01"
 	OtherModel   = "reading-aid-02"
+	callerName   = "van"
 	callerKey    = "example-key"
 	groupModels  = "reading-aid"
 	groupPlain   = "circulation"
@@ -46,6 +47,9 @@
 // MaxWait is the longest time that the configuration lets a caller wait.
 const MaxWait = 10 * time.Second
 
+// startTimeout bounds the first apply. It tries again until the object API answers.
+const startTimeout = 15 * time.Second
+
 // Node is one process of the daemon. An agent's stand-in is the upstream beside it.
 type Node struct {
 	Process
@@ -113,8 +117,24 @@
 	return append(append(append(all, c.Engines...), c.Plains...), c.Routers...)
 }
 
-// StartPlatform starts the stand-ins and writes the certificates. A token of an engine takes interval.
-func (c *Cluster) StartPlatform(interval time.Duration) error {
+// Start starts the stand-ins, applies the configuration with a limit of two replicas and starts the daemon's processes.
+// It does not wait until they serve. A token of an engine takes interval.
+func (c *Cluster) Start(interval time.Duration) error {
+	if err := c.startPlatform(interval); err != nil {
+		return err
+	}
+	if err := c.Apply(0, Configuration(2), startTimeout); err != nil {
+		return err
+	}
+	for _, n := range c.Nodes() {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startPlatform(interval time.Duration) error {
 	standins := filepath.Join(c.bin, "hibiscuscross-standin")
 	certs := []string{"certs", c.dir}
 	for _, n := range c.Nodes() {
@@ -147,7 +167,7 @@
 			{Name: "summaries", Group: groupModels, Models: []string{Model, OtherModel}, MaxWaitMS: MaxWait.Milliseconds()},
 			{Name: serviceLoans, Group: groupPlain, MaxWaitMS: MaxWait.Milliseconds(), Calls: []config.Call{{Method: "POST", PathPrefix: "/loans", NonIdempotent: true}}},
 		},
-		Callers: []config.Caller{{Name: "van", KeySHA256: config.Digest([]byte(callerKey)), Services: []string{"summaries", serviceLoans}}},
+		Callers: []config.Caller{{Name: callerName, KeySHA256: config.Digest([]byte(callerKey)), Services: []string{"summaries", serviceLoans}}},
 	}
 	for _, m := range []string{Model, OtherModel} {
 		c.Models = append(c.Models, config.Model{Name: m, Group: groupModels, MaxReplicas: maxReplicas, MemoryBytes: gib, KVReserveBytes: gib / 4, Accelerators: 1})
--- a/pkg/processtest/process.go
+++ b/pkg/processtest/process.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
@@ -103,12 +104,16 @@
 	lastPort  = 31000
 )
 
+// taken counts the blocks of ports that were handed out or found in use.
+var taken atomic.Int64
+
 // freePorts returns the first of count consecutive ports that are free for TCP and UDP on the loopback address. The
-// search starts at a place that depends on the process, because other tests may search at the same time.
+// search starts at a place that depends on the process, because other tests may search at the same time. No port is
+// handed out twice, because a process that was killed leaves its ports free until it is started again.
 func freePorts(count int) (int, error) {
 	blocks := (lastPort - firstPort) / count
-	for i := range blocks {
-		base := firstPort + (os.Getpid()*7+i)%blocks*count
+	for range blocks {
+		base := firstPort + (os.Getpid()*7+int(taken.Add(1)))%blocks*count
 		if areFree(base, count) {
 			return base, nil
 		}
