Measure the queue against first come, first served

Cause: the deadline-aware queue with early refusal had no figures beside a plain queue. Change: policybench drives pkg/admission on one upstream in virtual time at 0.5, 1 and 2 times capacity, beside first come, first served, with and without the expiry of requests. Bounds are ratios to both baselines, and I3's deadline.

--- /dev/null
+++ b/pkg/policybench/queuereport.go
@@ -0,0 +1,89 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	// minQuietRatio bounds the shares in time at half of the capacity. Neither queue is long then, so all disciplines
+	// answer nearly everything; a wrong refusal may cost at most one request in a hundred.
+	minQuietRatio = 0.99
+	// maxWaste bounds the share of wasted slot time relative to each baseline.
+	maxWaste = 1.0
+	// maxQueueWait bounds every wait: the longest deadline of the workload (I3: served or refused before the deadline).
+	maxQueueWait = 60 * time.Second
+)
+
+// queueLoads are the multiples of the capacity.
+func queueLoads() []float64 { return []float64{0.5, 1, 2} }
+
+func runQueues(w io.Writer, o Options) []string {
+	fmt.Fprintf(w, "\nqueues: 1 upstream, %d slots, classes 8, 5 and 2, %d x %s; ratio of the whole share in time of admission to the row's\n", queueSlots, o.Seeds, short(o.Queue))
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "load\tqueue\trequests\trefused at once\tin time %\tclass 8 %\tclass 5 %\tclass 2 %\tclass 2 longest wait s\tclass 2 longest gap s\twasted slot time %\tratio\tadmission better\t")
+	var broken []string
+	for _, load := range queueLoads() {
+		own := sumQueue(DisciplineAdmission, load, o)
+		queueRow(tw, load, DisciplineAdmission, own, "", "")
+		if wait := own.Total().LongestWait; wait > maxQueueWait {
+			broken = append(broken, fmt.Sprintf("queue at load %g: a request waits %v, bound %v", load, wait, maxQueueWait))
+		}
+		for _, d := range []Discipline{DisciplineFirstCome, DisciplineFirstComeExpire} {
+			r := sumQueue(d, load, o)
+			ratio := own.Total().Share() / r.Total().Share()
+			queueRow(tw, load, d, r, fmt.Sprintf("%.3f", ratio), yes(ratio > 1))
+			broken = append(broken, queueBounds(load, d, own, r)...)
+		}
+	}
+	_ = tw.Flush()
+	return broken
+}
+
+func sumQueue(d Discipline, load float64, o Options) QueueResult {
+	var r QueueResult
+	for seed := range o.Seeds {
+		r.add(SimulateQueue(d, load, uint64(seed+1), o.Queue))
+	}
+	return r
+}
+
+func queueRow(w io.Writer, load float64, d Discipline, r QueueResult, ratio, better string) {
+	low := r.Classes[len(r.Classes)-1]
+	fmt.Fprintf(w, "%g\t%s\t%d\t%d\t%.2f\t", load, d, r.Total().Requests, r.Refused, 100*r.Total().Share())
+	for _, c := range r.Classes {
+		fmt.Fprintf(w, "%.2f\t", 100*c.Share())
+	}
+	fmt.Fprintf(w, "%.1f\t%.1f\t%.2f\t%s\t%s\t\n", low.LongestWait.Seconds(), low.LongestGap.Seconds(), 100*r.WastedShare(), ratio, better)
+}
+
+// queueBounds compares admission with one baseline: the whole share in time, the share of the highest class, and the
+// wasted slot time.
+func queueBounds(load float64, d Discipline, own, base QueueResult) []string {
+	bound := minShareRatio
+	if load < 1 {
+		bound = minQuietRatio
+	}
+	var broken []string
+	check := func(what string, ratio float64) {
+		if ratio < bound {
+			broken = append(broken, fmt.Sprintf("queue at load %g: %s in time, %.3f of %s, bound %.3f", load, what, ratio, d, bound))
+		}
+	}
+	check("all classes", own.Total().Share()/base.Total().Share())
+	check("class 8", own.Classes[0].Share()/base.Classes[0].Share())
+	if own.WastedShare() > maxWaste*base.WastedShare() {
+		broken = append(broken, fmt.Sprintf("queue at load %g: %.2f%% of the slot time wasted, %s %.2f%%", load, 100*own.WastedShare(), d, 100*base.WastedShare()))
+	}
+	return broken
+}
+
+// yes prints whether a policy beats its baseline.
+func yes(better bool) string {
+	if better {
+		return "yes"
+	}
+	return "NO"
+}
--- /dev/null
+++ b/pkg/policybench/queuesim.go
@@ -0,0 +1,234 @@
+package policybench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/admission"
+)
+
+// Discipline is how an upstream treats its waiting requests.
+type Discipline string
+
+// Disciplines. All but DisciplineAdmission are baselines.
+const (
+	// DisciplineAdmission is package admission's queue; a running call is canceled at its deadline, as the agent does.
+	DisciplineAdmission Discipline = "admission"
+	// DisciplineFirstCome serves in the order of arrival, refuses nothing and runs every call to its end.
+	DisciplineFirstCome Discipline = "first-come"
+	// DisciplineFirstComeExpire also serves in the order of arrival, but drops expired requests and cancels at the deadline.
+	DisciplineFirstComeExpire Discipline = "first-come, expiring"
+)
+
+const (
+	queueSlots = 8
+	// queueTick is the time between two calls of Expire, as at the agent.
+	queueTick = 100 * time.Millisecond
+	// minCall, meanExtra and maxCall shape the run time of a call: a constant and an exponential part, bounded.
+	minCall, meanExtra, maxCall = 500 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second
+)
+
+// queueClasses are the priority classes and the shares of requests that they have.
+var queueClasses = []struct {
+	priority int
+	share    float64
+}{{8, 0.2}, {5, 0.5}, {2, 0.3}}
+
+// ClassResult is what happened to the requests of one priority class.
+type ClassResult struct {
+	Requests, InTime int
+	// LongestWait is the longest time from arrival to the start, the refusal or the expiry of a request.
+	LongestWait time.Duration
+	// LongestGap is the longest time between two starts of calls of the class.
+	LongestGap time.Duration
+	lastStart  time.Duration
+}
+
+// Share returns the share of requests that were answered in full before their deadline.
+func (c ClassResult) Share() float64 { return float64(c.InTime) / max(1, float64(c.Requests)) }
+
+// QueueResult is what a discipline did to one upstream's requests.
+type QueueResult struct {
+	Classes []ClassResult // as queueClasses, the highest priority first
+	// Busy is the time that slots were taken, Wasted the part of it spent on calls that were not answered in time.
+	Busy, Wasted time.Duration
+	Refused      int // at once
+}
+
+// Total returns the sum over the classes.
+func (r QueueResult) Total() ClassResult {
+	var t ClassResult
+	for _, c := range r.Classes {
+		t.Requests, t.InTime = t.Requests+c.Requests, t.InTime+c.InTime
+		t.LongestWait, t.LongestGap = max(t.LongestWait, c.LongestWait), max(t.LongestGap, c.LongestGap)
+	}
+	return t
+}
+
+// WastedShare returns the share of the busy time that was wasted.
+func (r QueueResult) WastedShare() float64 { return r.Wasted.Seconds() / max(1e-9, r.Busy.Seconds()) }
+
+func (r *QueueResult) add(o QueueResult) {
+	if r.Classes == nil {
+		r.Classes = make([]ClassResult, len(o.Classes))
+	}
+	for i, c := range o.Classes {
+		t := &r.Classes[i]
+		t.Requests, t.InTime = t.Requests+c.Requests, t.InTime+c.InTime
+		t.LongestWait, t.LongestGap = max(t.LongestWait, c.LongestWait), max(t.LongestGap, c.LongestGap)
+	}
+	r.Busy, r.Wasted, r.Refused = r.Busy+o.Busy, r.Wasted+o.Wasted, r.Refused+o.Refused
+}
+
+type queueCall struct {
+	at, deadline, service time.Duration
+	class                 int
+}
+
+// callTime draws the run time of a call at speed 1.
+func callTime(rng *rand.Rand) time.Duration {
+	return min(maxCall, minCall+time.Duration(rng.ExpFloat64()*float64(meanExtra)))
+}
+
+// queueWorkload draws a Poisson process of calls at a multiple of the upstream's capacity. In each class, half of the
+// callers wait for the answer (deadline 5 to 15 s) and half have more time (20 to 60 s).
+func queueWorkload(load float64, seed uint64, length time.Duration) []queueCall {
+	rng := rand.New(rand.NewPCG(seed, 13))
+	gap := (minCall + meanExtra).Seconds() / (load * queueSlots)
+	var out []queueCall
+	for t := rng.ExpFloat64() * gap; t < length.Seconds(); t += rng.ExpFloat64() * gap {
+		c := queueCall{at: time.Duration(t * float64(time.Second)), service: callTime(rng)}
+		slack := 5 + 10*rng.Float64()
+		if rng.IntN(2) == 0 {
+			slack = 20 + 40*rng.Float64()
+		}
+		c.deadline = c.at + time.Duration(slack*float64(time.Second))
+		for u := rng.Float64(); c.class < len(queueClasses)-1 && u >= queueClasses[c.class].share; c.class++ {
+			u -= queueClasses[c.class].share
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// queueSim runs one upstream.
+type queueSim struct {
+	agenda
+	calls      []queueCall
+	discipline Discipline
+	queue      *admission.Queue
+	fifo       []int
+	running    int
+	result     QueueResult
+}
+
+// SimulateQueue runs a discipline on one upstream at a multiple of its capacity.
+func SimulateQueue(d Discipline, load float64, seed uint64, length time.Duration) QueueResult {
+	s := &queueSim{calls: queueWorkload(load, seed, length), discipline: d, queue: admission.New(admission.DefaultLimits(), queueSlots)}
+	s.result.Classes = make([]ClassResult, len(queueClasses))
+	for i, c := range s.calls {
+		s.at(c.at, func() { s.arrive(i) })
+	}
+	s.every(queueTick, length+2*time.Minute, s.expire)
+	s.run()
+	return s.result
+}
+
+func (s *queueSim) class(i int) *ClassResult { return &s.result.Classes[s.calls[i].class] }
+
+// left records that a request stopped waiting.
+func (s *queueSim) left(i int) {
+	c := s.class(i)
+	c.LongestWait = max(c.LongestWait, s.now-s.calls[i].at)
+}
+
+func (s *queueSim) arrive(i int) {
+	s.class(i).Requests++
+	if s.discipline != DisciplineAdmission {
+		s.fifo = append(s.fifo, i)
+		s.serve()
+		return
+	}
+	c := s.calls[i]
+	r := admission.Request{ID: strconv.Itoa(i), Priority: queueClasses[c.class].priority, Deadline: epoch.Add(c.deadline)}
+	if s.queue.Offer(s.time(), r, false, 0) != nil {
+		s.result.Refused++
+		s.left(i)
+	}
+	s.serve()
+}
+
+func (s *queueSim) expire() {
+	switch s.discipline {
+	case DisciplineAdmission:
+		for _, id := range s.queue.Expire(s.time().Add(queueTick)) {
+			s.left(index(id))
+		}
+	case DisciplineFirstComeExpire:
+		kept := s.fifo[:0]
+		for _, i := range s.fifo {
+			if s.calls[i].deadline > s.now {
+				kept = append(kept, i)
+			} else {
+				s.left(i)
+			}
+		}
+		s.fifo = kept
+	}
+}
+
+func (s *queueSim) serve() {
+	for {
+		i, ok := s.next()
+		if !ok {
+			return
+		}
+		s.start(i)
+	}
+}
+
+// next returns the call to start, if a slot is free and one waits.
+func (s *queueSim) next() (int, bool) {
+	if s.discipline == DisciplineAdmission {
+		id, ok := s.queue.Next(s.time(), func(string) bool { return true })
+		return index(id), ok
+	}
+	if s.running >= queueSlots || len(s.fifo) == 0 {
+		return 0, false
+	}
+	i := s.fifo[0]
+	s.fifo = s.fifo[1:]
+	return i, true
+}
+
+func (s *queueSim) start(i int) {
+	s.left(i)
+	c, call := s.class(i), s.calls[i]
+	c.LongestGap, c.lastStart = max(c.LongestGap, s.now-c.lastStart), s.now
+	s.running++
+	end, whole := s.now+call.service, s.now+call.service <= call.deadline
+	if !whole && s.discipline != DisciplineFirstCome {
+		end = max(s.now, call.deadline)
+	}
+	busy := end - s.now
+	s.at(end, func() { s.finish(i, busy, whole) })
+}
+
+func (s *queueSim) finish(i int, busy time.Duration, whole bool) {
+	s.running--
+	s.result.Busy += busy
+	if whole {
+		s.class(i).InTime++
+	} else {
+		s.result.Wasted += busy
+	}
+	s.queue.Done(s.time(), strconv.Itoa(i), whole)
+	s.serve()
+}
+
+// index returns the number that a request id was made from, and 0 for an empty id.
+func index(id string) int {
+	i, _ := strconv.Atoi(id)
+	return i
+}
--- a/pkg/policybench/report.go
+++ b/pkg/policybench/report.go
@@ -17,6 +17,7 @@
 	Seeds int           // workloads per deployment; each policy gets the same ones
 	Idle  time.Duration // virtual length of an idle run
 	Loads time.Duration // virtual length of a load run
+	Queue time.Duration // virtual length of each run of requests: queues, routing and retries
 }
 
 // Bounds are ratios to the baselines. They state what the policies are for, and are not taken from a measured figure.
@@ -45,6 +46,7 @@
 		broken = append(broken, runLoads(w, d, o)...)
 	}
 	broken = append(broken, runSteps(w)...)
+	broken = append(broken, runQueues(w, o)...)
 	for _, b := range broken {
 		fmt.Fprintln(w, "BROKEN:", b)
 	}
--- a/pkg/policybench/workload.go
+++ b/pkg/policybench/workload.go
@@ -1,6 +1,6 @@
-// Package policybench measures the idle policies and the load order against their baselines in virtual time, on
-// workloads of the deployments' sizes (design page, section 1.2). All figures but the time of a
-// step depend only on the seeds.
+// Package policybench measures the policies for idle models, loads, queues, routing, retries and keyed calls against
+// their baselines in virtual time, on workloads of the deployments' sizes (design page, section 1.2). All figures but
+// the times of a step and of a keyed call depend only on the seeds.
 package policybench
 
 import (
