Measure routing against random and least outstanding

Cause: the choice of an upstream had no figures beside simpler rules, and none with load reports that lag.

--- a/pkg/policybench/requests_test.go
+++ b/pkg/policybench/requests_test.go
@@ -24,3 +24,41 @@
 		}
 	})
 })
+
+var _ = Describe("fleets", func() {
+	run := func(f policybench.Fleet) policybench.FleetResult {
+		f.Load, f.Lag = 0.7, time.Second
+		return policybench.SimulateFleet(f, 1, 5*time.Minute)
+	}
+	routing := policybench.Fleet{Chooser: policybench.ChooseRouting, Retries: policybench.RetryNone}
+
+	// Guards against choosers compared on different requests, requests that the simulation loses, and switches of a case
+	// that do not reach the router.
+	It("account for each request, every time", func() {
+		own := run(routing)
+		Expect(run(routing)).To(Equal(own))
+		for _, f := range []policybench.Fleet{routing, {Chooser: policybench.ChooseRandom}, {Chooser: policybench.ChooseLeast}, {Chooser: policybench.ChooseRouting, NoPlaces: true}} {
+			r := run(f)
+			Expect([]int{r.Requests, len(r.Waits), r.Attempts}).To(Equal([]int{own.Requests, own.Requests, own.Requests}))
+		}
+		flat := routing
+		flat.NoPlaces = true
+		Expect(run(flat).CrossBytes).To(BeNumerically(">", own.CrossBytes))
+		blind := routing
+		blind.NoAffinity = true
+		Expect(run(blind).HitShare()).NotTo(Equal(own.HitShare()))
+	})
+
+	// Guards against a retry rule that does not reach the router, and against retries that lose or repeat requests.
+	It("retry as their rule says", func() {
+		attempts := map[policybench.Retries]int{}
+		for _, rule := range []policybench.Retries{policybench.RetryNone, policybench.RetryBudget, policybench.RetryUnlimited} {
+			r := run(policybench.Fleet{Chooser: policybench.ChooseRouting, Retries: rule, Refusing: 3})
+			Expect(r.Waits).To(HaveLen(r.Requests))
+			Expect(r.Served).To(BeNumerically("<=", r.Requests))
+			attempts[rule] = r.Attempts
+		}
+		Expect(attempts[policybench.RetryNone]).To(BeNumerically("<", attempts[policybench.RetryBudget]))
+		Expect(attempts[policybench.RetryBudget]).To(BeNumerically("<", attempts[policybench.RetryUnlimited]))
+	})
+})
