Measure keyed calls against claims in the store

Change: policybench drives pkg/once in virtual time, counts store calls and decisions, and compares it with a write per call and with grouped claims at 300 writes/s, and during an outage of the store and the loss of an agent. It also times the decision on one core.

--- a/pkg/policybench/report.go
+++ b/pkg/policybench/report.go
@@ -48,6 +48,7 @@
 	broken = append(broken, runSteps(w)...)
 	broken = append(broken, runQueues(w, o)...)
 	broken = append(broken, runRouting(w, o)...)
+	broken = append(broken, runOnce(w, o)...)
 	for _, b := range broken {
 		fmt.Fprintln(w, "BROKEN:", b)
 	}
