Measure the retry budget against unlimited and no retries

Cause: the retry budget had no figures for upstreams that refuse. Bounds: attempts within the stated budget, no less served than without retries, no more attempts than without a limit.

--- a/pkg/policybench/report.go
+++ b/pkg/policybench/report.go
@@ -49,6 +49,7 @@
 	broken = append(broken, runQueues(w, o)...)
 	broken = append(broken, runRouting(w, o)...)
 	broken = append(broken, runOnce(w, o)...)
+	broken = append(broken, runRetries(w, o)...)
 	for _, b := range broken {
 		fmt.Fprintln(w, "BROKEN:", b)
 	}
