Draw the occurrence of rare steps from how often they occur

Cause: 98 of 516 runs of the matrix did not reach their step, because a run leaves the drain and release steps once only. Change: the n-th occurrence is drawn below the number of times that a step occurs.

--- a/pkg/matrix/cells.go
+++ b/pkg/matrix/cells.go
@@ -72,7 +72,7 @@
 // SetupOf returns the set-up of a cell's run. The fault hits at the n-th time that the step is reached, n drawn from the
 // seed. Engines ignore fencing numbers with every other seed.
 func SetupOf(c Cell, seed uint64) Setup {
-	return setup(seed, Injection{Step: c.Step, Fault: c.Fault, Nth: int(seed % 7)})
+	return setup(seed, Injection{Step: c.Step, Fault: c.Fault, Nth: nth(c.Step, seed)})
 }
 
 // RunCell runs one cell.
@@ -82,10 +82,22 @@
 	return run(seed, s)
 }
 
+// rare is how often a run without faults reaches the steps that it does not reach all the time.
+var rare = map[Step]uint64{StepAccept: 3, StepSpread: 2, StepClaim: 2, StepGrant: 3, StepDrain: 1, StepRelease: 1}
+
+// nth draws at which time that the step is reached the fault hits, counted from 0.
+func nth(s Step, seed uint64) int {
+	times := uint64(7)
+	if n, ok := rare[s]; ok {
+		times = n
+	}
+	return int(seed % times)
+}
+
 // PairSetup returns the set-up of two faults in one run; the same cell may be given twice.
 func PairSetup(a, b Cell, seed uint64) Setup {
-	n := int(seed % 5)
-	return setup(seed, Injection{Step: a.Step, Fault: a.Fault, Nth: n}, Injection{Step: b.Step, Fault: b.Fault, Nth: n + 1})
+	first, second := nth(a.Step, seed), nth(b.Step, seed+1)
+	return setup(seed, Injection{Step: a.Step, Fault: a.Fault, Nth: first}, Injection{Step: b.Step, Fault: b.Fault, Nth: second})
 }
 
 // RunPair runs two faults in one run.
