Keep the store's objects in the watch and take copies from peers

Cause: a process that starts while the object API is down has no upstream records, grants or key slot owners, so a router refuses every request with no_upstream.

Change: wire has ObjectsGet and ObjectsList. The first listing hands out equal versions again as shown by the store, and reports copies that the store no longer has as deleted.

Measurement: pkg/watch and pkg/wire pass with -race.

--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
@@ -18,7 +19,8 @@
 const DefaultRingSize = 64
 
 // Update is one change handed out. Exactly one of Objects with Synced, VMsAt with VMs, and Err is meaningful, and
-// Source says which side it comes from.
+// Source says which side it comes from. Objects of peers are copies of unknown age: they show that the object had the
+// value at the version, and nothing of the present state.
 type Update struct {
 	Source Source
 	// Objects are those created or changed since the last update, or Deleted, each at most once for each version.
@@ -39,6 +41,7 @@
 const (
 	SourceStore Source = iota + 1
 	SourceVMs
+	SourcePeers
 )
 
 // Options set the duty. The zero value has the system's intervals and prefixes.
@@ -79,21 +82,30 @@
 	lister  vmlist.Lister
 	options Options
 	updates *ring.Ring[Update]
-	// versions holds the version handed out last of each key; deleted keys are left out once a listing confirms it.
+	// order is held while changes are recorded and handed out, so that consumers get them in the order of versions.
+	order sync.Mutex
+	// mu guards versions and synced.
+	mu sync.Mutex
+	// versions holds what was handed out last of each key; deleted keys are left out once a listing confirms it.
 	versions map[string]known
 	revision uint64
 	synced   bool
+	listed   chan struct{} // closed by the first listing that succeeds
+	failed   chan struct{} // closed by the first call that fails
 }
 
 type known struct {
 	version uint64
 	deleted bool
+	peer    bool   // learned from a peer only
+	value   []byte // of the objects that Snapshot returns
 }
 
 // New returns a watcher of s and l. A nil l leaves out the VM list.
 func New(s store.Store, l vmlist.Lister, o Options) *Watcher {
 	o = o.withDefaults()
-	return &Watcher{store: s, lister: l, options: o, updates: ring.New[Update](o.RingSize), versions: map[string]known{}}
+	return &Watcher{store: s, lister: l, options: o, updates: ring.New[Update](o.RingSize), versions: map[string]known{},
+		listed: make(chan struct{}), failed: make(chan struct{})}
 }
 
 // Updates returns the ring on which changes are handed out. It needs a consumer.
@@ -119,6 +131,7 @@
 func (w *Watcher) followStore(ctx context.Context) {
 	jitter := rand.New(rand.NewPCG(w.options.Seed, 1))
 	listed, failures := false, 0
+	failed := sync.OnceFunc(func() { close(w.failed) })
 	for ctx.Err() == nil {
 		began := time.Now()
 		var err error
@@ -135,6 +148,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			failures++
+			failed()
 			_ = w.updates.Push(ctx, Update{Source: SourceStore, Err: err})
 		} else {
 			failures = 0
@@ -177,18 +191,34 @@
 		}
 		all = append(all, objects...)
 	}
-	changed := append(w.unseen(all), w.vanished(all, lowest)...)
+	w.order.Lock()
+	defer w.order.Unlock()
+	changed := w.relist(all, lowest)
 	w.revision = max(w.revision, lowest)
-	w.synced = true
 	return w.push(ctx, changed)
 }
 
+// relist records a listing and returns what changed.
+func (w *Watcher) relist(all []store.Object, revision uint64) []store.Object {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.synced {
+		w.synced = true
+		close(w.listed)
+	}
+	return append(w.unseen(all), w.vanished(all, revision)...)
+}
+
 func (w *Watcher) watch(ctx context.Context) error {
 	objects, revision, err := w.store.Watch(ctx, w.revision, w.options.Hold)
 	if err != nil {
 		return err
 	}
+	w.order.Lock()
+	defer w.order.Unlock()
+	w.mu.Lock()
 	changed := w.unseen(objects)
+	w.mu.Unlock()
 	w.revision = max(w.revision, revision)
 	if len(changed) == 0 {
 		return nil
@@ -201,21 +231,23 @@
 }
 
 // unseen returns the objects with a watched prefix that are newer than the version handed out last. Listings overlap
-// with the watch and may be stale.
+// with the watch and may be stale. An object known from a peer only is handed out again at the same version, as one that
+// the store has shown. The caller holds mu.
 func (w *Watcher) unseen(objects []store.Object) []store.Object {
 	var out []store.Object
 	for _, o := range objects {
-		if !w.wanted(o.Key) || o.Version <= w.versions[o.Key].version {
+		k := w.versions[o.Key]
+		if !w.wanted(o.Key) || o.Version < k.version || o.Version == k.version && !k.peer {
 			continue
 		}
-		w.versions[o.Key] = known{version: o.Version, deleted: o.Deleted}
+		w.record(o, false)
 		out = append(out, o)
 	}
 	return out
 }
 
 // vanished returns deletions, unknown to the watch, of the keys that a listing no longer has. A listing older than the
-// last revision seen proves nothing.
+// last revision seen proves nothing. The caller holds mu.
 func (w *Watcher) vanished(listed []store.Object, revision uint64) []store.Object {
 	if revision < w.revision {
 		return nil
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -35,6 +35,8 @@
 	typeLoadDone
 	typeStatusGet
 	typeStatus
+	typeObjectsGet
+	typeObjectsList
 )
 
 // Message is one of the message types of this package, as a pointer.
@@ -57,6 +59,8 @@
 func (*LoadDone) frameType() byte       { return typeLoadDone }
 func (*StatusGet) frameType() byte      { return typeStatusGet }
 func (*Status) frameType() byte         { return typeStatus }
+func (*ObjectsGet) frameType() byte     { return typeObjectsGet }
+func (*ObjectsList) frameType() byte    { return typeObjectsList }
 
 var newMessage = [...]func() Message{
 	typeOpen:           func() Message { return new(Open) },
@@ -76,6 +80,8 @@
 	typeLoadDone:       func() Message { return new(LoadDone) },
 	typeStatusGet:      func() Message { return new(StatusGet) },
 	typeStatus:         func() Message { return new(Status) },
+	typeObjectsGet:     func() Message { return new(ObjectsGet) },
+	typeObjectsList:    func() Message { return new(ObjectsList) },
 }
 
 // Append appends the frame of m to buf and returns the extended buffer.
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -216,3 +216,20 @@
 type Status struct {
 	JSON []byte `cbor:"1,keyasint"`
 }
+
+// ObjectsGet asks a peer for the objects of the store that it knows. A process sends it that started in an outage of the
+// store.
+type ObjectsGet struct{}
+
+// ObjectsList answers ObjectsGet with the newest value known of each object under upstreams/, grants/ and owners/. Like
+// each message it is bounded by MaxFrameBytes; the objects of 830 upstreams and 150 models take less than 1 MB.
+type ObjectsList struct {
+	Objects []Object `cbor:"1,keyasint"`
+}
+
+// Object is a copy of an object of the store. Version is that of the store, which grows over all keys.
+type Object struct {
+	Key     string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Value   []byte `cbor:"3,keyasint"`
+}
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -34,6 +34,8 @@
 		Entry("refuse", &wire.Refuse{Request: "r", Outcome: wire.OutcomeNotRun, Code: wire.CodeQueueFull, Holders: []string{"vm"}}),
 		Entry("quarantine", &wire.QuarantineList{Entries: []wire.QuarantineEntry{{Fingerprint: 1, UnixMS: 2, Reason: "x"}}}),
 		Entry("status", &wire.Status{JSON: []byte("{}")}),
+		Entry("objects get", &wire.ObjectsGet{}),
+		Entry("objects", &wire.ObjectsList{Objects: []wire.Object{{Key: "grants/m", Version: 7, Value: []byte("{}")}, {Key: "owners/s", Version: 9, Value: []byte{0, 255}}}}),
 	)
 
 	// Guards against a truncated frame being taken for the end of the stream.
@@ -51,6 +53,12 @@
 	})
 })
 
+// Guards against a list of objects whose frame every peer refuses.
+var _ = It("does not encode a list of objects over the limit", func() {
+	_, err := wire.Append(nil, &wire.ObjectsList{Objects: []wire.Object{{Key: "grants/m", Value: make([]byte, wire.MaxFrameBytes)}}})
+	Expect(err).To(MatchError(ContainSubstring("exceeds the limit")))
+})
+
 func FuzzReader(f *testing.F) {
 	frame, _ := wire.Append(nil, &wire.Open{Request: "r", Body: []byte("b")})
 	f.Add(frame)
