Serve with peers' objects when a process starts in an outage of the store

A router routes by the copies. An agent takes only the upstream records from them: residency treats a grant object that was read as known, so an old copy without this VM's entry would unload a model in use and free memory that an earlier load may still take. The peers of an agent are renewed until the first listing instead of the first configuration.

Measurement: with the router's process test a model request and a loan get 200 during the outage, and the upstream deleted meanwhile leaves the view after it.

--- a/cmd/hibiscuscrossd/agent.go
+++ b/cmd/hibiscuscrossd/agent.go
@@ -53,7 +53,7 @@
 	TrustFence    bool          `help:"The upstream refuses orders with an old fencing number." env:"HIBISCUSCROSS_TRUST_FENCE"`
 	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
 	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
-	Peers         []string      `help:"Addresses of processes to ask for the configuration at start, ip:port, beside those of the VM list." env:"HIBISCUSCROSS_PEERS"`
+	Peers         []string      `help:"Addresses of processes to ask at the start for the configuration and, while the object API is down, for its objects, ip:port, beside those of the VM list." env:"HIBISCUSCROSS_PEERS"`
 	DrainTimeout  time.Duration `help:"Longest time from SIGTERM to the end; 1s to 1h." default:"15m" env:"HIBISCUSCROSS_DRAIN_TIMEOUT"`
 	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
 	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
--- a/cmd/hibiscuscrossd/router.go
+++ b/cmd/hibiscuscrossd/router.go
@@ -40,7 +40,7 @@
 	OpsListen     string        `help:"Address for operators, ip:port." default:"127.0.0.1:8081" env:"HIBISCUSCROSS_OPS_LISTEN"`
 	StoreURL      string        `name:"store-url" help:"URL of the object API." required:"" env:"HIBISCUSCROSS_STORE_URL"`
 	VMListURL     string        `name:"vm-list-url" help:"URL of the VM list." required:"" env:"HIBISCUSCROSS_VM_LIST_URL"`
-	Peers         []string      `help:"Addresses of processes to ask for the configuration at start, ip:port." env:"HIBISCUSCROSS_PEERS"`
+	Peers         []string      `help:"Addresses of processes to ask at the start for the configuration and, while the object API is down, for its objects, ip:port." env:"HIBISCUSCROSS_PEERS"`
 	ShutdownDelay time.Duration `help:"Time between becoming unready and refusing connections, for the balancer; 0s to 5m." default:"5s" env:"HIBISCUSCROSS_SHUTDOWN_DELAY"`
 	TraceExporter string        `help:"Where spans go: none, stdout or otlp." default:"none" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
 	TraceURL      string        `name:"trace-url" help:"URL of the OTLP receiver, for the exporter otlp." env:"HIBISCUSCROSS_TRACE_URL"`
@@ -173,7 +173,7 @@
 	p.api = api.New(r, tracer)
 	p.ops = ops.New(ops.Options{Metrics: metrics, Status: func() any { return p.status(r) }, Profiles: p.cmd.Profiles})
 	p.control = router.NewControl(router.ControlOptions{
-		Store: objects, Pool: pool, Peers: p.cmd.Peers, Log: p.log, Scope: scope, OnView: r.SetView,
+		Store: objects, Pool: pool, Peers: p.cmd.Peers, Objects: func() []wire.Object { return p.watcher.Snapshot() }, Log: p.log, Scope: scope, OnView: r.SetView,
 		OnConfig: func(doc *config.Document) { p.api.Configure(doc) }, OnReady: p.ops.Ready,
 	})
 	p.watcher = watch.New(objects, vms, watch.Options{Seed: seed.Sum64()})
@@ -202,10 +202,20 @@
 	g.Add(func() error { return operator.Serve(p.operator) }, func(error) { _ = operator.Close() })
 	g.Add(func() error { return p.control.Run(duties, p.watcher.Updates()) }, func(error) { cancel() })
 	g.Add(func() error { return p.watcher.Run(duties) }, func(error) { cancel() })
+	g.Add(func() error { p.learn(duties); return nil }, func(error) { cancel() })
 	p.log.Info("started", "version", version, "listen", p.callers.Addr(), "ops", p.operator.Addr())
 	return g.Run()
 }
 
+// learn asks the peers for the store's objects if the store is down at the start. It returns when ctx ends.
+func (p *routerProcess) learn(ctx context.Context) {
+	peers := func() []string { return p.cmd.Peers }
+	p.watcher.LearnFromPeers(ctx, peers, func(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+		return router.Ask(ctx, p.pool, addr, m)
+	})
+	<-ctx.Done()
+}
+
 // serve returns when all requests have ended after a shutdown.
 func (p *routerProcess) serve(s *http.Server, stopped <-chan struct{}) error {
 	err := s.Serve(p.callers)
--- a/cmd/hibiscuscrossd/router_test.go
+++ b/cmd/hibiscuscrossd/router_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
@@ -27,6 +28,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/grant"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/membership"
+	"github.com/hibiscuscross/hibiscuscross/pkg/once"
 	"github.com/hibiscuscross/hibiscuscross/pkg/standin"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
@@ -44,7 +46,8 @@
 	dir, storeURL, vmsURL, agentAddr string
 	objects                          *standin.MemStore
 	raw                              []byte
-	step                             chan string // tokens that the agent sends; it ends its answer when closed
+	copies                           []wire.Object // that the agent has of the store's objects
+	step                             chan string   // tokens that the agent sends; "" or the close ends its answer
 }
 
 func newSite() *site {
@@ -55,23 +58,30 @@
 	hash := sha256.Sum256([]byte("key"))
 	s.raw, err = json.Marshal(config.Config{
 		APIVersion: config.APIVersion, Deployment: "d", Weights: config.Weights{ColdStart: 1},
-		Limits:   config.Limits{MaxWaitMS: 60000, UpstreamMemoryBytes: 100},
-		Groups:   []config.Group{{Name: "g", Kind: config.GroupModels}},
-		Models:   []config.Model{{Name: "m", Group: "g", MaxReplicas: 1, MemoryBytes: 10, KVReserveBytes: 1, Accelerators: 1}},
-		Services: []config.Service{{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 20000}},
-		Callers:  []config.Caller{{Name: "c", KeySHA256: hex.EncodeToString(hash[:]), Services: []string{"s"}}},
+		Limits: config.Limits{MaxWaitMS: 60000, UpstreamMemoryBytes: 100},
+		Groups: []config.Group{{Name: "g", Kind: config.GroupModels}, {Name: "p", Kind: config.GroupPlain}},
+		Models: []config.Model{{Name: "m", Group: "g", MaxReplicas: 1, MemoryBytes: 10, KVReserveBytes: 1, Accelerators: 1}},
+		Services: []config.Service{
+			{Name: "s", Group: "g", Models: []string{"m"}, MaxWaitMS: 20000},
+			{Name: "loans", Group: "p", MaxWaitMS: 20000, Calls: []config.Call{{Method: "POST", PathPrefix: "/loans", NonIdempotent: true}}},
+		},
+		Callers: []config.Caller{{Name: "c", KeySHA256: hex.EncodeToString(hash[:]), Services: []string{"s", "loans"}}},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	s.agentAddr = s.agent()
 	objects, err := standin.Serve("127.0.0.1:0", (&standin.StoreServer{Store: s.objects}).Handler(), nil)
 	Expect(err).NotTo(HaveOccurred())
-	vms, err := standin.Serve("127.0.0.1:0", standin.NewVMs(vmlist.VM{ID: "vm-a", Addr: "127.0.0.1", Region: "r", Zone: "z", State: vmlist.StateLive}).Handler(), nil)
+	vms, err := standin.Serve("127.0.0.1:0", standin.NewVMs(liveVM("vm-a"), liveVM("vm-p")).Handler(), nil)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { objects.Close(); vms.Close(); http.DefaultClient.CloseIdleConnections() })
 	s.storeURL, s.vmsURL = objects.URL(), vms.URL()
 	return s
 }
 
+func liveVM(id string) vmlist.VM {
+	return vmlist.VM{ID: id, Addr: "127.0.0.1", Region: "r", Zone: "z", State: vmlist.StateLive}
+}
+
 func (s *site) put(key string, value []byte) {
 	_, err := s.objects.Put(context.Background(), key, value, store.MustNotExist)
 	Expect(err).NotTo(HaveOccurred())
@@ -82,10 +92,36 @@
 	envelope, err := config.NewEnvelope(0, s.raw).Encode()
 	Expect(err).NotTo(HaveOccurred())
 	s.put(store.KeyConfig, envelope)
-	s.put(membership.Key("vm-a"), membership.Upstream{VM: "vm-a", Addr: s.agentAddr, Region: "r", Zone: "z", Group: "g", Kind: config.GroupModels, MemoryBytes: 100}.Encode())
+	s.put(membership.Key("vm-a"), s.record("vm-a", "g", config.GroupModels))
 	s.put(grant.Key("m"), grant.Object{Ceiling: 1, Grants: []grant.Grant{{VM: "vm-a"}}}.Encode())
 }
 
+func (s *site) record(vm, group string, kind config.GroupKind) []byte {
+	return membership.Upstream{VM: vm, Addr: s.agentAddr, Region: "r", Zone: "z", Group: group, Kind: kind, MemoryBytes: 100}.Encode()
+}
+
+// publishLoans stores the record of the agent on vm-p, which owns all key slots of the service loans, and returns the
+// record's version.
+func (s *site) publishLoans() uint64 {
+	var owners once.Owners
+	for i := range owners.Slots {
+		owners.Slots[i] = once.Slot{Owner: "vm-p", Epoch: 1}
+	}
+	s.put(once.Key("loans"), owners.Encode())
+	version, err := s.objects.Put(context.Background(), membership.Key("vm-p"), s.record("vm-p", "p", config.GroupPlain), store.MustNotExist)
+	Expect(err).NotTo(HaveOccurred())
+	return version
+}
+
+// copy makes the agent answer ObjectsGet with all objects.
+func (s *site) copy() {
+	objects, _, err := s.objects.List(context.Background(), "")
+	Expect(err).NotTo(HaveOccurred())
+	for _, o := range objects {
+		s.copies = append(s.copies, wire.Object{Key: o.Key, Version: o.Version, Value: o.Value})
+	}
+}
+
 func (s *site) flags(more ...string) []string {
 	file := func(name string) string { return filepath.Join(s.dir, name) }
 	return append([]string{
@@ -95,7 +131,7 @@
 	}, more...)
 }
 
-// agent answers Open with the tokens of s.step, and ConfigGet with the configuration.
+// agent answers Open with the tokens of s.step, ConfigGet with the configuration and ObjectsGet with s.copies.
 func (s *site) agent() string {
 	t, err := kernel.LoadAs[transport.Transport](context.Background(), kernel.New(), "transport.quic", kernel.Settings{
 		"cert": filepath.Join(s.dir, "vm-a.pem"), "key": filepath.Join(s.dir, "vm-a-key.pem"), "ca": filepath.Join(s.dir, "ca.pem")})
@@ -126,10 +162,15 @@
 	switch m, _ := wire.NewReader(st).Next(); m := m.(type) {
 	case *wire.ConfigGet:
 		_ = wire.Write(st, &wire.ConfigDoc{Version: 1, Digest: config.Digest(s.raw), Document: s.raw})
+	case *wire.ObjectsGet:
+		_ = wire.Write(st, &wire.ObjectsList{Objects: s.copies})
 	case *wire.Open:
 		_ = wire.Write(st, &wire.Head{Request: m.Request, Attempt: m.Attempt, Status: 200, Header: []engine.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
 		offset := uint64(0)
 		for text := range s.step {
+			if text == "" {
+				break
+			}
 			_ = wire.Write(st, &wire.Data{Request: m.Request, Attempt: m.Attempt, Offset: offset, Bytes: []byte(text)})
 			offset += uint64(len(text))
 		}
@@ -236,6 +277,40 @@
 		}
 	})
 
+	// Guards against a router that refuses every request because it started during an outage of the object API, and one
+	// that still uses, after the outage, an upstream that the store no longer has.
+	It("serves with a peer's objects while the store is down, and with the store's afterwards", func() {
+		s := newSite()
+		s.publish()
+		version := s.publishLoans()
+		s.copy()
+		Expect(s.objects.Delete(context.Background(), membership.Key("vm-p"), version)).To(Succeed())
+		s.objects.SetFaults(standin.StoreFaults{Down: true})
+		r := s.start("--peers", s.agentAddr)
+		status := func() string { _, b := r.get("/status"); return b }
+		Eventually(status).WithTimeout(5 * time.Second).Should(And(ContainSubstring(`"candidates":2`), ContainSubstring(`"configVersion":1`)))
+		loan := func() (*http.Response, error) {
+			req, _ := http.NewRequest("POST", "http://"+r.p.callers.Addr().String()+"/services/loans/loans", strings.NewReader("book"))
+			req.Header.Set("Authorization", "Bearer key")
+			req.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+			return http.DefaultClient.Do(req)
+		}
+		for _, send := range []func() (*http.Response, error){r.ask, loan} {
+			go func() { s.step <- "data: [DONE]\n\n"; s.step <- "" }()
+			resp, err := send()
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(200), string(body))
+			Expect(string(body)).To(HavePrefix("data: [DONE]"))
+		}
+		s.objects.SetFaults(standin.StoreFaults{})
+		Eventually(status).WithTimeout(10 * time.Second).Should(ContainSubstring(`"candidates":1`))
+		r.stop()
+		Eventually(r.done).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+
 	// Guards against a router that listens with settings it cannot serve with, and errors that do not help to mend them.
 	DescribeTable("refuses the setting", func(allowed string, flags ...string) {
 		s := &site{dir: GinkgoT().TempDir(), storeURL: "http://127.0.0.1:1", vmsURL: "http://127.0.0.1:1"}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/pkg/transport"
 	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
+	"github.com/hibiscuscross/hibiscuscross/pkg/watch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
@@ -58,6 +61,7 @@
 	storeCalls *ring.Ring[Action]
 	checks     *ring.Ring[uint64]
 	pool       *transport.Pool
+	watcher    *watch.Watcher
 	info       atomic.Pointer[snapshot]
 	nextStream atomic.Uint64
 	ctx        context.Context
@@ -84,6 +88,7 @@
 	status    []byte
 	config    *wire.ConfigDoc
 	entries   []wire.QuarantineEntry
+	peers     []string // to ask at the start
 	statusAge int
 }
 
@@ -115,6 +120,9 @@
 		streams: map[uint64]*requestStream{}, conns: map[string]transport.Conn{}, asks: map[string]context.CancelFunc{},
 		places: map[string]chan struct{}{},
 	}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(o.Incarnation))
+	a.watcher = watch.New(p.Store, p.VMs, watch.Options{Seed: seed.Sum64()})
 	a.info.Store(&snapshot{})
 	return a
 }
@@ -205,7 +213,8 @@
 	if d := a.core.conf.Current(); d != nil && (old.config == nil || old.config.Version != d.Version) {
 		next.config = &wire.ConfigDoc{Version: d.Version, Digest: d.Digest, Document: d.Raw}
 	}
-	if next.load != old.load || next.sync != old.sync || next.config != old.config {
+	next.peers = a.core.peers
+	if next.load != old.load || next.sync != old.sync || next.config != old.config || !slices.Equal(next.peers, old.peers) {
 		a.info.Store(&next)
 	}
 }
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -74,8 +74,10 @@
 	past       []string // earlier epochs, the latest last
 	engineDown bool
 	storeDown  bool
-	checking   bool   // a listing asked for by check is out
-	checks     uint64 // number of the last one
+	listed     bool     // the store was listed once
+	peers      []string // to ask for what the store does not give at the start
+	checking   bool     // a listing asked for by check is out
+	checks     uint64   // number of the last one
 
 	draining   bool
 	drainAt    time.Time
@@ -153,7 +155,10 @@
 		c.objectRead(ev)
 	case ObjectWritten:
 		c.objectWritten(ev)
+	case ObjectsHeard:
+		c.objectsHeard(ev.Objects)
 	case StoreChanged:
+		c.listed = c.listed || ev.Synced
 		c.config(confsync.StoreUp{})
 		c.storeSeen(nil)
 		for _, o := range ev.Objects {
--- a/pkg/agent/duties.go
+++ b/pkg/agent/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -138,14 +137,14 @@
 	}
 }
 
-// watchDuty follows the store and the VM list.
+// watchDuty follows the store and the VM list, and asks peers for the store's objects if it is down at the start.
 func (a *Agent) watchDuty(ctx context.Context) {
-	seed := fnv.New64a()
-	_, _ = seed.Write([]byte(a.core.o.Incarnation))
-	w := watch.New(a.parts.Store, a.parts.VMs, watch.Options{Seed: seed.Sum64()})
-	a.goDo(func(ctx context.Context) { _ = w.Run(ctx) })
+	a.goDo(func(ctx context.Context) { _ = a.watcher.Run(ctx) })
+	a.goDo(func(ctx context.Context) {
+		a.watcher.LearnFromPeers(ctx, func() []string { return a.info.Load().peers }, a.ask)
+	})
 	for {
-		u, err := w.Updates().Pop(ctx)
+		u, err := a.watcher.Updates().Pop(ctx)
 		if err != nil {
 			return
 		}
@@ -178,13 +177,15 @@
 	case u.Source == watch.SourceStore && u.Err != nil:
 		return StoreFailed{Err: u.Err}
 	case u.Source == watch.SourceStore:
-		ev := StoreChanged{Objects: u.Objects}
+		ev := StoreChanged{Objects: u.Objects, Synced: u.Synced}
 		for _, o := range u.Objects {
 			if d := decodeConfig(o); d != nil {
 				ev.Document = d
 			}
 		}
 		return ev
+	case u.Source == watch.SourcePeers:
+		return ObjectsHeard{Objects: u.Objects}
 	case u.Err != nil:
 		return nil
 	}
--- a/pkg/agent/events.go
+++ b/pkg/agent/events.go
@@ -83,12 +83,17 @@
 	Err     error
 }
 
-// StoreChanged carries changes from the watch. Document is as in ObjectRead.
+// StoreChanged carries changes from the watch. Document is as in ObjectRead. Synced says that all objects have been
+// handed out at least once.
 type StoreChanged struct {
 	Objects  []store.Object
 	Document *config.Document
+	Synced   bool
 }
 
+// ObjectsHeard carries peers' copies of objects, which may be old.
+type ObjectsHeard struct{ Objects []store.Object }
+
 // StoreFailed says that the watch failed.
 type StoreFailed struct{ Err error }
 
@@ -134,6 +139,7 @@
 func (ObjectRead) isEvent()      {}
 func (ObjectWritten) isEvent()   {}
 func (StoreChanged) isEvent()    {}
+func (ObjectsHeard) isEvent()    {}
 func (StoreFailed) isEvent()     {}
 func (VMsSeen) isEvent()         {}
 func (ConfigAnswered) isEvent()  {}
--- a/pkg/agent/peers.go
+++ b/pkg/agent/peers.go
@@ -88,6 +88,8 @@
 	case *wire.QuarantineGet:
 		answer = &wire.QuarantineList{Entries: info.entries}
 		_ = a.events.Push(ctx, QuarantineHeard{Entries: m.Entries})
+	case *wire.ObjectsGet:
+		answer = &wire.ObjectsList{Objects: a.watcher.Snapshot()}
 	case *wire.StatusGet:
 		answer = &wire.Status{JSON: info.status}
 	default:
--- a/pkg/agent/runtime_test.go
+++ b/pkg/agent/runtime_test.go
@@ -129,7 +129,7 @@
 			Eventually(h.engine.ended, "5s").Should(Receive())
 		})
 
-		// Guards against peers that cannot get the configuration, the list or a place from this agent.
+		// Guards against peers that cannot get the configuration, the store's objects, the list or a place from this agent.
 		It("answers other processes", func() {
 			c := h.dial()
 			m, err := h.send(c, &wire.ConfigGet{}).next()
@@ -138,6 +138,7 @@
 			m, err = h.send(c, &wire.ConfigGet{Have: 1}).next()
 			Expect(err).NotTo(HaveOccurred())
 			Expect(m).To(HaveField("Document", BeEmpty()))
+			Eventually(func() wire.Message { m, _ := h.send(c, &wire.ObjectsGet{}).next(); return m }, "5s").Should(HaveField("Objects", ContainElement(HaveField("Key", "upstreams/vm-a"))))
 			bad := []wire.QuarantineEntry{{Fingerprint: fingerprint(prompt("bad", "m")), UnixMS: 1, Reason: "x"}}
 			_, err = h.send(c, &wire.QuarantineGet{Entries: bad}).next()
 			Expect(err).NotTo(HaveOccurred())
--- a/pkg/agent/targets.go
+++ b/pkg/agent/targets.go
@@ -230,6 +230,16 @@
 	}
 }
 
+// objectsHeard takes the agents' records from peers' copies. Grants and key slots are left to the store: an old copy
+// that lacks this VM's entry would unload a model that is in use, and free memory that a load of an earlier process may
+// still take, as if the store had shown it.
+func (c *Core) objectsHeard(objects []store.Object) {
+	for _, o := range objects {
+		c.memberChanged(o)
+	}
+	c.feedMembers()
+}
+
 func (c *Core) vmsSeen(ev VMsSeen) {
 	c.members.SeeVMs(ev.Began, ev.VMs)
 	c.feedPeers(ev.VMs)
@@ -255,11 +265,11 @@
 	c.residency(residency.Candidates{VMs: models})
 }
 
-// feedPeers tells a starting process whom to ask for the configuration. During an outage of the store no agent's record
-// can be read, so the addresses come from the VM list and the port that is the same on all VMs. Each read of the list
-// gives another order, because the first ones asked may be entry VMs or not answer.
+// feedPeers finds whom a starting process asks for the configuration and the store's objects. During an outage of the
+// store no agent's record can be read, so the addresses come from the VM list and the port that is the same on all VMs.
+// Each read of the list gives another order, because the first ones asked may be entry VMs or not answer.
 func (c *Core) feedPeers(vms []vmlist.VM) {
-	if c.conf.Version() != 0 {
+	if c.conf.Version() != 0 && c.listed {
 		return
 	}
 	_, port, _ := net.SplitHostPort(c.o.Addr)
@@ -271,5 +281,9 @@
 	}
 	slices.Sort(addrs)
 	key := c.o.Incarnation + c.now.String()
-	c.config(confsync.PeersKnown{Addrs: loadplan.Rank(key, slices.Compact(addrs))})
+	addrs = loadplan.Rank(key, slices.Compact(addrs))
+	c.peers = slices.Clone(addrs[:min(len(addrs), confsync.MaxPeers)])
+	if c.conf.Version() == 0 {
+		c.config(confsync.PeersKnown{Addrs: addrs})
+	}
 }
--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -31,6 +31,8 @@
 	Pool  *transport.Pool
 	// Peers are the addresses of processes that a starting router asks for its configuration.
 	Peers []string
+	// Objects returns the objects of the store that this process knows, for peers. It may be nil.
+	Objects func() []wire.Object
 	// OnView gets each new view, OnConfig each configuration taken, OnReady is called once after the first one. They
 	// must not block.
 	OnView   func(routing.View)
@@ -96,6 +98,10 @@
 	case *wire.QuarantineGet:
 		c.events.TryPush(listHeard{entries: m.Entries})
 		return &wire.QuarantineList{Entries: c.jail.entries()}
+	case *wire.ObjectsGet:
+		if c.o.Objects != nil {
+			return &wire.ObjectsList{Objects: c.o.Objects()}
+		}
 	}
 	return nil
 }
@@ -160,11 +166,17 @@
 	case u.Source == watch.SourceStore:
 		c.setStoreUp(true, nil)
 		c.step(ctx, confsync.StoreUp{})
-		for _, o := range u.Objects {
-			c.object(ctx, o)
-		}
-		c.publish()
+		c.objects(ctx, u.Objects)
+	case u.Source == watch.SourcePeers:
+		c.objects(ctx, u.Objects)
+	}
+}
+
+func (c *Control) objects(ctx context.Context, objects []store.Object) {
+	for _, o := range objects {
+		c.object(ctx, o)
 	}
+	c.publish()
 }
 
 // setStoreUp logs changes of the store's state only.
--- a/pkg/router/control_test.go
+++ b/pkg/router/control_test.go
@@ -83,6 +83,13 @@
 		Expect(agent.calls()).To(BeEmpty())
 	})
 
+	// Guards against an agent that starts in an outage and gets nothing from the router that it asks.
+	It("answers with the objects it knows", func() {
+		known := []wire.Object{{Key: "grants/m", Version: 3}}
+		c := router.NewControl(router.ControlOptions{Objects: func() []wire.Object { return known }})
+		Expect(c.Answer(&wire.ObjectsGet{})).To(Equal(&wire.ObjectsList{Objects: known}))
+	})
+
 	// Guards against an agent that stays behind because its only way to a newer configuration is the router.
 	It("answers an agent that asks for the configuration", func() {
 		raw := []byte(`{"apiVersion":"hibiscuscross/v1","deployment":"d","weights":{"coldStart":1,"idleAccelerator":1},"limits":{"maxWaitMs":1000,"upstreamMemoryBytes":1},"groups":[{"name":"g","kind":"models"}],"services":[],"callers":[]}`)
