Choose upstreams by the router's own count instead of old reports

Change: the lowest own count over all near candidates; a queue reported within the last second and then the cached prefix break ties.

--- a/pkg/routing/affinity.go
+++ b/pkg/routing/affinity.go
@@ -1,7 +1,7 @@
 package routing
 
-// affinitySlack is how many more requests an upstream may have than the best other one and still be preferred for its
-// cached prefix.
+// affinitySlack is how many more requests of this router an upstream may have than the next one in the order and still be
+// preferred for an adapter that it has loaded.
 const affinitySlack = 4
 
 // affinityEntries bounds the memory of prefixes: 4,096 entries of about 50 bytes.
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -130,38 +130,32 @@
 }
 
 // pickHolder places an adapter by rendezvous hashing, so that it stays loaded on few upstreams, and other requests by
-// the better of two random choices.
+// the lowest score.
 func (s *State) pickHolder(now time.Time, near []*node, a Ask) *node {
 	if a.Target.Adapter == "" {
 		return s.better(now, near, a)
 	}
 	order := slices.Clone(near)
 	slices.SortFunc(order, func(x, y *node) int { return rendezvous(a.Target.Adapter, x, y) })
-	if len(order) > 1 && order[1].score(now)+affinitySlack < order[0].score(now) {
+	if len(order) > 1 && order[1].outstanding+affinitySlack < order[0].outstanding {
 		return order[1]
 	}
 	return order[0]
 }
 
-// better returns the better of two random candidates, or the one that has the prompt's prefix in its cache while its
-// queue allows that. It returns nil if there is no candidate.
+// better returns a candidate with the lowest score; among those, the one that has the prompt's prefix in its cache. It
+// returns nil if there is no candidate.
 func (s *State) better(now time.Time, near []*node, a Ask) *node {
 	if len(near) == 0 {
 		return nil
 	}
-	x := near[s.random.IntN(len(near))]
-	if len(near) > 1 {
-		rest := slices.DeleteFunc(slices.Clone(near), func(n *node) bool { return n == x })
-		if y := rest[s.random.IntN(len(rest))]; y.score(now) < x.score(now) {
-			x = y
-		}
-	}
+	x := s.least(now, near)
 	if a.PrefixHash == 0 {
 		return x
 	}
 	vm := s.affinity.get(a.PrefixHash)
 	if i := slices.IndexFunc(near, func(n *node) bool { return n.VM == vm }); i >= 0 {
-		if near[i].score(now) <= x.score(now)+affinitySlack && near[i].load.Queued == 0 {
+		if near[i].score(now) <= x.score(now) {
 			x = near[i]
 		}
 	}
@@ -169,6 +163,22 @@
 	return x
 }
 
+// least returns the candidate with the lowest score, at random among equal ones.
+func (s *State) least(now time.Time, near []*node) *node {
+	best, equal := near[0], 1
+	for _, n := range near[1:] {
+		switch d := n.score(now) - best.score(now); {
+		case d < 0:
+			best, equal = n, 1
+		case d == 0:
+			if equal++; s.random.IntN(equal) == 0 {
+				best = n
+			}
+		}
+	}
+	return best
+}
+
 // nearest returns the candidates of the nearest place that has any.
 func nearest(nodes []*node) []*node {
 	for p := placeZone; p <= placeElsewhere; p++ {
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -84,16 +84,21 @@
 	avoidUntil  time.Time
 }
 
+// freshReport is how long a reported queue makes an upstream lose ties. Pings come each 0.5 s, and 2 s apart while data flows.
+const freshReport = time.Second
+
 // reportLife is how long a reported load counts. Reports come with each ping, so an older one describes another queue.
 const reportLife = 5 * time.Second
 
-// score is the number of requests at the upstream, as far as known. Requests of this router are in both terms when the
-// report is fresh; the doubled weight is the same for all candidates.
+// score orders candidates, the lowest first: by the requests that this router has outstanding there, and among equal ones
+// those last whose agent has just reported a queue. A router's own count is exact. A report is old when it arrives, and
+// routers that add it to their counts all choose the upstream that was idle then (docs/measurements.md).
 func (n *node) score(now time.Time) int {
-	if now.Sub(n.loadAt) > reportLife {
-		return n.outstanding
+	score := 2 * n.outstanding
+	if n.load.Queued > 0 && now.Sub(n.loadAt) <= freshReport {
+		score++
 	}
-	return n.outstanding + int(n.load.Queued) + int(n.load.Running)
+	return score
 }
 
 // wait is the predicted wait for a new request.
