Pause once for each unload order

Cause: each listing during the pause after an unload without effect prolonged it, so that the order was never repeated and a leaving VM kept its models (state machine of residency: vm2 not empty after draining, unloading for 295 s). Change: one pause for each order.

--- a/pkg/residency/listing.go
+++ b/pkg/residency/listing.go
@@ -117,7 +117,10 @@
 	case r.Loading:
 	case t.phase == unloading:
 		// The engine confirmed the unload and lists the target all the same; without a pause the order would repeat at once.
-		m.unloadWait = now.Add(unloadBackoff)
+		// One pause for each order: a pause from each listing would never end.
+		if m.unloadWait.Before(t.since) {
+			m.unloadWait = now.Add(unloadBackoff)
+		}
 	case t.phase == absent, t.phase == doubtful:
 		s.endAsk(t)
 		s.loaded(now, t)
--- a/pkg/residency/rules_test.go
+++ b/pkg/residency/rules_test.go
@@ -202,7 +202,12 @@
 			a.list(res("m1"))
 		}
 		Expect(orders).To(Equal(1))
-		a.later(time.Minute).step(residency.Tick{})
+		for i := 0; i < 10 && count[residency.SendOrder](a) == 0; i++ { // listings do not prolong the pause
+			a.later(time.Second).step(residency.Tick{})
+			if count[residency.FetchListing](a) > 0 {
+				a.list(res("m1"))
+			}
+		}
 		Expect(count[residency.SendOrder](a)).To(Equal(1))
 	})
 
