--- a/pkg/matrix/routers.go
+++ b/pkg/matrix/routers.go
@@ -368,6 +368,7 @@
 		x.do(a)
 	case *wire.Refuse:
 		x.report(m.Load, m.Sync)
+		x.r.state.Refused(x.to.VM, m.Code, now)
 		if x.r.w.broken.ClaimNotRun && m.Outcome == wire.OutcomeUnknown {
 			m.Outcome = wire.OutcomeNotRun
 		}
--- a/pkg/policybench/fleetsim.go
+++ b/pkg/policybench/fleetsim.go
@@ -194,6 +194,7 @@
 	s.after(s.latency(i, u.id), func() {
 		r := &s.requests[i]
 		s.routers[r.router].end(u.id)
+		s.routers[r.router].state.Refused(vmOf(u.id), code, s.time())
 		next := routing.Decide(routing.Ended{Sent: true, Outcome: wire.OutcomeNotRun, Code: code})
 		if next != routing.Elsewhere || s.now >= s.deadline(i) {
 			s.fail()
--- a/pkg/router/exchange.go
+++ b/pkg/router/exchange.go
@@ -262,6 +262,7 @@
 		return a, nil
 	case *wire.Refuse:
 		x.r.report(x.to, m.Load, m.Sync)
+		x.r.refused(x.to.VM, m.Code)
 		return x.core.Refused(now, m), nil
 	}
 	return Action{Kind: Receive}, nil
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -143,6 +143,12 @@
 	r.state.Unreachable(vm, time.Now())
 }
 
+func (r *Router) refused(vm string, code wire.Code) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Refused(vm, code, time.Now())
+}
+
 func (r *Router) isFar(vm string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -31,7 +31,7 @@
 	for _, n := range s.nodes {
 		switch {
 		case n.Group != a.Group || n.draining() || slices.Contains(a.Exclude, n.VM):
-		case now.Before(n.avoidUntil):
+		case now.Before(n.avoidUntil), now.Before(n.refusedUntil):
 			avoided = append(avoided, n)
 		default:
 			all = append(all, n)
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -138,6 +138,27 @@
 		Expect(c.Upstream.VM).To(Equal("a1-0"))
 	})
 
+	// Guards against an upstream that refuses at once, so that it never has outstanding requests and attracts all others.
+	DescribeTable("leaves out an upstream that has just refused", func(code wire.Code) {
+		s := state(1, routing.View{Upstreams: ups("a1-0", "a1-1"), Grants: holders("a1-0", "a1-1")})
+		for range 3 {
+			s.Begin("a1-1")
+		}
+		if code == wire.CodeQueueFull {
+			s.End("a1-1")
+			s.End("a1-1")
+			s.End("a1-1")
+		}
+		s.Refused("a1-0", code, now)
+		c, _ := s.Choose(now, ask())
+		Expect(c.Upstream.VM).To(Equal("a1-1"))
+		s.Begin("a1-1")
+		c, _ = s.Choose(now.Add(3*time.Second), ask())
+		Expect(c.Upstream.VM).To(Equal("a1-0"))
+	},
+		Entry("because its upstream is down, although it has fewer requests", wire.CodeUpstreamDown),
+		Entry("because its queue is full, at an equal number of requests", wire.CodeQueueFull))
+
 	// Guards against prefix affinity piling requests on a full upstream.
 	It("returns to the upstream with the prefix while its queue allows it", func() {
 		a := ask()
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -77,11 +77,13 @@
 // node is an upstream with what this router knows of its load.
 type node struct {
 	Upstream
-	place       place
-	outstanding int
-	load        wire.Load
-	loadAt      time.Time
-	avoidUntil  time.Time
+	place        place
+	outstanding  int
+	load         wire.Load
+	loadAt       time.Time
+	avoidUntil   time.Time
+	refusedUntil time.Time // not chosen before, while others can be
+	refusals     int       // in a row, for the length of the next avoidance
 }
 
 // freshReport is how long a reported queue makes an upstream lose ties. Reports come with Accept, End and, in a stream
@@ -187,6 +189,10 @@
 // dial and is short enough for a restarted agent to be found again.
 const avoidFor = 2 * time.Second
 
+// maxAvoid bounds how long an upstream that refuses again and again is left out. The time doubles with each refusal, since every
+// probe costs a place in the retry budget.
+const maxAvoid = 30 * time.Second
+
 // Unreachable records that the VM could not be reached or that its path is dead. A report from it ends this.
 func (s *State) Unreachable(vm string, now time.Time) {
 	if n := s.byVM[vm]; n != nil {
@@ -194,6 +200,26 @@
 	}
 }
 
+// Refused records that the VM's agent refused a request. An upstream that refuses at once has no outstanding requests, so it
+// would attract all others. Avoiding it for a while keeps most requests from spending their retries there.
+func (s *State) Refused(vm string, code wire.Code, now time.Time) {
+	n := s.byVM[vm]
+	if n == nil {
+		return
+	}
+	switch code {
+	case wire.CodeUpstreamDown, wire.CodeNoConfig:
+		if now.Sub(n.refusedUntil) > maxAvoid {
+			n.refusals = 0
+		}
+		// A report does not end this, as it does not say whether the upstream behind the agent works again.
+		n.refusedUntil = now.Add(min(avoidFor<<min(n.refusals, 8), maxAvoid))
+		n.refusals++
+	case wire.CodeQueueFull, wire.CodeTooLate:
+		n.load.Queued, n.loadAt = max(1, n.load.Queued), now
+	}
+}
+
 // CrossRegion reports whether traffic to the VM leaves the router's region.
 func (s *State) CrossRegion(vm string) bool {
 	n := s.byVM[vm]
