--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -119,12 +119,14 @@
 	Header  []engine.Header `cbor:"4,keyasint"`
 }
 
-// Data carries bytes of the answer's body at an offset.
+// Data carries bytes of the answer's body at an offset. It is encoded as an array, which decodes faster than a map: it is by far
+// the most frequent message.
 type Data struct {
-	Request string `cbor:"1,keyasint"`
-	Attempt uint32 `cbor:"2,keyasint"`
-	Offset  uint64 `cbor:"3,keyasint"`
-	Bytes   []byte `cbor:"4,keyasint"`
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+	Offset  uint64
+	Bytes   []byte
 }
 
 // Ping is the sign of life inside a request's stream.
