Use standard names for the blocklist and for calls without a known outcome

Cause: two names were figurative. Change: jail is blocklist, limbo is unresolved. Measured: the suites of agent, router, matrix and wire pass. Conclusion: no behavior changes.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -208,7 +208,7 @@
 	next := *old
 	next.load, next.sync = a.core.Load(), a.core.Sync()
 	if next.sync.QuarantineHash != old.sync.QuarantineHash {
-		next.entries = a.core.jail.Entries()
+		next.entries = a.core.blocklist.Entries()
 	}
 	if d := a.core.conf.Current(); d != nil && (old.config == nil || old.config.Version != d.Version) {
 		next.config = &wire.ConfigDoc{Version: d.Version, Digest: d.Digest, Document: d.Raw}
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -52,16 +52,16 @@
 
 // Core composes the decisions of an agent. It is a pure state machine and not safe for concurrent use.
 type Core struct {
-	o        Options
-	conf     *confsync.State
-	kind     config.GroupKind           // of the group, "" before a configuration
-	services map[string]*config.Service // of the group
-	members  *membership.State
-	once     *once.State
-	queue    *admission.Queue
-	jail     *quarantine.State
-	res      *residency.State
-	places   *loadplan.Coordinator
+	o         Options
+	conf      *confsync.State
+	kind      config.GroupKind           // of the group, "" before a configuration
+	services  map[string]*config.Service // of the group
+	members   *membership.State
+	once      *once.State
+	queue     *admission.Queue
+	blocklist *quarantine.State
+	res       *residency.State
+	places    *loadplan.Coordinator
 
 	jobs     map[string]*job        // by run id
 	requests map[string]*attachment // by request id
@@ -94,7 +94,7 @@
 func NewCore(o Options) *Core {
 	return &Core{
 		o: o, conf: confsync.New(), services: map[string]*config.Service{}, members: membership.New(), once: once.New(o.VM, o.Start, o.Once),
-		queue: admission.New(o.Queue, defaultSlots), jail: quarantine.New(),
+		queue: admission.New(o.Queue, defaultSlots), blocklist: quarantine.New(),
 		res:    residency.New(residency.Options{VM: o.VM, Incarnation: o.Incarnation, Group: o.Group, TrustFence: o.TrustFence, Policy: o.Policy}),
 		places: loadplan.NewCoordinator(loadplan.Places, weightStoreSpeed),
 		jobs:   map[string]*job{}, requests: map[string]*attachment{}, streams: map[uint64]*attachment{},
@@ -241,14 +241,14 @@
 	if s.ConfigVersion > c.conf.Version() {
 		c.config(confsync.VersionHeard{Peer: peer, Version: s.ConfigVersion})
 	}
-	if s.QuarantineHash != c.jail.Hash() && !c.now.Before(c.exchangeAt) {
+	if s.QuarantineHash != c.blocklist.Hash() && !c.now.Before(c.exchangeAt) {
 		c.exchangeAt = c.now.Add(exchangeInterval)
-		c.emit(ExchangeQuarantine{Peer: peer, Entries: c.jail.Entries()})
+		c.emit(ExchangeQuarantine{Peer: peer, Entries: c.blocklist.Entries()})
 	}
 }
 
 func (c *Core) mergeQuarantine(entries []wire.QuarantineEntry) {
-	if c.jail.Merge(entries) {
+	if c.blocklist.Merge(entries) {
 		c.refuseConvicted()
 	}
 }
@@ -296,7 +296,7 @@
 	}
 	c.givePlaces(c.places.Step(c.now, loadplan.Tick{}))
 	c.expire()
-	if c.engineDown && c.limbo() {
+	if c.engineDown && c.hasUnresolved() {
 		c.check()
 	}
 	for _, m := range []struct {
@@ -314,10 +314,10 @@
 
 // wantedList returns what quarantine/list should hold, nil for an empty list.
 func (c *Core) wantedList() []byte {
-	if c.jail.Hash() == 0 {
+	if c.blocklist.Hash() == 0 {
 		return nil
 	}
-	return c.jail.Encode()
+	return c.blocklist.Encode()
 }
 
 // wantedRecord returns what upstreams/<vm> should hold, nil before the agent has a configuration.
@@ -345,11 +345,11 @@
 
 // Sync returns the versions that all messages carry.
 func (c *Core) Sync() wire.Sync {
-	return wire.Sync{ConfigVersion: c.conf.Version(), QuarantineHash: c.jail.Hash()}
+	return wire.Sync{ConfigVersion: c.conf.Version(), QuarantineHash: c.blocklist.Hash()}
 }
 
 // Document returns the configuration in force, or nil.
 func (c *Core) Document() *config.Document { return c.conf.Current() }
 
 // Quarantine returns the quarantine list.
-func (c *Core) Quarantine() []wire.QuarantineEntry { return c.jail.Entries() }
+func (c *Core) Quarantine() []wire.QuarantineEntry { return c.blocklist.Entries() }
--- a/pkg/agent/jobs.go
+++ b/pkg/agent/jobs.go
@@ -28,32 +28,32 @@
 type phase uint8
 
 const (
-	queued  phase = iota
-	running       // the call has been sent to the upstream
-	limbo         // the connection to the upstream was lost; a listing decides
+	queued     phase = iota
+	running          // the call has been sent to the upstream
+	unresolved       // the connection to the upstream was lost; a listing decides
 	ended
 )
 
 // job is one execution of a request, which several requests with the same key may share.
 type job struct {
-	id       string
-	open     *wire.Open
-	deadline time.Time
-	fp       uint64
-	keyed    bool
-	call     once.Call
-	phase    phase
-	run      int // counts the starts
-	resumes  int
-	sent     bool      // a part of the answer may have reached a router
-	began    bool      // an earlier run may have had an effect
-	waits    bool      // counted by the quarantine decision as ready to run
-	epoch    string    // of the upstream process that has the call
-	check    uint64    // number of the first listing that tells what became of a lost connection
-	limboAt  time.Time // when the connection to the upstream was lost
-	counted  bool      // the residency decision counts the target as in use
-	stopping bool      // the call was stopped
-	attached map[string]*attachment
+	id           string
+	open         *wire.Open
+	deadline     time.Time
+	fp           uint64
+	keyed        bool
+	call         once.Call
+	phase        phase
+	run          int // counts the starts
+	resumes      int
+	sent         bool      // a part of the answer may have reached a router
+	began        bool      // an earlier run may have had an effect
+	waits        bool      // counted by the quarantine decision as ready to run
+	epoch        string    // of the upstream process that has the call
+	check        uint64    // number of the first listing that tells what became of a lost connection
+	unresolvedAt time.Time // when the connection to the upstream was lost
+	counted      bool      // the residency decision counts the target as in use
+	stopping     bool      // the call was stopped
+	attached     map[string]*attachment
 	// lostAt is when the last stream was lost or the job ended, whichever is later.
 	lostAt time.Time
 }
@@ -77,7 +77,7 @@
 
 // pump starts calls while the upstream has slots.
 func (c *Core) pump() {
-	may := func(id string) bool { j := c.jobs[id]; return j != nil && c.jail.MayStart(j.fp) }
+	may := func(id string) bool { j := c.jobs[id]; return j != nil && c.blocklist.MayStart(j.fp) }
 	for {
 		id, ok := c.queue.Next(c.now, may)
 		if !ok {
@@ -90,7 +90,7 @@
 // start records the fingerprint before the call is sent.
 func (c *Core) start(j *job) {
 	c.unready(j)
-	c.jail.Begin(j.fp)
+	c.blocklist.Begin(j.fp)
 	j.phase, j.epoch = running, c.epoch
 	j.run++
 	j.resumes = 0
@@ -132,7 +132,7 @@
 		c.dropped(j)
 	default:
 		// A listing that was begun earlier may show the upstream as it was before the loss.
-		j.phase, j.began, j.check, j.limboAt = limbo, true, c.checks+1, c.now
+		j.phase, j.began, j.check, j.unresolvedAt = unresolved, true, c.checks+1, c.now
 		c.check()
 	}
 }
@@ -140,7 +140,7 @@
 // dropped handles a call that a plain service dropped without a whole answer. Its listing has no epoch that would tell
 // whether the service ended.
 func (c *Core) dropped(j *job) {
-	c.jail.Died(c.now, j.fp)
+	c.blocklist.Died(c.now, j.fp)
 	c.queue.Done(c.now, j.id, false)
 	c.lost(j)
 	c.refuseConvicted()
@@ -149,7 +149,7 @@
 // refuseConvicted removes waiting requests that have become quarantined.
 func (c *Core) refuseConvicted() {
 	for _, j := range c.ordered() {
-		if j.phase == queued && c.jail.Convicted(j.fp) {
+		if j.phase == queued && c.blocklist.Convicted(j.fp) {
 			c.queue.Remove(j.id)
 			c.notRun(j, wire.CodeQuarantined, "the request has crashed upstreams")
 		}
@@ -159,7 +159,7 @@
 // leaveUpstream frees what a call held at the upstream.
 func (c *Core) leaveUpstream(j *job, whole bool) {
 	c.queue.Done(c.now, j.id, whole)
-	c.jail.End(j.fp, whole)
+	c.blocklist.End(j.fp, whole)
 	c.release(j)
 }
 
@@ -176,7 +176,7 @@
 func (c *Core) ready(j *job) {
 	if !j.waits {
 		j.waits = true
-		c.jail.Wait(j.fp)
+		c.blocklist.Wait(j.fp)
 		c.emit(TargetReady{Job: j.id})
 	}
 	if c.models() && !j.counted {
@@ -189,7 +189,7 @@
 func (c *Core) unready(j *job) {
 	if j.waits {
 		j.waits = false
-		c.jail.Leave(j.fp)
+		c.blocklist.Leave(j.fp)
 	}
 }
 
@@ -250,8 +250,8 @@
 		if (abandoned || late) && !j.open.NonIdempotent {
 			c.stop(j)
 		}
-	case limbo:
-		if late || c.now.Sub(j.limboAt) >= KeepOutput {
+	case unresolved:
+		if late || c.now.Sub(j.unresolvedAt) >= KeepOutput {
 			c.leaveUpstream(j, false)
 			c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream did not answer in time"))
 		}
--- a/pkg/agent/machine_test.go
+++ b/pkg/agent/machine_test.go
@@ -191,7 +191,7 @@
 	if n := len(m.r.c.jobs) + len(m.r.c.requests) + len(m.r.c.streams); n != 0 {
 		t.Fatalf("%d jobs, requests and streams are left", n)
 	}
-	if q, running := m.r.c.queue.Len(); q+running != 0 || m.r.c.jail.Isolating() {
+	if q, running := m.r.c.queue.Len(); q+running != 0 || m.r.c.blocklist.Isolating() {
 		t.Fatalf("%d requests wait and %d run with nobody left", q, running)
 	}
 }
--- a/pkg/agent/upstream.go
+++ b/pkg/agent/upstream.go
@@ -18,9 +18,9 @@
 	}
 }
 
-func (c *Core) limbo() bool {
+func (c *Core) hasUnresolved() bool {
 	for _, j := range c.jobs {
-		if j.phase == limbo {
+		if j.phase == unresolved {
 			return true
 		}
 	}
@@ -66,9 +66,9 @@
 	c.epoch = l.Epoch
 	for _, j := range c.ordered() {
 		switch {
-		case j.phase == limbo && number >= j.check:
+		case j.phase == unresolved && number >= j.check:
 			c.reconnect(j)
-		case j.phase == limbo:
+		case j.phase == unresolved:
 			c.check()
 		}
 	}
@@ -90,10 +90,10 @@
 // engineDied makes suspects of all calls that the upstream had, and runs the ones again that may be.
 func (c *Core) engineDied() {
 	c.emit(LogChange{Message: "upstream process ended"})
-	c.jail.Crashed(c.now)
+	c.blocklist.Crashed(c.now)
 	c.residency(residency.EngineLost{}) // the targets of the calls that run again are cold now
 	for _, j := range c.ordered() {
-		if j.phase != running && j.phase != limbo {
+		if j.phase != running && j.phase != unresolved {
 			continue
 		}
 		c.emit(StopCall{Job: j.id, Run: j.run})
@@ -106,7 +106,7 @@
 // lost decides what becomes of a call whose upstream ended.
 func (c *Core) lost(j *job) {
 	switch {
-	case c.jail.Convicted(j.fp):
+	case c.blocklist.Convicted(j.fp):
 		c.finish(j, nil, refuseUnknown(wire.CodeQuarantined, "the request has crashed upstreams"))
 	case j.open.NonIdempotent || j.run >= maxRuns || j.stopping || j.sent && !j.continuable():
 		c.finish(j, nil, refuseUnknown(wire.CodeUpstreamDown, "the upstream ended during the call"))
--- a/pkg/matrix/exchanges.go
+++ b/pkg/matrix/exchanges.go
@@ -66,7 +66,7 @@
 			}
 		})
 	}
-	x.do(x.core.Step(now, router.Start{Quarantined: r.jail.Convicted(req.Fingerprint)}))
+	x.do(x.core.Step(now, router.Start{Quarantined: r.blocklist.Convicted(req.Fingerprint)}))
 	return x
 }
 
@@ -248,10 +248,10 @@
 	if s.ConfigVersion > r.conf.Version() {
 		r.config(confsync.VersionHeard{Peer: x.to.Addr, Version: s.ConfigVersion})
 	}
-	if s.QuarantineHash != r.jail.Hash() && r.w.now.Sub(r.heardAt) >= exchangeInterval {
+	if s.QuarantineHash != r.blocklist.Hash() && r.w.now.Sub(r.heardAt) >= exchangeInterval {
 		r.heardAt = r.w.now
-		r.w.exchangeQuarantine(r.process, x.to.Addr, r.jail.Entries(), func(entries []wire.QuarantineEntry) {
-			r.deliver(0, func() { r.jail.Merge(entries) })
+		r.w.exchangeQuarantine(r.process, x.to.Addr, r.blocklist.Entries(), func(entries []wire.QuarantineEntry) {
+			r.deliver(0, func() { r.blocklist.Merge(entries) })
 		})
 	}
 }
--- a/pkg/matrix/routers.go
+++ b/pkg/matrix/routers.go
@@ -20,18 +20,18 @@
 // routerNode is a router process. It carries out the actions of router.Core for each request.
 type routerNode struct {
 	*process
-	conf     *confsync.State
-	members  *membership.State
-	state    *routing.State
-	budget   routing.Budget
-	grants   map[string]grant.Object
-	owners   map[string]once.Owners
-	conns    map[string]*conn
-	active   map[*exchange]bool
-	order    []*exchange // active ones in the order of their start
-	stopping bool
-	jail     *quarantine.State
-	heardAt  time.Time // last exchange of quarantine lists
+	conf      *confsync.State
+	members   *membership.State
+	state     *routing.State
+	budget    routing.Budget
+	grants    map[string]grant.Object
+	owners    map[string]once.Owners
+	conns     map[string]*conn
+	active    map[*exchange]bool
+	order     []*exchange // active ones in the order of their start
+	stopping  bool
+	blocklist *quarantine.State
+	heardAt   time.Time // last exchange of quarantine lists
 }
 
 func (w *World) newRouter(name string) *routerNode {
@@ -50,7 +50,7 @@
 	r.budget = routing.Budget{}
 	r.grants, r.owners = map[string]grant.Object{}, map[string]once.Owners{}
 	r.conns, r.active, r.order = map[string]*conn{}, map[*exchange]bool{}, nil
-	r.stopping, r.jail = false, quarantine.New()
+	r.stopping, r.blocklist = false, quarantine.New()
 	r.config(confsync.PeersKnown{Addrs: r.w.peerAddrs(r.name)})
 	r.every(confsync.TickInterval, func() { r.config(confsync.Tick{}) })
 	r.every(vmPoll, func() {
@@ -105,7 +105,7 @@
 		r.owners[strings.TrimPrefix(o.Key, store.PrefixOwners)], _ = once.Decode(o.Value)
 	case o.Key == store.KeyQuarantine:
 		if entries, err := quarantine.Decode(o.Value); err == nil {
-			r.jail.Merge(entries)
+			r.blocklist.Merge(entries)
 		}
 	}
 }
@@ -164,7 +164,7 @@
 const exchangeInterval = 2 * time.Second
 
 func (r *routerNode) sync() wire.Sync {
-	return wire.Sync{ConfigVersion: r.conf.Version(), QuarantineHash: r.jail.Hash()}
+	return wire.Sync{ConfigVersion: r.conf.Version(), QuarantineHash: r.blocklist.Hash()}
 }
 
 // model returns the model's entry in the configuration in force at this router.
--- a/pkg/matrix/world.go
+++ b/pkg/matrix/world.go
@@ -258,8 +258,8 @@
 	for _, r := range w.routers {
 		if r.addr() == addr && r.alive && !w.isCut(from.name, r.name) {
 			r.deliver(latency, func() {
-				r.jail.Merge(entries)
-				back := r.jail.Entries()
+				r.blocklist.Merge(entries)
+				back := r.blocklist.Entries()
 				w.after(latency, func() { done(back) })
 			})
 			return
--- a/pkg/router/jail.go
+++ b/pkg/router/blocklist.go
@@ -19,38 +19,38 @@
 // exchangeInterval is the least time between two exchanges that this router starts. Hashes come with each ping.
 const exchangeInterval = 2 * time.Second
 
-// jail shares the quarantine list between the control duty and the requests.
-type jail struct {
+// blocklist shares the quarantine list between the control duty and the requests.
+type blocklist struct {
 	mu   sync.Mutex
 	list *quarantine.State
 	last time.Time // exchange started
 }
 
-func (j *jail) hash() uint64 {
+func (j *blocklist) hash() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.list.Hash()
 }
 
-func (j *jail) holds(fingerprint uint64) bool {
+func (j *blocklist) holds(fingerprint uint64) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.list.Convicted(fingerprint)
 }
 
-func (j *jail) entries() []wire.QuarantineEntry {
+func (j *blocklist) entries() []wire.QuarantineEntry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.list.Entries()
 }
 
-func (j *jail) merge(entries []wire.QuarantineEntry) {
+func (j *blocklist) merge(entries []wire.QuarantineEntry) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.list.Merge(entries)
 }
 
-func (j *jail) decode(value []byte) error {
+func (j *blocklist) decode(value []byte) error {
 	entries, err := quarantine.Decode(value)
 	if err == nil {
 		j.merge(entries)
@@ -59,7 +59,7 @@
 }
 
 // mayExchange reports whether an exchange may start now, and counts it if so.
-func (j *jail) mayExchange(now time.Time) bool {
+func (j *blocklist) mayExchange(now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if now.Sub(j.last) < exchangeInterval {
@@ -73,7 +73,7 @@
 func (c *Control) exchangeList(ctx context.Context, addr string) {
 	askCtx, cancel := context.WithTimeout(ctx, confsync.FetchTimeout)
 	defer cancel()
-	m, err := Ask(askCtx, c.o.Pool, addr, &wire.QuarantineGet{Entries: c.jail.entries()})
+	m, err := Ask(askCtx, c.o.Pool, addr, &wire.QuarantineGet{Entries: c.blocklist.entries()})
 	if list, ok := m.(*wire.QuarantineList); ok && err == nil {
 		_ = c.events.Push(ctx, listHeard{entries: list.Entries})
 	}
--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -44,16 +44,16 @@
 
 // Control is the duty that turns updates of the store, the VM list and peers into views and configurations.
 type Control struct {
-	o       ControlOptions
-	events  *ring.Ring[any]
-	conf    *confsync.State
-	members *membership.State
-	grants  map[string]grant.Object
-	owners  map[string]once.Owners
-	current atomic.Pointer[config.Document]
-	jail    jail
-	storeUp bool
-	ignored tally.Counter
+	o         ControlOptions
+	events    *ring.Ring[any]
+	conf      *confsync.State
+	members   *membership.State
+	grants    map[string]grant.Object
+	owners    map[string]once.Owners
+	current   atomic.Pointer[config.Document]
+	blocklist blocklist
+	storeUp   bool
+	ignored   tally.Counter
 }
 
 // draining is the event that an agent announced that it is leaving.
@@ -70,7 +70,7 @@
 	return &Control{
 		o: o, events: ring.New[any](controlEvents), conf: confsync.New(), members: membership.New(),
 		grants: map[string]grant.Object{}, owners: map[string]once.Owners{}, storeUp: true,
-		ignored: o.Scope.Counter("ignored_objects"), jail: jail{list: quarantine.New()},
+		ignored: o.Scope.Counter("ignored_objects"), blocklist: blocklist{list: quarantine.New()},
 	}
 }
 
@@ -84,7 +84,7 @@
 
 // Sync returns what this process says of itself on messages.
 func (c *Control) Sync() wire.Sync {
-	return wire.Sync{ConfigVersion: c.Version(), QuarantineHash: c.jail.hash()}
+	return wire.Sync{ConfigVersion: c.Version(), QuarantineHash: c.blocklist.hash()}
 }
 
 // Answer answers a peer's question, or returns nil if there is no answer to it.
@@ -97,7 +97,7 @@
 		return &wire.ConfigDoc{}
 	case *wire.QuarantineGet:
 		c.events.TryPush(listHeard{entries: m.Entries})
-		return &wire.QuarantineList{Entries: c.jail.entries()}
+		return &wire.QuarantineList{Entries: c.blocklist.entries()}
 	case *wire.ObjectsGet:
 		if c.o.Objects != nil {
 			return &wire.ObjectsList{Objects: c.o.Objects()}
@@ -107,14 +107,14 @@
 }
 
 // Quarantined reports whether a fingerprint is quarantined.
-func (c *Control) Quarantined(fingerprint uint64) bool { return c.jail.holds(fingerprint) }
+func (c *Control) Quarantined(fingerprint uint64) bool { return c.blocklist.holds(fingerprint) }
 
 // Heard takes the versions and the hash that a peer's message names. It does not block.
 func (c *Control) Heard(addr string, s wire.Sync) {
 	if s.ConfigVersion > c.Version() {
 		c.events.TryPush(confsync.VersionHeard{Peer: addr, Version: s.ConfigVersion})
 	}
-	if s.QuarantineHash != c.jail.hash() && c.jail.mayExchange(time.Now()) {
+	if s.QuarantineHash != c.blocklist.hash() && c.blocklist.mayExchange(time.Now()) {
 		c.events.TryPush(exchangeList{addr: addr})
 	}
 }
@@ -147,7 +147,7 @@
 		c.members.Announce(ev.vm)
 		c.publish()
 	case listHeard:
-		c.jail.merge(ev.entries)
+		c.blocklist.merge(ev.entries)
 	case exchangeList:
 		go c.exchangeList(ctx, ev.addr)
 	case confsync.Event:
@@ -198,7 +198,7 @@
 	case o.Key == store.KeyConfig && !o.Deleted:
 		c.step(ctx, confsync.EnvelopeSeen{Value: o.Value})
 	case o.Key == store.KeyQuarantine && !o.Deleted:
-		err = c.jail.decode(o.Value)
+		err = c.blocklist.decode(o.Value)
 	case strings.HasPrefix(o.Key, store.PrefixUpstreams):
 		err = c.members.SeeObject(o)
 	case strings.HasPrefix(o.Key, store.PrefixGrants):
