--- /dev/null
+++ b/cmd/hibiscuscrossd/entry.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
+	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+// sweepInterval is the time between two searches for connections that have been idle too long.
+const sweepInterval = time.Second
+
+type entryCmd struct{ platformFlags }
+
+// Run runs a router on an entry VM of the users' platform until it is told to stop.
+func (c *entryCmd) Run() error {
+	set, err := c.load()
+	if err != nil {
+		return err
+	}
+	if set.Front == "" || set.Ready == "" {
+		return missing("listen.front or listen.ready", "entry")
+	}
+	log, flush := startLog("entry", set.Node)
+	defer flush()
+	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress)
+	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
+	scope, closer := telemetry.NewScope("entry", reporter)
+	defer func() { _ = closer.Close() }()
+
+	core := gateway.NewCore(dispatch.New(dispatch.Settings{
+		Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryRatio: set.RetryRatio, RetryBurst: set.RetryBurst,
+	}))
+	pool := h1.NewPool()
+	gw := gateway.New(core, pool, log, scope)
+	front, err := gateway.NewServer(set.Front, gw, log, set.Grace)
+	if err != nil {
+		return err
+	}
+	socket, err := peer.Listen(net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)))
+	if err != nil {
+		return err
+	}
+	health := ops.New(ops.Options{Metrics: metrics})
+	sync := gateway.NewSync(core, log, func() {
+		health.Ready()
+		log.State("ready")
+	})
+	store := platform.NewStore(set.StoreAddress)
+	peers := gateway.NewPeers(core, socket, log, set.Node, set.PeerPort)
+
+	var g run.Group
+	addSignals(&g, &c.platformFlags, log)
+	g.Add(front.Run, func(error) {
+		health.Stopping()
+		front.Shutdown()
+	})
+	if err := addHTTP(&g, set.Ready, readiness(health)); err != nil {
+		return err
+	}
+	c.addMetrics(&g, set.IP, health, log)
+	addContext(&g, func(ctx context.Context) error {
+		follow.New(store, platform.KindConfig, watchHold, sync.Config(), log).Run(ctx)
+		return nil
+	})
+	addContext(&g, func(ctx context.Context) error {
+		follow.New(store, platform.KindUpstreams, watchHold, sync.Upstreams(), log).Run(ctx)
+		return nil
+	})
+	addContext(&g, peers.Receive)
+	addContext(&g, func(ctx context.Context) error { peers.Run(ctx); return nil })
+	addContext(&g, func(ctx context.Context) error { sweep(ctx, pool); return nil })
+	err = g.Run()
+	log.State("stopped", "err", err)
+	return err
+}
+
+// readiness serves the balancer's check.
+func readiness(health *ops.Server) http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(platform.ReadyPath, func(c echo.Context) error {
+		if reason := health.State(); reason != "" {
+			return c.String(http.StatusServiceUnavailable, reason)
+		}
+		return c.String(http.StatusOK, "ok")
+	})
+	return e
+}
+
+func sweep(ctx context.Context, pool *h1.Pool) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			pool.Sweep()
+		}
+	}
+}
--- a/cmd/hibiscuscrossd/main.go
+++ b/cmd/hibiscuscrossd/main.go
@@ -27,6 +27,8 @@
 	Version kong.VersionFlag `help:"Print the version and exit."`
 	Router  routerCmd        `cmd:"" help:"Run as a router on an entry VM."`
 	Agent   agentCmd         `cmd:"" help:"Run as the agent beside an upstream."`
+	Entry   entryCmd         `cmd:"" help:"Run on an entry VM of the users' platform, with its settings file."`
+	Sidecar sidecarCmd       `cmd:"" help:"Run beside a model engine on the users' platform, with its settings file."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"net"
+	"strconv"
+
+	"github.com/oklog/run"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
+	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/sidecar"
+	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+type sidecarCmd struct {
+	platformFlags
+	LoadParallel int `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
+}
+
+// Run runs beside a model engine of the users' platform until it is told to stop.
+func (c *sidecarCmd) Run() error {
+	set, err := c.load()
+	if err != nil {
+		return err
+	}
+	if set.Upstream == "" {
+		return missing("app", "sidecar")
+	}
+	log, flush := startLog("sidecar", set.Node)
+	defer flush()
+	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress, "upstream", set.Upstream)
+	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
+	_, closer := telemetry.NewScope("sidecar", reporter)
+	defer func() { _ = closer.Close() }()
+
+	socket, err := peer.Listen(net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)))
+	if err != nil {
+		return err
+	}
+	agent := sidecar.New(sidecar.Settings{
+		Node: set.Node, Address: set.Upstream, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, Parallel: c.LoadParallel,
+	}, platform.NewEngine(set.Upstream), socket, log)
+	store := platform.NewStore(set.StoreAddress)
+
+	var g run.Group
+	addSignals(&g, &c.platformFlags, log)
+	c.addMetrics(&g, set.IP, ops.New(ops.Options{Metrics: metrics}), log)
+	addContext(&g, func(ctx context.Context) error {
+		agent.Fence(ctx, store)
+		<-ctx.Done()
+		return nil
+	})
+	addContext(&g, func(ctx context.Context) error {
+		follow.New(store, platform.KindConfig, slowWatchHold, agent.Config(), log).Run(ctx)
+		return nil
+	})
+	addContext(&g, func(ctx context.Context) error {
+		follow.New(store, platform.KindUpstreams, slowWatchHold, agent.Upstreams(), log).Run(ctx)
+		return nil
+	})
+	addContext(&g, agent.Receive)
+	addContext(&g, func(ctx context.Context) error { agent.Run(ctx); return nil })
+	err = g.Run()
+	log.State("stopped", "err", err)
+	return err
+}
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,252 @@
+// Package catalog holds what the operator has configured and what upstreams say of themselves, as the system's own
+// types. It has no knowledge of how either is encoded.
+package catalog
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run any number of times.
+	Idempotent Kind = iota
+	// NonIdempotent requests run at most once.
+	NonIdempotent
+	// Streaming requests are answered by a series of events and run at most once unless the route is resumable.
+	Streaming
+)
+
+// Backend is one service of a route and its share of the requests.
+type Backend struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where requests for a host and a path prefix go and what may be done with them.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	// Timeout is the longest time until the final answer; 0 means no limit.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream, that counts as on time.
+	Target time.Duration
+	// MaxPause is the longest pause between two events of a stream that counts as on time.
+	MaxPause time.Duration
+	// MaxAttempts is the number of upstreams that one request may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority  int
+	Resumable bool
+	Backends  []Backend
+}
+
+// Repeatable reports whether a request of the route may run again after a run whose outcome is unknown.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Pick returns the service for a request; point is uniform in [0, 1).
+func (r *Route) Pick(point float64) string {
+	var sum float64
+	for _, b := range r.Backends {
+		sum += b.Weight
+	}
+	point *= sum
+	for _, b := range r.Backends {
+		if point < b.Weight {
+			return b.Service
+		}
+		point -= b.Weight
+	}
+	if len(r.Backends) == 0 {
+		return ""
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
+
+// Model is a model that the upstreams of a service can load.
+type Model struct {
+	Name string
+	// SizeMB is the memory of the weights.
+	SizeMB float64
+	// FetchTime, DiskTime and MemoryTime are the times of a load from the weight store, from the upstream's disk and
+	// from its host memory.
+	FetchTime, DiskTime, MemoryTime time.Duration
+	// Adapters is the number of adapters; AdapterMB is the memory of one.
+	Adapters  int
+	AdapterMB float64
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Models map[string]Model
+	// MemoryMB is the memory of one upstream for weights and adapters.
+	MemoryMB     float64
+	AdapterSlots int
+	Slots        int
+	// KVTokens is the memory of one upstream for running requests and cached prompt parts.
+	KVTokens int
+	// LoadsPerSecond bounds the loads from the weight store over all upstreams.
+	LoadsPerSecond float64
+}
+
+// Service is a group of upstreams. Engine is nil for plain services.
+type Service struct {
+	Name     string
+	MaxConns int
+	Engine   *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	Version  uint64
+	Services map[string]Service
+	Limits   Limits
+	routes   map[string][]*Route // by host, longest prefix first
+}
+
+// NewConfig returns a configuration with the routes indexed by host.
+func NewConfig(version uint64, routes []Route, services []Service, limits Limits) *Config {
+	c := &Config{Version: version, Services: map[string]Service{}, Limits: limits, routes: map[string][]*Route{}}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		c.routes[host] = append(c.routes[host], &routes[i])
+	}
+	for _, list := range c.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return c
+}
+
+// Match returns the route with the longest prefix of the path among those of the host. A port in host is ignored.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Routes returns the number of routes.
+func (c *Config) Routes() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
+
+// Resident is a model in an upstream's accelerator memory, with its loaded adapters.
+type Resident struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Upstream is an upstream as it describes itself.
+type Upstream struct {
+	// ID names one incarnation of the upstream.
+	ID      string
+	Service string
+	Address string // IP:port
+	Zone    string
+	Slots   int
+	// Draining says that the upstream takes no new requests.
+	Draining bool
+	// Born is the time of the upstream's start in Unix milliseconds; with ID it tells restarts apart.
+	Born   int64
+	Models []Resident
+	// InMemory and OnDisk list the models whose weights are cached in host memory and on disk.
+	InMemory, OnDisk []string
+	// Orders counts the orders that the upstream has accepted since its start.
+	Orders uint64
+	// ColdFor is how much longer the upstream is slow after its start.
+	ColdFor time.Duration
+}
+
+// Holds reports whether the model is in accelerator memory.
+func (u *Upstream) Holds(model string) bool { return u.resident(model) != nil }
+
+// HoldsAdapter reports whether the model and the adapter are in accelerator memory.
+func (u *Upstream) HoldsAdapter(model, adapter string) bool {
+	r := u.resident(model)
+	if r == nil {
+		return false
+	}
+	for _, a := range r.Adapters {
+		if a == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *Upstream) resident(model string) *Resident {
+	for i := range u.Models {
+		if u.Models[i].Model == model {
+			return &u.Models[i]
+		}
+	}
+	return nil
+}
+
+// Tier is the place of the nearest copy of a model's weights at an upstream.
+type Tier int
+
+// Tiers, nearest first.
+const (
+	TierAccelerator Tier = iota
+	TierMemory
+	TierDisk
+	TierStore
+)
+
+// Tier returns the nearest copy of the model at the upstream.
+func (u *Upstream) Tier(model string) Tier {
+	if u.Holds(model) {
+		return TierAccelerator
+	}
+	for _, m := range u.InMemory {
+		if m == model {
+			return TierMemory
+		}
+	}
+	for _, m := range u.OnDisk {
+		if m == model {
+			return TierDisk
+		}
+	}
+	return TierStore
+}
+
+// LoadTime returns how long a load from the tier takes while the weight store serves it at full speed.
+func (m Model) LoadTime(t Tier) time.Duration {
+	switch t {
+	case TierAccelerator:
+		return 0
+	case TierMemory:
+		return m.MemoryTime
+	case TierDisk:
+		return m.DiskTime
+	}
+	return m.FetchTime
+}
--- /dev/null
+++ b/pkg/dispatch/decide.go
@@ -0,0 +1,285 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+const (
+	// prefillPerMS is the number of prompt tokens that an engine reads in a millisecond (deployment sheets: 38.7).
+	prefillPerMS = 38.7
+	// queuedCost is the expected wait behind one request in an engine's queue: the reading of a long prompt.
+	queuedCost = 150 * time.Millisecond
+	// runningCost is what one running request adds to the time to the first event.
+	runningCost = 1500 * time.Microsecond
+	// adapterLoad is the time to have an adapter loaded: two messages and the load itself.
+	adapterLoad = 40 * time.Millisecond
+	// affinity is the advantage of the upstream that ranks first for a prompt that none is known to hold, so that
+	// routers agree on where a shared part is read first.
+	affinity = 40 * time.Millisecond
+	// failureCost is the cost of a send that is certain to fail.
+	failureCost = 800 * time.Millisecond
+	// memoryFull is the cost of an engine whose memory has no room for the request: it would preempt others.
+	memoryFull = 1500 * time.Millisecond
+	// plainCost is what an outstanding request adds at a plain service while it has free places, and plainQueued what it
+	// adds beyond.
+	plainCost   = 4 * time.Millisecond
+	plainQueued = 40 * time.Millisecond
+	// scaleOutCost is the expected time to the first event above which another copy of the model is asked for.
+	scaleOutCost = 350 * time.Millisecond
+	// reserve is kept of the time left for the hops and the end of the answer when a wait is predicted.
+	reserve = 150 * time.Millisecond
+	// recheck bounds the time until a waiting request is decided on again.
+	recheck = 250 * time.Millisecond
+	// zoneHop and regionHop are round trips to another zone of the region and to another region.
+	zoneHop   = 2 * time.Millisecond
+	regionHop = 24 * time.Millisecond
+	// busyHome is the assumed rest of an order under way whose end is not known.
+	busyHome = time.Second
+	// storeParallel is the number of loads that the weight store serves at full speed (deployment sheets).
+	storeParallel = 4
+)
+
+// Decide returns what to do with the request now.
+func (s *State) Decide(now time.Time, r *Request) Decision {
+	left := r.Deadline.Sub(now)
+	if left <= 0 {
+		return Decision{Action: Refuse, Reason: "deadline passed"}
+	}
+	members := s.candidates(now, r)
+	if len(members) == 0 {
+		return s.noMember(now, r)
+	}
+	if s.engine(r.Service) == nil || r.Model == "" {
+		return s.pick(now, r, members, left)
+	}
+	var holders []*fleet.Member
+	for _, m := range members {
+		if m.Serves(r.Model) {
+			holders = append(holders, m)
+		}
+	}
+	if len(holders) == 0 {
+		return s.awaitModel(now, r, members, left)
+	}
+	return s.pick(now, r, holders, left)
+}
+
+// candidates returns the upstreams that may get the request; blocked ones only if there is no other.
+func (s *State) candidates(now time.Time, r *Request) []*fleet.Member {
+	var open, blocked []*fleet.Member
+	for _, m := range s.Fleet.Members(now, r.Service) {
+		switch {
+		case r.tried[m.ID]:
+		case now.Before(s.track(m.ID).blockedUntil):
+			blocked = append(blocked, m)
+		default:
+			open = append(open, m)
+		}
+	}
+	if r.Model != "" {
+		// A blocked upstream is better than none that holds the model.
+		for _, m := range open {
+			if m.Serves(r.Model) {
+				return open
+			}
+		}
+		return append(open, blocked...)
+	}
+	if len(open) > 0 {
+		return open
+	}
+	return blocked
+}
+
+func (s *State) noMember(now time.Time, r *Request) Decision {
+	if len(r.tried) == 0 && s.Fleet.Len() == 0 {
+		return Decision{Action: Refuse, Reason: "no upstream is known", RetryAfter: time.Second}
+	}
+	return Decision{Action: Refuse, Reason: "no upstream is left to try", RetryAfter: s.retryAfter(now, r, 500*time.Millisecond)}
+}
+
+// retryAfter spreads callers that are refused at the same moment over half as long again as the wait.
+func (s *State) retryAfter(now time.Time, r *Request, wait time.Duration) time.Duration {
+	spread := float64(r.Fingerprint%1024) / 1024
+	after := wait + time.Duration(spread*float64(wait)/2)
+	return min(after, r.Deadline.Sub(now)/3)
+}
+
+// pick returns the candidate with the least expected time to the first byte.
+func (s *State) pick(now time.Time, r *Request, members []*fleet.Member, left time.Duration) Decision {
+	var best *fleet.Member
+	var bestCost time.Duration
+	first := s.firstRanked(r, members)
+	for _, m := range members {
+		cost := s.cost(now, r, m, m.ID == first)
+		if best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	d := Decision{Cost: bestCost, Age: now.Sub(best.ReportedAt)}
+	if r.Adapter != "" && !best.HoldsAdapter(r.Model, r.Adapter) {
+		d.Action, d.Reason, d.Until = Wait, "adapter is not loaded", now.Add(recheck)
+		d.Want = s.want(now, best.ID, r.Model, r.Adapter)
+		return d
+	}
+	d.Action, d.Reason = Send, "least expected time"
+	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone}
+	if r.Model != "" && bestCost > scaleOutCost {
+		s.scaleOut(now, r)
+	}
+	return d
+}
+
+func (s *State) firstRanked(r *Request, members []*fleet.Member) string {
+	if len(r.Chain) < 2 {
+		return ""
+	}
+	key := r.Model + "/" + r.Adapter + "/" + r.Parts[len(r.Parts)-2].ID
+	first := members[0].ID
+	for _, m := range members[1:] {
+		if placement.Rank(key, m.ID) > placement.Rank(key, first) {
+			first = m.ID
+		}
+	}
+	return first
+}
+
+// cost returns the expected time from the send to the first byte of the answer, with surcharges for what may go wrong.
+func (s *State) cost(now time.Time, r *Request, m *fleet.Member, first bool) time.Duration {
+	t := s.track(m.ID)
+	cost := s.hop(m.Zone) + time.Duration(t.failureRate*float64(failureCost)) + m.ColdFor/4
+	if s.engine(r.Service) == nil {
+		over := max(0, t.outstanding-m.Slots+1)
+		return cost + time.Duration(t.outstanding)*plainCost + time.Duration(over)*plainQueued
+	}
+	tokens := s.uncached(t, r)
+	cost += time.Duration(float64(tokens+t.prefill) / prefillPerMS * float64(time.Millisecond))
+	running := t.outstanding
+	if m.Fresh(now) {
+		running = max(running, m.Load.Running)
+		cost += time.Duration(m.Load.Queued) * queuedCost
+		if m.Load.KVTotal > 0 && m.Load.KVUsed+tokens+r.TokensOut > m.Load.KVTotal {
+			cost += memoryFull
+		}
+	}
+	cost += time.Duration(running) * runningCost
+	if r.Adapter != "" && !m.HoldsAdapter(r.Model, r.Adapter) {
+		cost += adapterLoad
+	}
+	if first {
+		cost -= affinity
+	}
+	return cost
+}
+
+func (s *State) hop(zone string) time.Duration {
+	switch {
+	case zone == s.settings.Zone:
+		return 0
+	case s.settings.ZoneRegion[zone] == s.settings.ZoneRegion[s.settings.Zone]:
+		return zoneHop
+	}
+	return regionHop
+}
+
+func (s *State) want(now time.Time, upstream, model, adapter string) *Want {
+	w := Want{Upstream: upstream, Adapter: placement.Adapter{Model: model, Name: adapter}}
+	s.wants[w] = now.Add(wantFor)
+	return &w
+}
+
+// awaitModel decides on a request whose model no candidate has loaded: it waits at the model's home if the load is
+// expected to be complete in time. Else it is refused, and the load is asked for all the same.
+func (s *State) awaitModel(now time.Time, r *Request, members []*fleet.Member, left time.Duration) Decision {
+	spec, known := s.engine(r.Service).Models[r.Model]
+	if !known {
+		return Decision{Action: Refuse, Reason: "model is not configured"}
+	}
+	home, wait, ok := s.home(now, r, spec)
+	if !ok {
+		return Decision{Action: Refuse, Reason: "model has no home", RetryAfter: s.retryAfter(now, r, time.Second)}
+	}
+	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: wait, Until: now.Add(recheck)}
+	d.Want = s.want(now, home, r.Model, "")
+	if wait+reserve > left {
+		d.Action, d.Reason, d.RetryAfter = Refuse, "model cannot be loaded in time", s.retryAfter(now, r, wait)
+	}
+	return d
+}
+
+// home returns where the model is to be loaded and how long that is expected to take.
+func (s *State) home(now time.Time, r *Request, spec catalog.Model) (string, time.Duration, bool) {
+	homes, missing := s.homesOf(now, r.Service)
+	for _, m := range s.Fleet.Members(now, r.Service) { // a load under way is the best home
+		if m.Order != nil && !m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == r.Model {
+			return m.ID, max(0, m.OrderUntil.Sub(now)), true
+		}
+	}
+	h, ok := homes[r.Model]
+	if !ok {
+		return "", 0, false
+	}
+	wait := spec.LoadTime(h.Tier)
+	m := s.Fleet.Get(h.Upstream)
+	if m != nil && m.Order != nil {
+		wait += max(busyHome/4, m.OrderUntil.Sub(now))
+	}
+	if h.Tier == catalog.TierStore {
+		for i, name := range missing {
+			if name == r.Model {
+				wait += time.Duration(i/storeParallel) * spec.FetchTime
+			}
+		}
+	}
+	return h.Upstream, wait, true
+}
+
+func (s *State) homesOf(now time.Time, service string) (map[string]placement.Home, []string) {
+	if s.homes == nil || s.homesVersion != s.Fleet.Version() {
+		s.homes, s.queue, s.homesVersion = map[string]map[string]placement.Home{}, map[string][]string{}, s.Fleet.Version()
+	}
+	if s.homes[service] == nil {
+		var live []catalog.Upstream
+		for _, m := range s.Fleet.Members(now, service) {
+			if m.Fresh(now) && !now.Before(s.track(m.ID).blockedUntil) {
+				live = append(live, m.Upstream)
+			}
+		}
+		if len(live) == 0 {
+			live = s.Fleet.Upstreams(now, service)
+		}
+		s.homes[service], s.queue[service] = placement.Homes(s.engine(service).Models, live, s.urgent())
+	}
+	return s.homes[service], s.queue[service]
+}
+
+func (s *State) urgent() map[string]int {
+	out := map[string]int{}
+	for w, n := range s.waiting {
+		if w.Name == "" {
+			out[w.Model] += n
+		}
+	}
+	return out
+}
+
+// scaleOut asks for another copy of the model where one is near and the upstream is least busy.
+func (s *State) scaleOut(now time.Time, r *Request) {
+	var best *fleet.Member
+	var bestCost time.Duration
+	for _, m := range s.Fleet.Members(now, r.Service) {
+		if m.Serves(r.Model) || !m.Fresh(now) || m.Order != nil || m.Tier(r.Model) == catalog.TierStore {
+			continue
+		}
+		if cost := s.cost(now, r, m, false); best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	if best != nil && bestCost < scaleOutCost {
+		s.want(now, best.ID, r.Model, "")
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/state.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+)
+
+const (
+	// firstBlock is how long an upstream is left out after a failed send; each further failure doubles it up to maxBlock.
+	firstBlock = 300 * time.Millisecond
+	maxBlock   = 5 * time.Second
+	// failureWeight is the weight of the newest send in an upstream's failure rate.
+	failureWeight = 0.15
+	// wantFor is how long a want stands after the last request that asked for it, so that the load begins even if that
+	// request was refused.
+	wantFor = 3 * time.Second
+	// rateHalfLife is the time after which a request counts half in a model's rate.
+	rateHalfLife = 4 * time.Second
+)
+
+// Settings are a router's own place and the limits that it shares with the others.
+type Settings struct {
+	Zone       string
+	ZoneRegion map[string]string
+	// RetryRatio and RetryBurst bound the retries to a service over all routers.
+	RetryRatio, RetryBurst float64
+}
+
+// track is what the router has seen of an upstream by its own sends.
+type track struct {
+	outstanding  int
+	prefill      int // tokens of prompts sent whose first event has not arrived
+	failures     int // in a row
+	blockedUntil time.Time
+	failureRate  float64
+	cache        *prompt.Cache
+}
+
+// State decides for one router. It is not safe for concurrent use.
+type State struct {
+	Fleet    *fleet.State
+	settings Settings
+	config   *catalog.Config
+	tracks   map[string]*track
+	quotas   map[string]*routing.Quota
+	wants    map[Want]time.Time
+	waiting  map[Want]int
+	rates    map[string]*rate
+	used     map[string]map[placement.Adapter]bool
+	// routers is the number of routers that share the retry limit.
+	routers int
+
+	homesVersion uint64
+	homes        map[string]map[string]placement.Home
+	queue        map[string][]string
+}
+
+// New returns a state without a configuration or upstreams.
+func New(s Settings) *State {
+	return &State{
+		Fleet: fleet.New(), settings: s, tracks: map[string]*track{}, quotas: map[string]*routing.Quota{},
+		wants: map[Want]time.Time{}, waiting: map[Want]int{}, rates: map[string]*rate{},
+		used: map[string]map[placement.Adapter]bool{}, routers: unknownRouters,
+	}
+}
+
+// unknownRouters is the assumed number of routers until an agent has told it.
+const unknownRouters = 8
+
+// SetRouters sets the number of routers that share the retry limit.
+func (s *State) SetRouters(n int) { s.routers = max(1, n) }
+
+// Config returns the configuration in force, or nil.
+func (s *State) Config() *catalog.Config { return s.config }
+
+// SetConfig puts a configuration into force and reports whether it is newer than the one before.
+func (s *State) SetConfig(c *catalog.Config) bool {
+	if s.config != nil && c.Version <= s.config.Version {
+		return false
+	}
+	s.config, s.homes = c, nil
+	return true
+}
+
+func (s *State) engine(service string) *catalog.Engine {
+	if s.config == nil {
+		return nil
+	}
+	return s.config.Services[service].Engine
+}
+
+func (s *State) track(id string) *track {
+	t := s.tracks[id]
+	if t == nil {
+		t = &track{cache: prompt.NewCache(cacheTokens)}
+		s.tracks[id] = t
+	}
+	return t
+}
+
+// cacheTokens is the part of an upstream's memory that is taken to hold prompt parts of this router's requests.
+const cacheTokens = 150_000
+
+func (s *State) quota(service string) *routing.Quota {
+	q := s.quotas[service]
+	if q == nil {
+		q = routing.NewQuota(s.settings.RetryRatio, s.settings.RetryBurst)
+		s.quotas[service] = q
+	}
+	return q
+}
+
+// Arrived counts a new request.
+func (s *State) Arrived(now time.Time, r *Request) {
+	s.quota(r.Service).Request(now)
+	if r.Model == "" {
+		return
+	}
+	x := s.rates[r.Model]
+	if x == nil {
+		x = &rate{}
+		s.rates[r.Model] = x
+	}
+	x.add(now)
+}
+
+// Rates returns the rate of requests per second for each model.
+func (s *State) Rates(now time.Time) map[string]float64 {
+	out := make(map[string]float64, len(s.rates))
+	for name, x := range s.rates {
+		if v := x.at(now); v > 0 {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// Waiting counts a request that begins to wait for a want (1) or stops (-1).
+func (s *State) Waiting(w Want, delta int) {
+	s.waiting[w] += delta
+	if s.waiting[w] <= 0 {
+		delete(s.waiting, w)
+	}
+}
+
+// Wants returns the models and adapters that are asked for, with the number of requests that wait for each.
+func (s *State) Wants(now time.Time) map[Want]int {
+	out := map[Want]int{}
+	for w, until := range s.wants {
+		if now.After(until) && s.waiting[w] == 0 {
+			delete(s.wants, w)
+			continue
+		}
+		if m := s.Fleet.Get(w.Upstream); m == nil || w.Name == "" && m.Serves(w.Model) || w.Name != "" && m.HoldsAdapter(w.Model, w.Name) {
+			delete(s.wants, w)
+			continue
+		}
+		out[w] = max(1, s.waiting[w])
+	}
+	return out
+}
+
+// TakeUsed returns the adapters that requests were sent for to the upstream since the last call.
+func (s *State) TakeUsed(id string) []placement.Adapter {
+	var out []placement.Adapter
+	for a := range s.used[id] {
+		out = append(out, a)
+	}
+	delete(s.used, id)
+	return out
+}
+
+// Started records that a request is being sent to an upstream.
+func (s *State) Started(id string, r *Request) {
+	t := s.track(id)
+	t.outstanding++
+	t.prefill += s.uncached(t, r)
+	t.cache.Sent(r.Chain, r.Parts)
+	if r.Adapter != "" {
+		if s.used[id] == nil {
+			s.used[id] = map[placement.Adapter]bool{}
+		}
+		s.used[id][placement.Adapter{Model: r.Model, Name: r.Adapter}] = true
+	}
+}
+
+// First records that the first event, or the head, of an answer has arrived. tokens is what Started counted.
+func (s *State) First(id string, tokens int) { s.track(id).prefill -= tokens }
+
+// Uncached returns the tokens of the prompt that the upstream is expected to read.
+func (s *State) Uncached(id string, r *Request) int { return s.uncached(s.track(id), r) }
+
+func (s *State) uncached(t *track, r *Request) int {
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Tokens
+	}
+	return total - t.cache.Held(r.Chain, r.Parts)
+}
+
+// Ended records how a send ended.
+func (s *State) Ended(now time.Time, id string, r *Request, o Outcome) {
+	t := s.track(id)
+	t.outstanding--
+	failed := 0.0
+	switch o {
+	case Done:
+		t.failures = 0
+		r.runs++
+		r.sends++
+	case NotConnected:
+		s.block(now, t)
+		r.avoid(id)
+		return
+	case NotRun:
+		r.sends++
+		r.avoid(id)
+		t.blockedUntil = now.Add(firstBlock)
+		return
+	case Absent:
+		r.sends++
+		r.avoid(id)
+		s.Fleet.Absent(id, r.Model, r.Adapter)
+		return
+	case Failed, Broken:
+		failed = 1
+		r.runs++
+		r.sends++
+		r.avoid(id)
+		if o == Broken {
+			s.block(now, t)
+		}
+	case Cancelled:
+		r.runs++
+		r.sends++
+		return
+	}
+	t.failureRate += failureWeight * (failed - t.failureRate)
+}
+
+func (s *State) block(now time.Time, t *track) {
+	t.blockedUntil = now.Add(min(maxBlock, firstBlock<<min(t.failures, 6)))
+	t.failures++
+}
--- /dev/null
+++ b/pkg/dispatch/verdict.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+)
+
+// maxRefusals bounds the sends that upstreams may refuse before the request is refused itself.
+const maxRefusals = 4
+
+// Verdict is what follows from the end of a send that did not succeed.
+type Verdict struct {
+	// Retry says that the request is decided on again.
+	Retry bool
+	// Status is the final status if there is no retry; 0 passes the upstream's own answer on.
+	Status int
+	Reason string
+}
+
+// Verdict decides whether a request is tried again after a send that ended with o. A request that may have run is
+// repeated only if its route allows it, and every repeat that reaches an upstream takes from the shared limit.
+func (s *State) Verdict(now time.Time, r *Request, o Outcome) Verdict {
+	left := r.Deadline.Sub(now)
+	switch {
+	case o == Cancelled && left <= 0:
+		return Verdict{Status: http.StatusGatewayTimeout, Reason: "time is up"}
+	case o == Cancelled:
+		return Verdict{Status: http.StatusBadGateway, Reason: "cancelled"}
+	case r.runs > 0 && !r.Route.Repeatable():
+		return s.final(r, o, "may have run and must not be repeated")
+	case r.runs >= r.Route.MaxAttempts:
+		return s.final(r, o, "attempts used up")
+	case left <= reserve:
+		return s.final(r, o, "no time left")
+	case r.sends-r.runs >= maxRefusals:
+		return s.final(r, o, "refused by several upstreams")
+	case o == NotConnected && r.sends == 0:
+		return Verdict{Retry: true, Reason: "not connected"}
+	case !s.quota(r.Service).Retry(now, s.routers):
+		return s.final(r, o, "retry limit reached")
+	}
+	return Verdict{Retry: true, Reason: o.String()}
+}
+
+func (s *State) final(r *Request, o Outcome, reason string) Verdict {
+	switch {
+	case o == Failed:
+		return Verdict{Reason: reason}
+	case r.runs > 0:
+		return Verdict{Status: http.StatusBadGateway, Reason: reason}
+	}
+	return Verdict{Status: http.StatusServiceUnavailable, Reason: reason}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,219 @@
+// Package fleet decides which upstreams exist and what each holds, from the platform's list and from the reports of the
+// agents beside them. It is a pure state machine; the caller passes the time.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+const (
+	// lapseGrace is how long entries that vanished during an outage of the list are kept after its return: upstreams
+	// that live have registered again by then.
+	lapseGrace = 2 * time.Second
+	// agentFresh is the age up to which an agent's report is preferred to the list: four of its regular intervals.
+	agentFresh = 2 * time.Second
+)
+
+// Load is how busy an upstream is.
+type Load struct{ Queued, Running, KVUsed, KVTotal int }
+
+// Member is an upstream in the fleet.
+type Member struct {
+	catalog.Upstream
+	Load Load
+	// ReportedAt is when the agent beside the upstream last reported; zero if it never did.
+	ReportedAt time.Time
+	// Order is the order under way at the upstream, and OrderUntil when it is expected to be complete.
+	Order      *placement.Order
+	OrderUntil time.Time
+	dropAt     time.Time // when a lapsed entry is given up; zero while it is listed
+}
+
+// Fresh reports whether the agent's report is recent.
+func (m *Member) Fresh(now time.Time) bool { return now.Sub(m.ReportedAt) <= agentFresh }
+
+// Serves reports whether the model is loaded and not about to be unloaded.
+func (m *Member) Serves(model string) bool {
+	if m.Order != nil && m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == model {
+		return false
+	}
+	return m.Holds(model)
+}
+
+// State is the fleet as one process knows it. It is not safe for concurrent use.
+type State struct {
+	members  map[string]*Member
+	graceEnd time.Time // until then removals count as lapses of the last outage
+	version  uint64
+}
+
+// New returns an empty fleet.
+func New() *State { return &State{members: map[string]*Member{}} }
+
+// Version grows with each change of the members or of what they hold.
+func (s *State) Version() uint64 { return s.version }
+
+// Returned records that the list answers again after an outage. Entries that vanish within the grace time that follows
+// are kept until its end.
+func (s *State) Returned(now time.Time) { s.graceEnd = now.Add(lapseGrace) }
+
+// Sync replaces the list.
+func (s *State) Sync(now time.Time, listed []catalog.Upstream) {
+	seen := map[string]bool{}
+	for _, u := range listed {
+		seen[u.ID] = true
+		s.Put(now, u)
+	}
+	for id := range s.members {
+		if !seen[id] {
+			s.Remove(now, id)
+		}
+	}
+}
+
+// Put adds or updates an entry of the list.
+func (s *State) Put(now time.Time, u catalog.Upstream) {
+	m := s.members[u.ID]
+	if m == nil || m.Born != 0 && u.Born != 0 && m.Born != u.Born {
+		s.members[u.ID] = &Member{Upstream: u}
+		s.version++
+		return
+	}
+	m.dropAt = time.Time{}
+	draining := m.Draining || u.Draining // an upstream that leaves never comes back in the same incarnation
+	if m.Fresh(now) && m.Orders >= u.Orders {
+		m.Draining = draining
+		s.version++
+		return
+	}
+	u.Draining = draining
+	m.Upstream = u
+	s.version++
+}
+
+// Remove removes an entry of the list, at once or at the end of the grace time after an outage.
+func (s *State) Remove(now time.Time, id string) {
+	m := s.members[id]
+	if m == nil {
+		return
+	}
+	if now.Before(s.graceEnd) {
+		m.dropAt = s.graceEnd
+		return
+	}
+	delete(s.members, id)
+	s.version++
+}
+
+// Report takes an agent's report. It reports whether what the upstream holds has changed. A report of an upstream that
+// is not listed is ignored: the list says who takes part.
+func (s *State) Report(now time.Time, r *peer.State) bool {
+	m := s.members[r.Upstream.ID]
+	if m == nil {
+		return false
+	}
+	if m.Born != 0 && r.Upstream.Born != 0 && r.Upstream.Born < m.Born {
+		return false
+	}
+	changed := !sameModels(m.Models, r.Upstream.Models) || (m.Order == nil) != (r.Order == nil)
+	m.ReportedAt = now
+	m.Load = Load{Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal}
+	m.Models, m.InMemory, m.OnDisk, m.Orders = r.Upstream.Models, r.Upstream.InMemory, r.Upstream.OnDisk, r.Upstream.Orders
+	if r.Upstream.Draining && !m.Draining {
+		m.Draining, changed = true, true
+	}
+	m.Order, m.OrderUntil = r.Order, now.Add(time.Duration(r.OrderMS)*time.Millisecond)
+	if changed {
+		s.version++
+	}
+	return changed
+}
+
+func sameModels(a, b []catalog.Resident) bool {
+	return slices.EqualFunc(a, b, func(x, y catalog.Resident) bool {
+		return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
+
+// Absent records that an upstream has refused a request because the model or adapter is not there. What it holds is
+// taken from its next report.
+func (s *State) Absent(id, model, adapter string) {
+	m := s.members[id]
+	if m == nil {
+		return
+	}
+	models := slices.Clone(m.Models)
+	for i := range models {
+		if models[i].Model != model {
+			continue
+		}
+		if adapter == "" {
+			models = slices.Delete(models, i, i+1)
+		} else {
+			models[i].Adapters = slices.DeleteFunc(slices.Clone(models[i].Adapters), func(a string) bool { return a == adapter })
+		}
+		break
+	}
+	m.Models = models
+	s.version++
+}
+
+// Members returns the upstreams of a service that take new requests, ordered by id.
+func (s *State) Members(now time.Time, service string) []*Member {
+	var out []*Member
+	for id, m := range s.members {
+		if !m.dropAt.IsZero() && !now.Before(m.dropAt) {
+			delete(s.members, id)
+			s.version++
+			continue
+		}
+		if m.Service == service && !m.Draining {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Upstreams returns the service's upstreams without their loads.
+func (s *State) Upstreams(now time.Time, service string) []catalog.Upstream {
+	var out []catalog.Upstream
+	for _, m := range s.Members(now, service) {
+		out = append(out, m.Upstream)
+	}
+	return out
+}
+
+// Get returns a member, or nil if there is none.
+func (s *State) Get(id string) *Member { return s.members[id] }
+
+// Addresses returns the addresses of all members, draining ones included.
+func (s *State) Addresses() []string {
+	var out []string
+	for _, m := range s.members {
+		out = append(out, m.Address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// At returns the ids of the members at an address.
+func (s *State) At(address string) []string {
+	var out []string
+	for id, m := range s.members {
+		if m.Address == address {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Len returns the number of members.
+func (s *State) Len() int { return len(s.members) }
--- /dev/null
+++ b/pkg/follow/follow.go
@@ -0,0 +1,128 @@
+// Package follow keeps a process up to date with one kind of object in the platform's store.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+const (
+	// firstPause and maxPause bound the pause after a failed call; each further failure doubles it.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+	// answerSlack is how long after the hold of a watch its answer may arrive: some round trips between regions and a
+	// loaded store. A connection that is silent for longer is given up.
+	answerSlack = 700 * time.Millisecond
+	// listTimeout bounds one listing.
+	listTimeout = 2500 * time.Millisecond
+	// outageAfter is how long calls must fail until the gap counts as an outage of the store.
+	outageAfter = 500 * time.Millisecond
+)
+
+// Source reads objects.
+type Source interface {
+	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]platform.Object, uint64, error)
+}
+
+// Handler takes what is read. Its functions are called from one goroutine.
+type Handler struct {
+	// Listed takes all objects of the kind, Changed those that changed or were removed since.
+	Listed, Changed func([]platform.Object)
+	// Returned is called when the store answers again after an outage, before what it answered is handed over. It may
+	// be nil.
+	Returned func()
+}
+
+// Follower follows one kind.
+type Follower struct {
+	src   Source
+	kind  string
+	hold  time.Duration
+	h     Handler
+	log   *eventlog.Log
+	down  time.Time // when calls began to fail; zero while they succeed
+	pause time.Duration
+}
+
+// New returns a follower that holds each watch for at most hold.
+func New(src Source, kind string, hold time.Duration, h Handler, log *eventlog.Log) *Follower {
+	return &Follower{src: src, kind: kind, hold: hold, h: h, log: log}
+}
+
+// Run follows the kind until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		revision, ok := f.list(ctx)
+		for ok && ctx.Err() == nil {
+			revision, ok = f.watch(ctx, revision)
+		}
+	}
+}
+
+func (f *Follower) list(ctx context.Context) (uint64, bool) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, revision, err := f.src.List(call, f.kind)
+	if err != nil {
+		f.failed(ctx, err)
+		return 0, false
+	}
+	f.answered()
+	f.h.Listed(objects)
+	return revision, true
+}
+
+// watch makes one watch call. It returns false if the kind has to be listed again.
+func (f *Follower) watch(ctx context.Context, since uint64) (uint64, bool) {
+	call, cancel := context.WithTimeout(ctx, f.hold+answerSlack)
+	defer cancel()
+	objects, revision, err := f.src.Watch(call, f.kind, since, f.hold)
+	if errors.Is(err, store.ErrCompacted) {
+		f.log.State("watch history is gone, listing again", "kind", f.kind, "revision", since)
+		return 0, false
+	}
+	if err != nil {
+		f.failed(ctx, err)
+		return since, true
+	}
+	f.answered()
+	if len(objects) > 0 {
+		f.h.Changed(objects)
+	}
+	return max(revision, since), true
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.down.IsZero() {
+		f.down, f.pause = time.Now(), firstPause
+		f.log.State("store call failed", "kind", f.kind, "err", err)
+	}
+	jittered := f.pause/2 + rand.N(f.pause)
+	f.pause = min(maxPause, 2*f.pause)
+	select {
+	case <-ctx.Done():
+	case <-time.After(jittered):
+	}
+}
+
+func (f *Follower) answered() {
+	if f.down.IsZero() {
+		return
+	}
+	lost := time.Since(f.down)
+	f.down = time.Time{}
+	f.log.State("store answers again", "kind", f.kind, "after", lost)
+	if lost >= outageAfter && f.h.Returned != nil {
+		f.h.Returned()
+	}
+}
--- /dev/null
+++ b/pkg/gateway/peers.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+)
+
+// demandInterval is the time between two regular messages to an agent.
+const demandInterval = 500 * time.Millisecond
+
+// Peers exchanges messages with the agents.
+type Peers struct {
+	core   *Core
+	socket *peer.Socket
+	log    *eventlog.Log
+	router string
+	port   uint16 // of all agents
+}
+
+// NewPeers returns the exchange of the router with the agents, which listen on port beside their upstreams.
+func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, router string, port int) *Peers {
+	return &Peers{core: core, socket: socket, log: log, router: router, port: uint16(port)}
+}
+
+// Receive takes the agents' reports until ctx ends.
+func (p *Peers) Receive(ctx context.Context) error {
+	return p.socket.Receive(ctx, func(_ netip.AddrPort, m peer.Message) {
+		if m.State != nil {
+			p.report(m.State)
+		}
+	}, func(from netip.AddrPort, err error) { p.log.Request("message not received", "from", from.String(), "err", err) })
+}
+
+func (p *Peers) report(r *peer.State) {
+	changed := false
+	p.core.Do(func(s *dispatch.State) {
+		changed = s.Fleet.Report(time.Now(), r)
+		if len(r.Routers) > 0 {
+			s.SetRouters(len(r.Routers))
+		}
+	})
+	if !changed {
+		return
+	}
+	p.core.Update(func(*dispatch.State) {})
+	p.log.State("upstream reported a change", "upstream", r.Upstream.ID, "orders", r.Upstream.Orders, "models", len(r.Upstream.Models), "order", r.Order)
+}
+
+// Run sends messages at regular intervals, and at once when something new is wanted, until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	tick := time.NewTicker(demandInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.sendAll(true)
+			return
+		case <-tick.C:
+			p.sendAll(false)
+		case w := <-p.core.wanted:
+			p.sendTo(w.Upstream)
+		}
+	}
+}
+
+func (p *Peers) sendAll(leaving bool) {
+	var addresses []string
+	p.core.Do(func(s *dispatch.State) { addresses = s.Fleet.Addresses() })
+	for _, a := range addresses {
+		p.send(a, p.demand(a, leaving))
+	}
+}
+
+func (p *Peers) sendTo(upstream string) {
+	address := ""
+	p.core.Do(func(s *dispatch.State) {
+		if m := s.Fleet.Get(upstream); m != nil {
+			address = m.Address
+		}
+	})
+	if address != "" {
+		p.send(address, p.demand(address, false))
+	}
+}
+
+// demand returns the message for the agent beside the upstream at the address.
+func (p *Peers) demand(address string, leaving bool) *peer.Demand {
+	d := &peer.Demand{Router: p.router, Leaving: leaving}
+	p.core.Do(func(s *dispatch.State) {
+		now := time.Now()
+		for w, n := range s.Wants(now) {
+			want := peer.Want{Model: w.Model, Adapter: w.Name, Waiting: n}
+			if m := s.Fleet.Get(w.Upstream); m != nil && m.Address == address {
+				d.Here = append(d.Here, want)
+			}
+			if w.Name == "" {
+				d.Anywhere = append(d.Anywhere, want)
+			}
+		}
+		d.Rate = s.Rates(now)
+		for _, id := range s.Fleet.At(address) {
+			d.Used = append(d.Used, s.TakeUsed(id)...)
+		}
+	})
+	return d
+}
+
+func (p *Peers) send(address string, d *peer.Demand) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		p.log.Request("upstream address cannot be read", "address", address, "err", err)
+		return
+	}
+	if err := p.socket.Send(netip.AddrPortFrom(ap.Addr(), p.port), peer.Message{Demand: d}); err != nil {
+		p.log.Request("message not sent", "err", err)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/send.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+const (
+	// freshConn is the longest idle time of a connection that carries a request which must not be repeated: an
+	// upstream or a device on the path that has dropped it would leave the outcome unknown.
+	freshConn = 500 * time.Millisecond
+	// warmConn is that time for all other requests.
+	warmConn = 10 * time.Second
+	// maxAnswer bounds an answer that is held back until it is whole.
+	maxAnswer = 8 << 20
+)
+
+// answer is a whole answer of an upstream; nil body and streamed for one that was forwarded as it arrived.
+type answer struct {
+	status   int
+	header   http.Header
+	body     []byte
+	streamed bool
+}
+
+// send sends the request to the upstream of the decision and takes its answer.
+func (c *call) send(d dispatch.Decision) (dispatch.Outcome, *answer) {
+	id := d.Upstream.ID
+	tokens := 0
+	c.g.core.Do(func(s *dispatch.State) {
+		tokens = s.Uncached(id, c.req)
+		s.Started(id, c.req)
+	})
+	read := false
+	first := func() {
+		if !read {
+			read = true
+			c.g.core.Do(func(s *dispatch.State) { s.First(id, tokens) })
+		}
+	}
+	outcome, a := c.exchange(d, first)
+	first()
+	c.g.core.Do(func(s *dispatch.State) { s.Ended(time.Now(), id, c.req, outcome) })
+	return outcome, a
+}
+
+func (c *call) exchange(d dispatch.Decision, first func()) (dispatch.Outcome, *answer) {
+	conn, err := c.g.pool.Get(c.ctx, d.Upstream.Address, c.maxIdle())
+	if err != nil {
+		c.cause = err.Error()
+		if c.ctx.Err() != nil {
+			return dispatch.NotConnected, nil
+		}
+		return dispatch.NotConnected, nil
+	}
+	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	ended := func() bool { return !stop() }
+	conn.Send(c.upstreamRequest(d.Upstream.ID))
+	resp, err := conn.Head(c.r.Method)
+	if err != nil {
+		_ = conn.Close()
+		return c.broken(ended(), err), nil
+	}
+	first()
+	outcome, a, err := c.take(resp)
+	if ended() || err != nil {
+		_ = conn.Close()
+		if err == nil && outcome == dispatch.Done {
+			return outcome, a
+		}
+		return c.broken(c.ctx.Err() != nil, err), a
+	}
+	if outcome == dispatch.Broken {
+		_ = conn.Close()
+		return outcome, a
+	}
+	conn.Release(resp)
+	return outcome, a
+}
+
+func (c *call) broken(ended bool, err error) dispatch.Outcome {
+	if err != nil {
+		c.cause = err.Error()
+	}
+	if ended {
+		return dispatch.Cancelled
+	}
+	return dispatch.Broken
+}
+
+func (c *call) maxIdle() time.Duration {
+	if c.req.Route.Repeatable() {
+		return warmConn
+	}
+	return freshConn
+}
+
+func (c *call) upstreamRequest(instance string) *h1.Request {
+	priority := c.req.Route.Priority
+	if c.req.Route.Kind != catalog.Streaming {
+		priority = -1
+	}
+	return &h1.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body,
+		Header: platform.UpstreamHeader(c.r.Header, platform.Send{
+			Instance: instance, Wait: time.Until(c.req.Deadline), Priority: priority, LastEvent: c.lastID,
+		}),
+	}
+}
+
+// take judges the head of an answer and takes the body: a stream is forwarded, all else is read in full.
+func (c *call) take(resp *http.Response) (dispatch.Outcome, *answer, error) {
+	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	success := resp.StatusCode/100 == 2
+	switch {
+	case head.ID != "" && head.ID != c.meta.ID, success && head.ID == "" && c.meta.ID != "":
+		c.cause = fmt.Sprintf("answer belongs to request %q", head.ID)
+		return dispatch.Broken, nil, nil
+	case success && !head.Signed, head.Encoded:
+		c.cause = "answer is not signed or is encoded"
+		return dispatch.Broken, nil, nil
+	case success && c.req.Route.Kind == catalog.Streaming:
+		return c.forward(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errors.New("answer exceeds the limit")
+	}
+	if err != nil {
+		return dispatch.Broken, nil, err
+	}
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	switch {
+	case head.WrongInstance:
+		c.cause = "wrong instance or model not loaded"
+		return dispatch.Absent, nil, nil
+	case head.NotRun:
+		c.cause = "upstream refused with status " + strconv.Itoa(resp.StatusCode)
+		return dispatch.NotRun, nil, nil
+	case promises(resp.StatusCode):
+		c.cause = "upstream answered with status " + strconv.Itoa(resp.StatusCode) + " and no proof"
+		return dispatch.Broken, nil, nil
+	case resp.StatusCode >= 500:
+		c.cause = "upstream answered with status " + strconv.Itoa(resp.StatusCode)
+		return dispatch.Failed, a, nil
+	}
+	return dispatch.Done, a, nil
+}
+
+// promises reports whether callers take the status as proof that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// deliver gives a whole answer to the caller.
+func (c *call) deliver(a *answer) {
+	if a.streamed {
+		c.finish("done", a.status)
+		return
+	}
+	platform.CallerHeader(c.w.Header(), a.header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.w.WriteHeader(a.status)
+	if _, err := c.w.Write(a.body); err != nil {
+		c.finish("caller_left", a.status, "err", err)
+		return
+	}
+	c.finish("done", a.status)
+}
--- /dev/null
+++ b/pkg/gateway/server.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header, and idleTimeout the time between two requests. Callers
+	// reuse connections that have been idle for less.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// balancerDelay is the time after which the balancer has seen that the process is not ready: two checks a second
+	// apart, and their answers.
+	balancerDelay = 2800 * time.Millisecond
+	// stopReserve is kept of the grace time for the end of the process.
+	stopReserve = 500 * time.Millisecond
+)
+
+// Server accepts callers' connections.
+type Server struct {
+	http  *http.Server
+	ln    net.Listener
+	gw    *Gateway
+	log   *eventlog.Log
+	grace time.Duration
+}
+
+// NewServer listens for callers at the address.
+func NewServer(address string, gw *Gateway, log *eventlog.Log, grace time.Duration) (*Server, error) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepSettings, address, "listen for callers")
+	}
+	return &Server{
+		http:  &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 64 << 10},
+		ln:    ln,
+		gw:    gw,
+		log:   log,
+		grace: grace,
+	}, nil
+}
+
+// Run serves until Shutdown.
+func (s *Server) Run() error {
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+		return fault.Wrap(err, fault.StepAdmit, s.ln.Addr().String(), "serve callers")
+	}
+	return nil
+}
+
+// Shutdown goes on accepting until the balancer sends no new connections, then ends all requests within the grace time.
+func (s *Server) Shutdown() {
+	begin := time.Now()
+	s.gw.Stop()
+	time.Sleep(balancerDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(s.grace-stopReserve))
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.State("requests cut at the end of the grace time", "err", err)
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/pkg/peer/socket.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+)
+
+// Socket sends and receives messages over UDP.
+type Socket struct{ conn *net.UDPConn }
+
+// Listen opens a socket at the address (IP:port).
+func Listen(address string) (*Socket, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepTransport, address, "parse address")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StepTransport, address, "listen")
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Send sends a message to a peer. Delivery is not confirmed.
+func (s *Socket) Send(to netip.AddrPort, m Message) error {
+	raw, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	_, err = s.conn.WriteToUDPAddrPort(raw, to)
+	return fault.Wrap(err, fault.StepTransport, to.String(), "send message")
+}
+
+// Receive calls on for each message until ctx ends. Datagrams that cannot be decoded go to bad.
+func (s *Socket) Receive(ctx context.Context, on func(netip.AddrPort, Message), bad func(netip.AddrPort, error)) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	buf := make([]byte, MaxDatagram+1)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return ctx.Err()
+			}
+			bad(from, err) // an ICMP error of an earlier send is reported here
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m, err := Decode(buf[:n])
+		if err != nil {
+			bad(from, err)
+			continue
+		}
+		on(from, m)
+	}
+}
--- /dev/null
+++ b/pkg/placement/homes.go
@@ -0,0 +1,84 @@
+// Package placement decides which models and adapters an upstream loads and unloads, and at which upstream requests wait
+// for a model that no upstream has loaded. Every process computes the same answer from the same list of upstreams, so no
+// coordinator is needed.
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+)
+
+// Adapter names an adapter of a model.
+type Adapter struct{ Model, Name string }
+
+// Rank returns the rendezvous weight of a model at an upstream. All processes rank alike.
+func Rank(model, upstream string) uint64 { return xxhash.Sum64String(model + "\x00" + upstream) }
+
+// Home is the upstream at which a model that is not loaded should be loaded, and the nearest copy of its weights there.
+type Home struct {
+	Upstream string
+	Tier     catalog.Tier
+}
+
+// Homes returns the home of each model. A model with a copy outside the weight store has its home at the nearest copy.
+// The others are spread so that each upstream has the same number of models to fetch; urgent ones (the value is how many
+// requests wait) come first. The second result lists the models to fetch in the order of their loads.
+func Homes(models map[string]catalog.Model, upstreams []catalog.Upstream, urgent map[string]int) (map[string]Home, []string) {
+	homes := make(map[string]Home, len(models))
+	candidates := takers(upstreams)
+	if len(candidates) == 0 {
+		return homes, nil
+	}
+	count := map[string]int{}
+	var missing []string
+	for _, name := range slices.Sorted(maps.Keys(models)) {
+		best, tier := nearest(name, candidates)
+		if tier == catalog.TierStore {
+			missing = append(missing, name)
+			continue
+		}
+		homes[name] = Home{Upstream: best, Tier: tier}
+		count[best]++
+	}
+	slices.SortStableFunc(missing, func(a, b string) int {
+		return cmp.Or(cmp.Compare(urgent[b], urgent[a]), cmp.Compare(Rank(a, ""), Rank(b, "")))
+	})
+	for _, name := range missing {
+		best := slices.MinFunc(candidates, func(a, b catalog.Upstream) int {
+			return cmp.Or(cmp.Compare(count[a.ID], count[b.ID]), cmp.Compare(Rank(name, b.ID), Rank(name, a.ID)))
+		})
+		homes[name] = Home{Upstream: best.ID, Tier: catalog.TierStore}
+		count[best.ID]++
+	}
+	return homes, missing
+}
+
+func takers(upstreams []catalog.Upstream) []catalog.Upstream {
+	var out []catalog.Upstream
+	for _, u := range upstreams {
+		if !u.Draining {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func nearest(model string, upstreams []catalog.Upstream) (string, catalog.Tier) {
+	best, tier := "", catalog.TierStore
+	for i := range upstreams {
+		u := &upstreams[i]
+		t := u.Tier(model)
+		if t == catalog.TierStore {
+			continue
+		}
+		if best == "" || t < tier || t == tier && Rank(model, u.ID) > Rank(model, best) {
+			best, tier = u.ID, t
+		}
+	}
+	return best, tier
+}
--- /dev/null
+++ b/pkg/placement/plan.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+)
+
+// Order is a change of what an upstream holds: a model, or an adapter of one.
+type Order struct {
+	Unload         bool
+	Model, Adapter string
+}
+
+// Reason says why an order was decided.
+type Reason string
+
+// Reasons of orders.
+const (
+	ReasonWaiting Reason = "requests wait for it"
+	ReasonRoom    Reason = "makes room"
+	ReasonPreload Reason = "has no copy outside the weight store"
+)
+
+// Demand is what the routers ask of one upstream and how often each model is used.
+type Demand struct {
+	// Models and Adapters count the requests that wait for a load at this upstream.
+	Models   map[string]int
+	Adapters map[Adapter]int
+	// Urgent counts the requests that wait for a model anywhere.
+	Urgent map[string]int
+	// Rate is the number of requests per second for each model over all routers.
+	Rate map[string]float64
+	// AdapterUsed is when each adapter was last asked for at this upstream.
+	AdapterUsed map[Adapter]time.Time
+}
+
+// View is what a plan is made from.
+type View struct {
+	Self   catalog.Upstream
+	Busy   bool
+	Coming []Adapter
+	Engine catalog.Engine
+	// All lists the upstreams of the service, this one included.
+	All    []catalog.Upstream
+	Demand Demand
+	// FetchAllowed says that a load from the weight store may begin now.
+	FetchAllowed bool
+	// Parallel is the number of loads that the weight store serves at full speed.
+	Parallel int
+}
+
+// keepCopies is the number of loaded copies of a model that a preload leaves in place while the model's use is unknown.
+const keepCopies = 2
+
+// idleRate is the rate in requests per second below which a model counts as idle.
+const idleRate = 0.02
+
+// Plan returns the next order for the upstream, if there is one to give. It is called again after each change of the
+// view; memory and adapter places are counted from the view, so the order never exceeds them.
+func Plan(v View) (Order, Reason, bool) {
+	if v.Self.Draining {
+		return Order{}, "", false
+	}
+	if o, reason, ok := v.planAdapter(); ok {
+		return o, reason, true
+	}
+	if v.Busy {
+		return Order{}, "", false
+	}
+	for _, name := range v.waitingModels() {
+		if o, reason, ok := v.planModel(name, false); ok {
+			return o, reason, true
+		}
+	}
+	return v.planPreload()
+}
+
+// planAdapter returns an order for the most wanted adapter whose model is loaded.
+func (v *View) planAdapter() (Order, Reason, bool) {
+	wanted := slices.Collect(maps.Keys(v.Demand.Adapters))
+	slices.SortFunc(wanted, func(a, b Adapter) int {
+		return cmp.Or(cmp.Compare(v.Demand.Adapters[b], v.Demand.Adapters[a]), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
+	})
+	for _, a := range wanted {
+		if !v.Self.Holds(a.Model) || v.Self.HoldsAdapter(a.Model, a.Name) || slices.Contains(v.Coming, a) {
+			continue
+		}
+		if len(v.Coming) >= maxComing {
+			return Order{}, "", false
+		}
+		full := v.adapters()+len(v.Coming) >= v.Engine.AdapterSlots
+		if full || v.freeMB() < v.Engine.Models[a.Model].AdapterMB {
+			victim, ok := v.idleAdapter()
+			return Order{Unload: true, Model: victim.Model, Adapter: victim.Name}, ReasonRoom, ok
+		}
+		return Order{Model: a.Model, Adapter: a.Name}, ReasonWaiting, true
+	}
+	return Order{}, "", false
+}
+
+// maxComing is the number of adapters that an engine loads at a time.
+const maxComing = 4
+
+func (v *View) adapters() int {
+	n := 0
+	for _, m := range v.Self.Models {
+		n += len(m.Adapters)
+	}
+	return n
+}
+
+// idleAdapter returns the adapter that was asked for least recently and that no request waits for.
+func (v *View) idleAdapter() (Adapter, bool) {
+	var best Adapter
+	found := false
+	for _, m := range v.Self.Models {
+		for _, name := range m.Adapters {
+			a := Adapter{Model: m.Model, Name: name}
+			if v.Demand.Adapters[a] > 0 {
+				continue
+			}
+			if !found || v.Demand.AdapterUsed[a].Before(v.Demand.AdapterUsed[best]) {
+				best, found = a, true
+			}
+		}
+	}
+	return best, found
+}
+
+// freeMB returns the memory that is not taken by models and adapters, those being loaded included.
+func (v *View) freeMB() float64 {
+	free := v.Engine.MemoryMB
+	for _, m := range v.Self.Models {
+		spec := v.Engine.Models[m.Model]
+		free -= spec.SizeMB + float64(len(m.Adapters))*spec.AdapterMB
+	}
+	for _, a := range v.Coming {
+		free -= v.Engine.Models[a.Model].AdapterMB
+	}
+	return free
+}
+
+func (v *View) waitingModels() []string {
+	var names []string
+	for name := range v.Demand.Models {
+		if _, known := v.Engine.Models[name]; known && !v.Self.Holds(name) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(v.Demand.Models[b], v.Demand.Models[a]), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// planModel returns the order that brings the model nearer to being loaded: its load, or the unload of another model.
+func (v *View) planModel(name string, preload bool) (Order, Reason, bool) {
+	spec := v.Engine.Models[name]
+	if v.Self.Tier(name) == catalog.TierStore && !v.FetchAllowed {
+		return Order{}, "", false
+	}
+	if v.freeMB() >= spec.SizeMB {
+		reason := ReasonWaiting
+		if preload {
+			reason = ReasonPreload
+		}
+		return Order{Model: name}, reason, true
+	}
+	victim, ok := v.victim(preload)
+	return Order{Unload: true, Model: victim}, ReasonRoom, ok
+}
+
+// victim returns the loaded model whose copy here serves the fewest requests. For a preload only copies that are spare
+// are given up.
+func (v *View) victim(preload bool) (string, bool) {
+	best, found, bestUse := "", false, 0.0
+	for _, m := range v.Self.Models {
+		if v.Demand.Models[m.Model] > 0 || preload && !v.spare(m.Model) {
+			continue
+		}
+		use := v.Demand.Rate[m.Model] / float64(max(1, len(v.holders(m.Model))))
+		if !found || use < bestUse || use == bestUse && m.Model < best {
+			best, found, bestUse = m.Model, true, use
+		}
+	}
+	return best, found
+}
+
+// spare reports whether the copy of the model at this upstream can go without a request having to wait for it.
+func (v *View) spare(model string) bool {
+	if len(v.Demand.Rate) > 0 && v.Demand.Rate[model] < idleRate {
+		return true
+	}
+	holders := v.holders(model)
+	if len(holders) <= keepCopies {
+		return false
+	}
+	// The holders that rank first keep their copies, so that two upstreams never give up the last ones at the same time.
+	slices.SortFunc(holders, func(a, b string) int { return cmp.Compare(Rank(model, b), Rank(model, a)) })
+	return !slices.Contains(holders[:keepCopies], v.Self.ID)
+}
+
+func (v *View) holders(model string) []string {
+	var out []string
+	for i := range v.All {
+		if u := &v.All[i]; !u.Draining && u.ID != v.Self.ID && u.Holds(model) {
+			out = append(out, u.ID)
+		}
+	}
+	if v.Self.Holds(model) {
+		out = append(out, v.Self.ID)
+	}
+	return out
+}
+
+// planPreload fetches the models that have no copy outside the weight store, as many at a time as it serves at full
+// speed, each at its home. A model that has been fetched once comes back from its home's disk in under a second.
+func (v *View) planPreload() (Order, Reason, bool) {
+	homes, missing := Homes(v.Engine.Models, v.All, v.Demand.Urgent)
+	for i, name := range missing {
+		if i >= v.Parallel {
+			break
+		}
+		if homes[name].Upstream == v.Self.ID {
+			return v.planModel(name, true)
+		}
+	}
+	return Order{}, "", false
+}
--- /dev/null
+++ b/pkg/prompt/prompt.go
@@ -0,0 +1,75 @@
+// Package prompt estimates which parts of a prompt an upstream still holds, from the requests sent to it.
+package prompt
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt. Requests whose prompts begin with the same parts can share the work of reading them.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Chain returns a hash for each leading run of parts under the model and adapter: element i covers parts 0 to i.
+func Chain(model, adapter string, parts []Part) []uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(model + "/" + adapter)
+	out := make([]uint64, len(parts))
+	for i, p := range parts {
+		_, _ = d.WriteString("\x00" + p.ID)
+		out[i] = d.Sum64()
+	}
+	return out
+}
+
+type entry struct {
+	hash   uint64
+	tokens int
+}
+
+// Cache estimates the parts that one upstream holds: the least recently sent ones are forgotten when their tokens exceed
+// the capacity. It is not safe for concurrent use.
+type Cache struct {
+	capacity, used int
+	order          *list.List // of entry, most recent first
+	byHash         map[uint64]*list.Element
+}
+
+// NewCache returns an empty cache of capacity tokens.
+func NewCache(capacity int) *Cache {
+	return &Cache{capacity: capacity, order: list.New(), byHash: map[uint64]*list.Element{}}
+}
+
+// Held returns the number of leading tokens of the prompt that the upstream is expected to hold.
+func (c *Cache) Held(chain []uint64, parts []Part) int {
+	held := 0
+	for i, h := range chain {
+		if c.byHash[h] == nil {
+			break
+		}
+		held += parts[i].Tokens
+	}
+	return held
+}
+
+// Sent records that a prompt was sent to the upstream.
+func (c *Cache) Sent(chain []uint64, parts []Part) {
+	for i := len(chain) - 1; i >= 0; i-- { // later parts first, so that they are forgotten before those they depend on
+		if e := c.byHash[chain[i]]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.byHash[chain[i]] = c.order.PushFront(entry{hash: chain[i], tokens: parts[i].Tokens})
+		c.used += parts[i].Tokens
+	}
+	for c.used > c.capacity && c.order.Len() > 0 {
+		last := c.order.Back()
+		e, _ := last.Value.(entry)
+		c.order.Remove(last)
+		delete(c.byHash, e.hash)
+		c.used -= e.tokens
+	}
+}
--- a/pkg/routing/budget.go
+++ b/pkg/routing/budget.go
@@ -18,35 +18,66 @@
 	requests, retries int
 }
 
-// Budget limits retries to a share of recent requests, so that retries cannot multiply an overload. The zero value is
-// ready for use; it is not safe for concurrent use.
-type Budget struct{ cells [budgetCells]cell }
+// counts holds requests and retries of the last budgetWindow in cells.
+type counts struct{ cells [budgetCells]cell }
 
-func (b *Budget) at(now time.Time) *cell {
+func (c *counts) at(now time.Time) *cell {
 	index := now.UnixNano() / int64(cellWidth)
-	c := &b.cells[index%budgetCells]
-	if c.index != index {
-		*c = cell{index: index}
+	current := &c.cells[index%budgetCells]
+	if current.index != index {
+		*current = cell{index: index}
+	}
+	return current
+}
+
+func (c *counts) sum(now time.Time) (requests, retries int) {
+	current := c.at(now)
+	for _, x := range c.cells {
+		if current.index-x.index < budgetCells {
+			requests += x.requests
+			retries += x.retries
+		}
 	}
-	return c
+	return requests, retries
 }
 
+// Budget limits retries to a share of recent requests, so that retries cannot multiply an overload. The zero value is
+// ready for use; it is not safe for concurrent use.
+type Budget struct{ counts }
+
 // Request counts a new request.
 func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
 
 // Retry reports whether a retry is allowed, and counts it if so.
 func (b *Budget) Retry(now time.Time) bool {
-	current := b.at(now)
-	var requests, retries int
-	for _, c := range b.cells {
-		if current.index-c.index < budgetCells {
-			requests += c.requests
-			retries += c.retries
-		}
-	}
+	requests, retries := b.sum(now)
 	if float64(retries+1) > max(budgetFloor, budgetShare*float64(requests)) {
 		return false
 	}
-	current.retries++
+	b.at(now).retries++
+	return true
+}
+
+// Quota is one process's part of a limit on retries that holds over all processes: a share of the process's own requests
+// and an equal part of a constant number. It is not safe for concurrent use.
+type Quota struct {
+	counts
+	ratio, burst float64
+}
+
+// NewQuota returns a quota for the share of requests and the constant number of retries that all processes have together
+// within ten seconds.
+func NewQuota(ratio, burst float64) *Quota { return &Quota{ratio: ratio, burst: burst} }
+
+// Request counts a new request.
+func (q *Quota) Request(now time.Time) { q.at(now).requests++ }
+
+// Retry reports whether a retry is allowed while processes share the limit, and counts it if so.
+func (q *Quota) Retry(now time.Time, processes int) bool {
+	requests, retries := q.sum(now)
+	if float64(retries+1) > q.ratio*float64(requests)+q.burst/float64(max(1, processes)) {
+		return false
+	}
+	q.at(now).retries++
 	return true
 }
--- /dev/null
+++ b/pkg/sidecar/routers.go
@@ -0,0 +1,95 @@
+package sidecar
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+// routerSilent is how long after its last message a router counts as gone: five of its regular intervals.
+const routerSilent = 2500 * time.Millisecond
+
+type router struct {
+	address netip.AddrPort
+	seen    time.Time
+	demand  *peer.Demand
+}
+
+// routers holds the last message of each router.
+type routers struct {
+	byName map[string]*router
+	used   map[placement.Adapter]time.Time
+}
+
+func newRouters() *routers {
+	return &routers{byName: map[string]*router{}, used: map[placement.Adapter]time.Time{}}
+}
+
+func (r *routers) take(now time.Time, from netip.AddrPort, d *peer.Demand) {
+	if d.Leaving {
+		delete(r.byName, d.Router)
+		return
+	}
+	r.byName[d.Router] = &router{address: from, seen: now, demand: d}
+	for _, a := range d.Used {
+		r.used[a] = now
+	}
+	for _, w := range d.Here {
+		if w.Adapter != "" {
+			r.used[placement.Adapter{Model: w.Model, Name: w.Adapter}] = now
+		}
+	}
+}
+
+func (r *routers) live(now time.Time) []string {
+	var names []string
+	for name, x := range r.byName {
+		if now.Sub(x.seen) > routerSilent {
+			delete(r.byName, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// names returns the names of the live routers in order.
+func (r *routers) names(now time.Time) []string { return r.live(now) }
+
+// addresses returns the addresses of the live routers.
+func (r *routers) addresses(now time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, name := range r.live(now) {
+		out = append(out, r.byName[name].address)
+	}
+	return out
+}
+
+// demand sums up what the live routers ask for.
+func (r *routers) demand(now time.Time) placement.Demand {
+	d := placement.Demand{
+		Models: map[string]int{}, Adapters: map[placement.Adapter]int{}, Urgent: map[string]int{}, Rate: map[string]float64{},
+		AdapterUsed: r.used,
+	}
+	for _, name := range r.live(now) {
+		x := r.byName[name].demand
+		for _, w := range x.Here {
+			if w.Adapter == "" {
+				d.Models[w.Model] += w.Waiting
+			} else {
+				d.Adapters[placement.Adapter{Model: w.Model, Name: w.Adapter}] += w.Waiting
+			}
+		}
+		for _, w := range x.Anywhere {
+			d.Urgent[w.Model] += w.Waiting
+		}
+		for model, rate := range x.Rate {
+			d.Rate[model] += rate
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/sidecar/sidecar.go
@@ -0,0 +1,289 @@
+// Package sidecar runs beside a model engine. It is the only process that orders the engine to load or unload, and it
+// tells the routers what the engine holds. What to order is decided by package placement.
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+const (
+	// idlePoll, busyPoll and adapterPoll are the times between two reads of the engine's report: while nothing is under
+	// way, while it carries out an order, and while an adapter is loaded, which takes some milliseconds.
+	idlePoll    = 150 * time.Millisecond
+	busyPoll    = 50 * time.Millisecond
+	adapterPoll = 6 * time.Millisecond
+	// reportTimeout bounds one read of the report.
+	reportTimeout = 400 * time.Millisecond
+	// stateInterval is the time between two regular messages to a router, and loadInterval between two that tell a
+	// change of the load only.
+	stateInterval = 500 * time.Millisecond
+	loadInterval  = 250 * time.Millisecond
+	// demandsSize bounds the messages that wait to be taken in.
+	demandsSize = 256
+)
+
+// Engine is the model engine beside the process.
+type Engine interface {
+	Report(ctx context.Context) (platform.Report, error)
+	Order(ctx context.Context, o placement.Order, instance string, seen uint64, holder string, token uint64) (platform.OrderResult, error)
+}
+
+// Settings are the process's own.
+type Settings struct {
+	Node, Address string
+	// LoadWindow and LoadFactor bound the loads from the weight store over all upstreams.
+	LoadWindow time.Duration
+	LoadFactor float64
+	// Parallel is the number of loads that the weight store serves at full speed.
+	Parallel int
+}
+
+type received struct {
+	from   netip.AddrPort
+	demand *peer.Demand
+}
+
+// Agent is the process's state. Run is its only duty that changes what it decides on; the others hand over through
+// bounded queues or the guarded fields.
+type Agent struct {
+	set     Settings
+	engine  Engine
+	socket  *peer.Socket
+	log     *eventlog.Log
+	demands chan received
+
+	mu     sync.Mutex
+	config *catalog.Config
+	listed map[string]catalog.Upstream
+	token  uint64
+
+	routers *routers
+	fetches *fetchLimit
+	report  platform.Report
+	known   bool // report is of this round
+	order   *underWay
+	sent    peer.State
+	sentAt  time.Time
+	engaged bool // the engine answered its last report
+}
+
+// underWay is an order that the engine carries out.
+type underWay struct {
+	order placement.Order
+	until time.Time
+}
+
+// New returns an agent.
+func New(set Settings, engine Engine, socket *peer.Socket, log *eventlog.Log) *Agent {
+	return &Agent{
+		set: set, engine: engine, socket: socket, log: log, demands: make(chan received, demandsSize),
+		listed: map[string]catalog.Upstream{}, routers: newRouters(), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
+	}
+}
+
+// SetToken gives the agent its fencing token. It orders nothing before.
+func (a *Agent) SetToken(token uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.token = token
+}
+
+// Receive takes the routers' messages until ctx ends.
+func (a *Agent) Receive(ctx context.Context) error {
+	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
+		if m.Demand == nil {
+			return
+		}
+		select {
+		case a.demands <- received{from: from, demand: m.Demand}:
+		default:
+			a.log.Request("message dropped, too many wait", "from", from.String())
+		}
+	}, func(from netip.AddrPort, err error) { a.log.Request("message not received", "from", from.String(), "err", err) })
+}
+
+// Run reads the engine's report, gives orders and reports to the routers until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-a.demands:
+			a.take(r)
+		case <-timer.C:
+		}
+		a.drain()
+		a.round(ctx)
+		timer.Reset(a.pause())
+	}
+}
+
+func (a *Agent) take(r received) { a.routers.take(time.Now(), r.from, r.demand) }
+
+func (a *Agent) drain() {
+	for {
+		select {
+		case r := <-a.demands:
+			a.take(r)
+		default:
+			return
+		}
+	}
+}
+
+func (a *Agent) pause() time.Duration {
+	switch {
+	case len(a.report.Coming) > 0 || len(a.routers.demand(time.Now()).Adapters) > 0:
+		return adapterPoll
+	case a.report.Busy || a.order != nil:
+		return busyPoll
+	}
+	return idlePoll
+}
+
+// round reads the report, gives the orders that follow from it and tells the routers.
+func (a *Agent) round(ctx context.Context) {
+	for range maxOrdersPerRound {
+		if !a.read(ctx) {
+			return
+		}
+		if !a.act(ctx) {
+			break
+		}
+	}
+	a.publish()
+}
+
+// maxOrdersPerRound bounds the orders between two messages to the routers: the adapters that an engine loads at a time,
+// and a model.
+const maxOrdersPerRound = 6
+
+func (a *Agent) read(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := a.engine.Report(call)
+	if err != nil {
+		if a.engaged {
+			a.log.State("engine does not report", "err", err)
+		}
+		a.engaged = false
+		return false
+	}
+	if !a.engaged {
+		a.log.State("engine reports", "born", r.Upstream.Born, "models", len(r.Upstream.Models), "orders", r.Upstream.Orders)
+	}
+	a.engaged = true
+	a.mu.Lock()
+	r.Upstream.ID, r.Upstream.Service, r.Upstream.Zone = "", "", ""
+	for _, u := range a.listed {
+		if u.Address == a.set.Address && (r.Upstream.Born == 0 || u.Born == r.Upstream.Born) {
+			r.Upstream.ID, r.Upstream.Service, r.Upstream.Zone = u.ID, u.Service, u.Zone
+			r.Upstream.Draining = r.Upstream.Draining || u.Draining
+		}
+	}
+	a.mu.Unlock()
+	r.Upstream.Address = a.set.Address
+	a.report = r
+	if a.order != nil && !r.Busy {
+		a.order = nil
+	}
+	return true
+}
+
+// act gives the next order and reports whether another one may follow at once.
+func (a *Agent) act(ctx context.Context) bool {
+	now := time.Now()
+	view, token, ok := a.view(now)
+	if !ok {
+		return false
+	}
+	o, reason, ok := placement.Plan(view)
+	if !ok {
+		return false
+	}
+	tier := a.report.Upstream.Tier(o.Model)
+	if !o.Unload && o.Adapter == "" && tier == catalog.TierStore {
+		a.fetches.begin(now)
+	}
+	result, err := a.engine.Order(ctx, o, a.report.Upstream.ID, a.report.Upstream.Orders, a.set.Node, token)
+	a.log.State("order", "upstream", a.report.Upstream.ID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "reason", string(reason),
+		"seen", a.report.Upstream.Orders, "tier", int(tier), "token", token, "result", result.String(), "err", err)
+	if result != platform.OrderAccepted {
+		return false
+	}
+	if o.Adapter == "" {
+		expected := time.Duration(0)
+		if !o.Unload {
+			expected = view.Engine.Models[o.Model].LoadTime(tier)
+		}
+		a.order = &underWay{order: o, until: now.Add(expected)}
+	}
+	return true
+}
+
+// view returns what the next order is decided on; false while the agent may not order.
+func (a *Agent) view(now time.Time) (placement.View, uint64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.token == 0 || a.config == nil || a.report.Upstream.ID == "" {
+		return placement.View{}, 0, false
+	}
+	engine := a.config.Services[a.report.Upstream.Service].Engine
+	if engine == nil {
+		return placement.View{}, 0, false
+	}
+	all := []catalog.Upstream{a.report.Upstream}
+	for _, u := range a.listed {
+		if u.Service == a.report.Upstream.Service && u.ID != a.report.Upstream.ID {
+			all = append(all, u)
+		}
+	}
+	return placement.View{
+		Self: a.report.Upstream, Busy: a.report.Busy, Coming: a.report.Coming, Engine: *engine, All: all,
+		Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, len(all)), Parallel: a.set.Parallel,
+	}, a.token, true
+}
+
+// publish tells the routers what has changed, and at regular intervals that nothing has.
+func (a *Agent) publish() {
+	now := time.Now()
+	if a.report.Upstream.ID == "" {
+		return
+	}
+	s := peer.State{
+		Upstream: a.report.Upstream, Queued: a.report.Queued, Running: a.report.Running, KVUsed: a.report.KVUsed, KVTotal: a.report.KVTotal,
+		Coming: a.report.Coming, Routers: a.routers.names(now),
+	}
+	if a.order != nil {
+		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
+	}
+	age := now.Sub(a.sentAt)
+	if age < stateInterval && !a.changed(&s) && (age < loadInterval || s.Queued == a.sent.Queued && s.Running == a.sent.Running) {
+		return
+	}
+	a.sent, a.sentAt = s, now
+	for _, to := range a.routers.addresses(now) {
+		if err := a.socket.Send(to, peer.Message{State: &s}); err != nil {
+			a.log.Request("message not sent", "err", err)
+		}
+	}
+}
+
+// changed reports whether what the upstream holds or does differs from the last message.
+func (a *Agent) changed(s *peer.State) bool {
+	return !reflect.DeepEqual(s.Upstream.Models, a.sent.Upstream.Models) || s.Upstream.ID != a.sent.Upstream.ID ||
+		s.Upstream.Draining != a.sent.Upstream.Draining || !reflect.DeepEqual(s.Order, a.sent.Order) ||
+		!reflect.DeepEqual(s.Routers, a.sent.Routers)
+}
