Give waiting requests their final answer before a stopping router ends

Change: all open requests end 1.3 s before the grace time does; what has not run is refused. A send that never began because the time was up no longer counts against the upstream.

--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -97,11 +97,13 @@
 	Failed
 	// Broken means that the answer did not arrive whole; the request may have run.
 	Broken
-	// Cancelled means that the caller left or that the time was up.
+	// Cancelled means that the caller left or that the time was up after the request was sent.
 	Cancelled
+	// Expired means that the caller left or that the time was up before anything was sent.
+	Expired
 )
 
-var outcomeNames = [...]string{"done", "not_connected", "not_run", "absent", "failed", "broken", "cancelled"}
+var outcomeNames = [...]string{"done", "not_connected", "not_run", "absent", "failed", "broken", "cancelled", "expired"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -213,6 +213,8 @@
 		t.failures = 0
 		r.runs++
 		r.sends++
+	case Expired:
+		return
 	case NotConnected:
 		s.block(now, t)
 		r.avoid(id)
--- a/pkg/dispatch/verdict.go
+++ b/pkg/dispatch/verdict.go
@@ -26,6 +26,8 @@
 		return Verdict{Status: http.StatusGatewayTimeout, Reason: "time is up"}
 	case o == Cancelled:
 		return Verdict{Status: http.StatusBadGateway, Reason: "cancelled"}
+	case o == Expired:
+		return s.final(r, o, "time is up")
 	case r.runs > 0 && !r.Route.Repeatable():
 		return s.final(r, o, "may have run and must not be repeated")
 	case r.runs >= r.Route.MaxAttempts:
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -37,16 +37,23 @@
 	scope tally.Scope
 	// stopping is closed when the process begins to stop; answers then ask callers to close their connections.
 	stopping chan struct{}
+	// work ends shortly before the process does; requests that are still open get their final answer then.
+	work    context.Context
+	endWork context.CancelFunc
 }
 
 // New returns a gateway.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, scope tally.Scope) *Gateway {
-	return &Gateway{core: core, pool: pool, log: log, scope: scope, stopping: make(chan struct{})}
+	work, end := context.WithCancel(context.Background())
+	return &Gateway{core: core, pool: pool, log: log, scope: scope, stopping: make(chan struct{}), work: work, endWork: end}
 }
 
 // Stop makes answers ask callers to close their connections.
 func (g *Gateway) Stop() { close(g.stopping) }
 
+// EndWork gives all open requests their final answer: those that have not run are refused, the others are cut.
+func (g *Gateway) EndWork() { g.endWork() }
+
 // call is one caller's request on its way through the gateway.
 type call struct {
 	g      *Gateway
@@ -87,6 +94,7 @@
 	c.prepare(route)
 	ctx, cancel := context.WithDeadline(c.base(), c.req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(g.work, cancel)()
 	c.ctx = ctx
 	g.core.Do(func(s *dispatch.State) { s.Arrived(c.start, c.req) })
 	c.run()
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		c.cause = err.Error()
 		if c.ctx.Err() != nil {
-			return dispatch.NotConnected, nil
+			return dispatch.Expired, nil
 		}
 		return dispatch.NotConnected, nil
 	}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -19,8 +19,10 @@
 	// balancerDelay is the time after which the balancer has seen that the process is not ready: two checks a second
 	// apart, and their answers.
 	balancerDelay = 2800 * time.Millisecond
-	// stopReserve is kept of the grace time for the end of the process.
-	stopReserve = 500 * time.Millisecond
+	// answerReserve is kept of the grace time for the final answers of requests that are still open, and stopReserve for
+	// the end of the process.
+	answerReserve = 1300 * time.Millisecond
+	stopReserve   = 800 * time.Millisecond
 )
 
 // Server accepts callers' connections.
@@ -62,6 +64,7 @@
 	time.Sleep(balancerDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(s.grace-stopReserve))
 	defer cancel()
+	defer time.AfterFunc(time.Until(begin.Add(s.grace-answerReserve)), s.gw.EndWork).Stop()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.State("requests cut at the end of the grace time", "err", err)
 		_ = s.http.Close()
--- /dev/null
+++ b/pkg/gateway/suite_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// rig is a gateway before upstreams that the spec plays.
+type rig struct {
+	core  *gateway.Core
+	gw    *gateway.Gateway
+	front *httptest.Server
+}
+
+func newRig() *rig {
+	r := &rig{core: gateway.NewCore(dispatch.New(dispatch.Settings{Zone: "z1", RetryRatio: 0.2, RetryBurst: 50}))}
+	r.gw = gateway.New(r.core, h1.NewPool(), eventlog.New(io.Discard, "entry", "vm"), tally.NoopScope)
+	r.front = httptest.NewServer(r.gw)
+	DeferCleanup(r.front.Close)
+	return r
+}
+
+// routes are one route of each kind, on a plain service and on an engine with one model that has no copy anywhere.
+func (r *rig) configure() {
+	plain := []catalog.Backend{{Service: "plain", Weight: 1}}
+	engine := []catalog.Backend{{Service: "llm", Weight: 1}}
+	cfg := catalog.NewConfig(1, []catalog.Route{
+		{Name: "get", Host: "h", Prefix: "/get/", Kind: catalog.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 2, Backends: plain},
+		{Name: "post", Host: "h", Prefix: "/post/", Kind: catalog.NonIdempotent, Timeout: 5 * time.Second, MaxAttempts: 2, Backends: plain},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, Timeout: 20 * time.Second, MaxAttempts: 2, Resumable: true, Backends: engine},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.Streaming, Timeout: 20 * time.Second, MaxAttempts: 1, Backends: engine},
+	}, []catalog.Service{
+		{Name: "plain"},
+		{Name: "llm", Engine: &catalog.Engine{
+			Models:   map[string]catalog.Model{"m": {Name: "m", SizeMB: 10, FetchTime: 6 * time.Second, DiskTime: time.Second}},
+			MemoryMB: 100, Slots: 8,
+		}},
+	}, catalog.Limits{})
+	r.core.Update(func(s *dispatch.State) { s.SetConfig(cfg) })
+}
+
+// upstream adds an upstream whose answers the handler makes.
+func (r *rig) upstream(id, service string, models []catalog.Resident, h http.HandlerFunc) *httptest.Server {
+	srv := httptest.NewServer(h)
+	DeferCleanup(srv.Close)
+	r.core.Update(func(s *dispatch.State) {
+		s.Fleet.Put(time.Now(), catalog.Upstream{
+			ID: id, Service: service, Address: srv.Listener.Addr().String(), Zone: "z1", Slots: 8, Models: models,
+		})
+	})
+	return srv
+}
+
+// call sends a request with an id and, on streams, the model m.
+func (r *rig) call(method, path string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, r.front.URL+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Hibiscuscross-Request-Id", "r1")
+	if path[1] == 's' || path[1] == 'o' {
+		req.Header.Set("Hibiscuscross-Model", "m")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// sign marks an answer as the upstream's own.
+func sign(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Hibiscuscross-Request-Id", r.Header.Get("Hibiscuscross-Request-Id"))
+	w.Header().Set("Hibiscuscross-Server-Stamp", "stamp")
+}
