Give no orders to an engine that carries one out

Ruled out: a stale count of orders (the counts in the log are equal before and after). Test: placement, busy engine.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -37,8 +37,9 @@
 	// zoneHop and regionHop are round trips to another zone of the region and to another region.
 	zoneHop   = 2 * time.Millisecond
 	regionHop = 24 * time.Millisecond
-	// busyHome is the assumed rest of an order under way whose end is not known.
-	busyHome = time.Second
+	// overdueOrder is the assumed rest of an order that takes longer than expected, such as an unload that waits for the
+	// end of its runs.
+	overdueOrder = 250 * time.Millisecond
 	// storeParallel is the number of loads that the weight store serves at full speed (deployment sheets).
 	storeParallel = 4
 )
@@ -168,7 +169,7 @@
 	}
 	cost += time.Duration(running) * runningCost
 	if r.Adapter != "" && !m.HoldsAdapter(r.Model, r.Adapter) {
-		cost += adapterLoad
+		cost += adapterLoad + restOfOrder(now, m)
 	}
 	if first {
 		cost -= affinity
@@ -176,6 +177,14 @@
 	return cost
 }
 
+// restOfOrder returns how long the upstream's engine is expected to refuse other orders.
+func restOfOrder(now time.Time, m *fleet.Member) time.Duration {
+	if m.Order == nil {
+		return 0
+	}
+	return max(overdueOrder, m.OrderUntil.Sub(now))
+}
+
 func (s *State) hop(zone string) time.Duration {
 	switch {
 	case zone == s.settings.Zone:
@@ -225,8 +234,8 @@
 	}
 	wait := spec.LoadTime(h.Tier)
 	m := s.Fleet.Get(h.Upstream)
-	if m != nil && m.Order != nil {
-		wait += max(busyHome/4, m.OrderUntil.Sub(now))
+	if m != nil {
+		wait += restOfOrder(now, m)
 	}
 	if h.Tier == catalog.TierStore {
 		for i, name := range missing {
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,158 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+func models(names ...string) map[string]catalog.Model {
+	out := map[string]catalog.Model{}
+	for _, n := range names {
+		out[n] = catalog.Model{Name: n, SizeMB: 40, FetchTime: 6 * time.Second, DiskTime: time.Second, AdapterMB: 1}
+	}
+	return out
+}
+
+func loaded(names ...string) []catalog.Resident {
+	var out []catalog.Resident
+	for _, n := range names {
+		out = append(out, catalog.Resident{Model: n})
+	}
+	return out
+}
+
+// view is an engine with room for two models and two adapters that holds a.
+func view() placement.View {
+	self := catalog.Upstream{ID: "u1", Models: loaded("a"), OnDisk: []string{"b", "c"}}
+	return placement.View{
+		Self: self, All: []catalog.Upstream{self}, FetchAllowed: true, Parallel: 4,
+		Engine: catalog.Engine{Models: models("a", "b", "c"), MemoryMB: 100, AdapterSlots: 2},
+		Demand: placement.Demand{
+			Models: map[string]int{}, Adapters: map[placement.Adapter]int{}, Rate: map[string]float64{}, AdapterUsed: map[placement.Adapter]time.Time{},
+		},
+	}
+}
+
+var _ = Describe("plan", func() {
+	It("loads a model that requests wait for", func() {
+		v := view()
+		v.Demand.Models["b"] = 1
+		o, reason, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Model: "b"}))
+		Expect(reason).To(Equal(placement.ReasonWaiting))
+	})
+
+	// Exceeding the memory crashes the engine.
+	It("unloads the least used model before it loads into full memory", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Rate["a"] = 2
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "b"}))
+	})
+
+	It("never unloads a model that requests wait for", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models = map[string]int{"a": 1, "b": 1, "c": 5}
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	// 474 of 598 orders of a quiet day were refused with a conflict: adapters ordered while a model was being loaded.
+	It("gives no order to a busy engine", func() {
+		v := view()
+		v.Busy = true
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "x"}] = 1
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("makes room for an adapter by unloading the one used least recently", func() {
+		v := view()
+		v.Self.Models[0].Adapters = []string{"x", "y"}
+		v.Demand.AdapterUsed[placement.Adapter{Model: "a", Name: "x"}] = time.Unix(20, 0)
+		v.Demand.AdapterUsed[placement.Adapter{Model: "a", Name: "y"}] = time.Unix(10, 0)
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "z"}] = 1
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a", Adapter: "y"}))
+	})
+
+	// Adapters on their way take places too; one too many crashes the engine.
+	It("counts the adapters that are being loaded", func() {
+		v := view()
+		v.Coming = []placement.Adapter{{Model: "a", Name: "x"}, {Model: "a", Name: "y"}}
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "z"}] = 1
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("does not fetch from the weight store while the limit is reached", func() {
+		v := view()
+		v.Self.OnDisk = nil
+		v.All = []catalog.Upstream{v.Self}
+		v.FetchAllowed = false
+		v.Demand.Models["b"] = 1
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("gives no orders while it drains", func() {
+		v := view()
+		v.Self.Draining = true
+		v.Demand.Models["b"] = 1
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("homes", func() {
+	ups := []catalog.Upstream{
+		{ID: "u1", Models: loaded("a"), OnDisk: []string{"b"}},
+		{ID: "u2", InMemory: []string{"b"}},
+		{ID: "u3", Draining: true, Models: loaded("c")},
+	}
+
+	It("puts a model where its nearest copy lies", func() {
+		homes, _ := placement.Homes(models("a", "b"), ups, nil)
+		Expect(homes).To(HaveKeyWithValue("a", placement.Home{Upstream: "u1", Tier: catalog.TierAccelerator}))
+		Expect(homes).To(HaveKeyWithValue("b", placement.Home{Upstream: "u2", Tier: catalog.TierMemory}))
+	})
+
+	It("passes over upstreams that leave", func() {
+		homes, missing := placement.Homes(models("c"), ups, nil)
+		Expect(homes["c"].Upstream).NotTo(Equal("u3"))
+		Expect(missing).To(Equal([]string{"c"}))
+	})
+
+	It("spreads models without a copy and takes the urgent one first", func() {
+		homes, missing := placement.Homes(models("d", "e", "f", "g"), ups, map[string]int{"g": 3})
+		Expect(missing[0]).To(Equal("g"))
+		count := map[string]int{}
+		for _, h := range homes {
+			count[h.Upstream]++
+		}
+		Expect(count).To(Equal(map[string]int{"u1": 2, "u2": 2}))
+	})
+
+	It("does not depend on the order of the upstreams", func() {
+		forward, _ := placement.Homes(models("a", "b", "d", "e"), ups, nil)
+		backward, _ := placement.Homes(models("a", "b", "d", "e"), []catalog.Upstream{ups[2], ups[1], ups[0]}, nil)
+		Expect(backward).To(Equal(forward))
+	})
+})
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -62,15 +62,12 @@
 // Plan returns the next order for the upstream, if there is one to give. It is called again after each change of the
 // view; memory and adapter places are counted from the view, so the order never exceeds them.
 func Plan(v View) (Order, Reason, bool) {
-	if v.Self.Draining {
+	if v.Self.Draining || v.Busy { // a busy engine refuses orders for adapters too
 		return Order{}, "", false
 	}
 	if o, reason, ok := v.planAdapter(); ok {
 		return o, reason, true
 	}
-	if v.Busy {
-		return Order{}, "", false
-	}
 	for _, name := range v.waitingModels() {
 		if o, reason, ok := v.planModel(name, false); ok {
 			return o, reason, true
