Load models where there is room and keep copies with running requests

Ruled out: the store's lag (all views in the log agree on the copies before the unload). Change: routers tell each agent which of its models have running requests and other copies; agents give up idle models only and tell routers how much memory is free or idle; a model is loaded where that is soonest; one more copy at a time. Tests: placement (running, ranks first), dispatch (room, one copy).

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 )
@@ -208,7 +207,7 @@
 	if !known {
 		return Decision{Action: Refuse, Reason: "model is not configured"}
 	}
-	home, wait, ok := s.home(now, r, spec)
+	home, wait, ok := s.home(now, r, members, spec)
 	if !ok {
 		return Decision{Action: Refuse, Reason: "model has no home", RetryAfter: s.retryAfter(now, r, time.Second)}
 	}
@@ -219,76 +218,3 @@
 	}
 	return d
 }
-
-// home returns where the model is to be loaded and how long that is expected to take.
-func (s *State) home(now time.Time, r *Request, spec catalog.Model) (string, time.Duration, bool) {
-	homes, missing := s.homesOf(now, r.Service)
-	for _, m := range s.Fleet.Members(now, r.Service) { // a load under way is the best home
-		if m.Order != nil && !m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == r.Model {
-			return m.ID, max(0, m.OrderUntil.Sub(now)), true
-		}
-	}
-	h, ok := homes[r.Model]
-	if !ok {
-		return "", 0, false
-	}
-	wait := spec.LoadTime(h.Tier)
-	m := s.Fleet.Get(h.Upstream)
-	if m != nil {
-		wait += restOfOrder(now, m)
-	}
-	if h.Tier == catalog.TierStore {
-		for i, name := range missing {
-			if name == r.Model {
-				wait += time.Duration(i/storeParallel) * spec.FetchTime
-			}
-		}
-	}
-	return h.Upstream, wait, true
-}
-
-func (s *State) homesOf(now time.Time, service string) (map[string]placement.Home, []string) {
-	if s.homes == nil || s.homesVersion != s.Fleet.Version() {
-		s.homes, s.queue, s.homesVersion = map[string]map[string]placement.Home{}, map[string][]string{}, s.Fleet.Version()
-	}
-	if s.homes[service] == nil {
-		var live []catalog.Upstream
-		for _, m := range s.Fleet.Members(now, service) {
-			if m.Fresh(now) && !now.Before(s.track(m.ID).blockedUntil) {
-				live = append(live, m.Upstream)
-			}
-		}
-		if len(live) == 0 {
-			live = s.Fleet.Upstreams(now, service)
-		}
-		s.homes[service], s.queue[service] = placement.Homes(s.engine(service).Models, live, s.urgent())
-	}
-	return s.homes[service], s.queue[service]
-}
-
-func (s *State) urgent() map[string]int {
-	out := map[string]int{}
-	for w, n := range s.waiting {
-		if w.Name == "" {
-			out[w.Model] += n
-		}
-	}
-	return out
-}
-
-// scaleOut asks for another copy of the model where one is near and the upstream is least busy.
-func (s *State) scaleOut(now time.Time, r *Request) {
-	var best *fleet.Member
-	var bestCost time.Duration
-	for _, m := range s.Fleet.Members(now, r.Service) {
-		if m.Serves(r.Model) || !m.Fresh(now) || m.Order != nil || m.Tier(r.Model) == catalog.TierStore {
-			continue
-		}
-		if cost := s.cost(now, r, m, false); best == nil || cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	if best != nil && bestCost < scaleOutCost {
-		s.want(now, best.ID, r.Model, "")
-	}
-}
--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,303 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+var now = time.Unix(1000, 0)
+
+var (
+	getRoute    = catalog.Route{Name: "get", Kind: catalog.Idempotent, MaxAttempts: 2}
+	postRoute   = catalog.Route{Name: "post", Kind: catalog.NonIdempotent, MaxAttempts: 2}
+	reportRoute = catalog.Route{Name: "report", Kind: catalog.Streaming, MaxAttempts: 2, Resumable: true}
+	chatRoute   = catalog.Route{Name: "chat", Kind: catalog.Streaming, MaxAttempts: 1}
+)
+
+func newState() *dispatch.State {
+	s := dispatch.New(dispatch.Settings{Zone: "z1", ZoneRegion: map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}, RetryRatio: 0.2, RetryBurst: 40})
+	s.SetRouters(1)
+	models := map[string]catalog.Model{}
+	for _, n := range []string{"a", "b", "c"} {
+		models[n] = catalog.Model{Name: n, SizeMB: 40, FetchTime: 6 * time.Second, DiskTime: 800 * time.Millisecond, MemoryTime: 400 * time.Millisecond}
+	}
+	s.SetConfig(catalog.NewConfig(1, nil, []catalog.Service{
+		{Name: "plain"}, {Name: "llm", Engine: &catalog.Engine{Models: models, MemoryMB: 100, AdapterSlots: 2, Slots: 64}},
+	}, catalog.Limits{}))
+	return s
+}
+
+type upstream struct {
+	id, zone     string
+	models       []string
+	onDisk       []string
+	free, idle   float64
+	order        *placement.Order
+	orderMS      int64
+	queued       int
+	adapters     []string
+	plainService bool
+}
+
+// add lists an upstream and reports for it.
+func add(s *dispatch.State, u upstream) {
+	up := catalog.Upstream{ID: u.id, Service: "llm", Address: u.id + ":1", Zone: u.zone, Slots: 6, OnDisk: u.onDisk}
+	if u.zone == "" {
+		up.Zone = "z1"
+	}
+	if u.plainService {
+		up.Service = "plain"
+	}
+	for _, m := range u.models {
+		up.Models = append(up.Models, catalog.Resident{Model: m, Adapters: u.adapters})
+	}
+	s.Fleet.Put(now, up)
+	if !u.plainService {
+		s.Fleet.Report(now, &peer.State{Upstream: up, FreeMB: u.free, IdleMB: u.idle, Order: u.order, OrderMS: u.orderMS, Queued: u.queued})
+	}
+}
+
+func request(route *catalog.Route, service, model string) *dispatch.Request {
+	parts := []prompt.Part{{ID: "s", Tokens: 2500}, {ID: "t", Tokens: 3800}, {ID: "own", Tokens: 2900}}
+	r := &dispatch.Request{ID: "r", Route: route, Service: service, Model: model, Deadline: now.Add(6 * time.Second)}
+	if model != "" {
+		r.Parts, r.Chain = parts, prompt.Chain(model, "", parts)
+	}
+	return r
+}
+
+var _ = Describe("choice", func() {
+	var s *dispatch.State
+	BeforeEach(func() { s = newState() })
+
+	It("refuses while no upstream is known", func() {
+		Expect(s.Decide(now, request(&getRoute, "plain", "")).Action).To(Equal(dispatch.Refuse))
+	})
+
+	It("sends to the own zone first", func() {
+		add(s, upstream{id: "far", zone: "z3", plainService: true})
+		add(s, upstream{id: "near", zone: "z1", plainService: true})
+		d := s.Decide(now, request(&getRoute, "plain", ""))
+		Expect(d.Action).To(Equal(dispatch.Send))
+		Expect(d.Upstream.ID).To(Equal("near"))
+	})
+
+	It("sends elsewhere when the own zone's places are taken", func() {
+		add(s, upstream{id: "far", zone: "z3", plainService: true})
+		add(s, upstream{id: "near", zone: "z1", plainService: true})
+		for range 7 {
+			s.Started("near", request(&getRoute, "plain", ""))
+		}
+		Expect(s.Decide(now, request(&getRoute, "plain", "")).Upstream.ID).To(Equal("far"))
+	})
+
+	It("sends to an upstream that has the model and no queue", func() {
+		add(s, upstream{id: "busy", models: []string{"a"}, queued: 9})
+		add(s, upstream{id: "free", models: []string{"a"}})
+		add(s, upstream{id: "without"})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Upstream.ID).To(Equal("free"))
+	})
+
+	It("sends prompts with the same beginning to the upstream that has read it", func() {
+		for i := range 4 {
+			add(s, upstream{id: fmt.Sprintf("u%d", i), models: []string{"a"}})
+		}
+		r := request(&reportRoute, "llm", "a")
+		first := s.Decide(now, r).Upstream.ID
+		tokens := s.Uncached(first, r)
+		s.Started(first, r)
+		s.First(first, tokens)
+		s.Ended(now, first, r, dispatch.Done)
+		Expect(s.Uncached(first, r)).To(BeZero())
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Upstream.ID).To(Equal(first))
+	})
+
+	It("leaves out an upstream that could not be reached", func() {
+		add(s, upstream{id: "u1", plainService: true})
+		add(s, upstream{id: "u2", plainService: true})
+		r := request(&getRoute, "plain", "")
+		s.Started("u1", r)
+		s.Ended(now, "u1", r, dispatch.NotConnected)
+		Expect(s.Decide(now, request(&getRoute, "plain", "")).Upstream.ID).To(Equal("u2"))
+	})
+})
+
+var _ = Describe("waiting for a model", func() {
+	var s *dispatch.State
+	BeforeEach(func() { s = newState() })
+
+	It("waits where the load is soonest: with room before without", func() {
+		add(s, upstream{id: "full", onDisk: []string{"a"}, models: []string{"b"}})
+		add(s, upstream{id: "room", onDisk: []string{"a"}, free: 50})
+		d := s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(d.Action).To(Equal(dispatch.Wait))
+		Expect(d.Want.Upstream).To(Equal("room"))
+		Expect(d.Cost).To(Equal(800 * time.Millisecond))
+	})
+
+	It("joins a load that is under way", func() {
+		add(s, upstream{id: "room", onDisk: []string{"a"}, free: 50})
+		add(s, upstream{id: "loads", onDisk: []string{"a"}, order: &placement.Order{Model: "a"}, orderMS: 300})
+		d := s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(d.Want.Upstream).To(Equal("loads"))
+		Expect(d.Cost).To(Equal(300 * time.Millisecond))
+	})
+
+	// A request that cannot be served in time is refused at once; holding it to its deadline helps nobody.
+	It("refuses at once when the load takes too long, and asks for the load all the same", func() {
+		add(s, upstream{id: "u1", free: 50})
+		r := request(&reportRoute, "llm", "a")
+		r.Deadline = now.Add(3 * time.Second)
+		d := s.Decide(now, r)
+		Expect(d.Action).To(Equal(dispatch.Refuse))
+		Expect(d.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
+		Expect(s.Wants(now)).To(HaveLen(1))
+	})
+
+	It("refuses a model that is not configured", func() {
+		add(s, upstream{id: "u1", free: 50})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "zz")).Action).To(Equal(dispatch.Refuse))
+	})
+
+	It("forgets a want once the model is loaded", func() {
+		add(s, upstream{id: "u1", onDisk: []string{"a"}, free: 50})
+		s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(s.Wants(now)).To(HaveLen(1))
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		Expect(s.Wants(now)).To(BeEmpty())
+	})
+
+	// Four routers asked for a copy at four upstreams at once and drove out five other models (decals, quiet-1).
+	It("asks for one more copy at a time, at the upstream that all routers agree on", func() {
+		wanted := map[string]bool{}
+		for range 4 {
+			router := newState()
+			add(router, upstream{id: "slow", models: []string{"a"}, queued: 20})
+			for i := range 5 {
+				add(router, upstream{id: fmt.Sprintf("u%d", i), onDisk: []string{"a"}, free: 50})
+			}
+			for range 20 {
+				router.Arrived(now, request(&reportRoute, "llm", "a"))
+			}
+			router.Decide(now, request(&reportRoute, "llm", "a"))
+			for w := range router.Wants(now) {
+				wanted[w.Upstream] = true
+			}
+		}
+		Expect(wanted).To(HaveLen(1))
+	})
+
+	It("asks for no more copies while one is being loaded", func() {
+		add(s, upstream{id: "slow", models: []string{"a"}, queued: 20})
+		add(s, upstream{id: "loads", onDisk: []string{"a"}, order: &placement.Order{Model: "a"}, orderMS: 300})
+		add(s, upstream{id: "room", onDisk: []string{"a"}, free: 50})
+		for range 20 {
+			s.Arrived(now, request(&reportRoute, "llm", "a"))
+		}
+		s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(s.Wants(now)).To(BeEmpty())
+	})
+
+	It("waits for an adapter at an upstream that can load it now", func() {
+		add(s, upstream{id: "busy", models: []string{"a"}, order: &placement.Order{Model: "b"}, orderMS: 6000})
+		add(s, upstream{id: "free", models: []string{"a"}})
+		r := request(&chatRoute, "llm", "a")
+		r.Adapter = "x"
+		d := s.Decide(now, r)
+		Expect(d.Action).To(Equal(dispatch.Wait))
+		Expect(*d.Want).To(Equal(dispatch.Want{Upstream: "free", Adapter: placement.Adapter{Model: "a", Name: "x"}}))
+	})
+})
+
+var _ = Describe("verdict", func() {
+	var s *dispatch.State
+	BeforeEach(func() {
+		s = newState()
+		add(s, upstream{id: "u1", plainService: true})
+		add(s, upstream{id: "u2", plainService: true})
+	})
+	after := func(route *catalog.Route, outcomes ...dispatch.Outcome) dispatch.Verdict {
+		r := request(route, "plain", "")
+		var v dispatch.Verdict
+		for i, o := range outcomes {
+			id := fmt.Sprintf("u%d", i+1)
+			s.Started(id, r)
+			s.Ended(now, id, r, o)
+			v = s.Verdict(now, r, o)
+		}
+		return v
+	}
+
+	DescribeTable("of a send that did not succeed",
+		func(route *catalog.Route, o dispatch.Outcome, retry bool, status int) {
+			v := after(route, o)
+			Expect(v.Retry).To(Equal(retry))
+			if !retry {
+				Expect(v.Status).To(Equal(status))
+			}
+		},
+		Entry("an idempotent request is repeated after a broken answer", &getRoute, dispatch.Broken, true, 0),
+		Entry("an idempotent request is repeated after a failure", &getRoute, dispatch.Failed, true, 0),
+		// A repeat could run a loan twice.
+		Entry("a non-idempotent request is not repeated after a broken answer", &postRoute, dispatch.Broken, false, http.StatusBadGateway),
+		Entry("a non-idempotent request keeps the upstream's failure", &postRoute, dispatch.Failed, false, 0),
+		Entry("a non-idempotent request goes elsewhere if it has not run", &postRoute, dispatch.NotRun, true, 0),
+		Entry("a non-idempotent request goes elsewhere if nothing was sent", &postRoute, dispatch.NotConnected, true, 0),
+		Entry("a stream that must not run twice is not repeated", &chatRoute, dispatch.Broken, false, http.StatusBadGateway),
+		Entry("a resumable stream is resumed", &reportRoute, dispatch.Broken, true, 0),
+		// A 503 promises that the request has not run.
+		Entry("a cancelled send is not called not run", &getRoute, dispatch.Cancelled, false, http.StatusBadGateway),
+		Entry("a send that never began is", &postRoute, dispatch.Expired, false, http.StatusServiceUnavailable),
+	)
+
+	It("does not promise that a request has not run after a run and a refusal", func() {
+		r := request(&getRoute, "plain", "")
+		r.Route = &catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 1}
+		s.Started("u1", r)
+		s.Ended(now, "u1", r, dispatch.Broken)
+		s.Started("u2", r)
+		s.Ended(now, "u2", r, dispatch.NotRun)
+		Expect(s.Verdict(now, r, dispatch.NotRun).Status).To(Equal(http.StatusBadGateway))
+	})
+
+	It("uses no more attempts than the route allows", func() {
+		Expect(after(&getRoute, dispatch.Broken, dispatch.Broken).Retry).To(BeFalse())
+	})
+
+	// The limit on repeats is shared by all routers; one router may use its part only.
+	It("stops repeating at the router's part of the shared limit", func() {
+		s.SetRouters(10)
+		retries := 0
+		for range 50 {
+			if after(&getRoute, dispatch.Failed).Retry {
+				retries++
+			}
+		}
+		Expect(retries).To(Equal(4))
+	})
+})
+
+var _ = Describe("configuration", func() {
+	It("never goes back to an older version", func() {
+		s := newState()
+		Expect(s.SetConfig(catalog.NewConfig(5, nil, nil, catalog.Limits{}))).To(BeTrue())
+		Expect(s.SetConfig(catalog.NewConfig(4, nil, nil, catalog.Limits{}))).To(BeFalse())
+		Expect(s.Config().Version).To(Equal(uint64(5)))
+	})
+})
--- /dev/null
+++ b/pkg/dispatch/load.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+const (
+	// idleUnload is the time to unload a model without requests, and busyUnload that of one whose runs have to end first.
+	idleUnload = 60 * time.Millisecond
+	busyUnload = 3 * time.Second
+	// similarWait is the difference between waits below which the upstream that ranks first is taken, so that routers
+	// with slightly different views agree on one load.
+	similarWait = 150 * time.Millisecond
+	// serviceTime is the time that one request takes from an engine's reading of prompts, and targetUse the share of its
+	// time that a copy is planned for.
+	serviceTime = 0.15 // s
+	targetUse   = 0.5
+)
+
+// home returns where the model is to be loaded and how long that is expected to take.
+func (s *State) home(now time.Time, r *Request, members []*fleet.Member, spec catalog.Model) (string, time.Duration, bool) {
+	for _, m := range s.Fleet.Members(now, r.Service) { // a load under way is the best home
+		if loading(m, r.Model) {
+			return m.ID, max(0, m.OrderUntil.Sub(now)), true
+		}
+	}
+	if best, wait := s.nearest(now, members, spec); best != nil {
+		return best.ID, wait, true
+	}
+	homes, missing := s.homesOf(now, r.Service)
+	h, ok := homes[r.Model]
+	if !ok {
+		return "", 0, false
+	}
+	wait := spec.FetchTime + time.Duration(slices.Index(missing, r.Model)/storeParallel)*spec.FetchTime
+	if m := s.Fleet.Get(h.Upstream); m != nil {
+		wait += restOfOrder(now, m)
+	}
+	return h.Upstream, wait, true
+}
+
+func loading(m *fleet.Member, model string) bool {
+	return m.Order != nil && !m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == model
+}
+
+// nearest returns the upstream that can load the model soonest from a copy in its memory or on its disk; nil if there is
+// none.
+func (s *State) nearest(now time.Time, members []*fleet.Member, spec catalog.Model) (*fleet.Member, time.Duration) {
+	type option struct {
+		m    *fleet.Member
+		wait time.Duration
+	}
+	var options []option
+	for _, m := range members {
+		if tier := m.Tier(spec.Name); tier != catalog.TierStore && tier != catalog.TierAccelerator && s.reports(now, m) {
+			options = append(options, option{m: m, wait: spec.LoadTime(tier) + restOfOrder(now, m) + s.unloadTime(m, spec.SizeMB)})
+		}
+	}
+	if len(options) == 0 {
+		return nil, 0
+	}
+	least := slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.wait, b.wait) }).wait
+	best := options[0]
+	found := false
+	for _, o := range options {
+		if o.wait-least <= similarWait && (!found || placement.Rank(spec.Name, o.m.ID) > placement.Rank(spec.Name, best.m.ID)) {
+			best, found = o, true
+		}
+	}
+	return best.m, best.wait
+}
+
+// reports reports whether the agent beside the upstream can be asked for a load. If no agent of the service reports,
+// all count.
+func (s *State) reports(now time.Time, m *fleet.Member) bool {
+	if m.Fresh(now) {
+		return true
+	}
+	for _, other := range s.Fleet.Members(now, m.Service) {
+		if other.Fresh(now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) unloadTime(m *fleet.Member, sizeMB float64) time.Duration {
+	switch {
+	case m.Load.FreeMB >= sizeMB:
+		return 0
+	case m.Load.FreeMB+m.Load.IdleMB >= sizeMB:
+		return idleUnload
+	}
+	return busyUnload
+}
+
+func (s *State) homesOf(now time.Time, service string) (map[string]placement.Home, []string) {
+	if s.homes == nil || s.homesVersion != s.Fleet.Version() {
+		s.homes, s.queue, s.homesVersion = map[string]map[string]placement.Home{}, map[string][]string{}, s.Fleet.Version()
+	}
+	if s.homes[service] == nil {
+		var live []catalog.Upstream
+		for _, m := range s.Fleet.Members(now, service) {
+			if s.reports(now, m) {
+				live = append(live, m.Upstream)
+			}
+		}
+		s.homes[service], s.queue[service] = placement.Homes(s.engine(service).Models, live, s.urgent())
+	}
+	return s.homes[service], s.queue[service]
+}
+
+func (s *State) urgent() map[string]int {
+	out := map[string]int{}
+	for w, n := range s.waiting {
+		if w.Name == "" {
+			out[w.Model] += n
+		}
+	}
+	return out
+}
+
+// scaleOut asks for another copy of a model that all its upstreams are slow for. One copy is loaded at a time, and no
+// more than the model's rate needs: four routers that each asked for a copy elsewhere drove out five other models.
+func (s *State) scaleOut(now time.Time, r *Request) {
+	copies := 0
+	var others []*fleet.Member
+	for _, m := range s.Fleet.Members(now, r.Service) {
+		switch {
+		case loading(m, r.Model):
+			return
+		case m.Serves(r.Model):
+			copies++
+		case m.Load.FreeMB+m.Load.IdleMB >= s.engine(r.Service).Models[r.Model].SizeMB:
+			others = append(others, m)
+		}
+	}
+	rate := 0.0
+	if x := s.rates[r.Model]; x != nil {
+		rate = x.at(now) * float64(s.routers)
+	}
+	if float64(copies) >= 1+math.Ceil(rate*serviceTime/targetUse) {
+		return
+	}
+	if best, _ := s.nearest(now, others, s.engine(r.Service).Models[r.Model]); best != nil {
+		s.want(now, best.ID, r.Model, "")
+	}
+}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
@@ -34,8 +35,9 @@
 // track is what the router has seen of an upstream by its own sends.
 type track struct {
 	outstanding  int
-	prefill      int // tokens of prompts sent whose first event has not arrived
-	failures     int // in a row
+	byModel      map[string]int // outstanding requests
+	prefill      int            // tokens of prompts sent whose first event has not arrived
+	failures     int            // in a row
 	blockedUntil time.Time
 	failureRate  float64
 	cache        *prompt.Cache
@@ -56,8 +58,8 @@
 	routers int
 
 	homesVersion uint64
+	queue        map[string][]string // models that no upstream has a copy of, by service
 	homes        map[string]map[string]placement.Home
-	queue        map[string][]string
 }
 
 // New returns a state without a configuration or upstreams.
@@ -97,7 +99,7 @@
 func (s *State) track(id string) *track {
 	t := s.tracks[id]
 	if t == nil {
-		t = &track{cache: prompt.NewCache(cacheTokens)}
+		t = &track{cache: prompt.NewCache(cacheTokens), byModel: map[string]int{}}
 		s.tracks[id] = t
 	}
 	return t
@@ -165,6 +167,29 @@
 	return out
 }
 
+// Held returns what the router knows of each model that the upstream has loaded.
+func (s *State) Held(now time.Time, id string) []peer.Held {
+	m := s.Fleet.Get(id)
+	if m == nil {
+		return nil
+	}
+	var out []peer.Held
+	for _, r := range m.Models {
+		h := peer.Held{Model: r.Model, First: true, Running: s.track(id).byModel[r.Model]}
+		for _, other := range s.Fleet.Members(now, m.Service) {
+			if other.ID == id || !other.Serves(r.Model) {
+				continue
+			}
+			h.Others++
+			if placement.Rank(r.Model, other.ID) > placement.Rank(r.Model, id) {
+				h.First = false
+			}
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
 // TakeUsed returns the adapters that requests were sent for to the upstream since the last call.
 func (s *State) TakeUsed(id string) []placement.Adapter {
 	var out []placement.Adapter
@@ -179,6 +204,9 @@
 func (s *State) Started(id string, r *Request) {
 	t := s.track(id)
 	t.outstanding++
+	if r.Model != "" {
+		t.byModel[r.Model]++
+	}
 	t.prefill += s.uncached(t, r)
 	t.cache.Sent(r.Chain, r.Parts)
 	if r.Adapter != "" {
@@ -207,6 +235,9 @@
 func (s *State) Ended(now time.Time, id string, r *Request, o Outcome) {
 	t := s.track(id)
 	t.outstanding--
+	if t.byModel[r.Model]--; t.byModel[r.Model] <= 0 {
+		delete(t.byModel, r.Model)
+	}
 	failed := 0.0
 	switch o {
 	case Done:
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -21,7 +21,11 @@
 )
 
 // Load is how busy an upstream is.
-type Load struct{ Queued, Running, KVUsed, KVTotal int }
+type Load struct {
+	Queued, Running, KVUsed, KVTotal int
+	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
+	FreeMB, IdleMB float64
+}
 
 // Member is an upstream in the fleet.
 type Member struct {
@@ -87,7 +91,7 @@
 	}
 	m.dropAt = time.Time{}
 	draining := m.Draining || u.Draining // an upstream that leaves never comes back in the same incarnation
-	if m.Fresh(now) { // the list is older than what the agent reports
+	if m.Fresh(now) {                    // the list is older than what the agent reports
 		m.Draining = draining
 		s.version++
 		return
@@ -123,7 +127,7 @@
 	}
 	changed := !sameModels(m.Models, r.Upstream.Models) || (m.Order == nil) != (r.Order == nil)
 	m.ReportedAt = now
-	m.Load = Load{Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal}
+	m.Load = Load{Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: r.FreeMB, IdleMB: r.IdleMB}
 	m.Models, m.InMemory, m.OnDisk, m.Orders = r.Upstream.Models, r.Upstream.InMemory, r.Upstream.OnDisk, r.Upstream.Orders
 	if r.Upstream.Draining && !m.Draining {
 		m.Draining, changed = true, true
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -107,6 +107,7 @@
 		d.Rate = s.Rates(now)
 		for _, id := range s.Fleet.At(address) {
 			d.Used = append(d.Used, s.TakeUsed(id)...)
+			d.Held = append(d.Held, s.Held(now, id)...)
 		}
 	})
 	return d
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -21,6 +21,17 @@
 	Waiting int    `cbor:"3,keyasint"`
 }
 
+// Held is what a router knows of a model that the agent's upstream has loaded.
+type Held struct {
+	Model string `cbor:"1,keyasint"`
+	// Others is the number of other upstreams that serve the model, and First says that this upstream ranks first among
+	// those that serve it.
+	Others int  `cbor:"2,keyasint,omitempty"`
+	First  bool `cbor:"3,keyasint,omitempty"`
+	// Running counts the router's requests for the model at this upstream.
+	Running int `cbor:"4,keyasint,omitempty"`
+}
+
 // Demand is what a router asks of an agent.
 type Demand struct {
 	Router string `cbor:"1,keyasint"`
@@ -32,9 +43,8 @@
 	// Used lists the adapters that this router has sent requests for to the agent's upstream since its last message.
 	Used []placement.Adapter `cbor:"5,keyasint,omitempty"`
 	// Leaving says that the router is stopping and no longer counts as one.
-	Leaving bool `cbor:"6,keyasint,omitempty"`
-	// Crashers lists fingerprints of requests that crash upstreams.
-	Crashers []uint64 `cbor:"7,keyasint,omitempty"`
+	Leaving bool   `cbor:"6,keyasint,omitempty"`
+	Held    []Held `cbor:"7,keyasint,omitempty"`
 }
 
 // State is what an agent says of its upstream.
@@ -45,9 +55,10 @@
 	// Order is the order that the upstream carries out; OrderMS is the time in ms until it is expected to be complete.
 	Order   *placement.Order
 	OrderMS int64
+	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
+	FreeMB, IdleMB float64
 	// Routers lists the routers that the agent has heard from lately.
-	Routers  []string
-	Crashers []uint64
+	Routers []string
 }
 
 // Message is one datagram; exactly one field is set.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -112,6 +112,53 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// The unload of a busy model's copy waited 4 s for its runs while 18 requests for the model waited for the engine
+	// (decals, quiet-1).
+	It("keeps a model with running requests and unloads another", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Held = map[string]placement.Held{"a": {Running: 3, Others: 4}, "b": {}}
+		v.Demand.Rate["b"] = 5
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "b"}))
+	})
+
+	// Two upstreams that each saw the other's copy gave up both at the same time.
+	It("counts the copy that ranks first as the only one", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Rate = map[string]float64{"a": 1, "b": 0.6}
+		v.Demand.Held = map[string]placement.Held{"a": {Others: 3}, "b": {Others: 3, First: true}}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a"}))
+	})
+
+	It("gives up only spare copies for a model that nobody waits for", func() {
+		v := view()
+		v.Self = catalog.Upstream{ID: "u1", Models: loaded("a", "b")}
+		v.All = []catalog.Upstream{v.Self}
+		v.Demand.Held = map[string]placement.Held{"a": {}, "b": {Others: 1, First: true}}
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+		v.Demand.Held["a"] = placement.Held{Others: 1}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a"}))
+	})
+
+	It("tells the memory that is free and that of idle models", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Held = map[string]placement.Held{"a": {Running: 1}, "b": {}}
+		free, idle := v.Room()
+		Expect(free).To(Equal(20.0))
+		Expect(idle).To(Equal(40.0))
+	})
+
 	It("gives no orders while it drains", func() {
 		v := view()
 		v.Self.Draining = true
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -36,6 +36,17 @@
 	Rate map[string]float64
 	// AdapterUsed is when each adapter was last asked for at this upstream.
 	AdapterUsed map[Adapter]time.Time
+	// Held says for each model that is loaded here what the routers know of it; it is empty until a router has reported.
+	Held map[string]Held
+}
+
+// Held is what the routers know of a model that is loaded at an upstream.
+type Held struct {
+	// Others is the number of other upstreams that serve the model, and First says that this one ranks first among them.
+	Others int
+	First  bool
+	// Running counts the requests for the model at this upstream.
+	Running int
 }
 
 // View is what a plan is made from.
@@ -56,9 +67,6 @@
 // keepCopies is the number of loaded copies of a model that a preload leaves in place while the model's use is unknown.
 const keepCopies = 2
 
-// idleRate is the rate in requests per second below which a model counts as idle.
-const idleRate = 0.02
-
 // Plan returns the next order for the upstream, if there is one to give. It is called again after each change of the
 // view; memory and adapter places are counted from the view, so the order never exceeds them.
 func Plan(v View) (Order, Reason, bool) {
@@ -171,15 +179,15 @@
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
 
-// victim returns the loaded model whose copy here serves the fewest requests. For a preload only copies that are spare
-// are given up.
+// victim returns the loaded model whose copy here serves the fewest requests. Models with running requests stay: an
+// unload waits for their end and keeps the engine busy meanwhile. For a preload only spare copies are given up.
 func (v *View) victim(preload bool) (string, bool) {
 	best, found, bestUse := "", false, 0.0
 	for _, m := range v.Self.Models {
-		if v.Demand.Models[m.Model] > 0 || preload && !v.spare(m.Model) {
+		if v.Demand.Models[m.Model] > 0 || v.Demand.Held[m.Model].Running > 0 || preload && !v.spare(m.Model) {
 			continue
 		}
-		use := v.Demand.Rate[m.Model] / float64(max(1, len(v.holders(m.Model))))
+		use := v.use(m.Model)
 		if !found || use < bestUse || use == bestUse && m.Model < best {
 			best, found, bestUse = m.Model, true, use
 		}
@@ -187,10 +195,20 @@
 	return best, found
 }
 
+// use returns the requests per second that would have to go elsewhere without the copy here. The copy that ranks first
+// counts as the only one, so that two upstreams never give up the last copies at the same time.
+func (v *View) use(model string) float64 {
+	h := v.Demand.Held[model]
+	if h.First {
+		return v.Demand.Rate[model]
+	}
+	return v.Demand.Rate[model] / float64(1+h.Others)
+}
+
 // spare reports whether the copy of the model at this upstream can go without a request having to wait for it.
 func (v *View) spare(model string) bool {
-	if len(v.Demand.Rate) > 0 && v.Demand.Rate[model] < idleRate {
-		return true
+	if h, known := v.Demand.Held[model]; known {
+		return h.Others > 0 && !h.First
 	}
 	holders := v.holders(model)
 	if len(holders) <= keepCopies {
@@ -201,6 +219,16 @@
 	return !slices.Contains(holders[:keepCopies], v.Self.ID)
 }
 
+// Room returns the memory in MB that nothing takes and that of models without requests.
+func (v *View) Room() (free, idle float64) {
+	for _, m := range v.Self.Models {
+		if v.Demand.Models[m.Model] == 0 && v.Demand.Held[m.Model].Running == 0 {
+			idle += v.Engine.Models[m.Model].SizeMB
+		}
+	}
+	return max(0, v.freeMB()), idle
+}
+
 func (v *View) holders(model string) []string {
 	var out []string
 	for i := range v.All {
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -73,7 +73,7 @@
 func (r *routers) demand(now time.Time) placement.Demand {
 	d := placement.Demand{
 		Models: map[string]int{}, Adapters: map[placement.Adapter]int{}, Urgent: map[string]int{}, Rate: map[string]float64{},
-		AdapterUsed: r.used,
+		AdapterUsed: r.used, Held: map[string]placement.Held{},
 	}
 	for _, name := range r.live(now) {
 		x := r.byName[name].demand
@@ -90,6 +90,19 @@
 		for model, rate := range x.Rate {
 			d.Rate[model] += rate
 		}
+		for _, h := range x.Held {
+			d.Held[h.Model] = merge(d.Held, h)
+		}
 	}
 	return d
 }
+
+// merge adds what a router knows of a model to what others know. Where they disagree on the copies, the fewest count.
+func merge(known map[string]placement.Held, h peer.Held) placement.Held {
+	out, ok := known[h.Model]
+	if !ok {
+		return placement.Held{Others: h.Others, First: h.First, Running: h.Running}
+	}
+	out.Others, out.First, out.Running = min(out.Others, h.Others), out.First || h.First, out.Running+h.Running
+	return out
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -109,7 +109,9 @@
 		default:
 			a.log.Request("message dropped, too many wait", "from", from.String())
 		}
-	}, func(from netip.AddrPort, err error) { a.log.Request("message not received", "from", from.String(), "err", err) })
+	}, func(from netip.AddrPort, err error) {
+		a.log.Request("message not received", "from", from.String(), "err", err)
+	})
 }
 
 // Run reads the engine's report, gives orders and reports to the routers until ctx ends.
@@ -269,8 +271,11 @@
 	if a.order != nil {
 		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
 	}
+	if view, _, ok := a.view(now); ok {
+		s.FreeMB, s.IdleMB = view.Room()
+	}
 	age := now.Sub(a.sentAt)
-	if age < stateInterval && !a.changed(&s) && (age < loadInterval || s.Queued == a.sent.Queued && s.Running == a.sent.Running) {
+	if age < stateInterval && !a.changed(&s) && (age < loadInterval || s.Queued == a.sent.Queued && s.Running == a.sent.Running && s.IdleMB == a.sent.IdleMB) {
 		return
 	}
 	a.sent, a.sentAt = s, now
