Keep connections whose answer overtook the report of their write, and test the plumbing

Cause: an answer can be read before the writing goroutine has told that the request is written; the connection was then closed instead of kept. Change: wait up to 5 ms for the writer.

--- /dev/null
+++ b/pkg/follow/follow_test.go
@@ -0,0 +1,135 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "follow")
+}
+
+// answer is what the source returns to one call.
+type answer struct {
+	objects  []platform.Object
+	revision uint64
+	err      error
+	silent   bool // returns only when the call is given up
+}
+
+type source struct {
+	mu      sync.Mutex
+	answers []answer
+	calls   []string
+}
+
+func (s *source) next(ctx context.Context, call string) ([]platform.Object, uint64, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	s.mu.Unlock()
+	if a.silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return a.objects, a.revision, a.err
+}
+
+func (s *source) List(ctx context.Context, _ string) ([]platform.Object, uint64, error) {
+	return s.next(ctx, "list")
+}
+
+func (s *source) Watch(ctx context.Context, _ string, since uint64, _ time.Duration) ([]platform.Object, uint64, error) {
+	return s.next(ctx, "watch "+string(rune('0'+since)))
+}
+
+// play runs a follower until the source's answers are used up and returns what its handler was called with.
+func play(s *source) []string {
+	var mu sync.Mutex
+	var got []string
+	note := func(what string) func([]platform.Object) {
+		return func(objects []platform.Object) {
+			mu.Lock()
+			defer mu.Unlock()
+			call := what
+			for _, o := range objects {
+				call += " " + o.Name
+			}
+			got = append(got, call)
+		}
+	}
+	h := follow.Handler{Listed: note("listed"), Changed: note("changed"), Returned: func() { note("returned")(nil) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follow.New(s, "k", follow.Options{Hold: 50 * time.Millisecond}, h, eventlog.New(io.Discard, "r", "vm")).Run(ctx)
+	}()
+	Eventually(func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.answers)
+	}, "5s").Should(BeZero())
+	Eventually(func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.calls)
+	}, "5s").Should(BeNumerically(">", 1))
+	cancel()
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	return got
+}
+
+func one(name string) []platform.Object { return []platform.Object{{Name: name}} }
+
+var _ = Describe("following a kind", func() {
+	It("lists once and watches on from each answer", func() {
+		s := &source{answers: []answer{{objects: one("a"), revision: 3}, {objects: one("b"), revision: 5}, {revision: 5}, {objects: one("c"), revision: 6}}}
+		Expect(play(s)).To(Equal([]string{"listed a", "changed b", "changed c"}))
+		Expect(s.calls[:4]).To(Equal([]string{"list", "watch 3", "watch 5", "watch 5"}))
+	})
+
+	It("lists again when the history is gone", func() {
+		s := &source{answers: []answer{{revision: 3}, {err: store.ErrCompacted}, {objects: one("a"), revision: 9}}}
+		Expect(play(s)).To(Equal([]string{"listed", "listed a"}))
+	})
+
+	It("watches on from the same revision after a failure, without a new list", func() {
+		s := &source{answers: []answer{{revision: 3}, {err: errors.New("reset")}, {objects: one("a"), revision: 4}}}
+		Expect(play(s)).To(Equal([]string{"listed", "changed a"}))
+		Expect(s.calls[2]).To(Equal("watch 3"))
+	})
+
+	// An open connection may go silent for good; only a time-out shows it.
+	It("gives up a watch that is silent and tells of the gap", func() {
+		s := &source{answers: []answer{{revision: 3}, {silent: true}, {objects: one("a"), revision: 4}}}
+		Expect(play(s)).To(Equal([]string{"listed", "changed a"}))
+	})
+
+	It("tells that the store returned after an outage, before what it says", func() {
+		failed := answer{err: errors.New("down")}
+		s := &source{answers: []answer{{revision: 3}, failed, failed, failed, failed, failed, failed, {objects: one("a"), revision: 4}}}
+		Expect(play(s)).To(Equal([]string{"listed", "returned", "changed a"}))
+	})
+})
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -33,7 +33,9 @@
 	// defaultIdle is how long an idle connection is kept if the upstream does not say; idleMargin is kept clear of what
 	// it says, so that a request does not cross the close.
 	defaultIdle = 2 * time.Second
-	idleMargin  = 700 * time.Millisecond
+	// writtenGrace is the time in which the writing goroutine tells that it is done: the answer can overtake it.
+	writtenGrace = 5 * time.Millisecond
+	idleMargin   = 700 * time.Millisecond
 )
 
 // ErrNotConnected means that no connection was established, so nothing was sent.
@@ -66,7 +68,6 @@
 	address string
 	br      *bufio.Reader
 	written chan error // result of the write of the current request
-	sent    bool       // the write has been collected
 	idle    chan error // result of the read while idle
 	idleAt  time.Time
 	keepFor time.Duration
@@ -95,7 +96,7 @@
 
 // Send starts to send a request. The answer may be read before all of the request is written.
 func (c *Conn) Send(r *Request) {
-	c.written, c.sent = make(chan error, 1), false
+	c.written = make(chan error, 1)
 	raw := r.encode()
 	go func(done chan<- error) {
 		_, err := c.Write(raw)
@@ -119,13 +120,7 @@
 // Release returns the connection to the pool after the whole answer was read, or closes it if it cannot carry another
 // request: the upstream closes it, bytes are left over, or the request is not written in full.
 func (c *Conn) Release(resp *http.Response) {
-	whole := false
-	select {
-	case err := <-c.written:
-		whole = err == nil
-	default:
-	}
-	if !whole || resp.Close || c.br.Buffered() > 0 || resp.ContentLength < 0 && !isChunked(resp) {
+	if !c.isWritten() || resp.Close || c.br.Buffered() > 0 || resp.ContentLength < 0 && !isChunked(resp) {
 		_ = c.Close()
 		return
 	}
@@ -137,6 +132,23 @@
 	c.pool.put(c)
 }
 
+// isWritten reports whether the request was written in full.
+func (c *Conn) isWritten() bool {
+	select {
+	case err := <-c.written:
+		return err == nil
+	default:
+	}
+	grace := time.NewTimer(writtenGrace)
+	defer grace.Stop()
+	select {
+	case err := <-c.written:
+		return err == nil
+	case <-grace.C:
+		return false
+	}
+}
+
 func isChunked(resp *http.Response) bool {
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
--- /dev/null
+++ b/pkg/h1/h1_test.go
@@ -0,0 +1,220 @@
+package h1_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+)
+
+func TestH1(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "h1")
+}
+
+// peer accepts connections and answers the requests on each with the scripted bytes; after them it closes.
+type peer struct {
+	ln       net.Listener
+	mu       sync.Mutex
+	conns    int
+	requests []string
+}
+
+func newPeer(answers ...string) *peer {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p := &peer{ln: ln}
+	DeferCleanup(func() { _ = ln.Close() }) // a spec may have closed it
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns++
+			p.mu.Unlock()
+			go p.serve(c, answers)
+		}
+	}()
+	return p
+}
+
+func (p *peer) serve(c net.Conn, answers []string) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for _, a := range answers {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		p.mu.Lock()
+		p.requests = append(p.requests, req.Method+" "+req.RequestURI+" "+string(body))
+		p.mu.Unlock()
+		if _, err := io.WriteString(c, a); err != nil {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, br)
+}
+
+func (p *peer) seen() (int, []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns, append([]string(nil), p.requests...)
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+
+func exchange(pool *h1.Pool, p *peer, maxAge time.Duration) (string, error) {
+	c, err := pool.Get(context.Background(), p.ln.Addr().String(), maxAge)
+	if err != nil {
+		return "", err
+	}
+	c.Send(&h1.Request{Method: "POST", Target: "/a//b%2f..?x", Host: "h", Header: http.Header{}, Body: []byte("hi")})
+	resp, err := c.Head("POST")
+	if err != nil {
+		_ = c.Close()
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		_ = c.Close()
+		return "", err
+	}
+	c.Release(resp)
+	return string(body), nil
+}
+
+var _ = Describe("connections", func() {
+	var pool *h1.Pool
+	BeforeEach(func() { pool = h1.NewPool() })
+
+	It("sends the target as it is and uses a connection again", func() {
+		p := newPeer(ok, ok)
+		for range 2 {
+			Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		}
+		conns, requests := p.seen()
+		Expect(conns).To(Equal(1))
+		Expect(requests[0]).To(Equal("POST /a//b%2f..?x hi"))
+	})
+
+	It("uses no connection that has been idle for longer than asked", func() {
+		p := newPeer(ok, ok)
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		Expect(exchange(pool, p, time.Nanosecond)).To(Equal("ok"))
+		conns, _ := p.seen()
+		Expect(conns).To(Equal(2))
+	})
+
+	// Bytes after an answer belong to no request; the next one on that connection would get them as its answer.
+	It("does not use a connection on which bytes are left over", func() {
+		p := newPeer(ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		conns, _ := p.seen()
+		Expect(conns).To(Equal(2))
+	})
+
+	It("does not use a connection that the peer closes", func() {
+		p := newPeer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		conns, _ := p.seen()
+		Expect(conns).To(Equal(2))
+	})
+
+	// A request that was sent twice could run twice.
+	It("sends nothing again when the answer does not come", func() {
+		p := newPeer("")
+		c, err := pool.Get(context.Background(), p.ln.Addr().String(), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		c.Send(&h1.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+		_, err = c.Head("GET")
+		Expect(err).To(HaveOccurred())
+		_, requests := p.seen()
+		Expect(requests).To(HaveLen(1))
+		_ = c.Close()
+	})
+
+	It("reports an answer that ends early", func() {
+		p := newPeer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok")
+		done := make(chan error, 1)
+		go func() {
+			c, err := pool.Get(context.Background(), p.ln.Addr().String(), time.Second)
+			if err != nil {
+				done <- err
+				return
+			}
+			_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+			c.Send(&h1.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			resp, err := c.Head("GET")
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			done <- err
+		}()
+		Eventually(done, "2s").Should(Receive(HaveOccurred()))
+	})
+
+	It("says that nothing was sent if no connection was made", func() {
+		p := newPeer()
+		_ = p.ln.Close()
+		_, err := exchange(pool, p, time.Second)
+		Expect(err).To(MatchError(h1.ErrNotConnected))
+	})
+
+	// An upstream may answer before it has read a long body and read on later: the rest of the body is still due.
+	It("does not use a connection on which the request is not written in full", func() {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, ok) // without reading
+			}
+		}()
+		for i := range 2 {
+			c, err := pool.Get(context.Background(), ln.Addr().String(), time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Reused).To(BeFalse(), "connection %d", i)
+			c.Send(&h1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: bytes.Repeat([]byte("x"), 32<<20)})
+			resp, err := c.Head("POST")
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.ReadAll(resp.Body)
+			c.Release(resp)
+		}
+	})
+
+	It("closes connections that have been idle too long", func() {
+		p := newPeer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=1\r\n\r\nok", ok)
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+		Eventually(func() int {
+			pool.Sweep()
+			return pool.Idle()
+		}, "2s").Should(BeZero())
+	})
+
+	It("passes over informational answers", func() {
+		p := newPeer(strings.Replace(ok, "HTTP/1.1 200", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200", 1))
+		Expect(exchange(pool, p, time.Second)).To(Equal("ok"))
+	})
+})
--- a/pkg/h1/pool.go
+++ b/pkg/h1/pool.go
@@ -85,3 +85,14 @@
 		p.idle[address] = keep
 	}
 }
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/sse/sse_test.go
@@ -0,0 +1,79 @@
+package sse_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/sse"
+)
+
+func TestSSE(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sse")
+}
+
+func read(r io.Reader) ([]sse.Event, error) {
+	var out []sse.Event
+	events := sse.NewReader(r)
+	for {
+		e, err := events.Next()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, e)
+	}
+}
+
+var _ = Describe("events", func() {
+	It("keeps the bytes of each event and its id", func() {
+		out, err := read(strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"))
+		Expect(err).To(Equal(io.EOF))
+		Expect(out).To(Equal([]sse.Event{{Raw: []byte("id: 1\ndata: a\n\n"), ID: "1"}, {Raw: []byte("id:2\r\ndata: b\r\n\r\n"), ID: "2"}}))
+	})
+
+	// Half an event followed by the next run's first one would join pieces of two runs.
+	It("does not return half an event", func() {
+		out, err := read(strings.NewReader("id: 1\n\nid: 2\ndata: b"))
+		Expect(err).To(MatchError(sse.ErrPartial))
+		Expect(out).To(HaveLen(1))
+	})
+
+	It("returns the error of a broken connection", func() {
+		reset := errors.New("reset")
+		_, err := read(io.MultiReader(strings.NewReader("id: 1\n\nid: 2\n"), iotest.ErrReader(reset)))
+		Expect(err).To(MatchError(reset))
+	})
+
+	It("reads events longer than its buffer", func() {
+		long := "data: " + strings.Repeat("x", 50_000) + "\n\n"
+		out, err := read(iotest.OneByteReader(strings.NewReader(long)))
+		Expect(err).To(Equal(io.EOF))
+		Expect(string(out[0].Raw)).To(Equal(long))
+	})
+
+	It("refuses an event without end", func() {
+		_, err := read(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100_000)))
+		Expect(err).To(MatchError(ContainSubstring("exceeds")))
+	})
+})
+
+func FuzzNext(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("\r\n\r\nid:")
+	f.Fuzz(func(t *testing.T, s string) {
+		out, _ := read(strings.NewReader(s))
+		joined := ""
+		for _, e := range out {
+			joined += string(e.Raw)
+		}
+		if !strings.HasPrefix(s, joined) {
+			t.Fatalf("events %q are not the beginning of the stream %q", joined, s)
+		}
+	})
+}
