Refuse requests that have crashed three upstreams at any router

Ruled out: counting broken answers alone, since lost answers and resets break off requests that harm nobody; a crash is a broken send followed by the end of that upstream. Change: quarantine.Reports, carried between routers by the agents' messages.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -42,7 +42,7 @@
 	defer func() { _ = closer.Close() }()
 
 	core := gateway.NewCore(dispatch.New(dispatch.Settings{
-		Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryRatio: set.RetryRatio, RetryBurst: set.RetryBurst,
+		Name: set.Node, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryRatio: set.RetryRatio, RetryBurst: set.RetryBurst,
 	}))
 	pool := h1.NewPool()
 	gw := gateway.New(core, pool, log, scope)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -49,6 +49,12 @@
 	if left <= 0 {
 		return Decision{Action: Refuse, Reason: "deadline passed"}
 	}
+	for _, id := range s.Fleet.Ended() {
+		s.Crashes.Ended(now, id)
+	}
+	if s.Crashes.Refused(now, r.Fingerprint) {
+		return Decision{Action: Refuse, Reason: "request crashes upstreams"}
+	}
 	members := s.candidates(now, r)
 	if len(members) == 0 {
 		return s.noMember(now, r)
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -301,3 +301,26 @@
 		Expect(s.Config().Version).To(Equal(uint64(5)))
 	})
 })
+
+var _ = Describe("requests that crash upstreams", func() {
+	It("refuses a request that three upstreams have not survived", func() {
+		s := newState()
+		for i := range 4 {
+			add(s, upstream{id: fmt.Sprintf("u%d", i), plainService: true})
+		}
+		for i := range 3 {
+			r := request(&getRoute, "plain", "")
+			r.Fingerprint = 7
+			id := fmt.Sprintf("u%d", i)
+			s.Started(id, r)
+			s.Ended(now, id, r, dispatch.Broken)
+			s.Fleet.Remove(now, id)
+		}
+		r := request(&getRoute, "plain", "")
+		Expect(s.Decide(now, r).Action).To(Equal(dispatch.Send))
+		r.Fingerprint = 7
+		d := s.Decide(now, r)
+		Expect(d.Action).To(Equal(dispatch.Refuse))
+		Expect(d.Reason).To(Equal("request crashes upstreams"))
+	})
+})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
 )
 
@@ -28,6 +29,9 @@
 type Settings struct {
 	Zone       string
 	ZoneRegion map[string]string
+	// Name tells the router apart from others, and Started its processes.
+	Name    string
+	Started time.Time
 	// RetryRatio and RetryBurst bound the retries to a service over all routers.
 	RetryRatio, RetryBurst float64
 }
@@ -54,6 +58,8 @@
 	waiting  map[Want]int
 	rates    map[string]*rate
 	used     map[string]map[placement.Adapter]bool
+	// Crashes decides which requests are refused because they crash upstreams.
+	Crashes *quarantine.Reports
 	// routers is the number of routers that share the retry limit.
 	routers int
 
@@ -68,6 +74,7 @@
 		Fleet: fleet.New(), settings: s, tracks: map[string]*track{}, quotas: map[string]*routing.Quota{},
 		wants: map[Want]time.Time{}, waiting: map[Want]int{}, rates: map[string]*rate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: unknownRouters,
+		Crashes: quarantine.NewReports(s.Name, s.Started),
 	}
 }
 
@@ -248,6 +255,7 @@
 		return
 	case NotConnected:
 		s.block(now, t)
+		s.Crashes.Ended(now, id) // an upstream that breaks off and then accepts no connection has ended
 		r.avoid(id)
 		return
 	case NotRun:
@@ -267,6 +275,7 @@
 		r.avoid(id)
 		if o == Broken {
 			s.block(now, t)
+			s.Crashes.Broken(now, r.Fingerprint, id)
 		}
 	case Cancelled:
 		r.runs++
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -55,6 +55,7 @@
 	members  map[string]*Member
 	graceEnd time.Time // until then removals count as lapses of the last outage
 	version  uint64
+	ended    []string // upstreams that have ended since the last call of Ended
 }
 
 // New returns an empty fleet.
@@ -84,7 +85,11 @@
 // Put adds or updates an entry of the list.
 func (s *State) Put(now time.Time, u catalog.Upstream) {
 	m := s.members[u.ID]
-	if m == nil || m.Born != 0 && u.Born != 0 && m.Born != u.Born {
+	if m != nil && m.Born != 0 && u.Born != 0 && m.Born != u.Born {
+		s.ended = append(s.ended, u.ID)
+		m = nil
+	}
+	if m == nil {
 		s.members[u.ID] = &Member{Upstream: u}
 		s.version++
 		return
@@ -112,9 +117,17 @@
 		return
 	}
 	delete(s.members, id)
+	s.ended = append(s.ended, id)
 	s.version++
 }
 
+// Ended returns the upstreams that have ended since the last call.
+func (s *State) Ended() []string {
+	out := s.ended
+	s.ended = nil
+	return out
+}
+
 // Report takes an agent's report. It reports whether what the upstream holds has changed. A report of an upstream that
 // is not listed is ignored: the list says who takes part.
 func (s *State) Report(now time.Time, r *peer.State) bool {
@@ -174,6 +187,7 @@
 	for id, m := range s.members {
 		if !m.dropAt.IsZero() && !now.Before(m.dropAt) {
 			delete(s.members, id)
+			s.ended = append(s.ended, id)
 			s.version++
 			continue
 		}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -42,6 +42,7 @@
 	changed := false
 	p.core.Do(func(s *dispatch.State) {
 		changed = s.Fleet.Report(time.Now(), r)
+		s.Crashes.Merge(time.Now(), r.Crashes)
 		if len(r.Routers) > 0 {
 			s.SetRouters(len(r.Routers))
 		}
@@ -105,6 +106,7 @@
 			}
 		}
 		d.Rate = s.Rates(now)
+		d.Crashes = s.Crashes.Own(now)
 		for _, id := range s.Fleet.At(address) {
 			d.Used = append(d.Used, s.TakeUsed(id)...)
 			d.Held = append(d.Held, s.Held(now, id)...)
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
 
 // MaxDatagram bounds a message in bytes.
@@ -45,6 +46,8 @@
 	// Leaving says that the router is stopping and no longer counts as one.
 	Leaving bool   `cbor:"6,keyasint,omitempty"`
 	Held    []Held `cbor:"7,keyasint,omitempty"`
+	// Crashes are the router's own reports of requests that crash upstreams.
+	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
 }
 
 // State is what an agent says of its upstream.
@@ -57,8 +60,9 @@
 	OrderMS int64
 	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
 	FreeMB, IdleMB float64
-	// Routers lists the routers that the agent has heard from lately.
+	// Routers lists the routers that the agent has heard from lately, and Crashes their reports.
 	Routers []string
+	Crashes []quarantine.Report
 }
 
 // Message is one datagram; exactly one field is set.
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
 
 // routerSilent is how long after its last message a router counts as gone: five of its regular intervals.
@@ -69,6 +70,15 @@
 	return out
 }
 
+// crashes returns the reports of the live routers.
+func (r *routers) crashes(now time.Time) []quarantine.Report {
+	var out []quarantine.Report
+	for _, name := range r.live(now) {
+		out = append(out, r.byName[name].demand.Crashes...)
+	}
+	return out
+}
+
 // demand sums up what the live routers ask for.
 func (r *routers) demand(now time.Time) placement.Demand {
 	d := placement.Demand{
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -266,7 +266,7 @@
 	}
 	s := peer.State{
 		Upstream: a.report.Upstream, Queued: a.report.Queued, Running: a.report.Running, KVUsed: a.report.KVUsed, KVTotal: a.report.KVTotal,
-		Coming: a.report.Coming, Routers: a.routers.names(now),
+		Coming: a.report.Coming, Routers: a.routers.names(now), Crashes: a.routers.crashes(now),
 	}
 	if a.order != nil {
 		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
@@ -290,5 +290,5 @@
 func (a *Agent) changed(s *peer.State) bool {
 	return !reflect.DeepEqual(s.Upstream.Models, a.sent.Upstream.Models) || s.Upstream.ID != a.sent.Upstream.ID ||
 		s.Upstream.Draining != a.sent.Upstream.Draining || !reflect.DeepEqual(s.Order, a.sent.Order) ||
-		!reflect.DeepEqual(s.Routers, a.sent.Routers)
+		!reflect.DeepEqual(s.Routers, a.sent.Routers) || len(s.Crashes) != len(a.sent.Crashes)
 }
