Take turns at the weight store when there are more engines than loads in a window

Found by a table test over fleet sizes that failed. Specs for the sidecar's orders, messages and limits.

--- a/pkg/peer/socket.go
+++ b/pkg/peer/socket.go
@@ -58,3 +58,9 @@
 		on(from, m)
 	}
 }
+
+// Address returns the socket's own address.
+func (s *Socket) Address() netip.AddrPort {
+	a, _ := s.conn.LocalAddr().(*net.UDPAddr)
+	return a.AddrPort()
+}
--- /dev/null
+++ b/pkg/sidecar/limits_test.go
@@ -0,0 +1,81 @@
+package sidecar
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+var _ = Describe("limit on loads from the weight store", func() {
+	now := time.Unix(1000, 0)
+
+	// All upstreams together may begin rate x window x factor + 3 loads in any window, also when all want to at once and
+	// when there are more upstreams than loads.
+	DescribeTable("holds over all upstreams when each uses its share",
+		func(rate float64, upstreams int) {
+			window, factor, step := 5*time.Second, 1.1, 100*time.Millisecond
+			limits := make([]*fetchLimit, upstreams)
+			for i := range limits {
+				limits[i] = newFetchLimit(window, factor)
+			}
+			var begun []time.Time
+			for at := now; at.Sub(now) < 120*time.Second; at = at.Add(step) {
+				for i, f := range limits {
+					if f.allowed(at, rate, i, upstreams) {
+						f.begin(at)
+						begun = append(begun, at)
+					}
+				}
+			}
+			Expect(len(begun)).To(BeNumerically(">=", upstreams)) // everyone has a turn
+			for i, first := range begun {
+				in := 0
+				for _, at := range begun[i:] {
+					if at.Sub(first) <= window {
+						in++
+					}
+				}
+				Expect(float64(in)).To(BeNumerically("<=", rate*window.Seconds()*factor+fetchSpare))
+			}
+		},
+		Entry("vanstops", 1.6, 9),
+		Entry("vanstops with more runners than loads", 1.6, 18),
+		Entry("decals", 2.1, 9),
+		Entry("vanstops grown", 10.0, 49),
+		Entry("decals grown", 15.0, 53),
+		Entry("a large fleet", 1.6, 60),
+	)
+})
+
+var _ = Describe("routers", func() {
+	now := time.Unix(1000, 0)
+	from := netip.MustParseAddrPort("10.0.0.1:7")
+
+	It("adds up what the live routers ask for", func() {
+		r := newRouters()
+		r.take(now, from, &peer.Demand{Router: "a", Here: []peer.Want{{Model: "m", Waiting: 2}}, Rate: map[string]float64{"m": 1},
+			Held: []peer.Held{{Model: "h", Others: 2, Running: 1}}})
+		r.take(now, from, &peer.Demand{Router: "b", Here: []peer.Want{{Model: "m", Waiting: 1}, {Model: "m", Adapter: "x", Waiting: 1}}, Rate: map[string]float64{"m": 2},
+			Held: []peer.Held{{Model: "h", Others: 1, First: true, Running: 3}}})
+		d := r.demand(now)
+		Expect(d.Models).To(Equal(map[string]int{"m": 3}))
+		Expect(d.Adapters).To(Equal(map[placement.Adapter]int{{Model: "m", Name: "x"}: 1}))
+		Expect(d.Rate).To(Equal(map[string]float64{"m": 3}))
+		Expect(d.Held).To(Equal(map[string]placement.Held{"h": {Others: 1, First: true, Running: 4}}))
+		Expect(r.names(now)).To(Equal([]string{"a", "b"}))
+	})
+
+	It("forgets routers that are silent or leave", func() {
+		r := newRouters()
+		r.take(now, from, &peer.Demand{Router: "a"})
+		r.take(now, from, &peer.Demand{Router: "b"})
+		r.take(now, from, &peer.Demand{Router: "b", Leaving: true})
+		Expect(r.names(now)).To(Equal([]string{"a"}))
+		Expect(r.names(now.Add(3 * time.Second))).To(BeEmpty())
+	})
+})
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -70,7 +70,6 @@
 	routers *routers
 	fetches *fetchLimit
 	report  platform.Report
-	known   bool // report is of this round
 	order   *underWay
 	sent    peer.State
 	sentAt  time.Time
@@ -254,10 +253,21 @@
 	}
 	return placement.View{
 		Self: a.report.Upstream, Busy: a.report.Busy, Coming: a.report.Coming, Engine: *engine, All: all,
-		Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, len(all)), Parallel: a.set.Parallel,
+		Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
 	}, a.token, true
 }
 
+// position returns the place of the first upstream among all by id.
+func position(all []catalog.Upstream) int {
+	n := 0
+	for _, u := range all[1:] {
+		if u.ID < all[0].ID {
+			n++
+		}
+	}
+	return n
+}
+
 // publish tells the routers what has changed, and at regular intervals that nothing has.
 func (a *Agent) publish() {
 	now := time.Now()
--- /dev/null
+++ b/pkg/sidecar/sidecar_test.go
@@ -0,0 +1,167 @@
+package sidecar_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/sidecar"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+func TestSidecar(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sidecar")
+}
+
+const address = "127.0.0.1:65000"
+
+// engine is a model engine that carries out orders at once and checks them as a real one does.
+type engine struct {
+	mu     sync.Mutex
+	self   catalog.Upstream
+	orders []placement.Order
+	tokens []uint64
+	lose   int // answers to orders that are lost, though the order is carried out
+	down   bool
+}
+
+func (e *engine) Report(context.Context) (platform.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return platform.Report{}, errors.New("down")
+	}
+	return platform.Report{Upstream: e.self}, nil
+}
+
+func (e *engine) Order(_ context.Context, o placement.Order, _ string, seen uint64, _ string, token uint64) (platform.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if seen != e.self.Orders {
+		return platform.OrderConflict, nil
+	}
+	e.orders, e.tokens = append(e.orders, o), append(e.tokens, token)
+	e.self.Orders++
+	if o.Unload {
+		e.self.Models = nil
+	} else {
+		e.self.Models = append(e.self.Models[:len(e.self.Models):len(e.self.Models)], catalog.Resident{Model: o.Model})
+	}
+	if e.lose > 0 {
+		e.lose--
+		return platform.OrderUnknown, errors.New("no answer")
+	}
+	return platform.OrderAccepted, nil
+}
+
+func (e *engine) given() []placement.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]placement.Order(nil), e.orders...)
+}
+
+const config = `{"version":1,"services":[{"name":"llm","engine":{"weightsMb":100,"adapterSlots":2,"loadsPerS":2,
+	"models":[{"name":"a","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5},{"name":"b","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5}]}}]}`
+
+// rig is an agent beside an engine, and a router that talks to it.
+type rig struct {
+	agent  *sidecar.Agent
+	engine *engine
+	router *peer.Socket
+	to     netip.AddrPort
+	states chan peer.State
+}
+
+func newRig(models ...string) *rig {
+	r := &rig{engine: &engine{self: catalog.Upstream{Address: address, Born: 5, OnDisk: []string{"a", "b"}}}, states: make(chan peer.State, 100)}
+	for _, m := range models {
+		r.engine.self.Models = append(r.engine.self.Models, catalog.Resident{Model: m})
+	}
+	socket, err := peer.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r.router, err = peer.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r.to = socket.Address()
+	r.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 4},
+		r.engine, socket, eventlog.New(io.Discard, "sidecar", "side-1"))
+	r.agent.Config().Listed([]platform.Object{{Name: "main", Spec: []byte(config)}})
+	r.agent.Upstreams().Listed([]platform.Object{{Name: "i-1", Spec: []byte(`{"service":"llm","address":"` + address + `","state":"ready","born":5}`)}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Add(3)
+	go func() { defer wg.Done(); r.agent.Run(ctx) }()
+	go func() { defer wg.Done(); _ = r.agent.Receive(ctx) }()
+	go func() {
+		defer wg.Done()
+		_ = r.router.Receive(ctx, func(_ netip.AddrPort, m peer.Message) { r.states <- *m.State }, func(netip.AddrPort, error) {})
+	}()
+	DeferCleanup(func() { cancel(); wg.Wait() })
+	return r
+}
+
+func (r *rig) want(model string) {
+	Expect(r.router.Send(r.to, peer.Message{Demand: &peer.Demand{Router: "edge-1", Here: []peer.Want{{Model: model, Waiting: 1}}}})).To(Succeed())
+}
+
+var _ = Describe("agent", func() {
+	It("loads what a router wants and tells it", func() {
+		r := newRig()
+		r.agent.SetToken(41)
+		r.want("a")
+		Eventually(r.states, "2s").Should(Receive(Satisfy(func(s peer.State) bool {
+			return s.Upstream.ID == "i-1" && s.Upstream.Holds("a") && len(s.Routers) == 1
+		})))
+		Expect(r.engine.given()).To(Equal([]placement.Order{{Model: "a"}}))
+		Expect(r.engine.tokens).To(Equal([]uint64{41}))
+	})
+
+	It("makes room first", func() {
+		r := newRig("a")
+		r.agent.SetToken(41)
+		r.want("b")
+		Eventually(r.engine.given, "2s").Should(Equal([]placement.Order{{Unload: true, Model: "a"}, {Model: "b"}}))
+	})
+
+	// Two processes that order without tokens from the store could take turns at the engine.
+	It("gives no orders before it has a fencing token", func() {
+		r := newRig()
+		r.want("a")
+		Eventually(r.states, "2s").Should(Receive())
+		Expect(r.engine.given()).To(BeEmpty())
+		r.agent.SetToken(41)
+		r.want("a")
+		Eventually(r.engine.given, "2s").Should(HaveLen(1))
+	})
+
+	// The order may have been carried out; only the engine's next report tells. A second load would exceed the memory.
+	It("does not order again what an unanswered order has done", func() {
+		r := newRig()
+		r.engine.lose = 1
+		r.agent.SetToken(41)
+		r.want("a")
+		Eventually(r.states, "2s").Should(Receive(Satisfy(func(s peer.State) bool { return s.Upstream.Holds("a") })))
+		Expect(r.engine.given()).To(HaveLen(1))
+	})
+
+	It("gives no orders to an engine that is not the one listed", func() {
+		r := newRig()
+		r.engine.mu.Lock()
+		r.engine.self.Born = 6
+		r.engine.mu.Unlock()
+		r.agent.SetToken(41)
+		r.want("a")
+		Consistently(r.engine.given, "300ms").Should(BeEmpty())
+	})
+})
