Stay with the upstream that was asked for a model

Cause: each decision looked for the best upstream anew. Ruled out: different lists at different routers; one router alone did it. Change: a request stays unless another upstream gains a second; the earlier wish is dropped when it moves. Tests: dispatch, stays and moves.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -214,6 +214,26 @@
 		Expect(s.Wants(now)).To(BeEmpty())
 	})
 
+	// Requests moved on when their upstream began to make room, and one model was loaded at three upstreams (vanstops,
+	// scale-1).
+	It("stays with the upstream that it has asked for the model", func() {
+		add(s, upstream{id: "u1", onDisk: []string{"a"}, models: []string{"b"}, idle: 50})
+		add(s, upstream{id: "u2", onDisk: []string{"a"}, models: []string{"b"}, idle: 50})
+		first := s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream
+		add(s, upstream{id: first, onDisk: []string{"a"}, models: []string{"b"}, idle: 50, order: &placement.Order{Unload: true, Model: "b"}})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal(first))
+		Expect(s.Wants(now)).To(HaveLen(1))
+	})
+
+	It("moves to another upstream when the first one is held up, and drops the earlier wish", func() {
+		add(s, upstream{id: "u1", onDisk: []string{"a"}, models: []string{"b"}, idle: 50})
+		add(s, upstream{id: "u2", onDisk: []string{"a"}, models: []string{"b"}, idle: 50})
+		first := s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream
+		add(s, upstream{id: first, onDisk: []string{"a"}, models: []string{"b"}, order: &placement.Order{Model: "c"}, orderMS: 6000})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).NotTo(Equal(first))
+		Expect(s.Wants(now)).To(HaveLen(1))
+	})
+
 	It("waits for an adapter at an upstream that can load it now", func() {
 		add(s, upstream{id: "busy", models: []string{"a"}, order: &placement.Order{Model: "b"}, orderMS: 6000})
 		add(s, upstream{id: "free", models: []string{"a"}})
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -18,6 +18,9 @@
 	// similarWait is the difference between waits below which the upstream that ranks first is taken, so that routers
 	// with slightly different views agree on one load.
 	similarWait = 150 * time.Millisecond
+	// moveGain is the time that must be gained to ask another upstream for a model: the time of a load from disk, since
+	// the first one may already be making room.
+	moveGain = time.Second
 	// serviceTime is the time that one request takes from an engine's reading of prompts, and targetUse the share of its
 	// time that a copy is planned for.
 	serviceTime = 0.15 // s
@@ -32,7 +35,8 @@
 		}
 	}
 	if best, wait := s.nearest(now, members, spec); best != nil {
-		return best.ID, wait, true
+		id, wait := s.stay(now, members, spec, best.ID, wait)
+		return id, wait, true
 	}
 	homes, missing := s.homesOf(now, r.Service)
 	h, ok := homes[r.Model]
@@ -60,7 +64,7 @@
 	var options []option
 	for _, m := range members {
 		if tier := m.Tier(spec.Name); tier != catalog.TierStore && tier != catalog.TierAccelerator && s.reports(now, m) {
-			options = append(options, option{m: m, wait: spec.LoadTime(tier) + restOfOrder(now, m) + s.unloadTime(m, spec.SizeMB)})
+			options = append(options, option{m: m, wait: s.loadTime(now, m, spec)})
 		}
 	}
 	if len(options) == 0 {
@@ -77,6 +81,32 @@
 	return best.m, best.wait
 }
 
+// loadTime returns how long the upstream is expected to take to load the model.
+func (s *State) loadTime(now time.Time, m *fleet.Member, spec catalog.Model) time.Duration {
+	return spec.LoadTime(m.Tier(spec.Name)) + restOfOrder(now, m) + s.unloadTime(m, spec.SizeMB)
+}
+
+// stay returns the upstream that was asked for the model before, unless the best one is expected to be much faster; then
+// the earlier wish is dropped. Without it requests moved on as soon as their upstream began to make room, and one model
+// was loaded at three upstreams.
+func (s *State) stay(now time.Time, members []*fleet.Member, spec catalog.Model, best string, wait time.Duration) (string, time.Duration) {
+	for w, until := range s.wants {
+		if w.Model != spec.Name || w.Name != "" || now.After(until) || w.Upstream == best {
+			continue
+		}
+		for _, m := range members {
+			if m.ID != w.Upstream || !s.reports(now, m) {
+				continue
+			}
+			if asked := s.loadTime(now, m, spec); asked <= wait+moveGain {
+				return m.ID, asked
+			}
+		}
+		delete(s.wants, w)
+	}
+	return best, wait
+}
+
 // reports reports whether the agent beside the upstream can be asked for a load. If no agent of the service reports,
 // all count.
 func (s *State) reports(now time.Time, m *fleet.Member) bool {
