--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -51,6 +51,16 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Patience returns how long callers wait for the first event of a stream, or for the next one, before they leave: two
+// seconds, four times the target or eight times the longest pause, whichever is longest. It is 0 for other routes, whose
+// callers wait until their deadline.
+func (r *Route) Patience() time.Duration {
+	if r.Kind != Streaming {
+		return 0
+	}
+	return max(2*time.Second, 4*r.Target, 8*r.MaxPause)
+}
+
 // Pick returns the service for a request; point is uniform in [0, 1).
 func (r *Route) Pick(point float64) string {
 	var sum float64
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -45,8 +45,7 @@
 
 // Decide returns what to do with the request now.
 func (s *State) Decide(now time.Time, r *Request) Decision {
-	left := r.Deadline.Sub(now)
-	if left <= 0 {
+	if !now.Before(r.Deadline) {
 		return Decision{Action: Refuse, Reason: "deadline passed"}
 	}
 	for _, id := range s.Fleet.Ended() {
@@ -60,7 +59,7 @@
 		return s.noMember(now, r)
 	}
 	if s.engine(r.Service) == nil || r.Model == "" {
-		return s.pick(now, r, members, left)
+		return s.pick(now, r, members)
 	}
 	var holders []*fleet.Member
 	for _, m := range members {
@@ -69,9 +68,9 @@
 		}
 	}
 	if len(holders) == 0 {
-		return s.awaitModel(now, r, members, left)
+		return s.awaitModel(now, r, members)
 	}
-	return s.pick(now, r, holders, left)
+	return s.pick(now, r, holders)
 }
 
 // candidates returns the upstreams that may get the request; blocked ones only if there is no other.
@@ -116,7 +115,7 @@
 }
 
 // pick returns the candidate with the least expected time to the first byte.
-func (s *State) pick(now time.Time, r *Request, members []*fleet.Member, left time.Duration) Decision {
+func (s *State) pick(now time.Time, r *Request, members []*fleet.Member) Decision {
 	var best *fleet.Member
 	var bestCost time.Duration
 	first := s.firstRanked(r, members)
@@ -208,7 +207,7 @@
 
 // awaitModel decides on a request whose model no candidate has loaded: it waits at the model's home if the load is
 // expected to be complete in time. Else it is refused, and the load is asked for all the same.
-func (s *State) awaitModel(now time.Time, r *Request, members []*fleet.Member, left time.Duration) Decision {
+func (s *State) awaitModel(now time.Time, r *Request, members []*fleet.Member) Decision {
 	spec, known := s.engine(r.Service).Models[r.Model]
 	if !known {
 		return Decision{Action: Refuse, Reason: "model is not configured"}
@@ -219,7 +218,7 @@
 	}
 	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: wait, Until: now.Add(recheck)}
 	d.Want = s.want(now, home, r.Model, "")
-	if wait+reserve > left {
+	if wait+reserve > r.waitLimit(now) {
 		d.Action, d.Reason, d.RetryAfter = Refuse, "model cannot be loaded in time", s.retryAfter(now, r, wait)
 	}
 	return d
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -170,6 +170,17 @@
 		Expect(s.Wants(now)).To(HaveLen(1))
 	})
 
+	// Callers leave a stream that brings nothing for 3.2 s; chats were held for a load of 6 s until they did (vanstops,
+	// scale-1).
+	It("refuses at once when the caller will have left before the load is complete", func() {
+		add(s, upstream{id: "u1", free: 50})
+		r := request(&chatRoute, "llm", "a")
+		r.Deadline, r.Leaves = now.Add(15*time.Second), now.Add(3200*time.Millisecond)
+		d := s.Decide(now, r)
+		Expect(d.Action).To(Equal(dispatch.Refuse))
+		Expect(d.RetryAfter).To(BeNumerically("~", 5*time.Second, time.Millisecond)) // a third of the time left
+	})
+
 	It("refuses a model that is not configured", func() {
 		add(s, upstream{id: "u1", free: 50})
 		Expect(s.Decide(now, request(&reportRoute, "llm", "zz")).Action).To(Equal(dispatch.Refuse))
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -22,6 +22,8 @@
 	TokensOut      int
 	// Deadline is when the final answer is due.
 	Deadline time.Time
+	// Leaves is when the caller leaves if nothing has arrived; zero if it waits until the deadline.
+	Leaves time.Time
 	// Fingerprint is equal for repeats of the same request by the same caller.
 	Fingerprint uint64
 
@@ -30,6 +32,15 @@
 	sends int             // sends that have reached an upstream
 }
 
+// waitLimit returns how long the request may still wait before it is sent.
+func (r *Request) waitLimit(now time.Time) time.Duration {
+	left := r.Deadline.Sub(now)
+	if !r.Leaves.IsZero() {
+		left = min(left, r.Leaves.Sub(now))
+	}
+	return left
+}
+
 // Runs returns the number of sends after which the request may have run.
 func (r *Request) Runs() int { return r.runs }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -146,6 +146,9 @@
 		Parts: c.meta.Prefix, Chain: prompt.Chain(c.meta.Model, c.meta.Adapter, c.meta.Prefix), TokensOut: c.meta.TokensOut,
 		Deadline: c.start.Add(wait), Fingerprint: c.fingerprint(),
 	}
+	if patience := route.Patience(); patience > 0 {
+		c.req.Leaves = c.start.Add(patience)
+	}
 	c.lastID = c.meta.LastEvent
 }
 
