Send small messages between the roles, and fewer between regions

Change: holdings are repeated only until the router has said that it knows them; rates only for models that the engine holds; a count in place of names; regular messages to other regions every 1.5 s.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -60,7 +60,7 @@
 		log.State("ready")
 	})
 	store := platform.NewStore(set.StoreAddress)
-	peers := gateway.NewPeers(core, socket, log, set.Node, set.PeerPort)
+	peers := gateway.NewPeers(core, socket, log, gateway.Place{Router: set.Node, Zone: set.Zone, ZoneRegion: set.ZoneRegion}, set.PeerPort)
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -138,17 +138,6 @@
 	x.add(now)
 }
 
-// Rates returns the rate of requests per second for each model.
-func (s *State) Rates(now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(s.rates))
-	for name, x := range s.rates {
-		if v := x.at(now); v > 0 {
-			out[name] = v
-		}
-	}
-	return out
-}
-
 // Waiting counts a request that begins to wait for a want (1) or stops (-1).
 func (s *State) Waiting(w Want, delta int) {
 	s.waiting[w] += delta
@@ -183,6 +172,9 @@
 	var out []peer.Held
 	for _, r := range m.Models {
 		h := peer.Held{Model: r.Model, First: true, Running: s.track(id).byModel[r.Model]}
+		if x := s.rates[r.Model]; x != nil {
+			h.Rate = float32(x.at(now))
+		}
 		for _, other := range s.Fleet.Members(now, m.Service) {
 			if other.ID == id || !other.Serves(r.Model) {
 				continue
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,8 +16,9 @@
 	// lapseGrace is how long entries that vanished during an outage of the list are kept after its return: upstreams
 	// that live have registered again by then.
 	lapseGrace = 2 * time.Second
-	// agentFresh is the age up to which an agent's report is preferred to the list: four of its regular intervals.
-	agentFresh = 2 * time.Second
+	// agentFresh is the age up to which an agent's report is preferred to the list: two of its regular intervals to other
+	// regions and some slack.
+	agentFresh = 3500 * time.Millisecond
 )
 
 // Load is how busy an upstream is.
@@ -36,6 +37,7 @@
 	// Order is the order under way at the upstream, and OrderUntil when it is expected to be complete.
 	Order      *placement.Order
 	OrderUntil time.Time
+	known      uint32    // version of the holdings that the agent has reported; 0 for none
 	dropAt     time.Time // when a lapsed entry is given up; zero while it is listed
 }
 
@@ -131,18 +133,20 @@
 // Report takes an agent's report. It reports whether what the upstream holds has changed. A report of an upstream that
 // is not listed is ignored: the list says who takes part.
 func (s *State) Report(now time.Time, r *peer.State) bool {
-	m := s.members[r.Upstream.ID]
-	if m == nil {
-		return false
-	}
-	if m.Born != 0 && r.Upstream.Born != 0 && r.Upstream.Born < m.Born {
+	m := s.members[r.ID]
+	if m == nil || m.Born != 0 && r.Born != 0 && r.Born < m.Born {
 		return false
 	}
-	changed := !sameModels(m.Models, r.Upstream.Models) || (m.Order == nil) != (r.Order == nil)
+	changed := (m.Order == nil) != (r.Order == nil)
 	m.ReportedAt = now
-	m.Load = Load{Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: r.FreeMB, IdleMB: r.IdleMB}
-	m.Models, m.InMemory, m.OnDisk, m.Orders = r.Upstream.Models, r.Upstream.InMemory, r.Upstream.OnDisk, r.Upstream.Orders
-	if r.Upstream.Draining && !m.Draining {
+	m.Load = Load{
+		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: float64(r.FreeMB), IdleMB: float64(r.IdleMB),
+	}
+	if h := r.Holdings; h != nil {
+		changed = changed || !sameModels(m.Models, h.Models)
+		m.Models, m.InMemory, m.OnDisk, m.known = h.Models, h.InMemory, h.OnDisk, r.Version
+	}
+	if r.Draining && !m.Draining {
 		m.Draining, changed = true, true
 	}
 	m.Order, m.OrderUntil = r.Order, now.Add(time.Duration(r.OrderMS)*time.Millisecond)
@@ -152,6 +156,14 @@
 	return changed
 }
 
+// Known returns the version of the holdings that the upstream's agent has reported; 0 for none.
+func (s *State) Known(id string) uint32 {
+	if m := s.members[id]; m != nil {
+		return m.known
+	}
+	return 0
+}
+
 func sameModels(a, b []catalog.Resident) bool {
 	return slices.EqualFunc(a, b, func(x, y catalog.Resident) bool {
 		return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
@@ -177,7 +189,7 @@
 		}
 		break
 	}
-	m.Models = models
+	m.Models, m.known = models, 0
 	s.version++
 }
 
@@ -211,13 +223,12 @@
 // Get returns a member, or nil if there is none.
 func (s *State) Get(id string) *Member { return s.members[id] }
 
-// Addresses returns the addresses of all members, draining ones included.
-func (s *State) Addresses() []string {
-	var out []string
+// Zones returns the zone of each address of a member, draining ones included.
+func (s *State) Zones() map[string]string {
+	out := map[string]string{}
 	for _, m := range s.members {
-		out = append(out, m.Address)
+		out[m.Address] = m.Zone
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -10,21 +10,32 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 )
 
-// demandInterval is the time between two regular messages to an agent.
-const demandInterval = 500 * time.Millisecond
+const (
+	// demandInterval is the time between two regular messages to an agent in the router's region. Traffic between regions
+	// is paid by volume: agents elsewhere get one in farTicks.
+	demandInterval = 500 * time.Millisecond
+	farTicks       = 3
+)
+
+// Place says where a router is.
+type Place struct {
+	Router, Zone string
+	// ZoneRegion maps each availability zone to its region.
+	ZoneRegion map[string]string
+}
 
 // Peers exchanges messages with the agents.
 type Peers struct {
 	core   *Core
 	socket *peer.Socket
 	log    *eventlog.Log
-	router string
+	place  Place
 	port   uint16 // of all agents
 }
 
 // NewPeers returns the exchange of the router with the agents, which listen on port beside their upstreams.
-func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, router string, port int) *Peers {
-	return &Peers{core: core, socket: socket, log: log, router: router, port: uint16(port)}
+func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, place Place, port int) *Peers {
+	return &Peers{core: core, socket: socket, log: log, place: place, port: uint16(port)}
 }
 
 // Receive takes the agents' reports until ctx ends.
@@ -43,39 +54,43 @@
 	p.core.Do(func(s *dispatch.State) {
 		changed = s.Fleet.Report(time.Now(), r)
 		s.Crashes.Merge(time.Now(), r.Crashes)
-		if len(r.Routers) > 0 {
-			s.SetRouters(len(r.Routers))
+		if r.Routers > 0 {
+			s.SetRouters(r.Routers)
 		}
 	})
 	if !changed {
 		return
 	}
 	p.core.Update(func(*dispatch.State) {})
-	p.log.State("upstream reported a change", "upstream", r.Upstream.ID, "orders", r.Upstream.Orders, "models", len(r.Upstream.Models), "order", r.Order)
+	p.log.State("upstream reported a change", "upstream", r.ID, "holdings", r.Version, "order", r.Order)
 }
 
 // Run sends messages at regular intervals, and at once when something new is wanted, until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
-	for {
+	for n := 0; ; {
 		select {
 		case <-ctx.Done():
-			p.sendAll(true)
+			p.sendAll(true, true)
 			return
 		case <-tick.C:
-			p.sendAll(false)
+			p.sendAll(n%farTicks == 0, false)
+			n++
 		case w := <-p.core.wanted:
 			p.sendTo(w.Upstream)
 		}
 	}
 }
 
-func (p *Peers) sendAll(leaving bool) {
-	var addresses []string
-	p.core.Do(func(s *dispatch.State) { addresses = s.Fleet.Addresses() })
-	for _, a := range addresses {
-		p.send(a, p.demand(a, leaving))
+func (p *Peers) sendAll(far, leaving bool) {
+	var zones map[string]string
+	p.core.Do(func(s *dispatch.State) { zones = s.Fleet.Zones() })
+	region := p.place.ZoneRegion[p.place.Zone]
+	for address, zone := range zones {
+		if far || p.place.ZoneRegion[zone] == region {
+			p.send(address, p.demand(address, leaving))
+		}
 	}
 }
 
@@ -93,7 +108,7 @@
 
 // demand returns the message for the agent beside the upstream at the address.
 func (p *Peers) demand(address string, leaving bool) *peer.Demand {
-	d := &peer.Demand{Router: p.router, Leaving: leaving}
+	d := &peer.Demand{Router: p.place.Router, Region: p.place.ZoneRegion[p.place.Zone], Leaving: leaving}
 	p.core.Do(func(s *dispatch.State) {
 		now := time.Now()
 		for w, n := range s.Wants(now) {
@@ -105,11 +120,11 @@
 				d.Anywhere = append(d.Anywhere, want)
 			}
 		}
-		d.Rate = s.Rates(now)
 		d.Crashes = s.Crashes.Own(now)
 		for _, id := range s.Fleet.At(address) {
 			d.Used = append(d.Used, s.TakeUsed(id)...)
 			d.Held = append(d.Held, s.Held(now, id)...)
+			d.Known = max(d.Known, s.Fleet.Known(id))
 		}
 	})
 	return d
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -1,6 +1,6 @@
 // Package peer holds the datagrams between routers and agents. Routers say which models and adapters their requests wait
-// for; agents say what their upstream holds and how busy it is. Each message is complete in itself, so a lost one is made
-// good by the next.
+// for; agents say what their upstream holds and how busy it is. What an upstream holds is repeated until the router has
+// said that it knows it; all else is complete in each message, so a lost one is made good by the next.
 package peer
 
 import (
@@ -29,18 +29,19 @@
 	// those that serve it.
 	Others int  `cbor:"2,keyasint,omitempty"`
 	First  bool `cbor:"3,keyasint,omitempty"`
-	// Running counts the router's requests for the model at this upstream.
-	Running int `cbor:"4,keyasint,omitempty"`
+	// Running counts the router's requests for the model at this upstream, and Rate is the number of requests per second
+	// for it at this router.
+	Running int     `cbor:"4,keyasint,omitempty"`
+	Rate    float32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Demand is what a router asks of an agent.
 type Demand struct {
 	Router string `cbor:"1,keyasint"`
+	Region string `cbor:"2,keyasint,omitempty"`
 	// Here lists what is wanted at the agent's upstream, Anywhere the models wanted at any upstream.
-	Here     []Want `cbor:"2,keyasint,omitempty"`
-	Anywhere []Want `cbor:"3,keyasint,omitempty"`
-	// Rate is the number of requests per second for each model at this router.
-	Rate map[string]float64 `cbor:"4,keyasint,omitempty"`
+	Here     []Want `cbor:"3,keyasint,omitempty"`
+	Anywhere []Want `cbor:"4,keyasint,omitempty"`
 	// Used lists the adapters that this router has sent requests for to the agent's upstream since its last message.
 	Used []placement.Adapter `cbor:"5,keyasint,omitempty"`
 	// Leaving says that the router is stopping and no longer counts as one.
@@ -48,21 +49,45 @@
 	Held    []Held `cbor:"7,keyasint,omitempty"`
 	// Crashes are the router's own reports of requests that crash upstreams.
 	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
+	// Known is the version of the holdings that the router has.
+	Known uint32 `cbor:"9,keyasint,omitempty"`
+}
+
+// Holdings is what an upstream has loaded and what copies of weights it has.
+type Holdings struct {
+	Models   []catalog.Resident `cbor:"1,keyasint,omitempty"`
+	InMemory []string           `cbor:"2,keyasint,omitempty"`
+	OnDisk   []string           `cbor:"3,keyasint,omitempty"`
 }
 
 // State is what an agent says of its upstream.
 type State struct {
-	Upstream                         catalog.Upstream
-	Queued, Running, KVUsed, KVTotal int
-	Coming                           []placement.Adapter
-	// Order is the order that the upstream carries out; OrderMS is the time in ms until it is expected to be complete.
-	Order   *placement.Order
-	OrderMS int64
+	// ID and Born name the incarnation of the upstream.
+	ID       string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint,omitempty"`
+	Queued   int    `cbor:"3,keyasint,omitempty"`
+	Running  int    `cbor:"4,keyasint,omitempty"`
+	KVUsed   int    `cbor:"5,keyasint,omitempty"`
+	KVTotal  int    `cbor:"6,keyasint,omitempty"`
+	Draining bool   `cbor:"7,keyasint,omitempty"`
 	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
-	FreeMB, IdleMB float64
-	// Routers lists the routers that the agent has heard from lately, and Crashes their reports.
-	Routers []string
-	Crashes []quarantine.Report
+	FreeMB float32 `cbor:"8,keyasint,omitempty"`
+	IdleMB float32 `cbor:"9,keyasint,omitempty"`
+	// Order is the order that the upstream carries out; OrderMS is the time in ms until it is expected to be complete.
+	Order   *placement.Order `cbor:"10,keyasint,omitempty"`
+	OrderMS int64            `cbor:"11,keyasint,omitempty"`
+	// Routers is the number of routers that the agent has heard from lately, and Crashes are their reports.
+	Routers int                 `cbor:"12,keyasint,omitempty"`
+	Crashes []quarantine.Report `cbor:"13,keyasint,omitempty"`
+	// Version is the version of the upstream's holdings. Holdings is nil if the receiver has said that it has them.
+	Version  uint32    `cbor:"14,keyasint,omitempty"`
+	Holdings *Holdings `cbor:"15,keyasint,omitempty"`
+}
+
+// Hold sets the upstream that the state is about, with its holdings.
+func (s *State) Hold(u catalog.Upstream, version uint32) {
+	s.ID, s.Born, s.Draining, s.Version = u.ID, u.Born, u.Draining, version
+	s.Holdings = &Holdings{Models: u.Models, InMemory: u.InMemory, OnDisk: u.OnDisk}
 }
 
 // Message is one datagram; exactly one field is set.
--- /dev/null
+++ b/pkg/sidecar/publish.go
@@ -0,0 +1,97 @@
+package sidecar
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+)
+
+const (
+	// nearInterval is the time between two regular messages to a router in the agent's region, and farInterval to one in
+	// another region: traffic between regions is paid by volume.
+	nearInterval = 500 * time.Millisecond
+	farInterval  = 1500 * time.Millisecond
+	// loadInterval is the time between two messages to a router in the region that tell a change of the load only.
+	loadInterval = 250 * time.Millisecond
+)
+
+// publish tells the routers what has changed, and at regular intervals that nothing has.
+func (a *Agent) publish() {
+	now := time.Now()
+	if a.report.Upstream.ID == "" {
+		return
+	}
+	s := a.state(now)
+	news, load := a.compare(s)
+	a.sent = s
+	for _, r := range a.routers.all(now) {
+		if !due(now.Sub(r.sentAt), news, load, r.demand.Region == a.set.Region) {
+			continue
+		}
+		r.sentAt = now
+		m := *s
+		if r.demand.Known == s.Version {
+			m.Holdings = nil
+		}
+		if err := a.socket.Send(r.address, peer.Message{State: &m}); err != nil {
+			a.log.Request("message not sent", "err", err)
+		}
+	}
+}
+
+// due reports whether a router gets a message: news at once, all else after the interval for its distance.
+func due(age time.Duration, news, load, near bool) bool {
+	switch {
+	case news:
+		return true
+	case near && load:
+		return age >= loadInterval
+	case near:
+		return age >= nearInterval
+	}
+	return age >= farInterval
+}
+
+func (a *Agent) state(now time.Time) *peer.State {
+	s := &peer.State{
+		Queued: a.report.Queued, Running: a.report.Running, KVUsed: a.report.KVUsed, KVTotal: a.report.KVTotal,
+		Routers: len(a.routers.live(now)), Crashes: a.routers.crashes(now),
+	}
+	s.Hold(a.report.Upstream, a.version)
+	if a.sent != nil && !reflect.DeepEqual(s.Holdings, a.sent.Holdings) {
+		a.version++
+		s.Version = a.version
+	}
+	if a.order != nil {
+		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
+	}
+	if view, _, ok := a.view(now); ok {
+		free, idle := view.Room()
+		s.FreeMB, s.IdleMB = float32(free), float32(idle)
+	}
+	return s
+}
+
+// compare reports whether the state differs from the last one in what the upstream holds or does, and in its load.
+func (a *Agent) compare(s *peer.State) (news, load bool) {
+	last := a.sent
+	if last == nil {
+		return true, true
+	}
+	news = s.Version != last.Version || s.ID != last.ID || s.Draining != last.Draining ||
+		!reflect.DeepEqual(s.Order, last.Order) || len(s.Crashes) != len(last.Crashes)
+	return news, s.Queued != last.Queued || s.Running != last.Running || s.IdleMB != last.IdleMB
+}
+
+// position returns the place of the first upstream among all by id.
+func position(all []catalog.Upstream) int {
+	n := 0
+	for _, u := range all[1:] {
+		if u.ID < all[0].ID {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -10,13 +10,15 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
 
-// routerSilent is how long after its last message a router counts as gone: five of its regular intervals.
-const routerSilent = 2500 * time.Millisecond
+// routerSilent is how long after its last message a router counts as gone: two of its regular intervals to other regions
+// and some slack.
+const routerSilent = 4 * time.Second
 
 type router struct {
 	address netip.AddrPort
 	seen    time.Time
 	demand  *peer.Demand
+	sentAt  time.Time // last message to it
 }
 
 // routers holds the last message of each router.
@@ -34,7 +36,12 @@
 		delete(r.byName, d.Router)
 		return
 	}
-	r.byName[d.Router] = &router{address: from, seen: now, demand: d}
+	x := r.byName[d.Router]
+	if x == nil {
+		x = &router{}
+		r.byName[d.Router] = x
+	}
+	x.address, x.seen, x.demand = from, now, d
 	for _, a := range d.Used {
 		r.used[a] = now
 	}
@@ -58,14 +65,11 @@
 	return names
 }
 
-// names returns the names of the live routers in order.
-func (r *routers) names(now time.Time) []string { return r.live(now) }
-
-// addresses returns the addresses of the live routers.
-func (r *routers) addresses(now time.Time) []netip.AddrPort {
-	var out []netip.AddrPort
+// all returns the live routers in the order of their names.
+func (r *routers) all(now time.Time) []*router {
+	var out []*router
 	for _, name := range r.live(now) {
-		out = append(out, r.byName[name].address)
+		out = append(out, r.byName[name])
 	}
 	return out
 }
@@ -97,10 +101,8 @@
 		for _, w := range x.Anywhere {
 			d.Urgent[w.Model] += w.Waiting
 		}
-		for model, rate := range x.Rate {
-			d.Rate[model] += rate
-		}
 		for _, h := range x.Held {
+			d.Rate[h.Model] += float64(h.Rate)
 			d.Held[h.Model] = merge(d.Held, h)
 		}
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/netip"
-	"reflect"
 	"sync"
 	"time"
 
@@ -24,10 +23,6 @@
 	adapterPoll = 6 * time.Millisecond
 	// reportTimeout bounds one read of the report.
 	reportTimeout = 400 * time.Millisecond
-	// stateInterval is the time between two regular messages to a router, and loadInterval between two that tell a
-	// change of the load only.
-	stateInterval = 500 * time.Millisecond
-	loadInterval  = 250 * time.Millisecond
 	// demandsSize bounds the messages that wait to be taken in.
 	demandsSize = 256
 )
@@ -40,7 +35,7 @@
 
 // Settings are the process's own.
 type Settings struct {
-	Node, Address string
+	Node, Address, Region string
 	// LoadWindow and LoadFactor bound the loads from the weight store over all upstreams.
 	LoadWindow time.Duration
 	LoadFactor float64
@@ -71,9 +66,9 @@
 	fetches *fetchLimit
 	report  platform.Report
 	order   *underWay
-	sent    peer.State
-	sentAt  time.Time
-	engaged bool // the engine answered its last report
+	sent    *peer.State
+	version uint32 // of the holdings in report
+	engaged bool   // the engine answered its last report
 }
 
 // underWay is an order that the engine carries out.
@@ -86,7 +81,7 @@
 func New(set Settings, engine Engine, socket *peer.Socket, log *eventlog.Log) *Agent {
 	return &Agent{
 		set: set, engine: engine, socket: socket, log: log, demands: make(chan received, demandsSize),
-		listed: map[string]catalog.Upstream{}, routers: newRouters(), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
+		version: uint32(time.Now().UnixMilli()), listed: map[string]catalog.Upstream{}, routers: newRouters(), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
 	}
 }
 
@@ -256,49 +251,3 @@
 		Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
 	}, a.token, true
 }
-
-// position returns the place of the first upstream among all by id.
-func position(all []catalog.Upstream) int {
-	n := 0
-	for _, u := range all[1:] {
-		if u.ID < all[0].ID {
-			n++
-		}
-	}
-	return n
-}
-
-// publish tells the routers what has changed, and at regular intervals that nothing has.
-func (a *Agent) publish() {
-	now := time.Now()
-	if a.report.Upstream.ID == "" {
-		return
-	}
-	s := peer.State{
-		Upstream: a.report.Upstream, Queued: a.report.Queued, Running: a.report.Running, KVUsed: a.report.KVUsed, KVTotal: a.report.KVTotal,
-		Coming: a.report.Coming, Routers: a.routers.names(now), Crashes: a.routers.crashes(now),
-	}
-	if a.order != nil {
-		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
-	}
-	if view, _, ok := a.view(now); ok {
-		s.FreeMB, s.IdleMB = view.Room()
-	}
-	age := now.Sub(a.sentAt)
-	if age < stateInterval && !a.changed(&s) && (age < loadInterval || s.Queued == a.sent.Queued && s.Running == a.sent.Running && s.IdleMB == a.sent.IdleMB) {
-		return
-	}
-	a.sent, a.sentAt = s, now
-	for _, to := range a.routers.addresses(now) {
-		if err := a.socket.Send(to, peer.Message{State: &s}); err != nil {
-			a.log.Request("message not sent", "err", err)
-		}
-	}
-}
-
-// changed reports whether what the upstream holds or does differs from the last message.
-func (a *Agent) changed(s *peer.State) bool {
-	return !reflect.DeepEqual(s.Upstream.Models, a.sent.Upstream.Models) || s.Upstream.ID != a.sent.Upstream.ID ||
-		s.Upstream.Draining != a.sent.Upstream.Draining || !reflect.DeepEqual(s.Order, a.sent.Order) ||
-		!reflect.DeepEqual(s.Routers, a.sent.Routers) || len(s.Crashes) != len(a.sent.Crashes)
-}
