--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -77,7 +77,7 @@
 		return nil
 	})
 	addContext(&g, func(ctx context.Context) error {
-		opt := follow.Options{Hold: watchHold(set), Pause: listPause}
+		opt := follow.Options{Hold: watchHold(set), Pause: listPause(set)}
 		follow.New(store, platform.KindUpstreams, opt, sync.Upstreams(), log).Run(ctx)
 		return nil
 	})
--- a/cmd/hibiscuscrossd/platform.go
+++ b/cmd/hibiscuscrossd/platform.go
@@ -35,9 +35,9 @@
 	watchReserve = 1300 * time.Millisecond
 	// minWatchHold is the shortest hold of a watch.
 	minWatchHold = time.Second
-	// listPause is the time between two calls for the list of upstreams while it changes. It is a fifth of the time in
-	// which a leaving upstream must get no more requests; what upstreams hold comes from the agents.
-	listPause = 500 * time.Millisecond
+	// listShare is the share of the time in which a leaving upstream must get no more requests that passes between two
+	// calls for the list of upstreams while it changes. What upstreams hold comes from the agents.
+	listShare = 0.25
 	// agentHold and agentPause are the hold and the pause of an agent's watches, whose news can wait.
 	agentHold  = 8 * time.Second
 	agentPause = time.Second
@@ -130,3 +130,8 @@
 func watchHold(set platform.Settings) time.Duration {
 	return max(minWatchHold, set.StableWindow-watchReserve)
 }
+
+// listPause returns the time between two calls for the list of upstreams while it changes.
+func listPause(set platform.Settings) time.Duration {
+	return time.Duration(listShare * float64(set.DrainDelay))
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -133,7 +133,7 @@
 	}
 	d.Action, d.Reason = Send, "least expected time"
 	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone}
-	if r.Model != "" && bestCost > scaleOutCost {
+	if r.Model != "" && bestCost > scaleOutCost && s.engine(r.Service) != nil {
 		s.scaleOut(now, r)
 	}
 	return d
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -92,6 +92,14 @@
 		Expect(s.Decide(now, request(&getRoute, "plain", "")).Action).To(Equal(dispatch.Refuse))
 	})
 
+	It("sends a request that names a model to a plain service, busy or not", func() {
+		add(s, upstream{id: "u1", plainService: true})
+		for range 50 {
+			s.Started("u1", request(&getRoute, "plain", "a"))
+		}
+		Expect(s.Decide(now, request(&getRoute, "plain", "a")).Action).To(Equal(dispatch.Send))
+	})
+
 	It("sends to the own zone first", func() {
 		add(s, upstream{id: "far", zone: "z3", plainService: true})
 		add(s, upstream{id: "near", zone: "z1", plainService: true})
