--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -125,7 +125,10 @@
 			best, bestCost = m, cost
 		}
 	}
-	d := Decision{Cost: bestCost, Age: now.Sub(best.ReportedAt)}
+	d := Decision{Cost: bestCost, Age: -time.Second}
+	if !best.ReportedAt.IsZero() {
+		d.Age = now.Sub(best.ReportedAt)
+	}
 	if r.Adapter != "" && !best.HoldsAdapter(r.Model, r.Adapter) {
 		d.Action, d.Reason, d.Until = Wait, "adapter is not loaded", now.Add(recheck)
 		d.Want = s.want(now, best.ID, r.Model, r.Adapter)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -78,10 +78,14 @@
 	// RetryAfter is when a refused caller may find room; 0 if unknown.
 	RetryAfter time.Duration
 	Reason     string
-	// Cost is the expected time to the first byte of the answer, and Age the age of the upstream's report.
+	// Cost is the expected time to the first byte of the answer, and Age the age of the upstream's report; negative if it
+	// has not reported.
 	Cost, Age time.Duration
 }
 
+// AgeMS returns the age of the upstream's report in milliseconds; -1 if it has not reported.
+func (d Decision) AgeMS() int64 { return max(-1, d.Age.Milliseconds()) }
+
 // UpstreamRef names an upstream to send to.
 type UpstreamRef struct{ ID, Address, Zone string }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -67,6 +67,8 @@
 	begun  bool            // the head of the answer has been written
 	lastID string          // of the last event that was forwarded
 	cause  string          // of the last failed send
+	last   dispatch.Decision
+	config uint64 // version that the request was matched with
 	// waitsFor is what the request last began to wait for.
 	waitsFor dispatch.Want
 }
@@ -87,6 +89,7 @@
 		c.refuse(http.StatusServiceUnavailable, "no configuration is known", time.Second)
 		return
 	}
+	c.config = cfg.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := cfg.Match(r.Host, path)
 	if !ok {
@@ -164,6 +167,7 @@
 func (c *call) run() {
 	for {
 		d, changed := c.g.core.decide(c.req)
+		c.last = d
 		switch d.Action {
 		case dispatch.Refuse:
 			c.giveUp(d)
@@ -181,7 +185,7 @@
 			var v dispatch.Verdict
 			c.g.core.Do(func(s *dispatch.State) { v = s.Verdict(time.Now(), c.req, outcome) })
 			c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
-				"retry", v.Retry, "reason", v.Reason, "runs", c.req.Runs(), "sends", c.req.Sends(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.Age.Milliseconds())
+				"retry", v.Retry, "reason", v.Reason, "runs", c.req.Runs(), "sends", c.req.Sends(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.AgeMS())
 			if !v.Retry {
 				c.fail(v, answer)
 				return
@@ -270,7 +274,10 @@
 	line := []any{"id", c.meta.ID, "outcome", outcome, "status", status, "took_ms", took.Milliseconds()}
 	if c.req != nil {
 		line = append(line, "route", c.req.Route.Name, "service", c.req.Service, "model", c.meta.Model, "adapter", c.meta.Adapter,
-			"runs", c.req.Runs(), "sends", c.req.Sends())
+			"config", c.config, "runs", c.req.Runs(), "sends", c.req.Sends(), "cost_ms", c.last.Cost.Milliseconds(), "report_age_ms", c.last.AgeMS())
+		if c.last.Upstream != nil {
+			line = append(line, "upstream", c.last.Upstream.ID)
+		}
 	}
 	c.g.log.Request("request", append(line, kv...)...)
 }
