Give up models by their copies after a restart; fetch what is most wanted, few at a time

Ruled out: the store's list (it named the copies before the unloads). Change: a small assumed rate spreads ties by copies and rank; fetches that requests wait for keep to the number that the store serves at full speed, most wanted first; an overdue order is taken to need a fifth of its time still. Shared parts of prompts are read in the router's own region first, since traffic between regions is paid by volume. Tests: placement, sidecar, dispatch.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -142,15 +142,18 @@
 	return d
 }
 
+// firstRanked returns the member that ranks first for the shared parts of the prompt: among those of the router's region if
+// there are any, since a prompt that goes to another region is paid by volume.
 func (s *State) firstRanked(r *Request, members []*fleet.Member) string {
 	if len(r.Chain) < 2 {
 		return ""
 	}
 	key := r.Model + "/" + r.Adapter + "/" + r.Parts[len(r.Parts)-2].ID
-	first := members[0].ID
-	for _, m := range members[1:] {
-		if placement.Rank(key, m.ID) > placement.Rank(key, first) {
-			first = m.ID
+	first, near := "", false
+	for _, m := range members {
+		local := s.hop(m.Zone) < regionHop
+		if first == "" || local && !near || local == near && placement.Rank(key, m.ID) > placement.Rank(key, first) {
+			first, near = m.ID, local
 		}
 	}
 	return first
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -138,6 +138,19 @@
 		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Upstream.ID).To(Equal(first))
 	})
 
+	// Two thirds of the prompts went to other regions, where traffic is paid by volume, though the model was loaded at home.
+	It("reads a shared part in the router's region first", func() {
+		for i := range 8 {
+			add(s, upstream{id: fmt.Sprintf("far%d", i), zone: "z3", models: []string{"a"}})
+		}
+		add(s, upstream{id: "near", zone: "z2", models: []string{"a"}})
+		for i := range 5 {
+			r := request(&reportRoute, "llm", "a")
+			r.Parts[1].ID = fmt.Sprintf("t%d", i)
+			Expect(s.Decide(now, r).Upstream.ID).To(Equal("near"))
+		}
+	})
+
 	It("leaves out an upstream that could not be reached", func() {
 		add(s, upstream{id: "u1", plainService: true})
 		add(s, upstream{id: "u2", plainService: true})
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -137,6 +137,48 @@
 		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a"}))
 	})
 
+	// After all processes had been killed no request had been counted; each upstream gave up the model whose name came
+	// first, which was a busy one, and 185 requests for it were refused (vanstops-grown, trouble-1).
+	It("does not give up the same model everywhere when nothing is known of their use", func() {
+		given := map[string]int{}
+		for _, id := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
+			v := view()
+			v.Self = catalog.Upstream{ID: id, Models: loaded("a", "b"), OnDisk: []string{"c"}}
+			v.Demand.Models["c"] = 1
+			v.Demand.Held = map[string]placement.Held{"a": {Others: 5}, "b": {Others: 5}}
+			o, _, ok := placement.Plan(v)
+			Expect(ok).To(BeTrue())
+			given[o.Model]++
+		}
+		Expect(given).To(HaveLen(2))
+	})
+
+	It("gives up the model with more copies when nothing is known of their use", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Held = map[string]placement.Held{"a": {Others: 1}, "b": {Others: 4}}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o.Model).To(Equal("b"))
+	})
+
+	// 31 fetches at a time where the store serves two at full speed took four times as long each (vanstops-grown, trouble-1).
+	It("fetches no more models at a time than the store serves at full speed, the most wanted first", func() {
+		v := view()
+		v.Self = catalog.Upstream{ID: "u1"}
+		v.All = []catalog.Upstream{v.Self}
+		v.Parallel = 1
+		v.Demand.Models = map[string]int{"b": 1}
+		v.Demand.Urgent = map[string]int{"b": 1, "c": 4}
+		o, _, _ := placement.Plan(v)
+		Expect(o.Model).NotTo(Equal("b"))
+		v.Demand.Urgent = map[string]int{"b": 5, "c": 4}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Model: "b"}))
+	})
+
 	It("gives up only spare copies for a model that nobody waits for", func() {
 		v := view()
 		v.Self = catalog.Upstream{ID: "u1", Models: loaded("a", "b")}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -165,7 +165,7 @@
 // planModel returns the order that brings the model nearer to being loaded: its load, or the unload of another model.
 func (v *View) planModel(name string, preload bool) (Order, Reason, bool) {
 	spec := v.Engine.Models[name]
-	if v.Self.Tier(name) == catalog.TierStore && !v.FetchAllowed {
+	if v.Self.Tier(name) == catalog.TierStore && !v.mayFetch(name) {
 		return Order{}, "", false
 	}
 	if v.freeMB() >= spec.SizeMB {
@@ -179,6 +179,17 @@
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
 
+// mayFetch reports whether a load of the model from the weight store may begin: the limit allows it, and the model is among
+// the first of those that have no copy elsewhere. More loads at a time than the store serves at full speed all end late.
+func (v *View) mayFetch(name string) bool {
+	if !v.FetchAllowed {
+		return false
+	}
+	_, missing := Homes(v.Engine.Models, v.All, v.Demand.Urgent)
+	place := slices.Index(missing, name)
+	return place < v.Parallel // -1 for a model with a copy elsewhere that cannot be loaded there in time
+}
+
 // victim returns the loaded model whose copy here serves the fewest requests. Models with running requests stay: an
 // unload waits for their end and keeps the engine busy meanwhile. For a preload only spare copies are given up.
 func (v *View) victim(preload bool) (string, bool) {
@@ -188,21 +199,30 @@
 			continue
 		}
 		use := v.use(m.Model)
-		if !found || use < bestUse || use == bestUse && m.Model < best {
+		if !found || use < bestUse || use == bestUse && Rank(m.Model, v.Self.ID) < Rank(best, v.Self.ID) {
 			best, found, bestUse = m.Model, true, use
 		}
 	}
 	return best, found
 }
 
+// unseenRate is the rate in requests per second that is assumed for each model in addition to what routers have counted.
+// After a restart of all processes no request has been counted; without it the upstreams had no reason to prefer a model
+// with other copies, and all gave up the same one.
+const unseenRate = 0.02
+
 // use returns the requests per second that would have to go elsewhere without the copy here. The copy that ranks first
 // counts as the only one, so that two upstreams never give up the last copies at the same time.
 func (v *View) use(model string) float64 {
-	h := v.Demand.Held[model]
-	if h.First {
-		return v.Demand.Rate[model]
+	rate := v.Demand.Rate[model] + unseenRate
+	h, known := v.Demand.Held[model]
+	switch {
+	case !known:
+		return rate / float64(len(v.holders(model)))
+	case h.First:
+		return rate
 	}
-	return v.Demand.Rate[model] / float64(1+h.Others)
+	return rate / float64(1+h.Others)
 }
 
 // spare reports whether the copy of the model at this upstream can go without a request having to wait for it.
--- a/pkg/sidecar/limits_test.go
+++ b/pkg/sidecar/limits_test.go
@@ -52,6 +52,17 @@
 	)
 })
 
+// A fetch that took four times as long as expected was reported as about to end, and callers were held for it until they
+// left (vanstops-grown, trouble-1).
+var _ = Describe("rest of an order", func() {
+	It("grows with the time that it takes beyond its expected end", func() {
+		begun := time.Unix(1000, 0)
+		u := underWay{begun: begun, ends: begun.Add(10 * time.Second)}
+		Expect(u.rest(begun.Add(4 * time.Second))).To(Equal(6 * time.Second))
+		Expect(u.rest(begun.Add(20 * time.Second))).To(Equal(4 * time.Second))
+	})
+})
+
 var _ = Describe("messages to routers", func() {
 	DescribeTable("are due",
 		func(age time.Duration, news, load, near, want bool) {
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -65,7 +65,7 @@
 		s.Version = a.version
 	}
 	if a.order != nil {
-		s.Order, s.OrderMS = &a.order.order, max(0, a.order.until.Sub(now).Milliseconds())
+		s.Order, s.OrderMS = &a.order.order, a.order.rest(now).Milliseconds()
 	}
 	if view, _, ok := a.view(now); ok {
 		free, idle := view.Room()
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -73,8 +73,17 @@
 
 // underWay is an order that the engine carries out.
 type underWay struct {
-	order placement.Order
-	until time.Time
+	order       placement.Order
+	begun, ends time.Time // ends is expected
+}
+
+// overdueShare is the share of the time since its begin that an order which takes longer than expected is taken to need
+// still.
+const overdueShare = 0.2
+
+// rest returns how long the order is expected to take still.
+func (u *underWay) rest(now time.Time) time.Duration {
+	return max(u.ends.Sub(now), time.Duration(overdueShare*float64(now.Sub(u.begun))))
 }
 
 // New returns an agent.
@@ -224,7 +233,7 @@
 		if !o.Unload {
 			expected = view.Engine.Models[o.Model].LoadTime(tier)
 		}
-		a.order = &underWay{order: o, until: now.Add(expected)}
+		a.order = &underWay{order: o, begun: now, ends: now.Add(expected)}
 	}
 	return true
 }
