Wait for the agents' first reports after a start; give up copies in the order of their ranks

Change: requests for models wait up to 0.4 s for the first reports, which are asked for as soon as the list is there; a copy counts by its rank among the copies. Tests: dispatch, placement.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -31,6 +31,8 @@
 	scaleOutCost = 350 * time.Millisecond
 	// reserve is kept of the time left for the hops and the end of the answer when a wait is predicted.
 	reserve = 150 * time.Millisecond
+	// reportCheck bounds the time until a request that waits for the agents' first reports is decided on again.
+	reportCheck = 50 * time.Millisecond
 	// recheck bounds the time until a waiting request is decided on again.
 	recheck = 250 * time.Millisecond
 	// zoneHop and regionHop are round trips to another zone of the region and to another region.
@@ -67,12 +69,26 @@
 			holders = append(holders, m)
 		}
 	}
+	if s.awaitsReports(now) && !reported(members) {
+		return Decision{Action: Wait, Reason: "no agent has reported yet", Until: now.Add(reportCheck)}
+	}
 	if len(holders) == 0 {
 		return s.awaitModel(now, r, members)
 	}
 	return s.pick(now, r, holders)
 }
 
+// reported reports whether most agents beside the members have reported.
+func reported(members []*fleet.Member) bool {
+	n := 0
+	for _, m := range members {
+		if !m.ReportedAt.IsZero() {
+			n++
+		}
+	}
+	return 2*n > len(members)
+}
+
 // candidates returns the upstreams that may get the request; blocked ones only if there is no other.
 func (s *State) candidates(now time.Time, r *Request) []*fleet.Member {
 	var open, blocked []*fleet.Member
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -174,6 +174,20 @@
 		Expect(d.Cost).To(Equal(800 * time.Millisecond))
 	})
 
+	// Routers that had just started sent requests by the list, which is older than the agents' orders: 611 sends were
+	// refused within two seconds, and the limit on repeats was used up (decals-grown, trouble-2).
+	It("waits for the agents' first reports after a start", func() {
+		for i := range 3 {
+			s.Fleet.Put(now, catalog.Upstream{ID: fmt.Sprintf("u%d", i), Service: "llm", Zone: "z1", Models: []catalog.Resident{{Model: "a"}}})
+		}
+		s.Listed(now)
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Action).To(Equal(dispatch.Wait))
+		Expect(s.Decide(now.Add(time.Second), request(&reportRoute, "llm", "a")).Action).To(Equal(dispatch.Send))
+		add(s, upstream{id: "u0", models: []string{"a"}})
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Action).To(Equal(dispatch.Send))
+	})
+
 	It("joins a load that is under way", func() {
 		add(s, upstream{id: "room", onDisk: []string{"a"}, free: 50})
 		add(s, upstream{id: "loads", onDisk: []string{"a"}, order: &placement.Order{Model: "a"}, orderMS: 300})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -21,6 +21,9 @@
 	// wantFor is how long a want stands after the last request that asked for it, so that the load begins even if that
 	// request was refused.
 	wantFor = 3 * time.Second
+	// firstReports is the time from the first list of upstreams until the agents' reports have arrived: a message and its
+	// answer between regions, and a round of the agent.
+	firstReports = 400 * time.Millisecond
 	// rateHalfLife is the time after which a request counts half in a model's rate.
 	rateHalfLife = 4 * time.Second
 )
@@ -59,7 +62,8 @@
 	rates    map[string]*rate
 	used     map[string]map[placement.Adapter]bool
 	// Crashes decides which requests are refused because they crash upstreams.
-	Crashes *quarantine.Reports
+	Crashes  *quarantine.Reports
+	listedAt time.Time // first list of upstreams
 	// routers is the number of routers that share the retry limit.
 	routers int
 
@@ -81,6 +85,16 @@
 // unknownRouters is the assumed number of routers until an agent has told it.
 const unknownRouters = 8
 
+// Listed records that the upstreams have been listed.
+func (s *State) Listed(now time.Time) {
+	if s.listedAt.IsZero() {
+		s.listedAt = now
+	}
+}
+
+// awaitsReports reports whether the process has just started and the agents' first reports are on their way.
+func (s *State) awaitsReports(now time.Time) bool { return now.Sub(s.listedAt) < firstReports }
+
 // SetRouters sets the number of routers that share the retry limit.
 func (s *State) SetRouters(n int) { s.routers = max(1, n) }
 
@@ -171,17 +185,13 @@
 	}
 	var out []peer.Held
 	for _, r := range m.Models {
-		h := peer.Held{Model: r.Model, First: true, Running: s.track(id).byModel[r.Model]}
+		h := peer.Held{Model: r.Model, Running: s.track(id).byModel[r.Model]}
 		if x := s.rates[r.Model]; x != nil {
 			h.Rate = float32(x.at(now))
 		}
 		for _, other := range s.Fleet.Members(now, m.Service) {
-			if other.ID == id || !other.Serves(r.Model) {
-				continue
-			}
-			h.Others++
-			if placement.Rank(r.Model, other.ID) > placement.Rank(r.Model, id) {
-				h.First = false
+			if other.ID != id && other.Serves(r.Model) && placement.Rank(r.Model, other.ID) > placement.Rank(r.Model, id) {
+				h.Before++
 			}
 		}
 		out = append(out, h)
--- a/pkg/gateway/core.go
+++ b/pkg/gateway/core.go
@@ -16,6 +16,7 @@
 	state   *dispatch.State
 	changed chan struct{} // closed and replaced at each change of the fleet
 	wanted  chan dispatch.Want
+	listed  chan struct{} // tells that the upstreams have been listed
 }
 
 // wantedSize bounds the wants that wait to be sent; a lost one is sent with the next regular message.
@@ -23,7 +24,7 @@
 
 // NewCore returns a core around the state.
 func NewCore(state *dispatch.State) *Core {
-	return &Core{state: state, changed: make(chan struct{}), wanted: make(chan dispatch.Want, wantedSize)}
+	return &Core{state: state, changed: make(chan struct{}), wanted: make(chan dispatch.Want, wantedSize), listed: make(chan struct{}, 1)}
 }
 
 // Do runs f with the state while no one else uses it.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -205,13 +205,11 @@
 
 // wait holds the request until the fleet changes. It returns false if the request has ended meanwhile.
 func (c *call) wait(d dispatch.Decision, changed <-chan struct{}) bool {
-	if c.waitsFor != *d.Want {
-		c.waitsFor = *d.Want
-		c.g.log.Request("waiting", "id", c.meta.ID, "model", d.Want.Model, "adapter", d.Want.Name, "upstream", d.Want.Upstream,
-			"reason", d.Reason, "expected_ms", d.Cost.Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds())
+	if d.Want != nil {
+		c.noteWait(d)
+		c.g.core.Do(func(s *dispatch.State) { s.Waiting(*d.Want, 1) })
+		defer c.g.core.Do(func(s *dispatch.State) { s.Waiting(*d.Want, -1) })
 	}
-	c.g.core.Do(func(s *dispatch.State) { s.Waiting(*d.Want, 1) })
-	defer c.g.core.Do(func(s *dispatch.State) { s.Waiting(*d.Want, -1) })
 	timer := time.NewTimer(time.Until(d.Until))
 	defer timer.Stop()
 	select {
@@ -227,6 +225,16 @@
 	return true
 }
 
+// noteWait writes a line when the request begins to wait for something.
+func (c *call) noteWait(d dispatch.Decision) {
+	if c.waitsFor == *d.Want {
+		return
+	}
+	c.waitsFor = *d.Want
+	c.g.log.Request("waiting", "id", c.meta.ID, "model", d.Want.Model, "adapter", d.Want.Name, "upstream", d.Want.Upstream,
+		"reason", d.Reason, "expected_ms", d.Cost.Milliseconds(), "left_ms", time.Until(c.req.Deadline).Milliseconds())
+}
+
 // giveUp ends a request that no upstream gets any more.
 func (c *call) giveUp(d dispatch.Decision) {
 	switch {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -77,6 +77,8 @@
 		case <-tick.C:
 			p.sendAll(n%farTicks == 0, false)
 			n++
+		case <-p.core.listed:
+			p.sendAll(true, false)
 		case w := <-p.core.wanted:
 			p.sendTo(w.Upstream)
 		}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -53,7 +53,14 @@
 	return follow.Handler{
 		Listed: func(objects []platform.Object) {
 			ups := s.decode(objects)
-			s.core.Update(func(st *dispatch.State) { st.Fleet.Sync(time.Now(), ups) })
+			s.core.Update(func(st *dispatch.State) {
+				st.Fleet.Sync(time.Now(), ups)
+				st.Listed(time.Now())
+			})
+			select {
+			case s.core.listed <- struct{}{}:
+			default: // a message to all agents is due already
+			}
 			s.log.State("upstreams listed", "count", len(ups))
 			s.list = true
 			s.check()
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -25,10 +25,8 @@
 // Held is what a router knows of a model that the agent's upstream has loaded.
 type Held struct {
 	Model string `cbor:"1,keyasint"`
-	// Others is the number of other upstreams that serve the model, and First says that this upstream ranks first among
-	// those that serve it.
-	Others int  `cbor:"2,keyasint,omitempty"`
-	First  bool `cbor:"3,keyasint,omitempty"`
+	// Before is the number of upstreams that serve the model and rank before this one.
+	Before int `cbor:"2,keyasint,omitempty"`
 	// Running counts the router's requests for the model at this upstream, and Rate is the number of requests per second
 	// for it at this router.
 	Running int     `cbor:"4,keyasint,omitempty"`
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -42,9 +42,8 @@
 
 // Held is what the routers know of a model that is loaded at an upstream.
 type Held struct {
-	// Others is the number of other upstreams that serve the model, and First says that this one ranks first among them.
-	Others int
-	First  bool
+	// Before is the number of upstreams that serve the model and rank before this one.
+	Before int
 	// Running counts the requests for the model at this upstream.
 	Running int
 }
@@ -211,32 +210,37 @@
 // with other copies, and all gave up the same one.
 const unseenRate = 0.02
 
-// use returns the requests per second that would have to go elsewhere without the copy here. The copy that ranks first
-// counts as the only one, so that two upstreams never give up the last copies at the same time.
+// use returns the requests per second that the copy here serves if only the copies that rank before it stay. Upstreams
+// that decide at the same time then give up their copies in the order of their ranks, and not all of them.
 func (v *View) use(model string) float64 {
-	rate := v.Demand.Rate[model] + unseenRate
-	h, known := v.Demand.Held[model]
-	switch {
-	case !known:
-		return rate / float64(len(v.holders(model)))
-	case h.First:
-		return rate
+	return (v.Demand.Rate[model] + unseenRate) / float64(1+v.before(model))
+}
+
+// spare reports whether another copy of the model stays when this one is given up.
+func (v *View) spare(model string) bool { return v.before(model) >= v.keep(model) }
+
+// keep returns the number of copies that a preload leaves: one, and more while no router has told of the model's use.
+func (v *View) keep(model string) int {
+	if _, known := v.Demand.Held[model]; known {
+		return 1
 	}
-	return rate / float64(1+h.Others)
+	return keepCopies
 }
 
-// spare reports whether the copy of the model at this upstream can go without a request having to wait for it.
-func (v *View) spare(model string) bool {
+// before returns the number of upstreams that hold the model and rank before this one, from the routers or else from the
+// list.
+func (v *View) before(model string) int {
 	if h, known := v.Demand.Held[model]; known {
-		return h.Others > 0 && !h.First
+		return h.Before
 	}
-	holders := v.holders(model)
-	if len(holders) <= keepCopies {
-		return false
+	n := 0
+	for i := range v.All {
+		u := &v.All[i]
+		if u.ID != v.Self.ID && !u.Draining && u.Holds(model) && Rank(model, u.ID) > Rank(model, v.Self.ID) {
+			n++
+		}
 	}
-	// The holders that rank first keep their copies, so that two upstreams never give up the last ones at the same time.
-	slices.SortFunc(holders, func(a, b string) int { return cmp.Compare(Rank(model, b), Rank(model, a)) })
-	return !slices.Contains(holders[:keepCopies], v.Self.ID)
+	return n
 }
 
 // Room returns the memory in MB that nothing takes and that of models without requests.
@@ -249,19 +253,6 @@
 	return max(0, v.freeMB()), idle
 }
 
-func (v *View) holders(model string) []string {
-	var out []string
-	for i := range v.All {
-		if u := &v.All[i]; !u.Draining && u.ID != v.Self.ID && u.Holds(model) {
-			out = append(out, u.ID)
-		}
-	}
-	if v.Self.Holds(model) {
-		out = append(out, v.Self.ID)
-	}
-	return out
-}
-
 // planPreload fetches the models that have no copy outside the weight store, as many at a time as it serves at full
 // speed, each at its home. A model that has been fetched once comes back from its home's disk in under a second.
 func (v *View) planPreload() (Order, Reason, bool) {
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -113,8 +113,8 @@
 func merge(known map[string]placement.Held, h peer.Held) placement.Held {
 	out, ok := known[h.Model]
 	if !ok {
-		return placement.Held{Others: h.Others, First: h.First, Running: h.Running}
+		return placement.Held{Before: h.Before, Running: h.Running}
 	}
-	out.Others, out.First, out.Running = min(out.Others, h.Others), out.First || h.First, out.Running+h.Running
+	out.Before, out.Running = min(out.Before, h.Before), out.Running+h.Running
 	return out
 }
