Learn of a restarted runner from its agent before the list names it

The report has no id, so agents waited for the list too. Change: an agent asks the engine's health check for its id when the list does not match; routers replace the earlier incarnation at that address. An entry that was wrong about one model is believed about none. Tests: fleet, sidecar.

--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	agent := sidecar.New(sidecar.Settings{
-		Node: set.Node, Address: set.Upstream, Region: set.Region, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, Parallel: c.LoadParallel,
+		Node: set.Node, Address: set.Upstream, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, Parallel: c.LoadParallel,
 	}, platform.NewEngine(set.Upstream), socket, log)
 	store := platform.NewStore(set.StoreAddress)
 	watches := follow.Options{Hold: agentHold, Pause: agentPause}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -110,7 +110,9 @@
 type Service struct {
 	Name     string
 	MaxConns int
-	Engine   *Engine
+	// HealthPath is where an upstream tells its health and its id.
+	HealthPath string
+	Engine     *Engine
 }
 
 // Limits bound what a caller may send.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,6 +16,8 @@
 	// lapseGrace is how long entries that vanished during an outage of the list are kept after its return: upstreams
 	// that live have registered again by then.
 	lapseGrace = 2 * time.Second
+	// registerTime is how long an upstream that has started takes at the most to register in the list: three intervals.
+	registerTime = 4 * time.Second
 	// agentFresh is the age up to which an agent's report is preferred to the list: two of its regular intervals to other
 	// regions and some slack.
 	agentFresh = 3500 * time.Millisecond
@@ -37,8 +39,10 @@
 	// Order is the order under way at the upstream, and OrderUntil when it is expected to be complete.
 	Order      *placement.Order
 	OrderUntil time.Time
-	known      uint32    // version of the holdings that the agent has reported; 0 for none
-	dropAt     time.Time // when a lapsed entry is given up; zero while it is listed
+	known      uint32 // version of the holdings that the agent has reported; 0 for none
+	// unlistedUntil is until when a member that only its agent has reported stays without an entry in the list.
+	unlistedUntil time.Time
+	dropAt        time.Time // when a lapsed entry is given up; zero while it is listed
 }
 
 // Fresh reports whether the agent's report is recent.
@@ -96,7 +100,7 @@
 		s.version++
 		return
 	}
-	m.dropAt = time.Time{}
+	m.dropAt, m.unlistedUntil = time.Time{}, time.Time{}
 	draining := m.Draining || u.Draining // an upstream that leaves never comes back in the same incarnation
 	if m.Fresh(now) {                    // the list is older than what the agent reports
 		m.Draining = draining
@@ -111,7 +115,7 @@
 // Remove removes an entry of the list, at once or at the end of the grace time after an outage.
 func (s *State) Remove(now time.Time, id string) {
 	m := s.members[id]
-	if m == nil {
+	if m == nil || now.Before(m.unlistedUntil) {
 		return
 	}
 	if now.Before(s.graceEnd) {
@@ -133,11 +137,15 @@
 // Report takes an agent's report. It reports whether what the upstream holds has changed. A report of an upstream that
 // is not listed is ignored: the list says who takes part.
 func (s *State) Report(now time.Time, r *peer.State) bool {
-	m := s.members[r.ID]
+	m, restarted := s.members[r.ID], false
+	if m == nil {
+		m = s.restarted(now, r)
+		restarted = m != nil
+	}
 	if m == nil || m.Born != 0 && r.Born != 0 && r.Born < m.Born {
 		return false
 	}
-	changed := (m.Order == nil) != (r.Order == nil)
+	changed := restarted || (m.Order == nil) != (r.Order == nil)
 	m.ReportedAt = now
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: float64(r.FreeMB), IdleMB: float64(r.IdleMB),
@@ -156,6 +164,25 @@
 	return changed
 }
 
+// restarted returns a member for an upstream that its agent reports before the list does: a later incarnation of a member at
+// the same address. It returns nil if there is no such member.
+func (s *State) restarted(now time.Time, r *peer.State) *Member {
+	for id, old := range s.members {
+		if r.Address == "" || old.Address != r.Address || old.Born == 0 || r.Born <= old.Born {
+			continue
+		}
+		m := &Member{Upstream: catalog.Upstream{
+			ID: r.ID, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots, Born: r.Born,
+		}, unlistedUntil: now.Add(registerTime)}
+		delete(s.members, id)
+		s.ended = append(s.ended, id)
+		s.members[r.ID] = m
+		s.version++
+		return m
+	}
+	return nil
+}
+
 // Known returns the version of the holdings that the upstream's agent has reported; 0 for none.
 func (s *State) Known(id string) uint32 {
 	if m := s.members[id]; m != nil {
@@ -189,6 +216,9 @@
 		}
 		break
 	}
+	if m.known == 0 {
+		models = nil // the list is older than the upstream; nothing that it says of the models holds
+	}
 	m.Models, m.known = models, 0
 	s.version++
 }
@@ -197,6 +227,9 @@
 func (s *State) Members(now time.Time, service string) []*Member {
 	var out []*Member
 	for id, m := range s.members {
+		if !m.unlistedUntil.IsZero() && !now.Before(m.unlistedUntil) {
+			m.dropAt = m.unlistedUntil // its entry has not come
+		}
 		if !m.dropAt.IsZero() && !now.Before(m.dropAt) {
 			delete(s.members, id)
 			s.ended = append(s.ended, id)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -112,6 +112,34 @@
 		Expect(s.Get("u1").Serves("m")).To(BeFalse())
 	})
 
+	// After a loss of power the list named the earlier incarnations for more than a second, and every request that was sent
+	// by it was refused (decals-grown, trouble-2).
+	It("takes a later incarnation from its agent before the list names it", func() {
+		s.Put(now, holding("u1", "m"))
+		again := says("u2")
+		again.Born, again.Address = 200, "10.0.0.1:1"
+		Expect(s.Report(now, again)).To(BeTrue())
+		Expect(ids(now)).To(Equal([]string{"u2"}))
+		Expect(s.Get("u2").Serves("m")).To(BeFalse())
+		s.Sync(now.Add(time.Second), []catalog.Upstream{})
+		Expect(ids(now.Add(time.Second))).To(Equal([]string{"u2"}))
+		Expect(ids(now.Add(5 * time.Second))).To(BeEmpty()) // it never registered
+	})
+
+	It("does not take an earlier incarnation from an agent", func() {
+		s.Put(now, holding("u1", "m"))
+		late := says("u0")
+		late.Born, late.Address = 50, "10.0.0.1:1"
+		Expect(s.Report(now, late)).To(BeFalse())
+		Expect(ids(now)).To(Equal([]string{"u1"}))
+	})
+
+	It("believes nothing of an old entry once one thing in it was wrong", func() {
+		s.Put(now, holding("u1", "m", "n"))
+		s.Absent("u1", "m", "")
+		Expect(s.Get("u1").Serves("n")).To(BeFalse())
+	})
+
 	It("removes what the list no longer names", func() {
 		s.Sync(now, []catalog.Upstream{holding("u1"), holding("u2")})
 		s.Sync(now, []catalog.Upstream{holding("u2")})
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -77,6 +77,8 @@
 	// Routers is the number of routers that the agent has heard from lately, and Crashes are their reports.
 	Routers int                 `cbor:"12,keyasint,omitempty"`
 	Crashes []quarantine.Report `cbor:"13,keyasint,omitempty"`
+	// Address is the upstream's address (IP:port). A router that does not know the id yet finds the earlier incarnation by it.
+	Address string `cbor:"16,keyasint,omitempty"`
 	// Version is the version of the upstream's holdings. Holdings is nil if the receiver has said that it has them.
 	Version  uint32    `cbor:"14,keyasint,omitempty"`
 	Holdings *Holdings `cbor:"15,keyasint,omitempty"`
@@ -84,7 +86,7 @@
 
 // Hold sets the upstream that the state is about, with its holdings.
 func (s *State) Hold(u catalog.Upstream, version uint32) {
-	s.ID, s.Born, s.Draining, s.Version = u.ID, u.Born, u.Draining, version
+	s.ID, s.Born, s.Address, s.Draining, s.Version = u.ID, u.Born, u.Address, u.Draining, version
 	s.Holdings = &Holdings{Models: u.Models, InMemory: u.InMemory, OnDisk: u.OnDisk}
 }
 
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -30,12 +30,13 @@
 // Engine is the model engine beside the process.
 type Engine interface {
 	Report(ctx context.Context) (platform.Report, error)
+	Instance(ctx context.Context, path string) (string, error)
 	Order(ctx context.Context, o placement.Order, instance string, seen uint64, holder string, token uint64) (platform.OrderResult, error)
 }
 
 // Settings are the process's own.
 type Settings struct {
-	Node, Address, Region string
+	Node, Address, Region, Zone, Service string
 	// LoadWindow and LoadFactor bound the loads from the weight store over all upstreams.
 	LoadWindow time.Duration
 	LoadFactor float64
@@ -66,6 +67,7 @@
 	fetches *fetchLimit
 	report  platform.Report
 	order   *underWay
+	asked   incarnation // what the engine has told of itself
 	sent    *peer.State
 	version uint32 // of the holdings in report
 	engaged bool   // the engine answered its last report
@@ -190,16 +192,7 @@
 		a.log.State("engine reports", "born", r.Upstream.Born, "models", len(r.Upstream.Models), "orders", r.Upstream.Orders)
 	}
 	a.engaged = true
-	a.mu.Lock()
-	r.Upstream.ID, r.Upstream.Service, r.Upstream.Zone = "", "", ""
-	for _, u := range a.listed {
-		if u.Address == a.set.Address && (r.Upstream.Born == 0 || u.Born == r.Upstream.Born) {
-			r.Upstream.ID, r.Upstream.Service, r.Upstream.Zone = u.ID, u.Service, u.Zone
-			r.Upstream.Draining = r.Upstream.Draining || u.Draining
-		}
-	}
-	a.mu.Unlock()
-	r.Upstream.Address = a.set.Address
+	a.identify(ctx, &r.Upstream)
 	a.report = r
 	if a.order != nil && !r.Busy {
 		a.order = nil
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -46,6 +46,8 @@
 	return platform.Report{Upstream: e.self}, nil
 }
 
+func (e *engine) Instance(context.Context, string) (string, error) { return "i-2", nil }
+
 func (e *engine) Order(_ context.Context, o placement.Order, _ string, seen uint64, _ string, token uint64) (platform.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -72,7 +74,7 @@
 	return append([]placement.Order(nil), e.orders...)
 }
 
-const config = `{"version":1,"services":[{"name":"llm","engine":{"weightsMb":100,"adapterSlots":2,"loadsPerS":2,
+const config = `{"version":1,"services":[{"name":"llm","healthPath":"/healthz","engine":{"weightsMb":100,"adapterSlots":2,"loadsPerS":2,
 	"models":[{"name":"a","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5},{"name":"b","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5}]}}]}`
 
 // rig is an agent beside an engine, and a router that talks to it.
@@ -94,7 +96,7 @@
 	r.router, err = peer.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	r.to = socket.Address()
-	r.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 4},
+	r.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 4},
 		r.engine, socket, eventlog.New(io.Discard, "sidecar", "side-1"))
 	r.agent.Config().Listed([]platform.Object{{Name: "main", Spec: []byte(config)}})
 	r.agent.Upstreams().Listed([]platform.Object{{Name: "i-1", Spec: []byte(`{"service":"llm","address":"` + address + `","state":"ready","born":5}`)}})
@@ -170,13 +172,16 @@
 		Expect(r.engine.given()).To(HaveLen(1))
 	})
 
-	It("gives no orders to an engine that is not the one listed", func() {
+	// The list names a new incarnation a second or more after its start; until then nobody loaded anything there.
+	It("asks an engine that has restarted for its id and tells the routers before the list does", func() {
 		r := newRig()
 		r.engine.mu.Lock()
 		r.engine.self.Born = 6
 		r.engine.mu.Unlock()
 		r.agent.SetToken(41)
 		r.want("a")
-		Consistently(r.engine.given, "300ms").Should(BeEmpty())
+		Eventually(r.states, "2s").Should(Receive(Satisfy(func(s peer.State) bool {
+			return s.ID == "i-2" && s.Born == 6 && s.Address == address && holds(s, "a")
+		})))
 	})
 })
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -84,18 +84,16 @@
 	if err != nil {
 		panic(err) // the soak's own paths are valid
 	}
-	req.Host = "soak.example"
-	req.Header.Set("Hibiscuscross-Request-Id", id)
-	req.Header.Set("Hibiscuscross-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	req.Host = standin.Host
+	model, parts := "", ""
 	if kind == "report" || kind == "chat" {
-		model := fmt.Sprintf("m%d", c.rnd.IntN(len(modelSizes)))
+		model = fmt.Sprintf("m%d", c.rnd.IntN(len(modelSizes)))
 		if c.rnd.IntN(3) == 0 {
 			model += fmt.Sprintf("/a%d", 1+c.rnd.IntN(4))
 		}
-		req.Header.Set("Hibiscuscross-Model", model)
-		req.Header.Set("Hibiscuscross-Token-Usage", "900,48")
-		req.Header.Set("Hibiscuscross-Prompt-Prefix", fmt.Sprintf("s1:400,t%d:300,%x:200", c.rnd.IntN(3), c.rnd.IntN(1<<20)))
+		parts = fmt.Sprintf("s1:400,t%d:300,%x:200", c.rnd.IntN(3), c.rnd.IntN(1<<20))
 	}
+	standin.SetCall(req.Header, id, wait, model, parts)
 	c.w.check.sending(id, kind, path, body)
 	begin := time.Now()
 	resp, err := c.clients[entry].Do(req)
@@ -112,7 +110,7 @@
 // judge checks an answer against what the caller asked.
 func (c *caller) judge(entry int, kind, id, path string, body []byte, resp *http.Response, raw []byte, err error, begin, due time.Time) {
 	check := c.w.check
-	if got := resp.Header.Get("Hibiscuscross-Request-Id"); got != "" && got != id {
+	if got := standin.AnswerID(resp.Header); got != "" && got != id {
 		check.broken("mixed", fmt.Sprintf("%s got the answer to %s", id, got))
 	}
 	switch {
@@ -142,7 +140,7 @@
 	switch {
 	case string(raw) != want:
 		c.w.check.broken("mixed", fmt.Sprintf("%s %s: got %q", kind, id, raw))
-	case resp.Header.Get("Hibiscuscross-Server-Stamp") == "":
+	case !standin.Signed(resp.Header):
 		c.w.check.broken("mixed", fmt.Sprintf("%s %s: success without a stamp", kind, id))
 	}
 }
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -135,7 +135,7 @@
 	}
 	w.links = append(w.links, proxy)
 	settings := filepath.Join(w.opt.Dir, name+".toml")
-	if err := os.WriteFile(settings, []byte(settingsFile(name, ip, zone(i), storeAddress, role == "sidecar")), 0o644); err != nil {
+	if err := os.WriteFile(settings, []byte(w.settings(name, ip, i, storeAddress, role == "sidecar").File()), 0o644); err != nil {
 		return err
 	}
 	p := &process{name: name, role: role, binary: w.opt.Binary, settings: settings, logs: w.opt.Dir, onExit: func(d string) { w.check.broken("process", d) }}
@@ -143,40 +143,6 @@
 	return p.start()
 }
 
-func settingsFile(name, ip, zone, store string, sidecar bool) string {
-	app := ""
-	if sidecar {
-		app = fmt.Sprintf("app = %q\nservice = \"llm\"\n", at(ip, runnerPort))
-	}
-	return fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = %q
-region = "r-%s"
-internalPortRange = [%d, %d]
-%s[zones]
-z0 = "r-z0"
-z1 = "r-z1"
-z2 = "r-z2"
-[listen]
-front = %q
-ready = %q
-[limits]
-memoryMb = 284
-[bounds]
-stableWindowMs = 4000
-graceS = 8
-configMs = 2500
-drainMs = 2500
-budgetRatio = 0.2
-budgetBurst = 58
-budgetWindowS = 10
-ceilingWindowS = 5
-ceilingFactor = 1.1
-[platform]
-address = %q
-`, name, ip, zone, zone, peerPort, peerPort+15, app, at(ip, frontPort), at(ip, readyPort), store)
-}
-
 var modelSizes = map[string]float64{"m0": 70, "m1": 70, "m2": 60, "m3": 60, "m4": 50, "m5": 50}
 
 // configure writes the next version of the configuration, which adds a route of its own.
@@ -185,29 +151,22 @@
 	defer w.mu.Unlock()
 	w.version++
 	w.versionAt = time.Now()
-	var models []map[string]any
-	for name, size := range modelSizes {
-		models = append(models, map[string]any{"name": name, "weightsMb": size, "loadTimeS": 0.8, "diskS": 0.15, "warmupS": 0.15, "adapters": 4, "adapterMb": 1})
-	}
-	route := func(name, prefix, kind, service string, timeout, attempts int, resumable bool) map[string]any {
-		return map[string]any{"name": name, "host": "soak.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "targetLatencyMs": 500,
-			"targetGapMs": 400, "service": service, "maxAttempts": attempts, "resumable": resumable, "priority": 1}
+	w.store.Put("config", "main", standin.Config(w.version, []standin.Route{
+		{Name: "report", Prefix: "/report/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, Attempts: 2, Resumable: true},
+		{Name: "chat", Prefix: "/chat/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, Attempts: 1},
+		{Name: "loan", Prefix: "/loan/", Kind: standin.NonIdempotent, Service: "loans", Timeout: 2 * time.Second, Attempts: 2},
+		{Name: "lookup", Prefix: "/lookup/", Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, Attempts: 2},
+		{Name: "new", Prefix: fmt.Sprintf("/v%d/", w.version), Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, Attempts: 2},
+	}, modelSizes))
+}
+
+// settings returns the settings of node i of a role.
+func (w *world) settings(name, ip string, i int, store string, sidecar bool) standin.Settings {
+	s := standin.Settings{Name: name, IP: ip, Zone: zone(i), PeerPort: peerPort, Front: at(ip, frontPort), Ready: at(ip, readyPort), Store: store}
+	if sidecar {
+		s.Upstream = at(ip, runnerPort)
 	}
-	w.store.Put("config", "main", map[string]any{
-		"version": w.version,
-		"routes": []map[string]any{
-			route("report", "/report/", "streaming", "llm", 5000, 2, true),
-			route("chat", "/chat/", "streaming", "llm", 5000, 1, false),
-			route("loan", "/loan/", "non_idempotent", "loans", 2000, 2, false),
-			route("lookup", "/lookup/", "idempotent", "loans", 2000, 2, false),
-			route("new", fmt.Sprintf("/v%d/", w.version), "idempotent", "loans", 2000, 2, false),
-		},
-		"services": []map[string]any{
-			{"name": "llm", "maxConns": 300, "engine": map[string]any{"slots": 32, "kvCapacity": 200000, "weightsMb": 200, "adapterSlots": 3, "loadsPerS": 2, "models": models}},
-			{"name": "loans", "maxConns": 100},
-		},
-		"limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-	})
+	return s
 }
 
 // inForce returns a path of the newest version if that version has been acknowledged for long enough.
