Preload only from a settled list; pause when the history keeps being gone

During a compaction, stale listings were older than the history that was left, and agents listed and watched again every 30 ms. Change: nothing is fetched that nobody waits for until the list has not grown for 2 s; up to a second between listings while the history keeps being gone. Tests: placement, follow.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -16,6 +16,8 @@
 	// firstPause and maxPause bound the pause after a failed call; each further failure doubles it.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
+	// maxGone bounds the pause before the kind is listed again while its history keeps being gone.
+	maxGone = time.Second
 	// answerSlack is how long after the hold of a watch its answer may arrive: some round trips between regions and a
 	// loaded store. A connection that is silent for longer is given up.
 	answerSlack = 700 * time.Millisecond
@@ -57,6 +59,7 @@
 	log   *eventlog.Log
 	down  time.Time // when calls began to fail; zero while they succeed
 	pause time.Duration
+	gone  int // watches in a row that were told that their history is gone
 }
 
 // New returns a follower of the kind.
@@ -93,7 +96,11 @@
 	defer cancel()
 	objects, revision, err := f.src.Watch(call, f.kind, since, f.opt.Hold)
 	if errors.Is(err, store.ErrCompacted) {
-		f.log.State("watch history is gone, listing again", "kind", f.kind, "revision", since)
+		f.gone++
+		f.log.State("watch history is gone, listing again", "kind", f.kind, "revision", since, "in_a_row", f.gone)
+		if f.gone > 1 { // the listing was older than the history, as a stale one can be
+			sleep(ctx, min(maxGone, firstPause<<min(f.gone, 10)))
+		}
 		return 0, false
 	}
 	if err != nil {
@@ -101,6 +108,7 @@
 		return since, true
 	}
 	f.answered()
+	f.gone = 0
 	if len(objects) > 0 {
 		f.h.Changed(objects)
 		sleep(ctx, f.opt.Pause)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -115,6 +115,16 @@
 		Expect(play(s)).To(Equal([]string{"listed", "listed a"}))
 	})
 
+	// Listings that may be stale were older than the history that was left; agents listed and watched again every 30 ms
+	// (decals-grown, scale-2).
+	It("pauses when the history is gone again and again", func() {
+		gone := answer{err: store.ErrCompacted}
+		s := &source{answers: []answer{{revision: 3}, gone, {revision: 3}, gone, {revision: 3}, gone, {revision: 3}, gone, {revision: 9}}}
+		begin := time.Now()
+		Expect(play(s)).To(Equal([]string{"listed", "listed", "listed", "listed", "listed"}))
+		Expect(time.Since(begin)).To(BeNumerically(">", time.Second)) // 200, 400 and 800 ms
+	})
+
 	It("watches on from the same revision after a failure, without a new list", func() {
 		s := &source{answers: []answer{{revision: 3}, {err: errors.New("reset")}, {objects: one("a"), revision: 4}}}
 		Expect(play(s)).To(Equal([]string{"listed", "changed a"}))
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -37,7 +37,7 @@
 func view() placement.View {
 	self := catalog.Upstream{ID: "u1", Models: loaded("a"), OnDisk: []string{"b", "c"}}
 	return placement.View{
-		Self: self, All: []catalog.Upstream{self}, FetchAllowed: true, Parallel: 4,
+		Self: self, All: []catalog.Upstream{self}, Settled: true, FetchAllowed: true, Parallel: 4,
 		Engine: catalog.Engine{Models: models("a", "b", "c"), MemoryMB: 100, AdapterSlots: 2},
 		Demand: placement.Demand{
 			Models: map[string]int{}, Adapters: map[placement.Adapter]int{}, Rate: map[string]float64{}, AdapterUsed: map[placement.Adapter]time.Time{},
@@ -170,6 +170,22 @@
 		Expect(o).To(Equal(placement.Order{Model: "b"}))
 	})
 
+	// Twelve upstreams fetched the same model at the start, each from a list that named few others; two at a time are served
+	// at full speed, and the load took 60 s (decals-grown, scale-2).
+	It("fetches nothing that nobody waits for while the list of upstreams grows", func() {
+		v := view()
+		v.Self = catalog.Upstream{ID: "u1"}
+		v.All = []catalog.Upstream{v.Self}
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		v.Settled = false
+		_, _, ok = placement.Plan(v)
+		Expect(ok).To(BeFalse())
+		v.Demand.Models["b"] = 1
+		_, _, ok = placement.Plan(v)
+		Expect(ok).To(BeTrue())
+	})
+
 	It("gives up only spare copies for a model that nobody waits for", func() {
 		v := view()
 		v.Self = catalog.Upstream{ID: "u1", Models: loaded("a", "b")}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -57,6 +57,9 @@
 	// All lists the upstreams of the service, this one included.
 	All    []catalog.Upstream
 	Demand Demand
+	// Settled says that the list of upstreams has not grown for a while. Homes that are computed from a list which is not yet
+	// complete differ between upstreams.
+	Settled bool
 	// FetchAllowed says that a load from the weight store may begin now.
 	FetchAllowed bool
 	// Parallel is the number of loads that the weight store serves at full speed.
@@ -80,6 +83,9 @@
 			return o, reason, true
 		}
 	}
+	if !v.Settled {
+		return Order{}, "", false
+	}
 	return v.planPreload()
 }
 
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -23,6 +23,9 @@
 	adapterPoll = 6 * time.Millisecond
 	// reportTimeout bounds one read of the report.
 	reportTimeout = 400 * time.Millisecond
+	// settleTime is the time without a new upstream after which the list counts as complete: an interval of the upstreams'
+	// writes, and the lag of reads that may be stale.
+	settleTime = 2 * time.Second
 	// demandsSize bounds the messages that wait to be taken in.
 	demandsSize = 256
 )
@@ -61,7 +64,9 @@
 	mu     sync.Mutex
 	config *catalog.Config
 	listed map[string]catalog.Upstream
-	token  uint64
+	// grownAt is when the list last named an upstream that it had not named before.
+	grownAt time.Time
+	token   uint64
 
 	routers *routers
 	fetches *fetchLimit
@@ -250,6 +255,6 @@
 	}
 	return placement.View{
 		Self: a.report.Upstream, Busy: a.report.Busy, Coming: a.report.Coming, Engine: *engine, All: all,
-		Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
+		Settled: now.Sub(a.grownAt) >= settleTime, Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
 	}, a.token, true
 }
--- a/pkg/sidecar/sync.go
+++ b/pkg/sidecar/sync.go
@@ -45,6 +45,9 @@
 				a.log.State("upstream entry cannot be used", "name", o.Name, "revision", o.Revision, "err", err)
 				continue
 			}
+			if _, known := a.listed[o.Name]; !known {
+				a.grownAt = time.Now()
+			}
 			a.listed[o.Name] = u
 		}
 	}
