--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -98,9 +98,11 @@
 	if errors.Is(err, store.ErrCompacted) {
 		f.gone++
 		f.log.State("watch history is gone, listing again", "kind", f.kind, "revision", since, "in_a_row", f.gone)
-		if f.gone > 1 { // the listing was older than the history, as a stale one can be
-			sleep(ctx, min(maxGone, firstPause<<min(f.gone, 10)))
+		pause := f.opt.Pause // a listing is larger than a change; all followers list at the same time
+		if f.gone > 1 {      // the listing was older than the history, as a stale one can be
+			pause = 2*f.opt.Pause + min(maxGone, firstPause<<min(f.gone, 10))
 		}
+		sleep(ctx, pause)
 		return 0, false
 	}
 	if err != nil {
