Make the soak notice a stop that cuts callers off

Change: it is excused only by faults of runners under way or just over; connections refused before the balancer can know of the stop are broken promises too.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,8 @@
 	// answerSlack is how long after its time limit a request may be answered.
 	answerSlack = 500 * time.Millisecond
 	callPause   = 25 * time.Millisecond
+	// runnerSettle is how long after a disturbance of a runner connections may still break.
+	runnerSettle = 500 * time.Millisecond
 )
 
 var kinds = []string{"report", "chat", "loan", "lookup", "new"}
@@ -150,8 +153,11 @@
 	if took > wait+answerSlack && c.w.nodes[entry].calmSince(begin.Add(-stable)) && !errors.Is(err, io.EOF) {
 		c.w.check.broken("late", fmt.Sprintf("%s %s ended after %s, allowed were %s: %s %v", kind, id, took, wait, what, err))
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) && c.w.nodes[entry].justStopping(time.Now()) {
+		c.w.check.broken("lost", fmt.Sprintf("%s refused %s %s before the balancer could know that it stops", c.w.nodes[entry].name, kind, id))
+	}
 	lost := err != nil && took < wait && c.w.check.ranOnce(id) && c.w.nodes[entry].stopsAsPlanned(time.Now())
-	if lost && c.w.runnersCalmSince(begin.Add(-stable)) {
+	if lost && c.w.runnersCalmSince(begin.Add(-runnerSettle)) {
 		c.w.check.broken("lost", fmt.Sprintf("%s %s ran and got no whole answer while %s stopped: %v", kind, id, c.w.nodes[entry].name, err))
 	}
 	if err != nil && what != "no answer" {
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -50,9 +50,9 @@
 	}},
 	{"crash a runner", func(w *world, pick int, _ time.Duration) (string, func()) {
 		r := w.runners[pick%len(w.runners)]
-		w.disturbRunners()
+		end := w.disturbRunners()
 		r.Crash()
-		return r.name(pick, w), func() { w.disturbRunners(); w.revive(r) }
+		return r.name(pick, w), func() { w.revive(r); end() }
 	}},
 	{"drain a runner", func(w *world, pick int, lasts time.Duration) (string, func()) {
 		r := w.runners[pick%len(w.runners)]
@@ -60,18 +60,18 @@
 	}},
 	{"lose answers of a runner", func(w *world, pick int, _ time.Duration) (string, func()) {
 		r := w.runners[pick%len(w.runners)]
-		w.disturbRunners()
+		end := w.disturbRunners()
 		r.Lose(true)
-		return r.name(pick, w), func() { r.Lose(false); w.disturbRunners() }
+		return r.name(pick, w), func() { r.Lose(false); end() }
 	}},
 	{"disturb the link to a runner", func(w *world, pick int, _ time.Duration) (string, func()) {
 		r := w.runners[pick%len(w.runners)]
 		mode := []Mode{Delay, SilentBack, Silent, Pass}[pick/7%4]
 		w.touchAll()
-		w.disturbRunners()
+		end := w.disturbRunners()
 		r.proxy.Set(mode, mode == Pass)
 		r.proxy.Reset()
-		return fmt.Sprintf("%s mode %d", r.name(pick, w), mode), func() { w.touchAll(); w.disturbRunners(); r.proxy.Set(Pass, false) }
+		return fmt.Sprintf("%s mode %d", r.name(pick, w), mode), func() { w.touchAll(); r.proxy.Set(Pass, false); end() }
 	}},
 	{"disturb the link to the store", func(w *world, pick int, _ time.Duration) (string, func()) {
 		i := pick % len(w.nodes)
@@ -134,8 +134,9 @@
 		w.check.broken("drain", fmt.Sprintf("runner %s got a request %s after it was draining", id, last.Sub(begin)))
 	}
 	return func() {
-		w.disturbRunners()
+		end := w.disturbRunners()
 		r.Leave()
 		w.revive(r)
+		end()
 	}
 }
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -20,7 +20,8 @@
 	expected  bool          // the end of the current run was asked for
 	paused    bool
 	disturbed time.Time // last disturbance by the soak
-	stopping  time.Time // when a planned stop of an undisturbed process began
+	signalled time.Time // last start, kill, pause or stop
+	stopping  time.Time // when a planned stop began that nothing else has overlapped
 	onExit    func(detail string)
 }
 
@@ -39,6 +40,7 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	p.cmd, p.exited, p.expected, p.paused, p.disturbed = cmd, make(chan struct{}), false, false, time.Now()
+	p.signalled = p.disturbed
 	go p.wait(cmd, out, p.exited)
 	return nil
 }
@@ -59,6 +61,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disturbed = time.Now()
+	if s != syscall.SIGHUP { // a reload is planned work too and excuses nothing
+		p.signalled = p.disturbed
+	}
 	p.expected = p.expected || ends
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // a process that has ended meanwhile needs no signal
@@ -74,10 +79,9 @@
 
 // stop asks the process to stop and reports whether it did within the grace time; if not it is killed.
 func (p *process) stop(grace time.Duration) bool {
-	calm := p.calmSince(time.Now().Add(-stable))
 	p.mu.Lock()
 	p.stopping = time.Time{}
-	if calm {
+	if !p.paused && time.Since(p.signalled) > time.Second {
 		p.stopping = time.Now()
 	}
 	p.mu.Unlock()
@@ -103,11 +107,23 @@
 	p.disturbed = time.Now()
 }
 
-// stopsAsPlanned reports whether only a planned stop has disturbed the process at the time.
+// stopsAsPlanned reports whether the process was stopping at the time and has got no other signal since.
 func (p *process) stopsAsPlanned(t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.stopping.IsZero() && t.After(p.stopping.Add(-grace)) && p.disturbed.Sub(p.stopping) < 100*time.Millisecond
+	return !p.stopping.IsZero() && t.After(p.stopping) && p.signalled.Sub(p.stopping) < 100*time.Millisecond
+}
+
+// justStopping reports whether the process stops as planned and the balancer, which asks once a second, cannot have missed
+// it twice yet.
+func (p *process) justStopping(t time.Time) bool {
+	return p.stopsAsPlanned(t) && t.Sub(p.stoppingSince()) < time.Second
+}
+
+func (p *process) stoppingSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
 }
 
 // calmSince reports whether nothing has disturbed the process since the time.
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -58,7 +58,8 @@
 	version     uint64
 	versionAt   time.Time
 	storeCalm   time.Time // since when the store is undisturbed; zero while it is disturbed
-	runnersAt   time.Time // last disturbance of a runner or of a link to one
+	runnersAt   time.Time // end of the last disturbance of a runner or of a link to one
+	runnersBusy int       // disturbances of runners and of links to them under way
 	entryLinked []string  // addresses for callers, by entry
 }
 
@@ -183,17 +184,24 @@
 	return !w.storeCalm.IsZero() && w.storeCalm.Before(t)
 }
 
-// disturbRunners records a disturbance of runners or of links to them.
-func (w *world) disturbRunners() {
+// disturbRunners records that a disturbance of a runner or of a link to one begins, and the returned function that it ends.
+func (w *world) disturbRunners() func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runnersAt = time.Now()
+	w.runnersBusy++
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.runnersBusy--
+		w.runnersAt = time.Now()
+	}
 }
 
+// runnersCalmSince reports whether no runner and no link to one has been disturbed since the time.
 func (w *world) runnersCalmSince(t time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.runnersAt.Before(t)
+	return w.runnersBusy == 0 && w.runnersAt.Before(t)
 }
 
 func (w *world) disturbStore(end bool) {
