--- /dev/null
+++ b/cmd/hibiscuscross-soak/main.go
@@ -0,0 +1,107 @@
+// Command hibiscuscross-soak runs the programs of the users' platform on loopback under random faults and checks what
+// callers and runners see.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/soak"
+)
+
+var cli struct {
+	Binary   string        `help:"The daemon's binary." default:"target/hibiscuscrossd" type:"existingfile"`
+	Seed     uint64        `help:"First seed; 0 draws one." default:"0"`
+	Seeds    int           `help:"Number of seeds." default:"1"`
+	Parallel int           `help:"Seeds at a time." default:"1"`
+	For      time.Duration `help:"Time in which faults begin." default:"12s"`
+	Logs     string        `help:"Folder for the logs of seeds that fail." default:""`
+	Verbose  bool          `help:"Print the events and outcomes of each seed."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Name("hibiscuscross-soak"))
+	if cli.Seed == 0 {
+		cli.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	binary, err := filepath.Abs(cli.Binary)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hibiscuscross-soak:", err)
+		os.Exit(2)
+	}
+	failed := run(binary)
+	fmt.Printf("%d passed, %d failed\n", cli.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run plays all seeds and returns how many failed.
+func run(binary string) int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	failed := 0
+	slots := make(chan int, cli.Parallel)
+	for i := range cli.Parallel {
+		slots <- 20 + i
+	}
+	for n := range cli.Seeds {
+		net := <-slots
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ok := play(binary, cli.Seed+uint64(n), net)
+			slots <- net
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				failed++
+			}
+		}()
+	}
+	wg.Wait()
+	return failed
+}
+
+func play(binary string, seed uint64, net int) bool {
+	dir, err := os.MkdirTemp(cli.Logs, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		fmt.Println("seed", seed, "failed:", err)
+		return false
+	}
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, Net: net, For: cli.For})
+	ok := err == nil && len(res.Broken) == 0
+	fmt.Printf("seed %d: %d events, %d of %d served in the calm end, %d broken, err %v\n", seed, len(res.Events), res.Served, res.Asked, len(res.Broken), err)
+	if !ok || cli.Verbose {
+		show(res)
+	}
+	if !ok && cli.Logs != "" {
+		fmt.Println("  logs:", dir)
+		return false
+	}
+	_ = os.RemoveAll(dir) // a temporary folder that stays does no harm
+	return ok
+}
+
+func show(res soak.Result) {
+	for _, b := range res.Broken {
+		fmt.Println("  broken:", b)
+	}
+	for _, e := range res.Events {
+		fmt.Println("  event:", e)
+	}
+	names := make([]string, 0, len(res.Outcomes))
+	for name := range res.Outcomes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Printf("  outcome: %s: %d\n", name, res.Outcomes[name])
+	}
+}
--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -23,7 +23,11 @@
 // sweepInterval is the time between two searches for connections that have been idle too long.
 const sweepInterval = time.Second
 
-type entryCmd struct{ platformFlags }
+type entryCmd struct {
+	platformFlags
+	TraceExporter string `help:"Where spans go: none, stdout or otlp." default:"none" enum:"none,stdout,otlp" env:"HIBISCUSCROSS_TRACE_EXPORTER"`
+	TraceURL      string `help:"URL of the OTLP receiver." env:"HIBISCUSCROSS_TRACE_URL"`
+}
 
 // Run runs a router on an entry VM of the users' platform until it is told to stop.
 func (c *entryCmd) Run() error {
@@ -45,7 +49,12 @@
 		Name: set.Node, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryRatio: set.RetryRatio, RetryBurst: set.RetryBurst,
 	}))
 	pool := h1.NewPool()
-	gw := gateway.New(core, pool, log, scope)
+	tracer, flushSpans, err := telemetry.NewTracer(context.Background(), telemetry.Exporter(c.TraceExporter), c.TraceURL, "entry")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flushSpans(context.Background()) }()
+	gw := gateway.New(core, pool, log, scope, tracer)
 	front, err := gateway.NewServer(set.Front, gw, log, set.Grace)
 	if err != nil {
 		return err
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -11,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
@@ -25,6 +27,9 @@
 	defaultWait = 30 * time.Second
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 10 * time.Second
+	// startDelay is when a caller may come back to a process that has just started: it has its configuration within about
+	// 100 ms.
+	startDelay = 250 * time.Millisecond
 	// defaultBodyBytes bounds a body if the configuration does not.
 	defaultBodyBytes = 4 << 20
 )
@@ -35,6 +40,7 @@
 	pool  *h1.Pool
 	log   *eventlog.Log
 	scope tally.Scope
+	trace trace.Tracer
 	// stopping is closed when the process begins to stop; answers then ask callers to close their connections.
 	stopping chan struct{}
 	// work ends shortly before the process does; requests that are still open get their final answer then.
@@ -43,9 +49,9 @@
 }
 
 // New returns a gateway.
-func New(core *Core, pool *h1.Pool, log *eventlog.Log, scope tally.Scope) *Gateway {
+func New(core *Core, pool *h1.Pool, log *eventlog.Log, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	work, end := context.WithCancel(context.Background())
-	return &Gateway{core: core, pool: pool, log: log, scope: scope, stopping: make(chan struct{}), work: work, endWork: end}
+	return &Gateway{core: core, pool: pool, log: log, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end}
 }
 
 // Stop makes answers ask callers to close their connections.
@@ -86,7 +92,7 @@
 		return
 	}
 	if cfg == nil {
-		c.refuse(http.StatusServiceUnavailable, "no configuration is known", time.Second)
+		c.refuse(http.StatusServiceUnavailable, "no configuration is known", startDelay)
 		return
 	}
 	c.config = cfg.Version
@@ -100,8 +106,11 @@
 	ctx, cancel := context.WithDeadline(c.base(), c.req.Deadline)
 	defer cancel()
 	defer context.AfterFunc(g.work, cancel)()
-	c.ctx = ctx
 	g.core.Do(func(s *dispatch.State) { s.Arrived(c.start, c.req) })
+	ctx, span := g.trace.Start(ctx, "request", trace.WithAttributes(
+		attribute.String("id", c.meta.ID), attribute.String("route", route.Name), attribute.String("model", c.meta.Model)))
+	defer span.End()
+	c.ctx = ctx
 	c.run()
 }
 
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -9,6 +9,9 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
@@ -36,6 +39,8 @@
 // send sends the request to the upstream of the decision and takes its answer.
 func (c *call) send(d dispatch.Decision) (dispatch.Outcome, *answer) {
 	id := d.Upstream.ID
+	_, span := c.g.trace.Start(c.ctx, "send", trace.WithAttributes(attribute.String("upstream", id), attribute.String("zone", d.Upstream.Zone)))
+	defer span.End()
 	tokens := 0
 	c.g.core.Do(func(s *dispatch.State) {
 		tokens = s.Uncached(id, c.req)
@@ -50,6 +55,7 @@
 	}
 	outcome, a := c.exchange(d, first)
 	first()
+	span.SetAttributes(attribute.String("outcome", outcome.String()))
 	c.g.core.Do(func(s *dispatch.State) { s.Ended(time.Now(), id, c.req, outcome) })
 	return outcome, a
 }
--- /dev/null
+++ b/pkg/soak/world.go
@@ -0,0 +1,277 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
+)
+
+const (
+	entries = 3
+	engines = 4
+	plains  = 2
+	// grace is the time from SIGTERM to the end of a process.
+	grace = 8 * time.Second
+	// stable is how long after a disturbance a process may lag.
+	stable = 4 * time.Second
+	// configDelay and drainDelay bound how long a change takes to be in force.
+	configDelay = 2500 * time.Millisecond
+	drainDelay  = 2500 * time.Millisecond
+	frontPort   = 8149
+	readyPort   = 8141
+	runnerPort  = 8145
+	storePort   = 8142
+	peerPort    = 7380
+)
+
+// Options are the inputs of one run.
+type Options struct {
+	Binary string // of hibiscuscrossd
+	Dir    string // for settings and logs
+	Seed   uint64
+	// Net is the second byte of the loopback addresses, 1 to 254; runs at the same time need different ones.
+	Net int
+	// For is the time in which faults begin.
+	For time.Duration
+}
+
+// world is everything that one run consists of.
+type world struct {
+	opt     Options
+	rnd     *rand.Rand
+	store   *standin.Store
+	runners []*runner
+	nodes   []*process // entries first
+	links   []*Proxy   // to the store, by node
+	check   *checker
+	servers []*http.Server
+
+	mu          sync.Mutex
+	version     uint64
+	versionAt   time.Time
+	storeCalm   time.Time // since when the store is undisturbed; zero while it is disturbed
+	runnersAt   time.Time // last disturbance of a runner or of a link to one
+	entryLinked []string  // addresses for callers, by entry
+}
+
+type runner struct {
+	*standin.Runner
+	proxy *Proxy
+}
+
+func (w *world) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", w.opt.Net, group, i+1) }
+
+func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
+// build starts the stand-ins and the processes.
+func build(opt Options) (*world, error) {
+	w := &world{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 1)), store: standin.NewStore(), check: newChecker(), storeCalm: time.Now()}
+	ln, err := net.Listen("tcp4", at(w.ip(9, 0), storePort))
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: w.store}
+	w.servers = append(w.servers, srv)
+	go func() { _ = srv.Serve(ln) }()
+	w.configure()
+	for i := range engines + plains {
+		if err := w.addRunner(i); err != nil {
+			return w, err
+		}
+	}
+	for i := range entries {
+		if err := w.addNode("entry", i, w.ip(1, i)); err != nil {
+			return w, err
+		}
+		w.entryLinked = append(w.entryLinked, at(w.ip(1, i), frontPort))
+	}
+	for i := range engines {
+		if err := w.addNode("sidecar", i, w.ip(2, i)); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) addRunner(i int) error {
+	plain := i >= engines
+	set := standin.RunnerSettings{
+		Service: "llm", Zone: zone(i), Listed: at(w.ip(2, i), runnerPort), Listen: at(w.ip(3, i), runnerPort), Slots: 32,
+		MemoryMB: 200, AdapterSlots: 3, Models: modelSizes, Fetch: 800 * time.Millisecond, Disk: 150 * time.Millisecond, Work: 10 * time.Millisecond,
+	}
+	models := []string{fmt.Sprintf("m%d", i%len(modelSizes)), fmt.Sprintf("m%d", (i+1)%len(modelSizes))}
+	if plain {
+		set.Service, set.Slots, models = "loans", 6, nil
+	}
+	r := &runner{Runner: standin.NewRunner(set, w.store, w.check.record(), models...)}
+	if err := r.Start(); err != nil {
+		return err
+	}
+	proxy, err := NewProxy(set.Listed, set.Listen)
+	if err != nil {
+		return err
+	}
+	r.proxy = proxy
+	w.runners = append(w.runners, r)
+	return nil
+}
+
+func zone(i int) string { return fmt.Sprintf("z%d", i%3) }
+
+func (w *world) addNode(role string, i int, ip string) error {
+	name := fmt.Sprintf("%s-%d", role, i)
+	storeAddress := at(w.ip(4, len(w.nodes)), storePort)
+	proxy, err := NewProxy(storeAddress, at(w.ip(9, 0), storePort))
+	if err != nil {
+		return err
+	}
+	w.links = append(w.links, proxy)
+	settings := filepath.Join(w.opt.Dir, name+".toml")
+	if err := os.WriteFile(settings, []byte(settingsFile(name, ip, zone(i), storeAddress, role == "sidecar")), 0o644); err != nil {
+		return err
+	}
+	p := &process{name: name, role: role, binary: w.opt.Binary, settings: settings, logs: w.opt.Dir, onExit: func(d string) { w.check.broken("process", d) }}
+	w.nodes = append(w.nodes, p)
+	return p.start()
+}
+
+func settingsFile(name, ip, zone, store string, sidecar bool) string {
+	app := ""
+	if sidecar {
+		app = fmt.Sprintf("app = %q\nservice = \"llm\"\n", at(ip, runnerPort))
+	}
+	return fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = %q
+region = "r-%s"
+internalPortRange = [%d, %d]
+%s[zones]
+z0 = "r-z0"
+z1 = "r-z1"
+z2 = "r-z2"
+[listen]
+front = %q
+ready = %q
+[limits]
+memoryMb = 284
+[bounds]
+stableWindowMs = 4000
+graceS = 8
+configMs = 2500
+drainMs = 2500
+budgetRatio = 0.2
+budgetBurst = 58
+budgetWindowS = 10
+ceilingWindowS = 5
+ceilingFactor = 1.1
+[platform]
+address = %q
+`, name, ip, zone, zone, peerPort, peerPort+15, app, at(ip, frontPort), at(ip, readyPort), store)
+}
+
+var modelSizes = map[string]float64{"m0": 70, "m1": 70, "m2": 60, "m3": 60, "m4": 50, "m5": 50}
+
+// configure writes the next version of the configuration, which adds a route of its own.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.versionAt = time.Now()
+	var models []map[string]any
+	for name, size := range modelSizes {
+		models = append(models, map[string]any{"name": name, "weightsMb": size, "loadTimeS": 0.8, "diskS": 0.15, "warmupS": 0.15, "adapters": 4, "adapterMb": 1})
+	}
+	route := func(name, prefix, kind, service string, timeout, attempts int, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": "soak.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "targetLatencyMs": 500,
+			"targetGapMs": 400, "service": service, "maxAttempts": attempts, "resumable": resumable, "priority": 1}
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version,
+		"routes": []map[string]any{
+			route("report", "/report/", "streaming", "llm", 5000, 2, true),
+			route("chat", "/chat/", "streaming", "llm", 5000, 1, false),
+			route("loan", "/loan/", "non_idempotent", "loans", 2000, 2, false),
+			route("lookup", "/lookup/", "idempotent", "loans", 2000, 2, false),
+			route("new", fmt.Sprintf("/v%d/", w.version), "idempotent", "loans", 2000, 2, false),
+		},
+		"services": []map[string]any{
+			{"name": "llm", "maxConns": 300, "engine": map[string]any{"slots": 32, "kvCapacity": 200000, "weightsMb": 200, "adapterSlots": 3, "loadsPerS": 2, "models": models}},
+			{"name": "loans", "maxConns": 100},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+	})
+}
+
+// inForce returns a path of the newest version if that version has been acknowledged for long enough.
+func (w *world) inForce(now time.Time) (string, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf("/v%d/x", w.version), w.versionAt.Add(configDelay)
+}
+
+// storeCalmSince reports whether the store has been undisturbed since the time.
+func (w *world) storeCalmSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.storeCalm.IsZero() && w.storeCalm.Before(t)
+}
+
+// disturbRunners records a disturbance of runners or of links to them.
+func (w *world) disturbRunners() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runnersAt = time.Now()
+}
+
+func (w *world) runnersCalmSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runnersAt.Before(t)
+}
+
+func (w *world) disturbStore(end bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeCalm = time.Time{}
+	if end {
+		w.storeCalm = time.Now()
+	}
+}
+
+func (w *world) close() {
+	for _, p := range w.nodes {
+		p.signal(9, true)
+	}
+	for _, p := range w.nodes {
+		<-p.ended()
+	}
+	for _, l := range w.links {
+		l.Close()
+	}
+	for _, r := range w.runners {
+		r.proxy.Close()
+		r.Crash()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
+
+// ready reports whether the balancer sends new connections to the entry.
+func (w *world) ready(i int) bool {
+	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Get("http://" + strings.Replace(w.entryLinked[i], fmt.Sprint(frontPort), fmt.Sprint(readyPort), 1) + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
