Send nothing to silent upstreams, and callers elsewhere when cut off

Change: a router asks the agent of an upstream that it depends on for a sign of life after 0.3 s without one; three unanswered questions make the upstream silent. Silent upstreams get no requests and no loads. A router whose upstreams are all silent, with a failed connection, refuses at once without Retry-After, closes the connection and is not ready.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -69,7 +69,14 @@
 		log.State("ready")
 	})
 	store := platform.NewStore(set.StoreAddress)
-	peers := gateway.NewPeers(core, socket, log, gateway.Place{Router: set.Node, Zone: set.Zone, ZoneRegion: set.ZoneRegion}, set.PeerPort)
+	place := gateway.Place{Router: set.Node, Zone: set.Zone, ZoneRegion: set.ZoneRegion}
+	peers := gateway.NewPeers(core, socket, log, place, set.PeerPort, func(within bool) {
+		if within {
+			health.Ready()
+			return
+		}
+		health.Unready("no upstream is within reach")
+	})
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -92,9 +92,11 @@
 // candidates returns the upstreams that may get the request; blocked ones only if there is no other.
 func (s *State) candidates(now time.Time, r *Request) []*fleet.Member {
 	var open, blocked []*fleet.Member
-	for _, m := range s.Fleet.Members(now, r.Service) {
+	members := s.Fleet.Members(now, r.Service)
+	tryAll := s.tryAll(now, r.Service, members)
+	for _, m := range members {
 		switch {
-		case r.tried[m.ID]:
+		case r.tried[m.ID], m.Silent(now) && !tryAll:
 		case now.Before(s.track(m.ID).blockedUntil):
 			blocked = append(blocked, m)
 		default:
@@ -120,6 +122,10 @@
 	if len(r.tried) == 0 && s.Fleet.Len() == 0 {
 		return Decision{Action: Refuse, Reason: "no upstream is known", RetryAfter: time.Second}
 	}
+	if s.cutOff(now, r.Service) {
+		// The caller reaches another router at its next attempt; a wait would only cost it time.
+		return Decision{Action: Refuse, Reason: "no upstream is within reach", Elsewhere: true}
+	}
 	return Decision{Action: Refuse, Reason: "no upstream is left to try", RetryAfter: s.retryAfter(now, r, 500*time.Millisecond)}
 }
 
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -30,7 +30,7 @@
 // home returns where the model is to be loaded and how long that is expected to take.
 func (s *State) home(now time.Time, r *Request, members []*fleet.Member, spec catalog.Model) (string, time.Duration, bool) {
 	for _, m := range s.Fleet.Members(now, r.Service) { // a load under way is the best home
-		if loading(m, r.Model) {
+		if loading(m, r.Model) && !m.Silent(now) {
 			return m.ID, max(0, m.OrderUntil.Sub(now)), true
 		}
 	}
@@ -110,15 +110,10 @@
 // reports reports whether the agent beside the upstream can be asked for a load. If no agent of the service reports,
 // all count.
 func (s *State) reports(now time.Time, m *fleet.Member) bool {
-	if m.Fresh(now) {
+	if m.Fresh(now) && !m.Silent(now) {
 		return true
 	}
-	for _, other := range s.Fleet.Members(now, m.Service) {
-		if other.Fresh(now) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(s.Fleet.Members(now, m.Service), func(o *fleet.Member) bool { return o.Fresh(now) && !o.Silent(now) })
 }
 
 func (s *State) unloadTime(m *fleet.Member, sizeMB float64) time.Duration {
@@ -164,6 +159,7 @@
 	var others []*fleet.Member
 	for _, m := range s.Fleet.Members(now, r.Service) {
 		switch {
+		case m.Silent(now):
 		case loading(m, r.Model):
 			return
 		case m.Serves(r.Model):
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -77,7 +77,9 @@
 	Until time.Time
 	// RetryAfter is when a refused caller may find room; 0 if unknown.
 	RetryAfter time.Duration
-	Reason     string
+	// Elsewhere says that the router cannot serve the caller, but another one may.
+	Elsewhere bool
+	Reason    string
 	// Cost is the expected time to the first byte of the answer, and Age the age of the upstream's report; negative if it
 	// has not reported.
 	Cost, Age time.Duration
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -66,6 +66,8 @@
 	listedAt time.Time // first list of upstreams
 	// routers is the number of routers that share the retry limit.
 	routers int
+	// unreached is when a connection to an upstream last failed, by service.
+	unreached map[string]time.Time
 
 	homesVersion uint64
 	queue        map[string][]string // models that no upstream has a copy of, by service
@@ -78,7 +80,7 @@
 		Fleet: fleet.New(), settings: s, tracks: map[string]*track{}, quotas: map[string]*routing.Quota{},
 		wants: map[Want]time.Time{}, waiting: map[Want]int{}, rates: map[string]*rate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: unknownRouters,
-		Crashes: quarantine.NewReports(s.Name, s.Started),
+		Crashes: quarantine.NewReports(s.Name, s.Started), unreached: map[string]time.Time{},
 	}
 }
 
@@ -257,6 +259,7 @@
 		return
 	case NotConnected:
 		s.block(now, t)
+		s.unreached[r.Service] = now
 		s.Crashes.Ended(now, id) // an upstream that breaks off and then accepts no connection has ended
 		r.avoid(id)
 		return
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -40,6 +40,7 @@
 	Order      *placement.Order
 	OrderUntil time.Time
 	known      uint32 // version of the holdings that the agent has reported; 0 for none
+	signs      signs
 	// unlistedUntil is until when a member that only its agent has reported stays without an entry in the list.
 	unlistedUntil time.Time
 	dropAt        time.Time // when a lapsed entry is given up; zero while it is listed
@@ -147,6 +148,7 @@
 	}
 	changed := restarted || (m.Order == nil) != (r.Order == nil)
 	m.ReportedAt = now
+	m.signs.heard(now)
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: float64(r.FreeMB), IdleMB: float64(r.IdleMB),
 	}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -237,6 +237,9 @@
 
 // giveUp ends a request that no upstream gets any more.
 func (c *call) giveUp(d dispatch.Decision) {
+	if d.Elsewhere && !c.begun {
+		c.w.Header().Set("Connection", "close")
+	}
 	switch {
 	case c.begun:
 		c.abort("stream cannot go on: " + d.Reason)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -15,6 +15,8 @@
 	// is paid by volume: agents elsewhere get one in farTicks.
 	demandInterval = 500 * time.Millisecond
 	farTicks       = 3
+	// askInterval is the time between two questions to an agent for a sign of life.
+	askInterval = 100 * time.Millisecond
 )
 
 // Place says where a router is.
@@ -31,11 +33,14 @@
 	log    *eventlog.Log
 	place  Place
 	port   uint16 // of all agents
+	reach  func(bool)
+	cut    bool // reach has been called with false
 }
 
-// NewPeers returns the exchange of the router with the agents, which listen on port beside their upstreams.
-func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, place Place, port int) *Peers {
-	return &Peers{core: core, socket: socket, log: log, place: place, port: uint16(port)}
+// NewPeers returns the exchange of the router with the agents, which listen on port beside their upstreams. reach is called
+// with false when the router no longer reaches the upstreams, and with true when it does again.
+func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, place Place, port int, reach func(bool)) *Peers {
+	return &Peers{core: core, socket: socket, log: log, place: place, port: uint16(port), reach: reach}
 }
 
 // Receive takes the agents' reports until ctx ends.
@@ -50,18 +55,25 @@
 }
 
 func (p *Peers) report(r *peer.State) {
-	changed := false
+	changed, back := false, false
 	p.core.Do(func(s *dispatch.State) {
+		back = s.Fleet.Heard(time.Now(), r.ID)
 		changed = s.Fleet.Report(time.Now(), r)
 		s.Crashes.Merge(time.Now(), r.Crashes)
 		if r.Routers > 0 {
 			s.SetRouters(r.Routers)
 		}
 	})
-	if !changed {
+	if back {
+		p.log.State("upstream is no longer silent", "upstream", r.ID)
+	}
+	if !changed && !back {
 		return
 	}
 	p.core.Update(func(*dispatch.State) {})
+	if !changed {
+		return
+	}
 	p.log.State("upstream reported a change", "upstream", r.ID, "holdings", r.Version, "order", r.Order)
 }
 
@@ -69,11 +81,15 @@
 func (p *Peers) Run(ctx context.Context) {
 	tick := time.NewTicker(demandInterval)
 	defer tick.Stop()
+	ask := time.NewTicker(askInterval)
+	defer ask.Stop()
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
 			p.sendAll(true, true)
 			return
+		case <-ask.C:
+			p.askQuiet()
 		case <-tick.C:
 			p.sendAll(n%farTicks == 0, false)
 			n++
@@ -96,6 +112,37 @@
 	}
 }
 
+// askQuiet asks the agents beside upstreams that work depends on, and of which nothing was heard lately, for a report.
+func (p *Peers) askQuiet() {
+	now := time.Now()
+	var silent []string
+	addresses := map[string]bool{}
+	cut := false
+	p.core.Do(func(s *dispatch.State) {
+		cut = s.CutOff(now)
+		for _, m := range s.Quiet(now) {
+			addresses[m.Address] = true
+			if s.Fleet.Asked(now, m.ID) {
+				silent = append(silent, m.ID)
+			}
+		}
+	})
+	if cut != p.cut {
+		p.cut = cut
+		p.reach(!cut)
+		p.log.State("reach of upstreams changed", "within_reach", !cut)
+	}
+	for address := range addresses {
+		d := p.demand(address, false)
+		d.Ask = true
+		p.send(address, d)
+	}
+	if len(silent) > 0 {
+		p.core.Update(func(*dispatch.State) {})
+		p.log.State("upstreams are silent", "upstreams", silent)
+	}
+}
+
 func (p *Peers) sendTo(upstream string) {
 	address := ""
 	p.core.Do(func(s *dispatch.State) {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -78,7 +78,7 @@
 		return c.broken(ended(), err), nil
 	}
 	first()
-	outcome, a, err := c.take(resp)
+	outcome, a, err := c.take(resp, d.Upstream.ID)
 	if ended() || err != nil {
 		_ = conn.Close()
 		if err == nil && outcome == dispatch.Done {
@@ -125,7 +125,7 @@
 }
 
 // take judges the head of an answer and takes the body: a stream is forwarded, all else is read in full.
-func (c *call) take(resp *http.Response) (dispatch.Outcome, *answer, error) {
+func (c *call) take(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	success := resp.StatusCode/100 == 2
 	switch {
@@ -136,7 +136,7 @@
 		c.cause = "answer is not signed or is encoded"
 		return dispatch.Broken, nil, nil
 	case success && c.req.Route.Kind == catalog.Streaming:
-		return c.forward(resp)
+		return c.forward(resp, upstream)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,18 +5,24 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/sse"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
+// heardInterval is the time between two notes that a stream's upstream has given a sign of life: well below the time after
+// which it would be asked for one.
+const heardInterval = 100 * time.Millisecond
+
 // forward passes the events of a stream to the caller as they arrive. The head is written with the first event, so that
 // a stream that breaks off before it can still be refused or moved.
-func (c *call) forward(resp *http.Response) (dispatch.Outcome, *answer, error) {
+func (c *call) forward(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
 	events := sse.NewReader(resp.Body)
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
+	heardAt := time.Time{}
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -26,6 +32,10 @@
 		if err != nil {
 			return dispatch.Broken, nil, err
 		}
+		if now := time.Now(); now.Sub(heardAt) > heardInterval {
+			heardAt = now
+			c.g.core.Do(func(s *dispatch.State) { s.Fleet.Heard(now, upstream) })
+		}
 		if c.begun && c.repeated(e.ID) {
 			continue
 		}
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -49,6 +49,8 @@
 	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
 	// Known is the version of the holdings that the router has.
 	Known uint32 `cbor:"9,keyasint,omitempty"`
+	// Ask asks for a report at once: the router depends on the upstream and has not heard of it for a while.
+	Ask bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Holdings is what an upstream has loaded and what copies of weights it has.
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -42,6 +42,9 @@
 		r.byName[d.Router] = x
 	}
 	x.address, x.seen, x.demand = from, now, d
+	if d.Ask {
+		x.sentAt = time.Time{} // its report is due
+	}
 	for _, a := range d.Used {
 		r.used[a] = now
 	}
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -133,6 +133,20 @@
 		Eventually(r.states, "2s").Should(Receive(Satisfy(func(s peer.State) bool { return s.Holdings == nil })))
 	})
 
+	// A router takes an agent that does not answer within some 200 ms for gone.
+	It("answers a question at once", func() {
+		r := newRig("a")
+		ask := func() {
+			Expect(r.router.Send(r.to, peer.Message{Demand: &peer.Demand{Router: "edge-1", Ask: true}})).To(Succeed())
+		}
+		ask()
+		Eventually(r.states, "2s").Should(Receive())
+		for range 3 { // the regular interval is 500 ms or more
+			ask()
+			Eventually(r.states, "150ms").Should(Receive())
+		}
+	})
+
 	It("loads what a router wants and tells it", func() {
 		r := newRig()
 		r.agent.SetToken(41)
