Resume repeatable sends when their upstream turns silent

Ruled out: giving up sends that must not be repeated; their outcome would stay unknown and callers would not come back.

Change: the sends of repeatable requests end with the outcome silent when their upstream does, and go through the usual verdict on repeats.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -329,6 +329,7 @@
 		Entry("a non-idempotent request goes elsewhere if nothing was sent", &postRoute, dispatch.NotConnected, true, 0),
 		Entry("a stream that must not run twice is not repeated", &chatRoute, dispatch.Broken, false, http.StatusBadGateway),
 		Entry("a resumable stream is resumed", &reportRoute, dispatch.Broken, true, 0),
+		Entry("a resumable stream is resumed when its upstream is silent", &reportRoute, dispatch.Silent, true, 0),
 		// A 503 promises that the request has not run.
 		Entry("a cancelled send is not called not run", &getRoute, dispatch.Cancelled, false, http.StatusBadGateway),
 		Entry("a send that never began is", &postRoute, dispatch.Expired, false, http.StatusServiceUnavailable),
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -114,13 +114,15 @@
 	Failed
 	// Broken means that the answer did not arrive whole; the request may have run.
 	Broken
+	// Silent means that the send was given up because the upstream gives no sign of life; the request may have run.
+	Silent
 	// Cancelled means that the caller left or that the time was up after the request was sent.
 	Cancelled
 	// Expired means that the caller left or that the time was up before anything was sent.
 	Expired
 )
 
-var outcomeNames = [...]string{"done", "not_connected", "not_run", "absent", "failed", "broken", "cancelled", "expired"}
+var outcomeNames = [...]string{"done", "not_connected", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -273,7 +273,7 @@
 		r.avoid(id)
 		s.Fleet.Absent(id, r.Model, r.Adapter)
 		return
-	case Failed, Broken:
+	case Failed, Broken, Silent:
 		failed = 1
 		r.runs++
 		r.sends++
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -139,6 +139,7 @@
 	}
 	if len(silent) > 0 {
 		p.core.Update(func(*dispatch.State) {})
+		p.core.giveUpSends(silent)
 		p.log.State("upstreams are silent", "upstreams", silent)
 	}
 }
--- a/pkg/gateway/reach_test.go
+++ b/pkg/gateway/reach_test.go
@@ -77,4 +77,53 @@
 		answering.Store(true)
 		Eventually(within.Load, "3s").Should(BeTrue())
 	})
+
+	// Streams on a frozen machine stood still until their callers left, though they could be resumed elsewhere (decals,
+	// trouble-2).
+	It("resumes a stream elsewhere when its upstream turns silent", func() {
+		r := newRig()
+		r.configure()
+		socket, err := peer.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		hang := make(chan struct{})
+		first := make(chan string, 2)
+		play := func(id string) {
+			up := r.upstream(id, "llm", holdsM, func(w http.ResponseWriter, q *http.Request) {
+				sign(w, q)
+				first <- id
+				if q.Header.Get("Last-Event-Id") == "" {
+					_, _ = io.WriteString(w, event(1))
+					_ = http.NewResponseController(w).Flush()
+					select { // the machine stands still
+					case <-hang:
+					case <-q.Context().Done():
+					}
+					return
+				}
+				_, _ = io.WriteString(w, event(2))
+			})
+			r.core.Do(func(s *dispatch.State) {
+				s.Listed(time.Now().Add(-time.Second))
+				report := &peer.State{}
+				report.Hold(catalog.Upstream{ID: id, Service: "llm", Address: up.Listener.Addr().String(), Models: holdsM}, 1)
+				s.Fleet.Report(time.Now(), report)
+			})
+		}
+		play("u1")
+		play("u2")
+		DeferCleanup(func() { close(hang) })
+		peers := gateway.NewPeers(r.core, socket, eventlog.New(io.Discard, "entry", "vm"), gateway.Place{Router: "edge-1"}, 9, func(bool) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); peers.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+
+		began := time.Now()
+		resp, body, err := r.call("POST", "/stream/a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal(event(1) + event(2)))
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+		Expect(<-first).NotTo(Equal(<-first))
+	})
 })
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -71,11 +72,18 @@
 	}
 	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	ended := func() bool { return !stop() }
+	var silent atomic.Bool
+	if c.req.Route.Repeatable() {
+		defer c.g.core.onSilence(d.Upstream.ID, func() {
+			silent.Store(true)
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		})()
+	}
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.Head(c.r.Method)
 	if err != nil {
 		_ = conn.Close()
-		return c.broken(ended(), err), nil
+		return c.broken(ended(), silent.Load(), err), nil
 	}
 	first()
 	outcome, a, err := c.take(resp, d.Upstream.ID)
@@ -84,7 +92,7 @@
 		if err == nil && outcome == dispatch.Done {
 			return outcome, a
 		}
-		return c.broken(c.ctx.Err() != nil, err), a
+		return c.broken(c.ctx.Err() != nil, silent.Load(), err), a
 	}
 	if outcome == dispatch.Broken {
 		_ = conn.Close()
@@ -94,12 +102,15 @@
 	return outcome, a
 }
 
-func (c *call) broken(ended bool, err error) dispatch.Outcome {
+func (c *call) broken(ended, silent bool, err error) dispatch.Outcome {
 	if err != nil {
 		c.cause = err.Error()
 	}
-	if ended {
+	switch {
+	case ended:
 		return dispatch.Cancelled
+	case silent:
+		return dispatch.Silent
 	}
 	return dispatch.Broken
 }
