Load from a copy even while a fetch is under way

Routers and agents were back within 0.2 s of each other; the first requests were decided on before the agents beside the copies had reported, so hot models were fetched from the weight store at upstreams without a copy. A load under way was the best home whatever its rest, so all requests stayed with it for 10 to 20 s while two idle upstreams had the model on their disks.

Change: within two seconds of its first list a router does not ask for a fetch while listed upstreams have not been reported; a load under way is the home only if a copy elsewhere would not be loaded much sooner.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -240,14 +240,17 @@
 	if !known {
 		return Decision{Action: Refuse, Reason: "model is not configured"}
 	}
-	home, wait, ok := s.home(now, r, members, spec)
+	h, ok := s.home(now, r, members, spec)
+	if (!ok || h.fetch) && s.awaitsCopies(now, r.Service) {
+		return Decision{Action: Wait, Reason: "not all agents have reported yet", Until: now.Add(reportCheck)}
+	}
 	if !ok {
 		return Decision{Action: Refuse, Reason: "model has no home", RetryAfter: s.retryAfter(now, r, time.Second)}
 	}
-	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: wait, Until: now.Add(recheck)}
-	d.Want = s.want(now, home, r.Model, "")
-	if wait+reserve > r.waitLimit(now) {
-		d.Action, d.Reason, d.RetryAfter = Refuse, "model cannot be loaded in time", s.retryAfter(now, r, wait)
+	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: h.wait, Until: now.Add(recheck)}
+	d.Want = s.want(now, h.upstream, r.Model, "")
+	if h.wait+reserve > r.waitLimit(now) {
+		d.Action, d.Reason, d.RetryAfter = Refuse, "model cannot be loaded in time", s.retryAfter(now, r, h.wait)
 	}
 	return d
 }
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -27,27 +27,55 @@
 	targetUse   = 0.5
 )
 
-// home returns where the model is to be loaded and how long that is expected to take.
-func (s *State) home(now time.Time, r *Request, members []*fleet.Member, spec catalog.Model) (string, time.Duration, bool) {
-	for _, m := range s.Fleet.Members(now, r.Service) { // a load under way is the best home
-		if loading(m, r.Model) && !m.Silent(now) {
-			return m.ID, max(0, m.OrderUntil.Sub(now)), true
+// home is where a model is to be loaded.
+type home struct {
+	upstream string
+	wait     time.Duration // until it is expected to be loaded
+	fetch    bool          // from the weight store; no upstream is known to have a copy
+}
+
+// home returns where the model is to be loaded: where its load is under way, unless another upstream can load it much
+// sooner from a copy. Loads from the weight store go on for ten seconds while a copy elsewhere takes one.
+func (s *State) home(now time.Time, r *Request, members []*fleet.Member, spec catalog.Model) (home, bool) {
+	best, wait := s.nearest(now, members, spec)
+	if m := s.underWay(now, r); m != nil {
+		if rest := max(0, m.OrderUntil.Sub(now)); best == nil || rest <= wait+moveGain {
+			return home{upstream: m.ID, wait: rest}, true
 		}
 	}
-	if best, wait := s.nearest(now, members, spec); best != nil {
+	if best != nil {
 		id, wait := s.stay(now, members, spec, best.ID, wait)
-		return id, wait, true
+		return home{upstream: id, wait: wait}, true
 	}
 	homes, missing := s.homesOf(now, r.Service)
 	h, ok := homes[r.Model]
 	if !ok {
-		return "", 0, false
+		return home{}, false
 	}
-	wait := spec.FetchTime + time.Duration(slices.Index(missing, r.Model)/storeParallel)*spec.FetchTime
+	wait = spec.FetchTime + time.Duration(slices.Index(missing, r.Model)/storeParallel)*spec.FetchTime
 	if m := s.Fleet.Get(h.Upstream); m != nil {
 		wait += restOfOrder(now, m)
 	}
-	return h.Upstream, wait, true
+	return home{upstream: h.Upstream, wait: wait, fetch: true}, true
+}
+
+// underWay returns the upstream that is expected to end the load of the request's model first; nil if there is none.
+func (s *State) underWay(now time.Time, r *Request) *fleet.Member {
+	var first *fleet.Member
+	for _, m := range s.Fleet.Members(now, r.Service) {
+		if loading(m, r.Model) && !m.Silent(now) && (first == nil || m.OrderUntil.Before(first.OrderUntil)) {
+			first = m
+		}
+	}
+	return first
+}
+
+// awaitsCopies reports whether the process has started a short while ago and some agents have not reported yet: a copy may
+// lie beside one of them.
+func (s *State) awaitsCopies(now time.Time, service string) bool {
+	return now.Sub(s.listedAt) < lastReports && slices.ContainsFunc(s.Fleet.Members(now, service), func(m *fleet.Member) bool {
+		return m.ReportedAt.IsZero()
+	})
 }
 
 func loading(m *fleet.Member, model string) bool {
--- /dev/null
+++ b/pkg/dispatch/recovery_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+// After a loss of power of all VMs the first requests for a model were decided on before the agents beside its copies had
+// reported. The model was fetched from the weight store for ten to twenty seconds, and all requests for it were refused
+// meanwhile, while two idle upstreams had it on their disks (vanstops-grown, trouble-1, seed 31).
+var _ = Describe("models after a restart of all VMs", func() {
+	var s *dispatch.State
+	listed := func(id string) {
+		s.Fleet.Put(now, catalog.Upstream{ID: id, Service: "llm", Address: id + ":1", Zone: "z1", Slots: 6, Born: 100})
+	}
+	// restarted is the report of the agent beside an upstream that has started again.
+	restarted := func(id string, onDisk ...string) {
+		r := &peer.State{FreeMB: 100}
+		r.Hold(catalog.Upstream{ID: id + "-again", Address: id + ":1", Born: 200, OnDisk: onDisk}, 1)
+		s.Fleet.Report(now, r)
+	}
+	BeforeEach(func() {
+		s = newState()
+		for _, id := range []string{"u1", "u2", "u3"} {
+			listed(id)
+		}
+		s.Listed(now)
+		restarted("u1", "b")
+		restarted("u2", "c")
+	})
+
+	It("are not fetched from the weight store before all agents have reported", func() {
+		d := s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(d.Action).To(Equal(dispatch.Wait))
+		Expect(d.Want).To(BeNil())
+		restarted("u3", "a")
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal("u3-again"))
+	})
+
+	It("are fetched once the agents that live have had the time to report", func() {
+		later := now.Add(2 * time.Second)
+		r := request(&reportRoute, "llm", "a")
+		r.Deadline = later.Add(10 * time.Second)
+		d := s.Decide(later, r)
+		Expect(d.Want).NotTo(BeNil())
+	})
+
+	It("are loaded from a copy although a fetch is under way elsewhere", func() {
+		restarted("u3", "a")
+		order := &peer.State{Order: &placement.Order{Model: "a"}, OrderMS: 6000}
+		order.Hold(catalog.Upstream{ID: "u1-again", Address: "u1:1", Born: 200}, 2)
+		s.Fleet.Report(now, order)
+		d := s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(d.Action).To(Equal(dispatch.Wait))
+		Expect(d.Want.Upstream).To(Equal("u3-again"))
+
+		order.OrderMS = 1500 // nearly as soon as from the copy
+		s.Fleet.Report(now, order)
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal("u1-again"))
+	})
+})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -24,6 +24,9 @@
 	// firstReports is the time from the first list of upstreams until the agents' reports have arrived: a message and its
 	// answer between regions, and a round of the agent.
 	firstReports = 400 * time.Millisecond
+	// lastReports is the time from the first list of upstreams within which the agents beside all upstreams that live have
+	// reported, also if all VMs have lost power and start at the same time.
+	lastReports = 2 * time.Second
 	// rateHalfLife is the time after which a request counts half in a model's rate.
 	rateHalfLife = 4 * time.Second
 )
