Forget a send before its connection is kept for others

Cause: read in the diff. A repeatable send stayed registered for the silence of its upstream until after its connection had gone back to the pool. A silence in between would have set a past deadline on an idle connection, whose next request could not have been written.

Change: the send is forgotten first; a connection that was given up meanwhile is closed.

Not measured on its own: the window is some microseconds long.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -73,11 +73,13 @@
 	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	ended := func() bool { return !stop() }
 	var silent atomic.Bool
+	forget := func() {}
 	if c.req.Route.Repeatable() {
-		defer c.g.core.onSilence(d.Upstream.ID, func() {
+		forget = c.g.core.onSilence(d.Upstream.ID, func() {
 			silent.Store(true)
 			_ = conn.SetDeadline(time.Unix(1, 0))
-		})()
+		})
+		defer forget()
 	}
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.Head(c.r.Method)
@@ -94,7 +96,8 @@
 		}
 		return c.broken(c.ctx.Err() != nil, silent.Load(), err), a
 	}
-	if outcome == dispatch.Broken {
+	forget() // before the connection can carry another request
+	if outcome == dispatch.Broken || silent.Load() {
 		_ = conn.Close()
 		return outcome, a
 	}
