Count lookups whose connection is dropped in the load tool

A new spec shows it each time: five lookups, the second dropped on a used connection, none counted as dropped.

Ruled out: the stand-ins, which dropped the connection; the race detector.

Change: lookups get a connection of their own, as calls with a key already did.

--- a/pkg/loadgen/loadgen_test.go
+++ b/pkg/loadgen/loadgen_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +90,25 @@
 		Expect(r.Failures).To(Equal(8))
 	})
 
+	// net/http repeats a GET by itself when a connection that was used before is dropped, so a lost answer was counted as
+	// whole and its lookup arrived twice.
+	It("counts a lookup whose connection is dropped, and sends it once", func() {
+		var arrived atomic.Int32
+		o := options(serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if arrived.Add(1) == 2 {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_ = conn.Close()
+				return
+			}
+			w.Header().Set("Hibiscuscross-Outcome", "done")
+		})))
+		o.Count, o.PlainShare, o.NonIdempotentShare, o.MaxInFlight = 5, 1, 0, 1
+		r := run(o)
+		Expect(r.Outcomes[loadgen.OutcomeDropped]).To(Equal(1))
+		Expect(arrived.Load()).To(Equal(int32(5)))
+	})
+
 	answer := func(status int, outcome, kind, body string) loadgen.Report {
 		o := options(serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if outcome != "" {
--- a/pkg/loadgen/run.go
+++ b/pkg/loadgen/run.go
@@ -44,8 +44,9 @@
 type runner struct {
 	options Options
 	shared  *http.Client
-	// fresh has a connection for each call: net/http repeats a call with an Idempotency-Key by itself after a reused
-	// connection failed, and the second one would still be marked as the first attempt.
+	// fresh has a connection for each call to a service: net/http repeats a GET, and a call with an Idempotency-Key, by
+	// itself after a reused connection failed. The loss would not be counted, and a repeated call would still be marked as
+	// the first attempt.
 	fresh *http.Client
 
 	mu       sync.Mutex
@@ -118,7 +119,7 @@
 		return res
 	}
 	client := r.shared
-	if q.Kind == KindRun {
+	if q.Kind != KindModel {
 		client = r.fresh
 	}
 	resp, err := client.Do(req)
