Keep the platform's names out of the specs of other packages

Cause: the spec of the boundary passed over test files, and the specs of pkg/gateway and pkg/sidecar spelled the platform's headers and documents. Both packages also decoded configurations and entries on their own.

Stand-ins set and read the headers for specs; the agent takes decoded configurations and lists. Objects are decoded in one place, pkg/follow, with a spec that unreadable ones undo nothing.

Ruled out by reading: decisions in platform/.

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
@@ -143,3 +145,34 @@
 		Expect(play(s)).To(Equal([]string{"listed", "returned", "changed a"}))
 	})
 })
+
+// An entry or a configuration that cannot be read must not undo what is known.
+var _ = Describe("decoded objects", func() {
+	log := eventlog.New(io.Discard, "entry", "vm")
+	bad := platform.Object{Name: "u1", Spec: []byte("{")}
+
+	It("passes over configurations that cannot be read", func() {
+		var versions []uint64
+		h := follow.Configs(log, func(c *catalog.Config, revision uint64) { versions = append(versions, c.Version, revision) })
+		h.Changed([]platform.Object{
+			{Name: platform.NameConfig, Spec: []byte("{")},
+			{Name: "other", Spec: []byte(`{"version":1}`)},
+			{Name: platform.NameConfig, Deleted: true},
+			{Name: platform.NameConfig, Revision: 9, Spec: []byte(`{"version":3}`)},
+		})
+		Expect(versions).To(Equal([]uint64{3, 9}))
+	})
+
+	It("passes over entries of upstreams that cannot be used, and tells of removed ones", func() {
+		var seen []string
+		h := follow.Upstreams(log, follow.UpstreamHandler{
+			Listed:  func(all []catalog.Upstream) { seen = append(seen, fmt.Sprint("listed ", len(all))) },
+			Put:     func(u catalog.Upstream, _ uint64) { seen = append(seen, "put "+u.ID) },
+			Removed: func(id string, _ uint64) { seen = append(seen, "removed "+id) },
+		})
+		good := platform.Object{Name: "u2", Spec: []byte(`{"service":"llm","address":"10.0.0.1:1","state":"ready"}`)}
+		h.Listed([]platform.Object{bad, good})
+		h.Changed([]platform.Object{bad, good, {Name: "u2", Deleted: true}})
+		Expect(seen).To(Equal([]string{"listed 1", "put u2", "removed u2"}))
+	})
+})
--- a/pkg/gateway/answers_test.go
+++ b/pkg/gateway/answers_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
 // hijack answers with raw bytes and closes the connection.
@@ -55,7 +56,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
 		Expect(resp.Header.Get("X-Own")).To(Equal("1"))
-		Expect(resp.Header.Get("Hibiscuscross-Server-Stamp")).To(Equal("stamp"))
+		Expect(standin.Stamp(resp.Header)).To(Equal("stamp"))
 		Expect(body).To(Equal("/post/a//b%2f?x=%20"))
 	})
 
@@ -73,20 +74,20 @@
 			resp, _, err := r.call(http.MethodPost, "/post/x")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
-			Expect(resp.Header.Get("Hibiscuscross-Server-Stamp")).To(BeEmpty())
+			Expect(standin.Stamp(resp.Header)).To(BeEmpty())
 			Expect(runs.Load()).To(Equal(int32(1)))
 		},
 		Entry("connection closed without an answer", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "") }),
 		Entry("answer cut short", func(w http.ResponseWriter, _ *http.Request) {
-			hijack(w, "HTTP/1.1 200 OK\r\nHibiscuscross-Request-Id: r1\r\nHibiscuscross-Server-Stamp: s\r\nContent-Length: 9\r\n\r\nab")
+			hijack(w, standin.Head("r1", "s", 9)+"ab")
 		}),
 		Entry("bytes that are no answer", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "\x00\x01garbage\r\n\r\n") }),
 		Entry("answer to another request", func(w http.ResponseWriter, req *http.Request) {
 			sign(w, req)
-			w.Header().Set("Hibiscuscross-Request-Id", "other")
+			standin.SetAnswerID(w.Header(), "other")
 		}),
 		Entry("success without a stamp", func(w http.ResponseWriter, req *http.Request) {
-			w.Header().Set("Hibiscuscross-Request-Id", "r1")
+			standin.SetAnswerID(w.Header(), "r1")
 		}),
 		Entry("encoded body", func(w http.ResponseWriter, req *http.Request) {
 			sign(w, req)
@@ -99,7 +100,7 @@
 		var refused atomic.Int32
 		r.upstream("u1", "plain", nil, func(w http.ResponseWriter, _ *http.Request) {
 			refused.Add(1)
-			w.Header().Set("Hibiscuscross-Not-Executed", "1")
+			standin.SetNotRun(w.Header())
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 		resp, _, err := r.call(http.MethodPost, "/post/x")
@@ -121,7 +122,7 @@
 		resp, _, err := r.call(http.MethodGet, "/get/x")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError))
-		Expect(resp.Header.Get("Hibiscuscross-Server-Stamp")).To(Equal("stamp"))
+		Expect(standin.Stamp(resp.Header)).To(Equal("stamp"))
 		Expect(runs.Load()).To(Equal(int32(2)))
 	})
 
@@ -138,7 +139,7 @@
 	// The caller must not take the beginning of a stream for the whole.
 	It("cuts a stream that must not run twice where the upstream broke off", func() {
 		r.upstream("u1", "llm", holdsM, func(w http.ResponseWriter, req *http.Request) {
-			hijack(w, "HTTP/1.1 200 OK\r\nHibiscuscross-Request-Id: r1\r\nHibiscuscross-Server-Stamp: s\r\nContent-Length: 999\r\n\r\n"+event(1)+"id: 2\nda")
+			hijack(w, standin.Head("r1", "s", 999)+event(1)+"id: 2\nda")
 		})
 		_, body, err := r.call(http.MethodPost, "/once/x")
 		Expect(err).To(HaveOccurred())
@@ -150,7 +151,7 @@
 		answer := func(w http.ResponseWriter, req *http.Request) {
 			from := req.Header.Get("Last-Event-Id")
 			if from == "" {
-				hijack(w, "HTTP/1.1 200 OK\r\nHibiscuscross-Request-Id: r1\r\nHibiscuscross-Server-Stamp: first\r\nContent-Length: 999\r\n\r\n"+event(1)+event(2)+"id: 3\nda")
+				hijack(w, standin.Head("r1", "first", 999)+event(1)+event(2)+"id: 3\nda")
 				return
 			}
 			last.Store(from)
@@ -162,7 +163,7 @@
 		resp, body, err := r.call(http.MethodPost, "/stream/x")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(last.Load()).To(Equal("2"))
-		Expect(resp.Header.Get("Hibiscuscross-Server-Stamp")).To(Equal("first"))
+		Expect(standin.Stamp(resp.Header)).To(Equal("first"))
 		Expect(body).To(Equal(event(1) + event(2) + event(3) + event(4)))
 	})
 
@@ -178,8 +179,7 @@
 		req, err := http.NewRequest(http.MethodPost, r.front.URL+"/once/x", strings.NewReader("body"))
 		Expect(err).NotTo(HaveOccurred())
 		req.Host = "h"
-		req.Header.Set("Hibiscuscross-Request-Id", "r1")
-		req.Header.Set("Hibiscuscross-Model", "m")
+		standin.SetCall(req.Header, "r1", 0, "m", "")
 		resp, err := http.DefaultClient.Do(req)
 		Expect(err).NotTo(HaveOccurred())
 		_ = resp.Body.Close()
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
 func TestGateway(t *testing.T) {
@@ -75,10 +76,11 @@
 	req, err := http.NewRequest(method, r.front.URL+path, nil)
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h"
-	req.Header.Set("Hibiscuscross-Request-Id", "r1")
+	model := ""
 	if path[1] == 's' || path[1] == 'o' {
-		req.Header.Set("Hibiscuscross-Model", "m")
+		model = "m"
 	}
+	standin.SetCall(req.Header, "r1", 0, model, "")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, "", err
@@ -90,6 +92,5 @@
 
 // sign marks an answer as the upstream's own.
 func sign(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Hibiscuscross-Request-Id", r.Header.Get("Hibiscuscross-Request-Id"))
-	w.Header().Set("Hibiscuscross-Server-Stamp", "stamp")
+	standin.Sign(w.Header(), standin.CallID(r.Header), "stamp")
 }
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -7,7 +7,6 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
-	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
 // Sync puts what the platform's store says into force.
@@ -27,79 +26,45 @@
 
 // Config returns the handler for the operator's configuration.
 func (s *Sync) Config() follow.Handler {
-	return follow.Handler{Listed: s.configure, Changed: s.configure}
-}
-
-func (s *Sync) configure(objects []platform.Object) {
-	for _, o := range objects {
-		if o.Name != platform.NameConfig || o.Deleted {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(o.Spec)
-		if err != nil {
-			s.log.State("configuration cannot be read, the last one stays in force", "revision", o.Revision, "err", err)
-			continue
-		}
+	return follow.Configs(s.log, func(c *catalog.Config, revision uint64) {
 		taken := false
-		s.core.Update(func(st *dispatch.State) { taken = st.SetConfig(cfg) })
-		s.log.State("configuration read", "version", cfg.Version, "revision", o.Revision, "routes", cfg.Routes(), "in_force", taken)
+		s.core.Update(func(st *dispatch.State) { taken = st.SetConfig(c) })
+		s.log.State("configuration read", "version", c.Version, "revision", revision, "routes", c.Routes(), "in_force", taken)
 		s.config = s.config || taken
-	}
-	s.check()
+		s.check()
+	})
 }
 
 // Upstreams returns the handler for the list of upstreams.
 func (s *Sync) Upstreams() follow.Handler {
-	return follow.Handler{
-		Listed: func(objects []platform.Object) {
-			ups := s.decode(objects)
-			s.core.Update(func(st *dispatch.State) {
-				st.Fleet.Sync(time.Now(), ups)
-				st.Listed(time.Now())
-			})
-			select {
-			case s.core.listed <- struct{}{}:
-			default: // a message to all agents is due already
-			}
-			s.log.State("upstreams listed", "count", len(ups))
-			s.list = true
-			s.check()
+	return follow.Upstreams(s.log, follow.UpstreamHandler{
+		Listed: s.listed,
+		Put: func(u catalog.Upstream, revision uint64) {
+			s.core.Update(func(st *dispatch.State) { st.Fleet.Put(time.Now(), u) })
+			s.log.State("upstream changed", "upstream", u.ID, "revision", revision, "draining", u.Draining, "models", len(u.Models))
 		},
-		Changed: func(objects []platform.Object) {
-			for _, o := range objects {
-				s.change(o)
-			}
+		Removed: func(id string, revision uint64) {
+			s.core.Update(func(st *dispatch.State) { st.Fleet.Remove(time.Now(), id) })
+			s.log.State("upstream removed from the list", "upstream", id, "revision", revision)
 		},
 		Returned: func() {
 			s.core.Do(func(st *dispatch.State) { st.Fleet.Returned(time.Now()) })
 		},
-	}
+	})
 }
 
-func (s *Sync) decode(objects []platform.Object) []catalog.Upstream {
-	var ups []catalog.Upstream
-	for _, o := range objects {
-		u, err := platform.DecodeUpstream(o)
-		if err != nil {
-			s.log.State("upstream entry cannot be used", "name", o.Name, "revision", o.Revision, "err", err)
-			continue
-		}
-		ups = append(ups, u)
-	}
-	return ups
-}
-
-func (s *Sync) change(o platform.Object) {
-	now := time.Now()
-	if o.Deleted {
-		s.core.Update(func(st *dispatch.State) { st.Fleet.Remove(now, o.Name) })
-		s.log.State("upstream removed from the list", "upstream", o.Name, "revision", o.Revision)
-		return
-	}
-	for _, u := range s.decode([]platform.Object{o}) {
-		s.core.Update(func(st *dispatch.State) { st.Fleet.Put(now, u) })
-		s.log.State("upstream changed", "upstream", u.ID, "revision", o.Revision, "draining", u.Draining, "models", len(u.Models))
+func (s *Sync) listed(all []catalog.Upstream) {
+	s.core.Update(func(st *dispatch.State) {
+		st.Fleet.Sync(time.Now(), all)
+		st.Listed(time.Now())
+	})
+	select {
+	case s.core.listed <- struct{}{}:
+	default: // a message to all agents is due already
 	}
+	s.log.State("upstreams listed", "count", len(all))
+	s.list = true
+	s.check()
 }
 
 func (s *Sync) check() {
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -75,8 +75,15 @@
 	return append([]placement.Order(nil), e.orders...)
 }
 
-const config = `{"version":1,"services":[{"name":"llm","healthPath":"/healthz","engine":{"weightsMb":100,"adapterSlots":2,"loadsPerS":2,
-	"models":[{"name":"a","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5},{"name":"b","weightsMb":60,"loadTimeS":6,"diskS":1,"warmupS":0.5}]}}]}`
+// config has a service with two models, of which one fits into an engine's memory.
+func config() *catalog.Config {
+	models := map[string]catalog.Model{}
+	for _, name := range []string{"a", "b"} {
+		models[name] = catalog.Model{Name: name, SizeMB: 60, FetchTime: 6 * time.Second, DiskTime: time.Second, MemoryTime: 500 * time.Millisecond}
+	}
+	engine := &catalog.Engine{Models: models, MemoryMB: 100, AdapterSlots: 2, LoadsPerSecond: 2}
+	return catalog.NewConfig(1, nil, []catalog.Service{{Name: "llm", HealthPath: "/healthz", Engine: engine}}, catalog.Limits{})
+}
 
 // rig is an agent beside an engine, and a router that talks to it.
 type rig struct {
@@ -99,8 +106,8 @@
 	r.to = socket.Address()
 	r.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 4},
 		r.engine, socket, eventlog.New(io.Discard, "sidecar", "side-1"))
-	r.agent.Config().Listed([]platform.Object{{Name: "main", Spec: []byte(config)}})
-	r.agent.Upstreams().Listed([]platform.Object{{Name: "i-1", Spec: []byte(`{"service":"llm","address":"` + address + `","state":"ready","born":5}`)}})
+	r.agent.Configure(config(), 1)
+	r.agent.List([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, Born: 5}})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(3)
--- a/pkg/sidecar/sync.go
+++ b/pkg/sidecar/sync.go
@@ -9,61 +9,51 @@
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
-// Config returns the handler for the operator's configuration.
-func (a *Agent) Config() follow.Handler {
-	take := func(objects []platform.Object) {
-		for _, o := range objects {
-			if o.Name != platform.NameConfig || o.Deleted {
-				continue
-			}
-			cfg, err := platform.DecodeConfig(o.Spec)
-			if err != nil {
-				a.log.State("configuration cannot be read, the last one stays in force", "revision", o.Revision, "err", err)
-				continue
-			}
-			a.mu.Lock()
-			if a.config == nil || cfg.Version > a.config.Version {
-				a.config = cfg
-			}
-			a.mu.Unlock()
-			a.log.State("configuration read", "version", cfg.Version, "revision", o.Revision)
-		}
+// Configure takes a version of the configuration, unless a newer one is known.
+func (a *Agent) Configure(c *catalog.Config, revision uint64) {
+	a.mu.Lock()
+	if a.config == nil || c.Version > a.config.Version {
+		a.config = c
+	}
+	a.mu.Unlock()
+	a.log.State("configuration read", "version", c.Version, "revision", revision)
+}
+
+// List takes the whole list of upstreams.
+func (a *Agent) List(all []catalog.Upstream) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listed = map[string]catalog.Upstream{}
+	for _, u := range all {
+		a.put(u)
+	}
+}
+
+func (a *Agent) put(u catalog.Upstream) {
+	if _, known := a.listed[u.ID]; !known {
+		a.grownAt = time.Now()
 	}
-	return follow.Handler{Listed: take, Changed: take}
+	a.listed[u.ID] = u
 }
 
+// Config returns the handler for the operator's configuration.
+func (a *Agent) Config() follow.Handler { return follow.Configs(a.log, a.Configure) }
+
 // Upstreams returns the handler for the list of upstreams.
 func (a *Agent) Upstreams() follow.Handler {
-	put := func(objects []platform.Object) {
-		for _, o := range objects {
-			if o.Deleted {
-				delete(a.listed, o.Name)
-				continue
-			}
-			u, err := platform.DecodeUpstream(o)
-			if err != nil {
-				a.log.State("upstream entry cannot be used", "name", o.Name, "revision", o.Revision, "err", err)
-				continue
-			}
-			if _, known := a.listed[o.Name]; !known {
-				a.grownAt = time.Now()
-			}
-			a.listed[o.Name] = u
-		}
-	}
-	return follow.Handler{
-		Listed: func(objects []platform.Object) {
+	return follow.Upstreams(a.log, follow.UpstreamHandler{
+		Listed: a.List,
+		Put: func(u catalog.Upstream, _ uint64) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			a.listed = map[string]catalog.Upstream{}
-			put(objects)
+			a.put(u)
 		},
-		Changed: func(objects []platform.Object) {
+		Removed: func(id string, _ uint64) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			put(objects)
+			delete(a.listed, id)
 		},
-	}
+	})
 }
 
 // fencePause is the time between two tries to get a fencing token.
