Read the url and timeout settings of modules in one place

Cause: four modules parsed and checked the setting url each on its own, two the setting timeout.

Change: Settings.TakeURL, Settings.TakeDuration and CheckURL in pkg/kernel; errors read as before. Lookups in lists use slices.Contains.

Ruled out: one client for all four; they differ in connections kept and in timeouts. The two examples stay programs of their own.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -201,15 +202,7 @@
 // HoldsAdapter reports whether the model and the adapter are in accelerator memory.
 func (u *Upstream) HoldsAdapter(model, adapter string) bool {
 	r := u.resident(model)
-	if r == nil {
-		return false
-	}
-	for _, a := range r.Adapters {
-		if a == adapter {
-			return true
-		}
-	}
-	return false
+	return r != nil && slices.Contains(r.Adapters, adapter)
 }
 
 func (u *Upstream) resident(model string) *Resident {
@@ -234,18 +227,13 @@
 
 // Tier returns the nearest copy of the model at the upstream.
 func (u *Upstream) Tier(model string) Tier {
-	if u.Holds(model) {
+	switch {
+	case u.Holds(model):
 		return TierAccelerator
-	}
-	for _, m := range u.InMemory {
-		if m == model {
-			return TierMemory
-		}
-	}
-	for _, m := range u.OnDisk {
-		if m == model {
-			return TierDisk
-		}
+	case slices.Contains(u.InMemory, model):
+		return TierMemory
+	case slices.Contains(u.OnDisk, model):
+		return TierDisk
 	}
 	return TierStore
 }
--- a/pkg/engine/openai/openai.go
+++ b/pkg/engine/openai/openai.go
@@ -25,7 +25,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -68,7 +67,7 @@
 
 // Provision takes the setting url, for example "http://127.0.0.1:9000".
 func (e *Engine) Provision(_ context.Context, s kernel.Settings) error {
-	e.base = strings.TrimSuffix(s.Take("url", ""), "/")
+	e.base = s.TakeURL()
 	t := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableKeepAlives:  true,
@@ -80,10 +79,7 @@
 
 // Validate checks that an address was given.
 func (e *Engine) Validate() error {
-	if u, err := url.Parse(e.base); err != nil || u.Host == "" {
-		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
-	}
-	return nil
+	return kernel.CheckURL(ID, e.base)
 }
 
 // Cleanup has nothing to release.
--- a/pkg/engine/plain/plain.go
+++ b/pkg/engine/plain/plain.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sort"
 	"strconv"
 	"strings"
@@ -45,7 +44,7 @@
 
 // Provision takes the settings url and slots, the number of calls run at once (DefaultSlots).
 func (e *Engine) Provision(_ context.Context, s kernel.Settings) error {
-	e.base = strings.TrimSuffix(s.Take("url", ""), "/")
+	e.base = s.TakeURL()
 	slots, err := strconv.Atoi(s.Take("slots", strconv.Itoa(DefaultSlots)))
 	if err != nil {
 		return fault.Wrap(err, fault.StepSettings, ID, "parse setting slots")
@@ -62,8 +61,8 @@
 
 // Validate checks the settings.
 func (e *Engine) Validate() error {
-	if u, err := url.Parse(e.base); err != nil || u.Host == "" {
-		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
+	if err := kernel.CheckURL(ID, e.base); err != nil {
+		return err
 	}
 	if e.slots <= 0 {
 		return fault.New(fault.StepSettings, ID, "setting slots is not positive")
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 )
@@ -49,6 +51,23 @@
 	return v
 }
 
+// TakeURL removes and returns the setting url without a slash at its end.
+func (s Settings) TakeURL() string { return strings.TrimSuffix(s.Take("url", ""), "/") }
+
+// CheckURL returns an error if the url of the module with the id names no host.
+func CheckURL(id, base string) error {
+	if u, err := url.Parse(base); err != nil || u.Host == "" {
+		return fault.New(fault.StepSettings, id, "setting url is empty or malformed")
+	}
+	return nil
+}
+
+// TakeDuration removes and returns a setting of the module with the id that is a duration such as "2s".
+func (s Settings) TakeDuration(id, name string, fallback time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(s.Take(name, fallback.String()))
+	return d, fault.Wrap(err, fault.StepSettings, id, "parse setting "+name)
+}
+
 // Unused returns an error that names the settings that no Take has asked for.
 func (s Settings) Unused() error {
 	if len(s) == 0 {
--- a/pkg/store/httpstore/httpstore.go
+++ b/pkg/store/httpstore/httpstore.go
@@ -46,10 +46,10 @@
 
 // Provision takes the settings url, for example "http://127.0.0.1:9100", and timeout, a duration (DefaultTimeout).
 func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
-	c.base = strings.TrimSuffix(s.Take("url", ""), "/")
-	timeout, err := time.ParseDuration(s.Take("timeout", DefaultTimeout.String()))
+	c.base = s.TakeURL()
+	timeout, err := s.TakeDuration(ID, "timeout", DefaultTimeout)
 	if err != nil {
-		return fault.Wrap(err, fault.StepSettings, ID, "parse setting timeout")
+		return err
 	}
 	c.timeout = timeout
 	c.reads, c.writes = newClient(timeout, false), newClient(timeout, true)
@@ -70,8 +70,8 @@
 
 // Validate checks the settings.
 func (c *Client) Validate() error {
-	if u, err := url.Parse(c.base); err != nil || u.Host == "" {
-		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
+	if err := kernel.CheckURL(ID, c.base); err != nil {
+		return err
 	}
 	if c.timeout <= 0 {
 		return fault.New(fault.StepSettings, ID, "setting timeout is not positive")
--- a/pkg/vmlist/httplist/httplist.go
+++ b/pkg/vmlist/httplist/httplist.go
@@ -9,9 +9,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,10 +52,10 @@
 
 // Provision takes the settings url and timeout, a duration (DefaultTimeout).
 func (c *Client) Provision(_ context.Context, s kernel.Settings) error {
-	c.base = strings.TrimSuffix(s.Take("url", ""), "/")
-	timeout, err := time.ParseDuration(s.Take("timeout", DefaultTimeout.String()))
+	c.base = s.TakeURL()
+	timeout, err := s.TakeDuration(ID, "timeout", DefaultTimeout)
 	if err != nil {
-		return fault.Wrap(err, fault.StepSettings, ID, "parse setting timeout")
+		return err
 	}
 	c.timeout = timeout
 	c.transport = &http.Transport{
@@ -70,8 +68,8 @@
 
 // Validate checks the settings.
 func (c *Client) Validate() error {
-	if u, err := url.Parse(c.base); err != nil || u.Host == "" {
-		return fault.New(fault.StepSettings, ID, "setting url is empty or malformed")
+	if err := kernel.CheckURL(ID, c.base); err != nil {
+		return err
 	}
 	if c.timeout <= 0 {
 		return fault.New(fault.StepSettings, ID, "setting timeout is not positive")
