Make room for adapters in engines full of models

The logs of one show an agent without any order for 12 s: its engine's memory was full with three models, no adapter was loaded, and only adapters were unloaded for adapters. The same engine listed its models in changing order, which counted as news: 5,052 changes told to one router.

Ruled out: sorting the lists when they are decoded. A preference in the choice of models to unload for models made no difference and was left out.

Change: without an adapter to unload, an idle model makes room, one whose adapters no request waits for if there is such a one. Lists are compared as sets.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -214,6 +214,19 @@
 	return nil
 }
 
+// SameNames reports whether two lists that stand for sets hold the same names.
+func SameNames(a, b []string) bool {
+	return slices.Equal(a, b) || slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// SameResidents reports whether the same models with the same adapters are loaded, in any order.
+func SameResidents(a, b []Resident) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(x Resident) bool {
+		i := slices.IndexFunc(b, func(y Resident) bool { return y.Model == x.Model })
+		return i < 0 || b[i].Version != x.Version || !SameNames(x.Adapters, b[i].Adapters)
+	})
+}
+
 // Tier is the place of the nearest copy of a model's weights at an upstream.
 type Tier int
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -157,7 +157,7 @@
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: float64(r.FreeMB), IdleMB: float64(r.IdleMB),
 	}
 	if h := r.Holdings; h != nil {
-		changed = changed || !sameModels(m.Models, h.Models)
+		changed = changed || !catalog.SameResidents(m.Models, h.Models)
 		m.Models, m.InMemory, m.OnDisk, m.known = h.Models, h.InMemory, h.OnDisk, r.Version
 	}
 	if r.Draining && !m.Draining {
@@ -206,12 +206,6 @@
 	return 0, 0
 }
 
-func sameModels(a, b []catalog.Resident) bool {
-	return slices.EqualFunc(a, b, func(x, y catalog.Resident) bool {
-		return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
-	})
-}
-
 // Absent records that an upstream has refused a request because the model or adapter is not there. What it holds is
 // taken from its next report.
 func (s *State) Absent(id, model, adapter string) {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -62,6 +62,11 @@
 	OnDisk   []string           `cbor:"3,keyasint,omitempty"`
 }
 
+// Same reports whether two holdings hold the same, in any order.
+func (h *Holdings) Same(o *Holdings) bool {
+	return catalog.SameResidents(h.Models, o.Models) && catalog.SameNames(h.InMemory, o.InMemory) && catalog.SameNames(h.OnDisk, o.OnDisk)
+}
+
 // State is what an agent says of its upstream.
 type State struct {
 	// ID and Born name the incarnation of the upstream.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -94,6 +94,44 @@
 		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a", Adapter: "y"}))
 	})
 
+	// An engine whose memory was full with models and held no adapter gave no order; requests for adapters waited there
+	// until their time was up (soak, seed 5000).
+	It("makes room for an adapter by unloading an idle model when there is no adapter to unload", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Engine.MemoryMB = 80
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "x"}] = 1
+		o, reason, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "b"}))
+		Expect(reason).To(Equal(placement.ReasonRoom))
+	})
+
+	It("does not unload the adapter's own model or one with running requests for it", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Engine.MemoryMB = 80
+		v.Demand.Held = map[string]placement.Held{"b": {Running: 1}}
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "x"}] = 1
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	// With requests that wait for adapters of every model, none may keep the others from theirs for good.
+	It("unloads a model that requests wait for an adapter of only if there is no other", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b", "c")
+		v.Engine.MemoryMB = 120
+		v.Demand.Adapters[placement.Adapter{Model: "a", Name: "x"}] = 3
+		v.Demand.Adapters[placement.Adapter{Model: "b", Name: "x"}] = 1
+		v.Demand.Rate["c"] = 9
+		o, _, _ := placement.Plan(v)
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "c"}))
+		v.Demand.Adapters[placement.Adapter{Model: "c", Name: "x"}] = 2
+		o, _, _ = placement.Plan(v)
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "b"}))
+	})
+
 	// Adapters on their way take places too; one too many crashes the engine.
 	It("counts the adapters that are being loaded", func() {
 		v := view()
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -103,11 +103,17 @@
 			return Order{}, "", false
 		}
 		full := v.adapters()+len(v.Coming) >= v.Engine.AdapterSlots
-		if full || v.freeMB() < v.Engine.Models[a.Model].AdapterMB {
-			victim, ok := v.idleAdapter()
-			return Order{Unload: true, Model: victim.Model, Adapter: victim.Name}, ReasonRoom, ok
+		if !full && v.freeMB() >= v.Engine.Models[a.Model].AdapterMB {
+			return Order{Model: a.Model, Adapter: a.Name}, ReasonWaiting, true
 		}
-		return Order{Model: a.Model, Adapter: a.Name}, ReasonWaiting, true
+		if victim, ok := v.idleAdapter(); ok {
+			return Order{Unload: true, Model: victim.Model, Adapter: victim.Name}, ReasonRoom, true
+		}
+		if full {
+			return Order{}, "", false
+		}
+		victim, ok := v.leastUsed(v.idleFor(a.Model)) // models take all of the memory
+		return Order{Unload: true, Model: victim}, ReasonRoom, ok
 	}
 	return Order{}, "", false
 }
@@ -180,7 +186,7 @@
 		}
 		return Order{Model: name}, reason, true
 	}
-	victim, ok := v.victim(preload)
+	victim, ok := v.leastUsed(v.idleModels(preload))
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
 
@@ -195,20 +201,48 @@
 	return place < v.Parallel // -1 for a model with a copy elsewhere that cannot be loaded there in time
 }
 
-// victim returns the loaded model whose copy here serves the fewest requests. Models with running requests stay: an
-// unload waits for their end and keeps the engine busy meanwhile. For a preload only spare copies are given up.
-func (v *View) victim(preload bool) (string, bool) {
-	best, found, bestUse := "", false, 0.0
+// idleModels returns the loaded models that may be unloaded. Models with running requests stay: an unload waits for their
+// end and keeps the engine busy meanwhile. For a preload only spare copies are given up.
+func (v *View) idleModels(preload bool) []string {
+	var out []string
 	for _, m := range v.Self.Models {
-		if v.Demand.Models[m.Model] > 0 || v.Demand.Held[m.Model].Running > 0 || preload && !v.spare(m.Model) {
-			continue
+		if v.Demand.Models[m.Model] == 0 && v.Demand.Held[m.Model].Running == 0 && (!preload || v.spare(m.Model)) {
+			out = append(out, m.Model)
 		}
-		use := v.use(m.Model)
-		if !found || use < bestUse || use == bestUse && Rank(m.Model, v.Self.ID) < Rank(best, v.Self.ID) {
-			best, found, bestUse = m.Model, true, use
+	}
+	return out
+}
+
+// idleFor returns the models that may be unloaded for an adapter of a model: not that model, and models that requests wait
+// for an adapter of only if there are no others.
+func (v *View) idleFor(model string) []string {
+	idle := slices.DeleteFunc(v.idleModels(false), func(name string) bool { return name == model })
+	waits := func(name string) bool { return v.adapterWaits(name) > 0 }
+	if rest := slices.DeleteFunc(slices.Clone(idle), waits); len(rest) > 0 {
+		return rest
+	}
+	return idle
+}
+
+// leastUsed returns the model whose copy here serves the fewest requests.
+func (v *View) leastUsed(models []string) (string, bool) {
+	if len(models) == 0 {
+		return "", false
+	}
+	return slices.MinFunc(models, func(a, b string) int {
+		return cmp.Or(cmp.Compare(v.use(a), v.use(b)), cmp.Compare(Rank(a, v.Self.ID), Rank(b, v.Self.ID)))
+	}), true
+}
+
+// adapterWaits returns the number of requests that wait here for adapters of the model.
+func (v *View) adapterWaits(model string) int {
+	n := 0
+	for a, waiting := range v.Demand.Adapters {
+		if a.Model == model {
+			n += waiting
 		}
 	}
-	return best, found
+	return n
 }
 
 // unseenRate is the rate in requests per second that is assumed for each model in addition to what routers have counted.
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -63,7 +63,7 @@
 		Routers: len(a.routers.live(now)),
 	}
 	s.Hold(a.report.Upstream, a.version)
-	if a.sent != nil && !reflect.DeepEqual(s.Holdings, a.sent.Holdings) {
+	if a.sent != nil && !s.Holdings.Same(a.sent.Holdings) {
 		a.version++
 		s.Version = a.version
 	}
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 	tokens []uint64
 	lose   int // answers to orders that are lost, though the order is carried out
 	down   bool
+	flip   bool // each report lists what is loaded in the other order
 }
 
 func (e *engine) Report(context.Context) (platform.Report, error) {
@@ -44,6 +46,10 @@
 	if e.down {
 		return platform.Report{}, errors.New("down")
 	}
+	if e.flip {
+		e.self.Models = slices.Clone(e.self.Models)
+		slices.Reverse(e.self.Models)
+	}
 	return platform.Report{Upstream: e.self}, nil
 }
 
@@ -141,6 +147,22 @@
 		Eventually(r.states, "2s").Should(Receive(Satisfy(func(s peer.State) bool { return s.Holdings == nil })))
 	})
 
+	// Lists in another order counted as news: an agent told all routers of it each millisecond (soak, seed 5000).
+	It("does not take another order of the same models for news", func() {
+		r := newRig("a", "b")
+		r.engine.mu.Lock()
+		r.engine.flip = true
+		r.engine.mu.Unlock()
+		var first, s peer.State
+		r.want("a")
+		Eventually(r.states, "2s").Should(Receive(&first))
+		for range 5 {
+			Expect(r.router.Send(r.to, peer.Message{Demand: &peer.Demand{Router: "edge-1", Ask: true}})).To(Succeed())
+			Eventually(r.states, "2s").Should(Receive(&s))
+			Expect(s.Version).To(Equal(first.Version))
+		}
+	})
+
 	// Repeats of all reports to all routers took most of the traffic between regions (decals-grown, scale-2).
 	It("passes crash reports on to the routers that do not have them", func() {
 		r := newRig("a")
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -24,6 +24,7 @@
 	cause string
 }{
 	{1, "short run"},
+	{5000, "an engine full of models made no room for an adapter"},
 }
 
 var _ = Describe("programs under faults from outside", func() {
