Order the steps of two specs so that what they check can be seen

The process spec about a killed router sent a loan that runs for 1 s, waited until four streams had begun, and expected the loan to be cut by the kill; when a stream waited for a load the loan had been answered before. The same loan was also missed by the status of its agent, which is up to 1 s old. In the spec of the quarantine exchange the entries of the fake agent were set after its goroutines had started: a data race.

Ruled out: the routers. In each failed run the answers were whole and the key had run once.

Change: the loan runs for 2 s and is sent after the streams, which last 3 s and are sent again until none of them is past its half. The fake agent gets its entries before it starts. The checks are the same.

--- a/pkg/processtest/process_test.go
+++ b/pkg/processtest/process_test.go
@@ -16,11 +16,11 @@
 
 	// Guards against a router whose death ends service, and against a loan that its resend runs a second time.
 	It("serves through the other router after a router was killed", func() {
-		Expect(c.DelayLoans(time.Second)).To(Succeed())
+		Expect(c.DelayLoans(2 * time.Second)).To(Succeed())
+		all := streams(c, 4)
 		key := processtest.NewKey()
 		first := loan(c.Routers[0], key, 1)
 		busyOwner(c, first)
-		all := streams(c, 4)
 		Expect(c.Routers[0].Kill()).To(Succeed())
 		resend := loan(c.Routers[1], key, 2).Wait()
 		Expect(resend.Outcome).To(BeElementOf("done", "unknown"))
--- a/pkg/processtest/suite_test.go
+++ b/pkg/processtest/suite_test.go
@@ -19,9 +19,10 @@
 
 const (
 	tokenInterval = 20 * time.Millisecond
-	tokens        = 100 // of a long stream, about 2 s
-	limit         = 15 * time.Second
-	whole         = 20 * time.Second
+	// tokens of a long stream, about 3 s: its second half outlasts the age of an agent's status, at most 1 s.
+	tokens = 150
+	limit  = 15 * time.Second
+	whole  = 20 * time.Second
 	// stopLimit is longer than the 10 s for which an agent keeps the output of finished streams.
 	stopLimit = 25 * time.Second
 )
@@ -71,15 +72,30 @@
 	return processtest.Stream(r, processtest.Model, prompt, 5)
 }
 
-// streams sends long streams through both routers in turn and waits until all have begun.
+// streams sends long streams through both routers in turn and waits until all have begun and none is past its half, so
+// that a fault injected next meets all of them. A stream that gets ahead of the others, which may wait for a load, is
+// read to its end and sent again.
 func streams(c *processtest.Cluster, count int) []*processtest.Request {
+	GinkgoHelper()
 	all := make([]*processtest.Request, count)
+	send := func(i int) { all[i] = stream(c.Routers[i%2], fmt.Sprintf("book %d", i)) }
 	for i := range all {
-		all[i] = stream(c.Routers[i%2], fmt.Sprintf("book %d", i))
-	}
-	for _, s := range all {
-		Eventually(s.Events).Should(BeNumerically(">", 2))
+		send(i)
 	}
+	Eventually(func() (begun bool) {
+		begun = true
+		for i, s := range all {
+			switch events := s.Events(); {
+			case events > tokens/2:
+				expectWhole(s)
+				send(i)
+				begun = false
+			case events <= 2:
+				begun = false
+			}
+		}
+		return begun
+	}).Should(BeTrue())
 	return all
 }
 
@@ -114,7 +130,8 @@
 	return outcomes
 }
 
-// busyOwner waits until a plain agent runs the loan, and returns the agent's node.
+// busyOwner waits until a plain agent runs the loan, and returns the agent's node. The loan has to run for longer than the
+// age of an agent's status, at most 1 s.
 func busyOwner(c *processtest.Cluster, l *processtest.Request) (busy *processtest.Node) {
 	GinkgoHelper()
 	Eventually(func() (err error) {
--- a/pkg/router/control_test.go
+++ b/pkg/router/control_test.go
@@ -67,8 +67,7 @@
 
 	// Guards against a crashing request that reaches upstreams while the object API is down.
 	It("exchanges the quarantine list with an agent that has another one", func() {
-		agent := newFakeAgent("vm-0", func(*call) {})
-		agent.quarantine = []wire.QuarantineEntry{{Fingerprint: 7}}
+		agent := newFakeAgent("vm-0", func(*call) {}, wire.QuarantineEntry{Fingerprint: 7})
 		c := newControl(func() {})
 		list := quarantine.New()
 		list.Merge([]wire.QuarantineEntry{{Fingerprint: 5}})
--- a/pkg/router/fake_test.go
+++ b/pkg/router/fake_test.go
@@ -75,14 +75,15 @@
 	mu       sync.Mutex
 	opens    []*wire.Open
 	remotes  []string
-	// quarantine answers QuarantineGet; got holds the asker's entries.
+	// quarantine answers QuarantineGet and does not change; got holds the asker's entries.
 	quarantine, got []wire.QuarantineEntry
 }
 
-func newFakeAgent(vm string, serve func(c *call)) *fakeAgent {
+// newFakeAgent starts an agent that has the entries on its quarantine list.
+func newFakeAgent(vm string, serve func(c *call), quarantined ...wire.QuarantineEntry) *fakeAgent {
 	l, err := newTransport(vm).Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	a := &fakeAgent{vm: vm, listener: l}
+	a := &fakeAgent{vm: vm, listener: l, quarantine: quarantined}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() {
