Ask for the agents' first reports until they come, and trust no other list

Cause: after a loss of power routers and agents start within 0.3 s of each other. A router's first message reached the agents that were up; the others were asked again after 0.5 s. After 0.4 s the router sent requests by the list, which named models that had been lost.

Ruled out: the agents' rounds; each answered a message within some milliseconds.

Change: agents that have not reported are asked every 0.1 s in the first two seconds. While most agents report, the holdings of the others are not taken from the list in that time.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -63,30 +63,23 @@
 	if s.engine(r.Service) == nil || r.Model == "" {
 		return s.pick(now, r, members)
 	}
+	if s.awaitsReports(now) && !reported(members) {
+		return Decision{Action: Wait, Reason: "no agent has reported yet", Until: now.Add(reportCheck)}
+	}
+	confirmed := s.confirmed(now, members)
 	var holders []*fleet.Member
-	for _, m := range members {
+	for _, m := range confirmed {
 		if m.Serves(r.Model) {
 			holders = append(holders, m)
 		}
 	}
-	if s.awaitsReports(now) && !reported(members) {
-		return Decision{Action: Wait, Reason: "no agent has reported yet", Until: now.Add(reportCheck)}
-	}
-	if len(holders) == 0 {
-		return s.awaitModel(now, r, members)
-	}
-	return s.pick(now, r, holders)
-}
-
-// reported reports whether most agents beside the members have reported.
-func reported(members []*fleet.Member) bool {
-	n := 0
-	for _, m := range members {
-		if !m.ReportedAt.IsZero() {
-			n++
-		}
+	switch {
+	case len(holders) > 0:
+		return s.pick(now, r, holders)
+	case s.awaitsReports(now) && len(confirmed) < len(members):
+		return Decision{Action: Wait, Reason: "not all agents have reported yet", Until: now.Add(reportCheck)}
 	}
-	return 2*n > len(members)
+	return s.awaitModel(now, r, confirmed)
 }
 
 // candidates returns the upstreams that may get the request; blocked ones only if there is no other.
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -70,14 +70,6 @@
 	return first
 }
 
-// awaitsCopies reports whether the process has started a short while ago and some agents have not reported yet: a copy may
-// lie beside one of them.
-func (s *State) awaitsCopies(now time.Time, service string) bool {
-	return now.Sub(s.listedAt) < lastReports && slices.ContainsFunc(s.Fleet.Members(now, service), func(m *fleet.Member) bool {
-		return m.ReportedAt.IsZero()
-	})
-}
-
 func loading(m *fleet.Member, model string) bool {
 	return m.Order != nil && !m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == model
 }
--- a/pkg/dispatch/recovery_test.go
+++ b/pkg/dispatch/recovery_test.go
@@ -65,4 +65,36 @@
 		s.Fleet.Report(now, order)
 		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal("u1-again"))
 	})
+
+	// Requests were sent by the list to upstreams that had lost their models, and used up the retry limit (decals-grown,
+	// trouble-2).
+	Describe("and the list", func() {
+		holding := func(id, model string) {
+			s.Fleet.Put(now, catalog.Upstream{ID: id, Service: "llm", Address: id + ":1", Zone: "z1", Slots: 6, Born: 100, Models: []catalog.Resident{{Model: model}}})
+		}
+		BeforeEach(func() { holding("u4", "a") })
+
+		It("are not taken for loaded by it while other agents report", func() {
+			d := s.Decide(now, request(&reportRoute, "llm", "a"))
+			Expect([]any{d.Action, d.Want}).To(Equal([]any{dispatch.Wait, (*dispatch.Want)(nil)}))
+			Expect(s.Unreported(now)).To(ConsistOf(HaveField("ID", "u3"), HaveField("ID", "u4")))
+
+			restarted("u3", "a")
+			after := now.Add(500 * time.Millisecond)
+			Expect(s.Decide(after, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal("u3-again"))
+		})
+
+		It("are taken for loaded by it when the agents have had the time to report", func() {
+			restarted("u3")
+			later := now.Add(2 * time.Second)
+			Expect(s.Decide(later, request(&reportRoute, "llm", "a")).Upstream.ID).To(Equal("u4"))
+			Expect(s.Unreported(later)).To(BeEmpty())
+		})
+
+		It("are taken for loaded by it when few agents report", func() {
+			holding("u5", "a")
+			later := now.Add(500 * time.Millisecond)
+			Expect(s.Decide(later, request(&reportRoute, "llm", "a")).Action).To(Equal(dispatch.Send))
+		})
+	})
 })
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -21,12 +21,6 @@
 	// wantFor is how long a want stands after the last request that asked for it, so that the load begins even if that
 	// request was refused.
 	wantFor = 3 * time.Second
-	// firstReports is the time from the first list of upstreams until the agents' reports have arrived: a message and its
-	// answer between regions, and a round of the agent.
-	firstReports = 400 * time.Millisecond
-	// lastReports is the time from the first list of upstreams within which the agents beside all upstreams that live have
-	// reported, also if all VMs have lost power and start at the same time.
-	lastReports = 2 * time.Second
 	// rateHalfLife is the time after which a request counts half in a model's rate.
 	rateHalfLife = 4 * time.Second
 )
@@ -90,16 +84,6 @@
 // unknownRouters is the assumed number of routers until an agent has told it.
 const unknownRouters = 8
 
-// Listed records that the upstreams have been listed.
-func (s *State) Listed(now time.Time) {
-	if s.listedAt.IsZero() {
-		s.listedAt = now
-	}
-}
-
-// awaitsReports reports whether the process has just started and the agents' first reports are on their way.
-func (s *State) awaitsReports(now time.Time) bool { return now.Sub(s.listedAt) < firstReports }
-
 // SetRouters sets the number of routers that share the retry limit.
 func (s *State) SetRouters(n int) { s.routers = max(1, n) }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// askQuiet asks the agents beside upstreams that work depends on, and of which nothing was heard lately, for a report. New
-// crash reports go to the relays.
+// askQuiet asks the agents beside upstreams that work depends on, and of which nothing was heard lately, for a report, and
+// after a start all that have not reported yet. New crash reports go to the relays.
 func (p *Peers) askQuiet() {
 	now := time.Now()
 	var silent []string
@@ -129,6 +129,9 @@
 				addresses[address] = true
 			}
 		}
+		for _, m := range s.Unreported(now) {
+			addresses[m.Address] = true
+		}
 		for _, m := range s.Quiet(now) {
 			addresses[m.Address] = true
 			if s.Fleet.Asked(now, m.ID) {
--- a/pkg/gateway/reach_test.go
+++ b/pkg/gateway/reach_test.go
@@ -126,4 +126,40 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
 		Expect(<-first).NotTo(Equal(<-first))
 	})
+
+	// After a loss of power half of the agents started after the router's first message and were asked again half a second
+	// later only (decals-grown, trouble-2).
+	It("asks agents that have not reported after a start again soon", func() {
+		r := newRig()
+		r.configure()
+		agent, err := peer.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		socket, err := peer.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		up := catalog.Upstream{ID: "u1", Service: "llm", Address: "127.0.0.1:1", Slots: 1}
+		r.core.Do(func(s *dispatch.State) {
+			s.Fleet.Put(time.Now(), up)
+			s.Listed(time.Now())
+		})
+		peers := gateway.NewPeers(r.core, socket, eventlog.New(io.Discard, "entry", "vm"), gateway.Place{Router: "edge-1"},
+			int(agent.Address().Port()), func(bool) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Add(3)
+		go func() { defer wg.Done(); peers.Run(ctx) }()
+		go func() { defer wg.Done(); _ = peers.Receive(ctx) }()
+		go func() {
+			defer wg.Done()
+			_ = agent.Receive(ctx, func(from netip.AddrPort, _ peer.Message) {
+				s := &peer.State{}
+				s.Hold(up, 1)
+				_ = agent.Send(from, peer.Message{State: s})
+			}, func(netip.AddrPort, error) {})
+		}()
+		DeferCleanup(func() { cancel(); wg.Wait() })
+		Eventually(func() (known uint32) {
+			r.core.Do(func(s *dispatch.State) { known = s.Fleet.Known("u1") })
+			return known
+		}, "400ms", "10ms").Should(Equal(uint32(1))) // before the first regular message, which follows after 500 ms
+	})
 })
