Let models with running requests make room if others serve them too

Ruled out: giving up any model with running requests.

Change: if no model is idle, one with running requests is unloaded that upstreams ranking before this one serve too. Agents report that memory apart, and routers prefer it to upstreams where nothing can be given up.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -47,7 +47,7 @@
 	id, zone     string
 	models       []string
 	onDisk       []string
-	free, idle   float32
+	free, idle   float64
 	order        *placement.Order
 	orderMS      int64
 	queued       int
@@ -69,7 +69,7 @@
 	}
 	s.Fleet.Put(now, up)
 	if !u.plainService {
-		r := &peer.State{FreeMB: u.free, IdleMB: u.idle, Order: u.order, OrderMS: u.orderMS, Queued: u.queued}
+		r := &peer.State{Room: placement.Room{FreeMB: u.free, IdleMB: u.idle}, Order: u.order, OrderMS: u.orderMS, Queued: u.queued}
 		r.Hold(up, 1)
 		s.Fleet.Report(now, r)
 	}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -13,8 +13,10 @@
 
 const (
 	// idleUnload is the time to unload a model without requests, and busyUnload that of one whose runs have to end first.
-	idleUnload = 60 * time.Millisecond
-	busyUnload = 3 * time.Second
+	// laterUnload is assumed where models with requests stay loaded until one has none.
+	idleUnload  = 60 * time.Millisecond
+	busyUnload  = 3 * time.Second
+	laterUnload = 4 * time.Second
 	// similarWait is the difference between waits below which the upstream that ranks first is taken, so that routers
 	// with slightly different views agree on one load.
 	similarWait = 150 * time.Millisecond
@@ -142,8 +144,10 @@
 		return 0
 	case m.Load.FreeMB+m.Load.IdleMB >= sizeMB:
 		return idleUnload
+	case m.Load.FreeMB+m.Load.IdleMB+m.Load.SpareMB >= sizeMB:
+		return busyUnload
 	}
-	return busyUnload
+	return laterUnload
 }
 
 func (s *State) homesOf(now time.Time, service string) (map[string]placement.Home, []string) {
--- a/pkg/dispatch/recovery_test.go
+++ b/pkg/dispatch/recovery_test.go
@@ -22,7 +22,7 @@
 	}
 	// restarted is the report of the agent beside an upstream that has started again.
 	restarted := func(id string, onDisk ...string) {
-		r := &peer.State{FreeMB: 100}
+		r := &peer.State{Room: placement.Room{FreeMB: 100}}
 		r.Hold(catalog.Upstream{ID: id + "-again", Address: id + ":1", Born: 200, OnDisk: onDisk}, 1)
 		s.Fleet.Report(now, r)
 	}
--- /dev/null
+++ b/pkg/dispatch/room_test.go
@@ -0,0 +1,32 @@
+package dispatch_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+var _ = Describe("room for a model", func() {
+	// Guards against a wait at an upstream where all models stay, while another one can give up a model that others serve.
+	It("is looked for where a model with running requests is served by other upstreams too", func() {
+		s := newState()
+		report := func(id string, room placement.Room) {
+			u := catalog.Upstream{ID: id, Service: "llm", Address: id + ":1", Zone: "z1", Slots: 6, OnDisk: []string{"a"}}
+			s.Fleet.Put(now, u)
+			r := &peer.State{Room: room}
+			r.Hold(u, 1)
+			s.Fleet.Report(now, r)
+		}
+		for _, id := range []string{"u1", "u2", "u3", "u4"} {
+			report(id, placement.Room{})
+		}
+		report("u5", placement.Room{SpareMB: 40})
+		d := s.Decide(now, request(&reportRoute, "llm", "a"))
+		Expect(d.Want.Upstream).To(Equal("u5"))
+		report("u6", placement.Room{IdleMB: 40})
+		Expect(s.Decide(now, request(&reportRoute, "llm", "a")).Want.Upstream).To(Equal("u6"))
+	})
+})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -26,8 +26,7 @@
 // Load is how busy an upstream is.
 type Load struct {
 	Queued, Running, KVUsed, KVTotal int
-	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
-	FreeMB, IdleMB float64
+	placement.Room
 }
 
 // Member is an upstream in the fleet.
@@ -161,7 +160,7 @@
 	m.signs.heard(now)
 	m.crashesNext, m.crashesSeen = r.CrashesNext, r.CrashesSeen
 	m.Load = Load{
-		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, FreeMB: float64(r.FreeMB), IdleMB: float64(r.IdleMB),
+		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, Room: r.Room,
 	}
 	if h := r.Holdings; h != nil {
 		changed = changed || !catalog.SameResidents(m.Models, h.Models)
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -72,16 +72,14 @@
 // State is what an agent says of its upstream.
 type State struct {
 	// ID and Born name the incarnation of the upstream.
-	ID       string `cbor:"1,keyasint"`
-	Born     int64  `cbor:"2,keyasint,omitempty"`
-	Queued   int    `cbor:"3,keyasint,omitempty"`
-	Running  int    `cbor:"4,keyasint,omitempty"`
-	KVUsed   int    `cbor:"5,keyasint,omitempty"`
-	KVTotal  int    `cbor:"6,keyasint,omitempty"`
-	Draining bool   `cbor:"7,keyasint,omitempty"`
-	// FreeMB is the memory that nothing takes, and IdleMB that of models without requests, in MB.
-	FreeMB float32 `cbor:"8,keyasint,omitempty"`
-	IdleMB float32 `cbor:"9,keyasint,omitempty"`
+	ID       string         `cbor:"1,keyasint"`
+	Born     int64          `cbor:"2,keyasint,omitempty"`
+	Queued   int            `cbor:"3,keyasint,omitempty"`
+	Running  int            `cbor:"4,keyasint,omitempty"`
+	KVUsed   int            `cbor:"5,keyasint,omitempty"`
+	KVTotal  int            `cbor:"6,keyasint,omitempty"`
+	Draining bool           `cbor:"7,keyasint,omitempty"`
+	Room     placement.Room `cbor:"8,keyasint,omitzero"`
 	// Order is the order that the upstream carries out; OrderMS is the time in ms until it is expected to be complete.
 	Order   *placement.Order `cbor:"10,keyasint,omitempty"`
 	OrderMS int64            `cbor:"11,keyasint,omitempty"`
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -172,6 +172,23 @@
 
 	// The unload of a busy model's copy waited 4 s for its runs while 18 requests for the model waited for the engine
 	// (decals, quiet-1).
+	// A model whose only copy lay beside a busy one was refused for ten seconds, although the busy one was served by other
+	// upstreams too (decals-grown, scale-2).
+	It("unloads a model with running requests that others serve too if no model is idle", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Held = map[string]placement.Held{"a": {Running: 3, Before: 1}, "b": {Running: 1}}
+		o, reason, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "a"}))
+		Expect(reason).To(Equal(placement.ReasonRoom))
+
+		v.Demand.Held["a"] = placement.Held{Running: 3} // ranks first: the others give up their copies before it
+		_, _, ok = placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("keeps a model with running requests and unloads another", func() {
 		v := view()
 		v.Self.Models = loaded("a", "b")
@@ -260,9 +277,9 @@
 		v := view()
 		v.Self.Models = loaded("a", "b")
 		v.Demand.Held = map[string]placement.Held{"a": {Running: 1}, "b": {}}
-		free, idle := v.Room()
-		Expect(free).To(Equal(20.0))
-		Expect(idle).To(Equal(40.0))
+		Expect(v.Room()).To(Equal(placement.Room{FreeMB: 20, IdleMB: 40}))
+		v.Demand.Held["a"] = placement.Held{Running: 1, Before: 1}
+		Expect(v.Room()).To(Equal(placement.Room{FreeMB: 20, IdleMB: 40, SpareMB: 40}))
 	})
 
 	It("gives no orders while it drains", func() {
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -189,6 +189,9 @@
 		return Order{Model: name}, reason, true
 	}
 	victim, ok := v.leastUsed(v.idleModels(preload))
+	if !ok && !preload {
+		victim, ok = v.leastUsed(v.spareModels())
+	}
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
 
@@ -203,8 +206,7 @@
 	return place < v.Parallel // -1 for a model with a copy elsewhere that cannot be loaded there in time
 }
 
-// idleModels returns the loaded models that may be unloaded. Models with running requests stay: an unload waits for their
-// end and keeps the engine busy meanwhile. For a preload only spare copies are given up.
+// idleModels returns the loaded models without requests. For a preload only spare copies are given up.
 func (v *View) idleModels(preload bool) []string {
 	var out []string
 	for _, m := range v.Self.Models {
@@ -215,6 +217,18 @@
 	return out
 }
 
+// spareModels returns the loaded models with running requests that upstreams which rank before this one serve too. An
+// unload waits for the end of the runs and keeps the engine busy meanwhile, so they are given up only if no model is idle.
+func (v *View) spareModels() []string {
+	var out []string
+	for _, m := range v.Self.Models {
+		if h, known := v.Demand.Held[m.Model]; known && h.Before > 0 && h.Running > 0 && v.Demand.Models[m.Model] == 0 {
+			out = append(out, m.Model)
+		}
+	}
+	return out
+}
+
 // idleFor returns the models that may be unloaded for an adapter of a model: not that model, and models that requests wait
 // for an adapter of only if there are no others.
 func (v *View) idleFor(model string) []string {
@@ -285,14 +299,23 @@
 	return n
 }
 
-// Room returns the memory in MB that nothing takes and that of models without requests.
-func (v *View) Room() (free, idle float64) {
-	for _, m := range v.Self.Models {
-		if v.Demand.Models[m.Model] == 0 && v.Demand.Held[m.Model].Running == 0 {
-			idle += v.Engine.Models[m.Model].SizeMB
+// Room is the memory of an upstream that a model could take, in MB: that which nothing takes, that of models without
+// requests, and that of models with running requests which other upstreams serve too.
+type Room struct {
+	FreeMB  float64 `cbor:"1,keyasint,omitempty"`
+	IdleMB  float64 `cbor:"2,keyasint,omitempty"`
+	SpareMB float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Room returns the memory that a model could take.
+func (v *View) Room() Room {
+	size := func(names []string) (sum float64) {
+		for _, name := range names {
+			sum += v.Engine.Models[name].SizeMB
 		}
+		return sum
 	}
-	return max(0, v.freeMB()), idle
+	return Room{FreeMB: max(0, v.freeMB()), IdleMB: size(v.idleModels(false)), SpareMB: size(v.spareModels())}
 }
 
 // planPreload fetches the models that have no copy outside the weight store, as many at a time as it serves at full
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -71,8 +71,7 @@
 		s.Order, s.OrderMS = &a.order.order, a.order.rest(now).Milliseconds()
 	}
 	if view, _, ok := a.view(now); ok {
-		free, idle := view.Room()
-		s.FreeMB, s.IdleMB = float32(free), float32(idle)
+		s.Room = view.Room()
 	}
 	return s
 }
@@ -85,7 +84,7 @@
 	}
 	news = s.Version != last.Version || s.ID != last.ID || s.Draining != last.Draining ||
 		!reflect.DeepEqual(s.Order, last.Order)
-	return news, s.Queued != last.Queued || s.Running != last.Running || s.IdleMB != last.IdleMB
+	return news, s.Queued != last.Queued || s.Running != last.Running || s.Room.IdleMB != last.Room.IdleMB
 }
 
 // position returns the place of the first upstream among all by id.
