Call a store that is out less often

Ruled out: the watches. They are held for 2.7 s by routers and 8 s by agents.

Change: once a kind has been listed, the mean pause between failed calls grows to 1.2 s for routers and 3 s for agents. A process that knows nothing yet calls as before.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -89,11 +89,11 @@
 	}
 	c.addMetrics(&g, set.IP, health, log)
 	addContext(&g, func(ctx context.Context) error {
-		follow.New(store, platform.KindConfig, follow.Options{Hold: watchHold(set)}, sync.Config(), log).Run(ctx)
+		follow.New(store, platform.KindConfig, follow.Options{Hold: watchHold(set), MaxPause: storeBackoff}, sync.Config(), log).Run(ctx)
 		return nil
 	})
 	addContext(&g, func(ctx context.Context) error {
-		opt := follow.Options{Hold: watchHold(set), Pause: listPause(set)}
+		opt := follow.Options{Hold: watchHold(set), Pause: listPause(set), MaxPause: storeBackoff}
 		follow.New(store, platform.KindUpstreams, opt, sync.Upstreams(), log).Run(ctx)
 		return nil
 	})
--- a/cmd/hibiscuscrossd/platform.go
+++ b/cmd/hibiscuscrossd/platform.go
@@ -38,9 +38,13 @@
 	// listShare is the share of the time in which a leaving upstream must get no more requests that passes between two
 	// calls for the list of upstreams while it changes. What upstreams hold comes from the agents.
 	listShare = 0.25
-	// agentHold and agentPause are the hold and the pause of an agent's watches, whose news can wait.
-	agentHold  = 8 * time.Second
-	agentPause = time.Second
+	// storeBackoff bounds the mean pause of a router between two calls that the store does not answer. Half as long again, it
+	// stays below the shortest time in which a change must be in force (deployment sheets: 2.5 s).
+	storeBackoff = 1200 * time.Millisecond
+	// agentHold, agentPause and agentBackoff are the hold and the pauses of an agent's watches, whose news can wait.
+	agentHold    = 8 * time.Second
+	agentPause   = time.Second
+	agentBackoff = 3 * time.Second
 )
 
 func (f *platformFlags) load() (platform.Settings, error) {
--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -44,7 +44,7 @@
 		Node: set.Node, Address: set.Upstream, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, Parallel: c.LoadParallel,
 	}, platform.NewEngine(set.Upstream), socket, log)
 	store := platform.NewStore(set.StoreAddress)
-	watches := follow.Options{Hold: agentHold, Pause: agentPause}
+	watches := follow.Options{Hold: agentHold, Pause: agentPause, MaxPause: agentBackoff}
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// firstPause and maxPause bound the pause after a failed call; each further failure doubles it.
+	// firstPause is the mean pause after a failed call; each further failure doubles it. maxPause bounds it while nothing is
+	// known of the kind, since the process may not serve before.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
 	// maxGone bounds the pause before the kind is listed again while its history keeps being gone.
@@ -48,18 +49,31 @@
 	Hold time.Duration
 	// Pause is the time between a change and the next watch. Changes that come in quick succession then take one call.
 	Pause time.Duration
+	// MaxPause bounds the mean pause after a failed call once the kind has been listed; 400 ms if it is 0. A store that is
+	// overloaded or refuses calls is called less often then.
+	MaxPause time.Duration
+}
+
+// backoff returns the mean pause after a number of failed calls in a row.
+func (o Options) backoff(failures int, listed bool) time.Duration {
+	limit := maxPause
+	if listed {
+		limit = max(limit, o.MaxPause)
+	}
+	return min(limit, firstPause<<min(failures-1, 10))
 }
 
 // Follower follows one kind.
 type Follower struct {
-	src   Source
-	kind  string
-	opt   Options
-	h     Handler
-	log   *eventlog.Log
-	down  time.Time // when calls began to fail; zero while they succeed
-	pause time.Duration
-	gone  int // watches in a row that were told that their history is gone
+	src      Source
+	kind     string
+	opt      Options
+	h        Handler
+	log      *eventlog.Log
+	down     time.Time // when calls began to fail; zero while they succeed
+	failures int       // in a row
+	listed   bool
+	gone     int // watches in a row that were told that their history is gone
 }
 
 // New returns a follower of the kind.
@@ -86,6 +100,7 @@
 		return 0, false
 	}
 	f.answered()
+	f.listed = true
 	f.h.Listed(objects)
 	return revision, true
 }
@@ -123,12 +138,12 @@
 		return
 	}
 	if f.down.IsZero() {
-		f.down, f.pause = time.Now(), firstPause
+		f.down, f.failures = time.Now(), 0
 		f.log.State("store call failed", "kind", f.kind, "err", err)
 	}
-	jittered := f.pause/2 + rand.N(f.pause)
-	f.pause = min(maxPause, 2*f.pause)
-	sleep(ctx, jittered)
+	f.failures++
+	pause := f.opt.backoff(f.failures, f.listed)
+	sleep(ctx, pause/2+rand.N(pause))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
