Close callers' connections by the configured idle time

Cause: the limit idleTimeoutMs of the configuration had no effect; callers' connections were kept for 60 s. docs/platform.md listed it as open.

Ruled out: the timeouts of net/http, which cannot change while it serves.

Change: connections that have been idle for the limit in force are closed; 60 s if there is none.

--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's header, and idleTimeout the time between two requests. Callers
-	// reuse connections that have been idle for less.
+	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// balancerDelay is the time after which the balancer has seen that the process is not ready: two checks a second
 	// apart, and their answers.
 	balancerDelay = 2800 * time.Millisecond
@@ -28,6 +26,7 @@
 // Server accepts callers' connections.
 type Server struct {
 	http  *http.Server
+	idle  *idleConns
 	ln    net.Listener
 	gw    *Gateway
 	log   *eventlog.Log
@@ -40,8 +39,10 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.StepSettings, address, "listen for callers")
 	}
+	idle := newIdleConns()
 	return &Server{
-		http:  &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 64 << 10},
+		http:  &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, ConnState: idle.note, MaxHeaderBytes: 64 << 10},
+		idle:  idle,
 		ln:    ln,
 		gw:    gw,
 		log:   log,
@@ -51,6 +52,9 @@
 
 // Run serves until Shutdown.
 func (s *Server) Run() error {
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.sweepIdle(stop)
 	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
 		return fault.Wrap(err, fault.StepAdmit, s.ln.Addr().String(), "serve callers")
 	}
