Refuse at once requests whose first event is expected after their callers leave

Cause: requests for a model with one overloaded copy were sent into its queue whatever their expected wait was (9 s where callers leave after 4 s).

Change: a request that has not been sent is refused if its expected time to the first event exceeds what is left until its caller leaves. It may come back when the queue is short enough.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -144,6 +144,11 @@
 	if !best.ReportedAt.IsZero() {
 		d.Age = now.Sub(best.ReportedAt)
 	}
+	if late := bestCost + reserve - r.waitLimit(now); late > 0 && r.sends == 0 && r.Model != "" && s.engine(r.Service) != nil {
+		s.scaleOut(now, r)
+		d.Action, d.Reason, d.RetryAfter = Refuse, "first event is expected too late", s.retryAfter(now, r, late)
+		return d
+	}
 	if r.Adapter != "" && !best.HoldsAdapter(r.Model, r.Adapter) {
 		d.Action, d.Reason, d.Until = Wait, "adapter is not loaded", now.Add(recheck)
 		d.Want = s.want(now, best.ID, r.Model, r.Adapter)
--- /dev/null
+++ b/pkg/dispatch/overload_test.go
@@ -0,0 +1,44 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+)
+
+// Requests for a model with one overloaded copy were sent into its queue for longer than their callers wait: 45 of 108 were
+// answered in four seconds, and the engine read the prompts of the others in vain (decals-grown, scale-1).
+var _ = Describe("an overloaded model", func() {
+	var s *dispatch.State
+	decide := func(patience time.Duration) dispatch.Decision {
+		r := request(&reportRoute, "llm", "a")
+		r.Leaves, r.Deadline = now.Add(patience), now.Add(17*time.Second)
+		return s.Decide(now, r)
+	}
+	BeforeEach(func() {
+		s = newState()
+		add(s, upstream{id: "u1", models: []string{"a"}, queued: 40}) // 6 s
+	})
+
+	It("refuses callers at once that leave before their turn, and tells them when the queue is short enough", func() {
+		d := decide(4 * time.Second)
+		Expect(d.Action).To(Equal(dispatch.Refuse))
+		Expect(d.RetryAfter).To(BeNumerically(">=", 2*time.Second))
+		Expect(d.RetryAfter).To(BeNumerically("<", 4*time.Second))
+	})
+
+	It("serves callers that wait for longer", func() {
+		Expect(decide(10 * time.Second).Action).To(Equal(dispatch.Send))
+	})
+
+	It("goes on with a request that has been sent before", func() {
+		r := request(&reportRoute, "llm", "a")
+		r.Leaves = now.Add(4 * time.Second)
+		s.Started("u2", r)
+		s.Ended(now, "u2", r, dispatch.Broken)
+		Expect(s.Decide(now, r).Action).To(Equal(dispatch.Send))
+	})
+})
