Take a member back that a wrong clock had superseded

Cause: found by reading. A runner whose clock was behind at its start counted as the earlier incarnation at its address. It stayed superseded for good, also after its agent had reported or the entry of the one before was gone.

Change: what is superseded is found anew when a member at the address is listed, first reports, or ends. Busy models that may be given up have a name of their own, apart from the spare copies of a preload.

Before and after: two new specs fail without the change and pass with it.

--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -144,7 +144,7 @@
 		return 0
 	case m.Load.FreeMB+m.Load.IdleMB >= sizeMB:
 		return idleUnload
-	case m.Load.FreeMB+m.Load.IdleMB+m.Load.SpareMB >= sizeMB:
+	case m.Load.FreeMB+m.Load.IdleMB+m.Load.BusyMB >= sizeMB:
 		return busyUnload
 	}
 	return laterUnload
--- a/pkg/dispatch/room_test.go
+++ b/pkg/dispatch/room_test.go
@@ -23,7 +23,7 @@
 		for _, id := range []string{"u1", "u2", "u3", "u4"} {
 			report(id, placement.Room{})
 		}
-		report("u5", placement.Room{SpareMB: 40})
+		report("u5", placement.Room{BusyMB: 40})
 		d := s.Decide(now, request(&reportRoute, "llm", "a"))
 		Expect(d.Want.Upstream).To(Equal("u5"))
 		report("u6", placement.Room{IdleMB: 40})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -128,9 +128,7 @@
 		m.dropAt = s.graceEnd
 		return
 	}
-	delete(s.members, id)
-	s.ended = append(s.ended, id)
-	s.version++
+	s.end(id)
 }
 
 // Ended returns the upstreams that have ended since the last call.
@@ -195,24 +193,39 @@
 	return nil
 }
 
-// supersede marks the members at the address that have ended since a later incarnation runs there. A member whose agent
-// has reported last stays, whatever the clocks of the incarnations said at their starts.
+// supersede notes which members at the address have ended, since a later incarnation runs there. A member whose agent has
+// reported last has not, whatever the clocks of the incarnations said at their starts.
 func (s *State) supersede(address string) {
 	for id, old := range s.members {
-		if old.Address != address || old.Born == 0 || old.superseded {
+		if old.Address != address || old.Born == 0 {
 			continue
 		}
+		before := old.superseded
+		old.superseded = false
 		for _, m := range s.members {
 			if m.Address == address && m.Born > old.Born && !m.ReportedAt.Before(old.ReportedAt) {
 				old.superseded = true
-				s.ended = append(s.ended, id)
-				s.version++
-				break
 			}
 		}
+		if old.superseded == before {
+			continue
+		}
+		s.version++
+		if old.superseded {
+			s.ended = append(s.ended, id)
+		}
 	}
 }
 
+// end removes a member that has ended.
+func (s *State) end(id string) {
+	m := s.members[id]
+	delete(s.members, id)
+	s.ended = append(s.ended, id)
+	s.version++
+	s.supersede(m.Address)
+}
+
 // Known returns the version of the holdings that the upstream's agent has reported; 0 for none.
 func (s *State) Known(id string) uint32 {
 	if m := s.members[id]; m != nil {
@@ -264,9 +277,7 @@
 			m.dropAt = m.unlistedUntil // its entry has not come
 		}
 		if !m.dropAt.IsZero() && !now.Before(m.dropAt) {
-			delete(s.members, id)
-			s.ended = append(s.ended, id)
-			s.version++
+			s.end(id)
 			continue
 		}
 		if m.Service == service && !m.Draining && !m.superseded {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -133,13 +133,34 @@
 		Entry("listed last", "u2", "u1"),
 	)
 
-	It("keeps an incarnation whose agent reports, although its clock was behind at its start", func() {
-		s.Put(now, holding("u1"))
-		s.Report(now, says("u1"))
-		again := holding("u2")
-		again.Born = 200
-		s.Put(now, again)
-		Expect(ids(now)).To(Equal([]string{"u1", "u2"}))
+	Describe("an incarnation whose clock was behind at its start", func() {
+		later := func() {
+			u := holding("u2")
+			u.Born = 200
+			s.Put(now, u)
+		}
+
+		It("stays if its agent has reported", func() {
+			s.Put(now, holding("u1"))
+			s.Report(now, says("u1"))
+			later()
+			Expect(ids(now)).To(Equal([]string{"u1", "u2"}))
+		})
+
+		It("takes requests as soon as its agent reports", func() {
+			s.Put(now, holding("u1"))
+			later()
+			Expect(ids(now)).To(Equal([]string{"u2"}))
+			s.Report(now, says("u1"))
+			Expect(ids(now)).To(Equal([]string{"u1", "u2"}))
+		})
+
+		It("takes requests when the entry of the one before is gone", func() {
+			s.Put(now, holding("u1"))
+			later()
+			s.Remove(now, "u2")
+			Expect(ids(now)).To(Equal([]string{"u1"}))
+		})
 	})
 
 	// After a loss of power the list named the earlier incarnations for more than a second, and every request that was sent
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -279,7 +279,7 @@
 		v.Demand.Held = map[string]placement.Held{"a": {Running: 1}, "b": {}}
 		Expect(v.Room()).To(Equal(placement.Room{FreeMB: 20, IdleMB: 40}))
 		v.Demand.Held["a"] = placement.Held{Running: 1, Before: 1}
-		Expect(v.Room()).To(Equal(placement.Room{FreeMB: 20, IdleMB: 40, SpareMB: 40}))
+		Expect(v.Room()).To(Equal(placement.Room{FreeMB: 20, IdleMB: 40, BusyMB: 40}))
 	})
 
 	It("gives no orders while it drains", func() {
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -190,7 +190,7 @@
 	}
 	victim, ok := v.leastUsed(v.idleModels(preload))
 	if !ok && !preload {
-		victim, ok = v.leastUsed(v.spareModels())
+		victim, ok = v.leastUsed(v.busyModels())
 	}
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
@@ -217,9 +217,9 @@
 	return out
 }
 
-// spareModels returns the loaded models with running requests that upstreams which rank before this one serve too. An
+// busyModels returns those loaded models with running requests that upstreams which rank before this one serve too. An
 // unload waits for the end of the runs and keeps the engine busy meanwhile, so they are given up only if no model is idle.
-func (v *View) spareModels() []string {
+func (v *View) busyModels() []string {
 	var out []string
 	for _, m := range v.Self.Models {
 		if h, known := v.Demand.Held[m.Model]; known && h.Before > 0 && h.Running > 0 && v.Demand.Models[m.Model] == 0 {
@@ -302,9 +302,9 @@
 // Room is the memory of an upstream that a model could take, in MB: that which nothing takes, that of models without
 // requests, and that of models with running requests which other upstreams serve too.
 type Room struct {
-	FreeMB  float64 `cbor:"1,keyasint,omitempty"`
-	IdleMB  float64 `cbor:"2,keyasint,omitempty"`
-	SpareMB float64 `cbor:"3,keyasint,omitempty"`
+	FreeMB float64 `cbor:"1,keyasint,omitempty"`
+	IdleMB float64 `cbor:"2,keyasint,omitempty"`
+	BusyMB float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Room returns the memory that a model could take.
@@ -315,7 +315,7 @@
 		}
 		return sum
 	}
-	return Room{FreeMB: max(0, v.freeMB()), IdleMB: size(v.idleModels(false)), SpareMB: size(v.spareModels())}
+	return Room{FreeMB: max(0, v.freeMB()), IdleMB: size(v.idleModels(false)), BusyMB: size(v.busyModels())}
 }
 
 // planPreload fetches the models that have no copy outside the weight store, as many at a time as it serves at full
