--- a/pkg/dispatch/overload_test.go
+++ b/pkg/dispatch/overload_test.go
@@ -9,8 +9,8 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 )
 
-// Requests for a model with one overloaded copy were sent into its queue for longer than their callers wait: 45 of 108 were
-// answered in four seconds, and the engine read the prompts of the others in vain (decals-grown, scale-1).
+// Requests for a model were sent into the queue of an overloaded upstream for longer than their callers wait: 59 of 108 in
+// four seconds ended without an answer, and the engine read their prompts in vain (decals-grown, scale-1).
 var _ = Describe("an overloaded model", func() {
 	var s *dispatch.State
 	decide := func(patience time.Duration) dispatch.Decision {
