Decide nothing from a list of upstreams that was never read

Cause: after a loss of power agents had their configuration about 0.1 s before their list. Change: the list is a type whose zero value has not been read and is never complete; until it has been read no load from the weight store begins, for requests that wait either, since the share of the limit is worked out from the list too. Ruled out by reading: the demand of the routers (empty means unknown and keeps two copies) and the report (needed for a view).

--- a/pkg/sidecar/identify.go
+++ b/pkg/sidecar/identify.go
@@ -23,7 +23,7 @@
 	u.ID, u.Address, u.Service, u.Zone = "", a.set.Address, a.set.Service, a.set.Zone
 	path := ""
 	a.mu.Lock()
-	for _, l := range a.listed {
+	for _, l := range a.list.byID {
 		if l.Address == a.set.Address && (u.Born == 0 || l.Born == u.Born) {
 			u.ID, u.Service, u.Zone = l.ID, l.Service, l.Zone
 			u.Draining = u.Draining || l.Draining
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -23,9 +23,6 @@
 	adapterPoll = 6 * time.Millisecond
 	// reportTimeout bounds one read of the report.
 	reportTimeout = 400 * time.Millisecond
-	// settleTime is the time without a new upstream after which the list counts as complete: an interval of the upstreams'
-	// writes, and the lag of reads that may be stale.
-	settleTime = 2 * time.Second
 	// demandsSize bounds the messages that wait to be taken in.
 	demandsSize = 256
 )
@@ -63,10 +60,8 @@
 
 	mu     sync.Mutex
 	config *catalog.Config
-	listed map[string]catalog.Upstream
-	// grownAt is when the list last named an upstream that it had not named before.
-	grownAt time.Time
-	token   uint64
+	list   upstreams
+	token  uint64
 
 	routers *routers
 	fetches *fetchLimit
@@ -97,7 +92,7 @@
 func New(set Settings, engine Engine, socket *peer.Socket, log *eventlog.Log) *Agent {
 	return &Agent{
 		set: set, engine: engine, socket: socket, log: log, demands: make(chan received, demandsSize),
-		version: uint32(time.Now().UnixMilli()), listed: map[string]catalog.Upstream{}, routers: newRouters(time.Now()), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
+		version: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
 	}
 }
 
@@ -247,14 +242,10 @@
 	if engine == nil {
 		return placement.View{}, 0, false
 	}
-	all := []catalog.Upstream{a.report.Upstream}
-	for _, u := range a.listed {
-		if u.Service == a.report.Upstream.Service && u.ID != a.report.Upstream.ID {
-			all = append(all, u)
-		}
-	}
+	all, known := a.list.with(a.report.Upstream)
 	return placement.View{
 		Self: a.report.Upstream, Busy: a.report.Busy, Coming: a.report.Coming, Engine: *engine, All: all,
-		Settled: now.Sub(a.grownAt) >= settleTime, Demand: a.routers.demand(now), FetchAllowed: a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
+		Settled: a.list.settled(now), Demand: a.routers.demand(now),
+		FetchAllowed: known && a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), Parallel: a.set.Parallel,
 	}, a.token, true
 }
--- a/pkg/sidecar/sync.go
+++ b/pkg/sidecar/sync.go
@@ -23,17 +23,7 @@
 func (a *Agent) List(all []catalog.Upstream) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.listed = map[string]catalog.Upstream{}
-	for _, u := range all {
-		a.put(u)
-	}
-}
-
-func (a *Agent) put(u catalog.Upstream) {
-	if _, known := a.listed[u.ID]; !known {
-		a.grownAt = time.Now()
-	}
-	a.listed[u.ID] = u
+	a.list.replace(time.Now(), all)
 }
 
 // Config returns the handler for the operator's configuration.
@@ -46,12 +36,12 @@
 		Put: func(u catalog.Upstream, _ uint64) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			a.put(u)
+			a.list.put(time.Now(), u)
 		},
 		Removed: func(id string, _ uint64) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			delete(a.listed, id)
+			a.list.remove(id)
 		},
 	})
 }
