Bound heads, framing, events and bodies of answers in bytes and lines

Cause: an upstream in trouble may send bytes without end. Change: a head has at most 16 KB and 128 lines, an answer at most 8 informational ones before it, an event at most 64 KB. Bodies that are held until they are whole share an eighth of the process's memory, and one may take at most as much as is free, so that those of common size pass beside others without end. At a bound the send counts as broken: the request may have run. Chunk extensions and trailers are bounded by net/http already, which specs now show. Test: pkg/h1, answers without end (heads fail on the code before); pkg/gateway, bodies of answers.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -20,8 +20,12 @@
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
-// sweepInterval is the time between two searches for connections that have been idle too long.
-const sweepInterval = time.Second
+const (
+	// sweepInterval is the time between two searches for connections that have been idle too long.
+	sweepInterval = time.Second
+	// heldShare is the part of the process's memory limit for bodies that are held until they are whole.
+	heldShare = 0.125
+)
 
 type entryCmd struct {
 	platformFlags
@@ -55,6 +59,9 @@
 	}
 	defer func() { _ = flushSpans(context.Background()) }()
 	gw := gateway.New(core, pool, log, scope, tracer)
+	if set.MemoryMB > 0 {
+		gw.LimitHeld(int64(heldShare * float64(set.MemoryMB) * (1 << 20)))
+	}
 	front, err := gateway.NewServer(set.Front, gw, log, set.Grace)
 	if err != nil {
 		return err
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -46,14 +46,19 @@
 	// work ends shortly before the process does; requests that are still open get their final answer then.
 	work    context.Context
 	endWork context.CancelFunc
+	held    heldBytes
 }
 
 // New returns a gateway.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	work, end := context.WithCancel(context.Background())
-	return &Gateway{core: core, pool: pool, log: log, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end}
+	return &Gateway{core: core, pool: pool, log: log, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end,
+		held: heldBytes{total: defaultHeld}}
 }
 
+// LimitHeld bounds the memory of the bodies that are held at a time, in bytes. It is called before the first request.
+func (g *Gateway) LimitHeld(bytes int64) { g.held.total = bytes }
+
 // Stop makes answers ask callers to close their connections.
 func (g *Gateway) Stop() { close(g.stopping) }
 
@@ -77,6 +82,8 @@
 	config uint64 // version that the request was matched with
 	// waitsFor is what the request last began to wait for.
 	waitsFor dispatch.Want
+	// held is the memory that bodies of answers have taken, in bytes.
+	held int64
 }
 
 // ServeHTTP serves one request.
@@ -91,6 +98,7 @@
 	if !c.readBody(cfg) {
 		return
 	}
+	defer func() { g.held.release(c.held) }()
 	if cfg == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration is known", startDelay)
 		return
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -25,15 +23,13 @@
 	freshConn = 500 * time.Millisecond
 	// warmConn is that time for all other requests.
 	warmConn = 10 * time.Second
-	// maxAnswer bounds an answer that is held back until it is whole.
-	maxAnswer = 8 << 20
 )
 
 // answer is a whole answer of an upstream; nil body and streamed for one that was forwarded as it arrived.
 type answer struct {
 	status   int
 	header   http.Header
-	body     []byte
+	body     segments
 	streamed bool
 }
 
@@ -152,10 +148,7 @@
 	case success && c.req.Route.Kind == catalog.Streaming:
 		return c.forward(resp, upstream)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errors.New("answer exceeds the limit")
-	}
+	body, err := c.hold(resp.Body)
 	if err != nil {
 		return dispatch.Broken, nil, err
 	}
@@ -189,9 +182,9 @@
 		return
 	}
 	platform.CallerHeader(c.w.Header(), a.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.w.Header().Set("Content-Length", strconv.FormatInt(a.body.len(), 10))
 	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil {
+	if err := a.body.writeTo(c.w); err != nil {
 		c.finish("caller_left", a.status, "err", err)
 		return
 	}
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -104,19 +104,6 @@
 	}(c.written)
 }
 
-// Head reads the head of the answer to a request with the method. Informational answers are passed over.
-func (c *Conn) Head(method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if err != nil {
-			return nil, fault.Wrap(err, fault.StepDispatch, c.address, "read head")
-		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-}
-
 // Release returns the connection to the pool after the whole answer was read, or closes it if it cannot carry another
 // request: the upstream closes it, bytes are left over, or the request is not written in full.
 func (c *Conn) Release(resp *http.Response) {
--- a/pkg/h1/pool.go
+++ b/pkg/h1/pool.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, pool: p, address: address, br: bufio.NewReaderSize(conn, 8<<10)}, nil
+	return &Conn{Conn: conn, pool: p, address: address, br: bufio.NewReaderSize(conn, maxHead)}, nil
 }
 
 // take removes and returns the connection that was used last; nil if there is none that was used at most maxAge ago.
--- a/pkg/sse/sse.go
+++ b/pkg/sse/sse.go
@@ -10,8 +10,9 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 )
 
-// maxEvent bounds one event in bytes; an event holds a few tokens.
-const maxEvent = 1 << 20
+// maxEvent bounds one event in bytes; an event holds a few tokens. Some hundred streams at a time read such an event on a VM
+// with 184 MB.
+const maxEvent = 64 << 10
 
 // ErrPartial means that the stream ended in the middle of an event.
 var ErrPartial = errors.New("stream ended within an event")
