Keep a panic in one duty, message or request from ending the process

Cause: the repository had no recover outside net/http's, so an unexpected error in a duty ended the process and every stream that it carried, and a panic in a request closed the caller's connection without an answer. Change: pkg/guard. Messages of agents and routers, the rounds of the two roles and the followers of the store run under it: the stack is written once per duty, panics are counted, the duty goes on. Five panics of a duty within a minute stop the process as a signal does, so that it starts anew from list and reports. A request that meets one is answered 503 if no send has begun, 502 if one has, and its stream is cut if it has begun; what a send has counted at its upstream is given back. Not covered: a decision's state that is half changed by a panic is used on until the fifth one.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
@@ -44,6 +45,7 @@
 	}
 	log, flush := startLog("entry", set.Node)
 	defer flush()
+	gd := guard.New(log)
 	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress)
 	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
 	scope, closer := telemetry.NewScope("entry", reporter)
@@ -58,7 +60,7 @@
 		return err
 	}
 	defer func() { _ = flushSpans(context.Background()) }()
-	gw := gateway.New(core, pool, log, scope, tracer)
+	gw := gateway.New(core, pool, log, gd, scope, tracer)
 	if set.MemoryMB > 0 {
 		gw.LimitHeld(int64(heldShare * float64(set.MemoryMB) * (1 << 20)))
 	}
@@ -77,7 +79,7 @@
 	})
 	store := platform.NewStore(set.StoreAddress)
 	place := gateway.Place{Router: set.Node, Zone: set.Zone, ZoneRegion: set.ZoneRegion}
-	peers := gateway.NewPeers(core, socket, log, place, set.PeerPort, func(within bool) {
+	peers := gateway.NewPeers(core, socket, log, gd, place, set.PeerPort, func(within bool) {
 		if within {
 			health.Ready()
 			return
@@ -87,6 +89,7 @@
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
+	addContext(&g, gd.Watch)
 	g.Add(front.Run, func(error) {
 		health.Stopping()
 		front.Shutdown()
@@ -95,15 +98,15 @@
 		return err
 	}
 	c.addMetrics(&g, set.IP, health, log)
-	addContext(&g, func(ctx context.Context) error {
+	addContext(&g, gd.Duty("configuration", func(ctx context.Context) error {
 		follow.New(store, platform.KindConfig, follow.Options{Hold: watchHold(set), MaxPause: storeBackoff}, sync.Config(), log).Run(ctx)
 		return nil
-	})
-	addContext(&g, func(ctx context.Context) error {
+	}))
+	addContext(&g, gd.Duty("list of upstreams", func(ctx context.Context) error {
 		opt := follow.Options{Hold: watchHold(set), Pause: listPause(set), MaxPause: storeBackoff}
 		follow.New(store, platform.KindUpstreams, opt, sync.Upstreams(), log).Run(ctx)
 		return nil
-	})
+	}))
 	addContext(&g, peers.Run)
 	addContext(&g, func(ctx context.Context) error { sweep(ctx, pool); return nil })
 	err = g.Run()
--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/sidecar"
@@ -31,6 +32,7 @@
 	}
 	log, flush := startLog("sidecar", set.Node)
 	defer flush()
+	gd := guard.New(log)
 	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress, "upstream", set.Upstream)
 	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
 	_, closer := telemetry.NewScope("sidecar", reporter)
@@ -42,26 +44,27 @@
 	}
 	agent := sidecar.New(sidecar.Settings{
 		Node: set.Node, Address: set.Upstream, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, Parallel: c.LoadParallel,
-	}, platform.NewEngine(set.Upstream), socket, log)
+	}, platform.NewEngine(set.Upstream), socket, log, gd)
 	store := platform.NewStore(set.StoreAddress)
 	watches := follow.Options{Hold: agentHold, Pause: agentPause, MaxPause: agentBackoff}
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
+	addContext(&g, gd.Watch)
 	c.addMetrics(&g, set.IP, ops.New(ops.Options{Metrics: metrics}), log)
 	addContext(&g, func(ctx context.Context) error {
 		agent.Fence(ctx, store)
 		<-ctx.Done()
 		return nil
 	})
-	addContext(&g, func(ctx context.Context) error {
+	addContext(&g, gd.Duty("configuration", func(ctx context.Context) error {
 		follow.New(store.Stale(), platform.KindConfig, watches, agent.Config(), log).Run(ctx)
 		return nil
-	})
-	addContext(&g, func(ctx context.Context) error {
+	}))
+	addContext(&g, gd.Duty("list of upstreams", func(ctx context.Context) error {
 		follow.New(store.Stale(), platform.KindUpstreams, watches, agent.Upstreams(), log).Run(ctx)
 		return nil
-	})
+	}))
 	addContext(&g, agent.Receive)
 	addContext(&g, func(ctx context.Context) error { agent.Run(ctx); return nil })
 	err = g.Run()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -39,6 +40,7 @@
 	core  *Core
 	pool  *h1.Pool
 	log   *eventlog.Log
+	guard *guard.Guard
 	scope tally.Scope
 	trace trace.Tracer
 	// stopping is closed when the process begins to stop; answers then ask callers to close their connections.
@@ -50,9 +52,9 @@
 }
 
 // New returns a gateway.
-func New(core *Core, pool *h1.Pool, log *eventlog.Log, scope tally.Scope, tracer trace.Tracer) *Gateway {
+func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	work, end := context.WithCancel(context.Background())
-	return &Gateway{core: core, pool: pool, log: log, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end,
+	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end,
 		held: heldBytes{total: defaultHeld}}
 }
 
@@ -82,6 +84,8 @@
 	config uint64 // version that the request was matched with
 	// waitsFor is what the request last began to wait for.
 	waitsFor dispatch.Want
+	// sent says that a send has begun.
+	sent bool
 	// held is the memory that bodies of answers have taken, in bytes.
 	held int64
 }
@@ -89,6 +93,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, meta: platform.DecodeCall(r.Header), start: time.Now()}
+	defer c.recovered()
 	select {
 	case <-g.stopping:
 		w.Header().Set("Connection", "close")
@@ -122,6 +127,26 @@
 	c.run()
 }
 
+// recovered gives the request its truthful answer after a panic: it may have run if a send has begun.
+func (c *call) recovered() {
+	p := recover()
+	switch {
+	case p == nil:
+		return
+	case p == http.ErrAbortHandler: //nolint:errorlint // the server compares it in the same way
+		panic(p)
+	}
+	c.g.guard.Note("request", p)
+	switch {
+	case c.begun:
+		c.abort("unexpected error")
+	case c.sent:
+		c.refuse(http.StatusBadGateway, "unexpected error", 0)
+	default:
+		c.refuse(http.StatusServiceUnavailable, "unexpected error", refusedAgain)
+	}
+}
+
 // base returns the context whose end cancels the work: that of the caller's connection, unless the work must not be
 // cancelled once it has begun.
 func (c *call) base() context.Context {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 )
 
@@ -31,6 +32,7 @@
 	core   *Core
 	socket *peer.Socket
 	log    *eventlog.Log
+	guard  *guard.Guard
 	place  Place
 	port   uint16 // of all agents
 	reach  func(bool)
@@ -41,8 +43,8 @@
 
 // NewPeers returns the exchange of the router with the agents, which listen on port beside their upstreams. reach is called
 // with false when the router no longer reaches the upstreams, and with true when it does again.
-func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, place Place, port int, reach func(bool)) *Peers {
-	return &Peers{core: core, socket: socket, log: log, place: place, port: uint16(port), reach: reach}
+func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, g *guard.Guard, place Place, port int, reach func(bool)) *Peers {
+	return &Peers{core: core, socket: socket, log: log, guard: g, place: place, port: uint16(port), reach: reach}
 }
 
 // Run exchanges messages until ctx ends. The socket is closed after the last message, which says that the router leaves.
@@ -65,7 +67,7 @@
 func (p *Peers) receive(ctx context.Context) error {
 	return p.socket.Receive(ctx, func(_ netip.AddrPort, m peer.Message) {
 		if m.State != nil {
-			p.report(m.State)
+			p.guard.Do("agent's report", func() { p.report(m.State) })
 		}
 	}, func(from netip.AddrPort, err error) {
 		p.log.Request("message not received", "from", from.String(), "err", err)
@@ -104,21 +106,24 @@
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
-			p.sendAll(true, true)
+			p.do(func() { p.sendAll(true, true) })
 			return
 		case <-ask.C:
-			p.askQuiet()
+			p.do(p.askQuiet)
 		case <-tick.C:
-			p.sendAll(n%farTicks == 0, false)
+			p.do(func() { p.sendAll(n%farTicks == 0, false) })
 			n++
 		case <-p.core.listed:
-			p.sendAll(true, false)
+			p.do(func() { p.sendAll(true, false) })
 		case w := <-p.core.wanted:
-			p.sendTo(w.Upstream)
+			p.do(func() { p.sendTo(w.Upstream) })
 		}
 	}
 }
 
+// do takes one step of the exchange. A panic ends the step only.
+func (p *Peers) do(step func()) { p.guard.Do("messages to agents", step) }
+
 func (p *Peers) sendAll(far, leaving bool) {
 	var zones map[string]string
 	p.core.Do(func(s *dispatch.State) { zones = s.Fleet.Zones() })
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -36,6 +36,7 @@
 // send sends the request to the upstream of the decision and takes its answer.
 func (c *call) send(d dispatch.Decision) (dispatch.Outcome, *answer) {
 	id := d.Upstream.ID
+	c.sent = true
 	_, span := c.g.trace.Start(c.ctx, "send", trace.WithAttributes(attribute.String("upstream", id), attribute.String("zone", d.Upstream.Zone)))
 	defer span.End()
 	tokens := 0
@@ -50,10 +51,13 @@
 			c.g.core.Do(func(s *dispatch.State) { s.First(id, tokens) })
 		}
 	}
+	outcome := dispatch.Broken // unless the exchange returns
+	defer func() {
+		first()
+		span.SetAttributes(attribute.String("outcome", outcome.String()))
+		c.g.core.Do(func(s *dispatch.State) { s.Ended(time.Now(), id, c.req, outcome) })
+	}()
 	outcome, a := c.exchange(d, first)
-	first()
-	span.SetAttributes(attribute.String("outcome", outcome.String()))
-	c.g.core.Do(func(s *dispatch.State) { s.Ended(time.Now(), id, c.req, outcome) })
 	return outcome, a
 }
 
@@ -181,6 +185,7 @@
 		c.finish("done", a.status)
 		return
 	}
+	c.begun = true
 	platform.CallerHeader(c.w.Header(), a.header)
 	c.w.Header().Set("Content-Length", strconv.FormatInt(a.body.len(), 10))
 	c.w.WriteHeader(a.status)
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -10,12 +10,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
@@ -25,6 +27,8 @@
 	RunSpecs(t, "gateway")
 }
 
+var discard = eventlog.New(io.Discard, "entry", "vm")
+
 // rig is a gateway before upstreams that the spec plays.
 type rig struct {
 	core  *gateway.Core
@@ -34,10 +38,15 @@
 
 func newRig() *rig {
 	r := &rig{core: gateway.NewCore(dispatch.New(dispatch.Settings{Zone: "z1", RetryRatio: 0.2, RetryBurst: 50}))}
-	r.gw = gateway.New(r.core, h1.NewPool(), eventlog.New(io.Discard, "entry", "vm"), tally.NoopScope, noop.NewTracerProvider().Tracer(""))
+	r.serve(noop.NewTracerProvider().Tracer(""))
+	return r
+}
+
+// serve replaces the gateway by one with the tracer.
+func (r *rig) serve(tracer trace.Tracer) {
+	r.gw = gateway.New(r.core, h1.NewPool(), discard, guard.New(discard), tally.NoopScope, tracer)
 	r.front = httptest.NewServer(r.gw)
 	DeferCleanup(r.front.Close)
-	return r
 }
 
 // routes are one route of each kind, on a plain service and on an engine with one model that has no copy anywhere.
--- /dev/null
+++ b/pkg/guard/guard.go
@@ -0,0 +1,119 @@
+// Package guard keeps an unexpected error in one duty, request or message from ending the process and every stream that it
+// carries.
+package guard
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+)
+
+const (
+	// maxPanics is the number of panics within panicWindow after which a duty is given up: its state is then taken to be
+	// broken, and a process that starts anew rebuilds it from the list and the reports.
+	maxPanics   = 5
+	panicWindow = time.Minute
+	// restartPause is the time before a duty runs again.
+	restartPause = 50 * time.Millisecond
+)
+
+// ErrGivenUp means that a duty has panicked again and again.
+var ErrGivenUp = errors.New("duty given up after repeated panics")
+
+// Guard counts panics. It is safe for concurrent use.
+type Guard struct {
+	log *eventlog.Log
+
+	mu     sync.Mutex
+	logged map[string]bool // duties whose stack has been written
+	at     map[string][]time.Time
+	given  chan struct{} // closed when a duty is given up
+	total  uint64
+}
+
+// New returns a guard that writes to the log.
+func New(log *eventlog.Log) *Guard {
+	return &Guard{log: log, logged: map[string]bool{}, at: map[string][]time.Time{}, given: make(chan struct{})}
+}
+
+// Total returns the number of panics so far.
+func (g *Guard) Total() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.total
+}
+
+// Do runs f and reports whether it has panicked.
+func (g *Guard) Do(name string, f func()) (panicked bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			panicked = true
+			g.Note(name, p)
+		}
+	}()
+	f()
+	return false
+}
+
+// Note counts a panic that was recovered. The stack is written once for each name, since a panic tends to come again.
+func (g *Guard) Note(name string, p any) {
+	g.mu.Lock()
+	first := !g.logged[name]
+	g.logged[name] = true
+	g.total++
+	now := time.Now()
+	recent := g.at[name][:0]
+	for _, at := range g.at[name] {
+		if now.Sub(at) < panicWindow {
+			recent = append(recent, at)
+		}
+	}
+	g.at[name] = append(recent, now)
+	if len(g.at[name]) == maxPanics {
+		select {
+		case <-g.given:
+		default:
+			close(g.given)
+		}
+	}
+	count := len(g.at[name])
+	g.mu.Unlock()
+	stack := ""
+	if first {
+		stack = string(debug.Stack())
+	}
+	g.log.State("panic", "in", name, "value", p, "within_a_minute", count, "stack", stack)
+}
+
+// Watch returns ErrGivenUp once something has panicked too often, and nil when ctx ends. The process then stops as it does
+// when it is told to, so that the requests it carries are answered first.
+func (g *Guard) Watch(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.given:
+		return fault.Wrap(ErrGivenUp, fault.StepSettings, "", "run duties")
+	}
+}
+
+// Duty returns a duty that runs again after a panic, until it returns or ctx ends.
+func (g *Guard) Duty(name string, duty func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			var err error
+			if !g.Do(name, func() { err = duty(ctx) }) {
+				return err
+			}
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(restartPause):
+			}
+		}
+	}
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -56,6 +57,7 @@
 	engine  Engine
 	socket  *peer.Socket
 	log     *eventlog.Log
+	guard   *guard.Guard
 	demands chan received
 
 	mu     sync.Mutex
@@ -89,9 +91,9 @@
 }
 
 // New returns an agent.
-func New(set Settings, engine Engine, socket *peer.Socket, log *eventlog.Log) *Agent {
+func New(set Settings, engine Engine, socket *peer.Socket, log *eventlog.Log, g *guard.Guard) *Agent {
 	return &Agent{
-		set: set, engine: engine, socket: socket, log: log, demands: make(chan received, demandsSize),
+		set: set, engine: engine, socket: socket, log: log, guard: g, demands: make(chan received, demandsSize),
 		version: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimit(set.LoadWindow, set.LoadFactor),
 	}
 }
@@ -132,12 +134,18 @@
 		case <-timer.C:
 		}
 		a.drain()
-		a.round(ctx)
-		timer.Reset(a.pause())
+		pause := idlePoll
+		a.guard.Do("round", func() {
+			a.round(ctx)
+			pause = a.pause()
+		})
+		timer.Reset(pause)
 	}
 }
 
-func (a *Agent) take(r received) { a.routers.take(time.Now(), r.from, r.demand) }
+func (a *Agent) take(r received) {
+	a.guard.Do("router's message", func() { a.routers.take(time.Now(), r.from, r.demand) })
+}
 
 func (a *Agent) drain() {
 	for {
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
@@ -110,8 +111,9 @@
 	r.router, err = peer.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	r.to = socket.Address()
+	log := eventlog.New(io.Discard, "sidecar", "side-1")
 	r.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 4},
-		r.engine, socket, eventlog.New(io.Discard, "sidecar", "side-1"))
+		r.engine, socket, log, guard.New(log))
 	r.agent.Configure(config(), 1)
 	r.agent.List([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, Born: 5}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/sidecar/upstreams_test.go
+++ b/pkg/sidecar/upstreams_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -43,7 +44,8 @@
 
 	It("keeps an agent from fetching a model until it has been read", func() {
 		engine := &catalog.Engine{Models: map[string]catalog.Model{"a": {Name: "a", SizeMB: 60}}, MemoryMB: 100, LoadsPerSecond: 2}
-		agent := New(Settings{LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 2}, nil, nil, eventlog.New(GinkgoWriter, "sidecar", "side-1"))
+		log := eventlog.New(GinkgoWriter, "sidecar", "side-1")
+		agent := New(Settings{LoadWindow: 5 * time.Second, LoadFactor: 1.1, Parallel: 2}, nil, nil, log, guard.New(log))
 		agent.Configure(catalog.NewConfig(1, nil, []catalog.Service{{Name: "llm", Engine: engine}}, catalog.Limits{}), 1)
 		agent.SetToken(41)
 		agent.report = platform.Report{Upstream: self}
