Refuse messages between the roles whose values cannot be

Cause: a datagram was taken whatever its values were; a mutated one named an order that takes 3.6e18 ms, and a negative count or a rate that is no number went into decisions. Change: Decode checks the range of each number, the length of each name and that a router is named; the error names the field.

--- /dev/null
+++ b/pkg/peer/check.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"math"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+const (
+	// maxCount bounds counts of requests, routers and tokens: far above what a fleet at the design size has.
+	maxCount = 100_000_000
+	// maxOrderMS bounds the expected rest of an order in ms: an hour. A mutated datagram named 10^8 years.
+	maxOrderMS = 3_600_000
+	// maxMB bounds amounts of memory in MB.
+	maxMB = 1e9
+	// maxName bounds names of models, adapters, routers and upstreams in bytes.
+	maxName = 256
+)
+
+// check returns an error that names the first value that cannot be. Both kinds of messages come from other processes over a
+// network that may change or forge them.
+func (m *Message) check() error {
+	var c checker
+	if d := m.Demand; d != nil {
+		c.demand(d)
+	} else {
+		c.state(m.State)
+	}
+	if c.field == "" {
+		return nil
+	}
+	return fault.Newf(fault.StepTransport, "", "field %s of the message is out of range", c.field)
+}
+
+// checker notes the first field that is out of range.
+type checker struct{ field string }
+
+func (c *checker) require(ok bool, field string) {
+	if !ok && c.field == "" {
+		c.field = field
+	}
+}
+
+func (c *checker) count(field string, values ...int) {
+	for _, n := range values {
+		c.require(n >= 0 && n <= maxCount, field)
+	}
+}
+
+func (c *checker) name(field string, values ...string) {
+	for _, s := range values {
+		c.require(len(s) <= maxName, field)
+	}
+}
+
+func (c *checker) amount(field string, values ...float64) {
+	for _, v := range values {
+		c.require(!math.IsNaN(v) && v >= 0 && v <= maxMB, field)
+	}
+}
+
+func (c *checker) wants(field string, wants []Want) {
+	for _, w := range wants {
+		c.name(field, w.Model, w.Adapter)
+		c.count(field, w.Waiting)
+	}
+}
+
+func (c *checker) adapters(field string, adapters ...placement.Adapter) {
+	for _, a := range adapters {
+		c.name(field, a.Model, a.Name)
+	}
+}
+
+func (c *checker) demand(d *Demand) {
+	c.require(d.Router != "", "router")
+	c.name("router", d.Router, d.Region)
+	c.wants("here", d.Here)
+	c.wants("anywhere", d.Anywhere)
+	c.adapters("used", d.Used...)
+	for _, h := range d.Held {
+		c.name("held", h.Model)
+		c.count("held", h.Before, h.Running)
+		c.amount("held", float64(h.Rate))
+		for name, n := range h.Adapters {
+			c.name("held", name)
+			c.count("held", n)
+		}
+	}
+}
+
+func (c *checker) state(s *State) {
+	c.name("upstream", s.ID, s.Address)
+	c.require(s.Born >= 0, "born")
+	c.count("load", s.Queued, s.Running, s.KVUsed, s.KVTotal, s.Routers)
+	c.amount("room", s.Room.FreeMB, s.Room.IdleMB, s.Room.BusyMB)
+	c.require(s.OrderMS >= 0 && s.OrderMS <= maxOrderMS, "order")
+	if s.Order != nil {
+		c.name("order", s.Order.Model, s.Order.Adapter)
+	}
+	if h := s.Holdings; h != nil {
+		for _, r := range h.Models {
+			c.name("holdings", r.Model)
+			c.name("holdings", r.Adapters...)
+		}
+		c.name("holdings", h.InMemory...)
+		c.name("holdings", h.OnDisk...)
+	}
+}
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -121,7 +121,7 @@
 	return raw, nil
 }
 
-// Decode decodes a message.
+// Decode decodes a message and checks its values.
 func Decode(raw []byte) (Message, error) {
 	var m Message
 	if err := cbor.Unmarshal(raw, &m); err != nil {
@@ -130,5 +130,8 @@
 	if (m.Demand == nil) == (m.State == nil) {
 		return Message{}, fault.New(fault.StepTransport, "", "message has no content or two")
 	}
+	if err := m.check(); err != nil {
+		return Message{}, err
+	}
 	return m, nil
 }
