Let loads from the weight store take turns by the requests that want them

(2) Two agents fetched one model at once, since wishes at the first stood while the second began. (3) Six loads began at once after the loss of power and ended after 30 s each, since four were taken for full speed where the store serves two, and preloads of rare models went before the overloaded one. (4) One of two copies of an overloaded model was given up. (5) During a release nothing was fetched, since the list grows by one upstream a second.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -41,8 +41,6 @@
 	// overdueOrder is the assumed rest of an order that takes longer than expected, such as an unload that waits for the
 	// end of its runs.
 	overdueOrder = 250 * time.Millisecond
-	// storeParallel is the number of loads that the weight store serves at full speed (deployment sheets).
-	storeParallel = 4
 )
 
 // Decide returns what to do with the request now.
@@ -146,6 +144,7 @@
 	}
 	if late := bestCost + reserve - r.waitLimit(now); late > 0 && r.sends == 0 && r.Model != "" && s.engine(r.Service) != nil {
 		s.scaleOut(now, r)
+		s.noteRefused(now, r.Model)
 		d.Action, d.Reason, d.RetryAfter = Refuse, "first event is expected too late", s.retryAfter(now, r, late)
 		return d
 	}
@@ -262,6 +261,7 @@
 	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: h.wait, Until: now.Add(recheck)}
 	d.Want = s.want(now, h.upstream, r.Model, "")
 	if h.wait+reserve > r.waitLimit(now) {
+		s.noteRefused(now, r.Model)
 		d.Action, d.Reason, d.RetryAfter = Refuse, "model cannot be loaded in time", s.retryAfter(now, r, h.wait)
 	}
 	return d
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -23,10 +22,6 @@
 	// moveGain is the time that must be gained to ask another upstream for a model: the time of a load from disk, since
 	// the first one may already be making room.
 	moveGain = time.Second
-	// serviceTime is the time that one request takes from an engine's reading of prompts, and targetUse the share of its
-	// time that a copy is planned for.
-	serviceTime = 0.15 // s
-	targetUse   = 0.5
 )
 
 // home is where a model is to be loaded.
@@ -42,6 +37,7 @@
 	best, wait := s.nearest(now, members, spec)
 	if m := s.underWay(now, r); m != nil {
 		if rest := max(0, m.OrderUntil.Sub(now)); best == nil || rest <= wait+moveGain {
+			s.dropOtherWants(r.Model, m.ID)
 			return home{upstream: m.ID, wait: rest}, true
 		}
 	}
@@ -54,13 +50,24 @@
 	if !ok {
 		return home{}, false
 	}
-	wait = spec.FetchTime + time.Duration(slices.Index(missing, r.Model)/storeParallel)*spec.FetchTime
+	before := slices.Index(missing, r.Model) + s.pace.underWay()
+	wait = spec.FetchTime + time.Duration(before/s.storeParallel(now))*spec.FetchTime
 	if m := s.Fleet.Get(h.Upstream); m != nil {
 		wait += restOfOrder(now, m)
 	}
 	return home{upstream: h.Upstream, wait: wait, fetch: true}, true
 }
 
+// dropOtherWants forgets the wishes for the model at other upstreams: two of them fetched it at the same time, and each
+// fetch slows the others down.
+func (s *State) dropOtherWants(model, upstream string) {
+	for w := range s.wants {
+		if w.Model == model && w.Name == "" && w.Upstream != upstream {
+			s.forget(w)
+		}
+	}
+}
+
 // underWay returns the upstream that is expected to end the load of the request's model first; nil if there is none.
 func (s *State) underWay(now time.Time, r *Request) *fleet.Member {
 	var first *fleet.Member
@@ -124,7 +131,7 @@
 				return m.ID, asked
 			}
 		}
-		delete(s.wants, w)
+		s.forget(w)
 	}
 	return best, wait
 }
@@ -175,31 +182,3 @@
 	}
 	return out
 }
-
-// scaleOut asks for another copy of a model that all its upstreams are slow for. One copy is loaded at a time, and no
-// more than the model's rate needs: four routers that each asked for a copy elsewhere drove out five other models.
-func (s *State) scaleOut(now time.Time, r *Request) {
-	copies := 0
-	var others []*fleet.Member
-	for _, m := range s.Fleet.Members(now, r.Service) {
-		switch {
-		case m.Silent(now):
-		case loading(m, r.Model):
-			return
-		case m.Serves(r.Model):
-			copies++
-		case m.Load.FreeMB+m.Load.IdleMB >= s.engine(r.Service).Models[r.Model].SizeMB:
-			others = append(others, m)
-		}
-	}
-	rate := 0.0
-	if x := s.rates[r.Model]; x != nil {
-		rate = x.all.at(now) * float64(s.routers)
-	}
-	if float64(copies) >= 1+math.Ceil(rate*serviceTime/targetUse) {
-		return
-	}
-	if best, _ := s.nearest(now, others, s.engine(r.Service).Models[r.Model]); best != nil {
-		s.want(now, best.ID, r.Model, "")
-	}
-}
--- /dev/null
+++ b/pkg/dispatch/scale_test.go
@@ -0,0 +1,83 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+)
+
+// Demand moved to a model that one upstream had loaded and no other had a copy of. Its queue grew to three seconds and two
+// of three callers were refused for 30 s beside idle engines, since further copies were loaded from memory or disk only
+// (vanstops-large, trouble-1).
+var _ = Describe("a model with one copy that demand moves to", func() {
+	var s *dispatch.State
+	BeforeEach(func() {
+		s = newState()
+		add(s, upstream{id: "busy", models: []string{"a"}, queued: 20})
+	})
+	demand := func() map[dispatch.Want]int {
+		for range 40 {
+			r := request(&chatRoute, "llm", "a")
+			s.Arrived(now, r)
+			s.Decide(now, r)
+		}
+		return s.Wants(now)
+	}
+	wants := func(id string) map[dispatch.Want]int {
+		return map[dispatch.Want]int{{Upstream: id, Adapter: placement.Adapter{Model: "a"}}: 1}
+	}
+
+	It("is fetched by an upstream with free memory", func() {
+		add(s, upstream{id: "idle", idle: 100})
+		add(s, upstream{id: "free", free: 100})
+		Expect(demand()).To(Equal(wants("free")))
+	})
+
+	It("is loaded from a copy where there is one", func() {
+		add(s, upstream{id: "free", free: 100})
+		add(s, upstream{id: "disk", idle: 100, onDisk: []string{"a"}})
+		Expect(demand()).To(Equal(wants("disk")))
+	})
+
+	It("is not fetched by an upstream without room or with an order under way", func() {
+		add(s, upstream{id: "full"})
+		add(s, upstream{id: "ordered", free: 100, order: &placement.Order{Model: "b"}, orderMS: 5000})
+		Expect(demand()).To(BeEmpty())
+	})
+
+	It("is told apart from models without a copy, with the number of requests that want it", func() {
+		add(s, upstream{id: "free", free: 100})
+		for range 40 {
+			r := request(&chatRoute, "llm", "a")
+			r.Leaves = now.Add(2 * time.Second)
+			s.Arrived(now, r)
+			Expect(s.Decide(now, r).Action).To(Equal(dispatch.Refuse))
+		}
+		for w, n := range s.Wants(now) {
+			Expect(s.More(w)).To(BeTrue())
+			Expect(n).To(BeNumerically(">", 10))
+		}
+		Expect(s.Wants(now)).To(HaveLen(1))
+	})
+})
+
+// Two upstreams fetched the same model since wishes at the first stood while the second began (vanstops-large, trouble-1).
+var _ = Describe("a model that is fetched", func() {
+	It("is no longer asked for elsewhere", func() {
+		s := newState()
+		add(s, upstream{id: "u1", free: 100})
+		add(s, upstream{id: "u2", free: 100})
+		r := request(&reportRoute, "llm", "a")
+		r.Deadline = now.Add(20 * time.Second)
+		first := s.Decide(now, r).Want
+		Expect(first).NotTo(BeNil())
+		other := map[string]string{"u1": "u2", "u2": "u1"}[first.Upstream]
+		add(s, upstream{id: other, order: &placement.Order{Model: "a"}, orderMS: 6000})
+		Expect(s.Decide(now, r).Want.Upstream).To(Equal(other))
+		Expect(s.Wants(now)).To(HaveLen(1))
+	})
+})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -56,8 +56,13 @@
 	quotas   map[string]*routing.Quota
 	wants    map[Want]time.Time
 	waiting  map[Want]int
-	rates    map[string]*modelRate
-	used     map[string]map[placement.Adapter]bool
+	// more holds the wants for a further copy of a loaded model from the weight store.
+	more map[Want]bool
+	// refused is the rate of the refusals of requests for a model that could not be loaded or is overloaded.
+	refused map[string]*rate
+	pace    pace
+	rates   map[string]*modelRate
+	used    map[string]map[placement.Adapter]bool
 	// Crashes decides which requests are refused because they crash upstreams.
 	Crashes  *quarantine.Reports
 	listedAt time.Time // first list of upstreams
@@ -75,7 +80,7 @@
 func New(s Settings) *State {
 	return &State{
 		Fleet: fleet.New(), settings: s, tracks: map[string]*track{}, quotas: map[string]*routing.Quota{},
-		wants: map[Want]time.Time{}, waiting: map[Want]int{}, rates: map[string]*modelRate{},
+		wants: map[Want]time.Time{}, waiting: map[Want]int{}, more: map[Want]bool{}, refused: map[string]*rate{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: unknownRouters,
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreached: map[string]time.Time{},
 	}
@@ -150,23 +155,45 @@
 	}
 }
 
-// Wants returns the models and adapters that are asked for, with the number of requests that wait for each.
+// Wants returns the models and adapters that are asked for, with the number of requests that wait for each or were lately
+// refused for the lack of it.
 func (s *State) Wants(now time.Time) map[Want]int {
 	out := map[Want]int{}
 	for w, until := range s.wants {
 		if now.After(until) && s.waiting[w] == 0 {
-			delete(s.wants, w)
+			s.forget(w)
 			continue
 		}
 		if m := s.Fleet.Get(w.Upstream); m == nil || w.Name == "" && m.Serves(w.Model) || w.Name != "" && m.HoldsAdapter(w.Model, w.Name) {
-			delete(s.wants, w)
+			s.forget(w)
 			continue
 		}
 		out[w] = max(1, s.waiting[w])
+		if x := s.refused[w.Model]; x != nil && w.Name == "" {
+			out[w] += int(x.at(now) * wantFor.Seconds())
+		}
 	}
 	return out
 }
 
+func (s *State) forget(w Want) {
+	delete(s.wants, w)
+	delete(s.more, w)
+}
+
+// More reports whether the want is for a further copy of a loaded model from the weight store.
+func (s *State) More(w Want) bool { return s.more[w] }
+
+// noteRefused counts a refusal of a request for the model.
+func (s *State) noteRefused(now time.Time, model string) {
+	x := s.refused[model]
+	if x == nil {
+		x = &rate{}
+		s.refused[model] = x
+	}
+	x.add(now)
+}
+
 // Held returns what the router knows of each model that the upstream has loaded.
 func (s *State) Held(now time.Time, id string) []peer.Held {
 	m := s.Fleet.Get(id)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -78,7 +78,7 @@
 	changed, back := false, false
 	p.core.Do(func(s *dispatch.State) {
 		back = s.Fleet.Heard(time.Now(), r.ID)
-		changed = s.Fleet.Report(time.Now(), r)
+		changed = s.Report(time.Now(), r)
 		s.Crashes.Merge(time.Now(), r.Crashes)
 		if r.Routers > 0 {
 			s.SetRouters(r.Routers)
@@ -195,7 +195,7 @@
 	p.core.Do(func(s *dispatch.State) {
 		now := time.Now()
 		for w, n := range s.Wants(now) {
-			want := peer.Want{Model: w.Model, Adapter: w.Name, Waiting: n}
+			want := peer.Want{Model: w.Model, Adapter: w.Name, Waiting: n, More: s.More(w)}
 			if m := s.Fleet.Get(w.Upstream); m != nil && m.Address == address {
 				d.Here = append(d.Here, want)
 			}
@@ -203,6 +203,7 @@
 				d.Anywhere = append(d.Anywhere, want)
 			}
 		}
+		d.Fetching, d.Parallel = s.Fetching(now), s.Parallel(now)
 		for _, id := range s.Fleet.At(address) {
 			next, seen := s.Fleet.CrashReports(id)
 			d.CrashesFrom = max(d.CrashesFrom, next)
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -79,6 +79,8 @@
 	c.wants("here", d.Here)
 	c.wants("anywhere", d.Anywhere)
 	c.adapters("used", d.Used...)
+	c.name("fetching", d.Fetching...)
+	c.count("parallel", d.Parallel)
 	for _, h := range d.Held {
 		c.name("held", h.Model)
 		c.count("held", h.Before, h.Running)
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -59,6 +59,7 @@
 		Entry("fewer than no requests", demand(func(d *peer.Demand) { d.Here[0].Waiting = -5 })),
 		Entry("a rate without bound", demand(func(d *peer.Demand) { d.Held = []peer.Held{{Model: "a", Rate: float32(math.Inf(1))}} })),
 		Entry("a negative rank", demand(func(d *peer.Demand) { d.Held = []peer.Held{{Model: "a", Before: -1}} })),
+		Entry("a negative number of loads", demand(func(d *peer.Demand) { d.Parallel = -1 })),
 	)
 })
 
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -20,6 +20,8 @@
 	Model   string `cbor:"1,keyasint"`
 	Adapter string `cbor:"2,keyasint,omitempty"`
 	Waiting int    `cbor:"3,keyasint"`
+	// More says that the model is loaded and has no other copy outside the weight store.
+	More bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Held is what a router knows of a model that the agent's upstream has loaded.
@@ -51,6 +53,10 @@
 	// the number of the first of the agent's reports that the router does not have.
 	Crashes     []quarantine.Report `cbor:"8,keyasint,omitempty"`
 	CrashesFrom uint32              `cbor:"11,keyasint,omitempty"`
+	// Fetching lists the models that upstreams load from the weight store as far as the router knows, and Parallel is the
+	// number of loads that it has seen the store serve at full speed; 0 if it has seen none.
+	Fetching []string `cbor:"12,keyasint,omitempty"`
+	Parallel int      `cbor:"13,keyasint,omitempty"`
 	// Known is the version of the holdings that the router has.
 	Known uint32 `cbor:"9,keyasint,omitempty"`
 	// Ask asks for a report at once: the router depends on the upstream and has not heard of it for a while.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -246,6 +246,58 @@
 
 	// Twelve upstreams fetched the same model at the start, each from a list that named few others; two at a time are served
 	// at full speed, and the load took 60 s (decals-grown, scale-2).
+	// Six loads began at the same time after a loss of power, of rare models and of one that refused 50 requests a second;
+	// all ended after 30 s (vanstops-large, trouble-1).
+	It("fetches a further copy of an overloaded model before models that few wait for", func() {
+		v := view()
+		v.Parallel = 1
+		v.Self.OnDisk = nil
+		v.All[0] = v.Self
+		v.Demand.Models["a-hot"] = 30
+		v.Engine.Models = models("a", "a-hot", "b", "c")
+		v.All = append(v.All, catalog.Upstream{ID: "u2", Models: loaded("a-hot")})
+		v.Demand.Urgent = map[string]int{"b": 2}
+		v.Demand.More = map[string]int{"a-hot": 30}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Model: "a-hot"}))
+		v.Demand.Models = map[string]int{"b": 2}
+		_, _, ok = placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("fetches nothing beside as many loads as the store serves at full speed, nor what is being fetched", func() {
+		v := view()
+		v.Self.OnDisk, v.Demand.Models["b"] = nil, 1
+		v.All[0] = v.Self
+		v.Demand.Fetching = []string{"x", "y"}
+		for parallel, want := range map[int]bool{2: false, 3: true} {
+			v.Demand.Parallel = parallel
+			_, _, ok := placement.Plan(v)
+			Expect(ok).To(Equal(want))
+		}
+		v.Demand.Fetching = []string{"b"}
+		v.Settled = false // no other model is fetched in its place
+		_, _, ok := placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
+	// One of two copies of a model that refused most of its requests was unloaded for another model, 5 s after it had been
+	// loaded (vanstops-large, trouble-1).
+	It("keeps a copy that the rate of its model needs", func() {
+		v := view()
+		v.Self.Models = loaded("a", "b")
+		v.Demand.Models["c"] = 1
+		v.Demand.Held = map[string]placement.Held{"a": {Before: 1, Running: 3}, "b": {Before: 1, Running: 3}}
+		v.Demand.Rate = map[string]float64{"a": 20, "b": 2}
+		o, _, ok := placement.Plan(v)
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(placement.Order{Unload: true, Model: "b"}))
+		v.Demand.Rate["b"] = 20
+		_, _, ok = placement.Plan(v)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("fetches nothing that nobody waits for while the list of upstreams grows", func() {
 		v := view()
 		v.Self = catalog.Upstream{ID: "u1"}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -32,6 +32,12 @@
 	Adapters map[Adapter]int
 	// Urgent counts the requests that wait for a model anywhere.
 	Urgent map[string]int
+	// More counts the requests that want a further copy of a loaded model that has no other copy outside the weight store.
+	More map[string]int
+	// Fetching lists the models that upstreams load from the weight store now, and Parallel is the number of loads that it
+	// was seen to serve at full speed; 0 if that is not known.
+	Fetching []string
+	Parallel int
 	// Rate is the number of requests per second for each model over all routers.
 	Rate map[string]float64
 	// AdapterUsed is when each adapter was last asked for at this upstream.
@@ -195,15 +201,15 @@
 	return Order{Unload: true, Model: victim}, ReasonRoom, ok
 }
 
-// mayFetch reports whether a load of the model from the weight store may begin: the limit allows it, and the model is among
-// the first of those that have no copy elsewhere. More loads at a time than the store serves at full speed all end late.
+// mayFetch reports whether a load of the model from the weight store may begin: the limit allows it, and the store serves it
+// at full speed beside those under way and those that come before it. More loads at a time all end late.
 func (v *View) mayFetch(name string) bool {
-	if !v.FetchAllowed {
+	if !v.FetchAllowed || slices.Contains(v.Demand.Fetching, name) {
 		return false
 	}
 	_, missing := Homes(v.Engine.Models, v.All, v.Demand.Urgent)
-	place := slices.Index(missing, name)
-	return place < v.Parallel // -1 for a model with a copy elsewhere that cannot be loaded there in time
+	place := slices.Index(v.fetchQueue(missing), name) // -1 for a model with a copy elsewhere that cannot be loaded there in time
+	return len(v.Demand.Fetching)+max(0, place) < v.parallel()
 }
 
 // idleModels returns the loaded models without requests. For a preload only spare copies are given up.
@@ -217,12 +223,13 @@
 	return out
 }
 
-// busyModels returns those loaded models with running requests that upstreams which rank before this one serve too. An
-// unload waits for the end of the runs and keeps the engine busy meanwhile, so they are given up only if no model is idle.
+// busyModels returns those loaded models with running requests that enough upstreams which rank before this one serve too. An
+// unload waits for the end of the runs and keeps the engine busy meanwhile, so they are given up only if no model is idle. One
+// of two copies of an overloaded model was given up for a model with few requests.
 func (v *View) busyModels() []string {
 	var out []string
 	for _, m := range v.Self.Models {
-		if h, known := v.Demand.Held[m.Model]; known && h.Before > 0 && h.Running > 0 && v.Demand.Models[m.Model] == 0 {
+		if h, known := v.Demand.Held[m.Model]; known && h.Before >= max(1, Needed(v.Demand.Rate[m.Model])) && h.Running > 0 && v.Demand.Models[m.Model] == 0 {
 			out = append(out, m.Model)
 		}
 	}
@@ -322,11 +329,11 @@
 // speed, each at its home. A model that has been fetched once comes back from its home's disk in under a second.
 func (v *View) planPreload() (Order, Reason, bool) {
 	homes, missing := Homes(v.Engine.Models, v.All, v.Demand.Urgent)
-	for i, name := range missing {
-		if i >= v.Parallel {
+	for i, name := range v.fetchQueue(missing) {
+		if len(v.Demand.Fetching)+i >= v.parallel() {
 			break
 		}
-		if homes[name].Upstream == v.Self.ID {
+		if homes[name].Upstream == v.Self.ID && homes[name].Tier == catalog.TierStore {
 			return v.planModel(name, true)
 		}
 	}
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -86,7 +86,7 @@
 func (r *routers) demand(now time.Time) placement.Demand {
 	d := placement.Demand{
 		Models: map[string]int{}, Adapters: map[placement.Adapter]int{}, Urgent: map[string]int{}, Rate: map[string]float64{},
-		AdapterUsed: r.used, Held: map[string]placement.Held{},
+		AdapterUsed: r.used, Held: map[string]placement.Held{}, More: map[string]int{},
 	}
 	for _, name := range r.live(now) {
 		x := r.byName[name].demand
@@ -98,7 +98,19 @@
 			}
 		}
 		for _, w := range x.Anywhere {
-			d.Urgent[w.Model] += w.Waiting
+			if w.More {
+				d.More[w.Model] += w.Waiting
+			} else {
+				d.Urgent[w.Model] += w.Waiting
+			}
+		}
+		for _, name := range x.Fetching {
+			if !slices.Contains(d.Fetching, name) {
+				d.Fetching = append(d.Fetching, name)
+			}
+		}
+		if x.Parallel > 0 && (d.Parallel == 0 || x.Parallel < d.Parallel) {
+			d.Parallel = x.Parallel // more loads than the store serves end late
 		}
 		for _, h := range x.Held {
 			d.Rate[h.Model] += float64(h.Rate)
--- a/pkg/sidecar/upstreams.go
+++ b/pkg/sidecar/upstreams.go
@@ -6,31 +6,37 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 )
 
-// settleTime is the time without a new upstream after which the list counts as complete: an interval of the upstreams'
-// writes, and the lag of reads that may be stale.
-const settleTime = 2 * time.Second
+const (
+	// settleTime is the time after which the list counts as complete if few upstreams have been added: an interval of the
+	// upstreams' writes, and the lag of reads that may be stale.
+	settleTime = 2 * time.Second
+	// grownShare is the share of the list that may be new within settleTime. During a release an upstream starts every second
+	// or so, and no lost model was fetched until its end.
+	grownShare = 0.1
+)
 
 // upstreams is the platform's list of upstreams as the agent knows it. The zero value is a list that has not been read; it
 // never counts as complete. After a loss of power agents that had their configuration but no list took themselves for the
 // only upstream, and all fetched the same model from the weight store.
 type upstreams struct {
-	byID map[string]catalog.Upstream // nil until the list has been read
-	// grownAt is when the list last named an upstream that it had not named before.
-	grownAt time.Time
+	byID   map[string]catalog.Upstream // nil until the list has been read
+	readAt time.Time                   // first
+	// namedAt is when the list first named each upstream.
+	namedAt map[string]time.Time
 }
 
 // replace takes the whole list.
 func (l *upstreams) replace(now time.Time, all []catalog.Upstream) {
-	before := l.byID
-	l.byID = make(map[string]catalog.Upstream, len(all))
-	if before == nil {
-		l.grownAt = now
+	if l.byID == nil {
+		l.readAt = now
 	}
+	namedBefore := l.namedAt
+	l.byID, l.namedAt = make(map[string]catalog.Upstream, len(all)), make(map[string]time.Time, len(all))
 	for _, u := range all {
-		if _, known := before[u.ID]; !known {
-			l.grownAt = now
+		l.byID[u.ID], l.namedAt[u.ID] = u, now
+		if at, known := namedBefore[u.ID]; known {
+			l.namedAt[u.ID] = at
 		}
-		l.byID[u.ID] = u
 	}
 }
 
@@ -40,16 +46,31 @@
 		return
 	}
 	if _, known := l.byID[u.ID]; !known {
-		l.grownAt = now
+		l.namedAt[u.ID] = now
 	}
 	l.byID[u.ID] = u
 }
 
-func (l *upstreams) remove(id string) { delete(l.byID, id) }
+func (l *upstreams) remove(id string) {
+	delete(l.byID, id)
+	delete(l.namedAt, id)
+}
 
-// settled reports whether the list has been read and has not grown for a while.
-func (l *upstreams) settled(now time.Time) bool {
-	return l.byID != nil && now.Sub(l.grownAt) >= settleTime
+// settled reports whether the list has been read, has named the agent's own upstream and has not grown much for a while. Of
+// several upstreams that have restarted empty, each sees the others as they were before until the list names them, and
+// takes itself for the home of the models that are missing.
+func (l *upstreams) settled(now time.Time, self string) bool {
+	own, listed := l.namedAt[self]
+	if l.byID == nil || now.Sub(l.readAt) < settleTime || !listed || now.Sub(own) < settleTime {
+		return false
+	}
+	grown := 0
+	for _, at := range l.namedAt {
+		if now.Sub(at) < settleTime {
+			grown++
+		}
+	}
+	return float64(grown) <= grownShare*float64(len(l.byID))
 }
 
 // with returns self and the listed upstreams of its service, and whether the list has been read.
