Repeat first calls to a store that was silent beside each other

Callers are told to come back after as long as the process has waited. Ruled out: a shorter timeout, with which a store that is slow would never answer in time. Test: pkg/follow, does not wait for a first call that stays without an answer; pkg/gateway, tells callers to come back later.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -94,7 +94,7 @@
 func (f *Follower) list(ctx context.Context) (uint64, bool) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, revision, err := f.src.List(call, f.kind)
+	objects, revision, err := f.read(call)
 	if err != nil {
 		f.failed(ctx, err)
 		return 0, false
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -30,6 +30,7 @@
 	revision uint64
 	err      error
 	silent   bool // returns only when the call is given up
+	after    time.Duration
 }
 
 type source struct {
@@ -53,6 +54,11 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(a.after):
+	}
 	return a.objects, a.revision, a.err
 }
 
@@ -112,6 +118,22 @@
 		Expect(s.calls[:4]).To(Equal([]string{"list", "watch 3", "watch 5", "watch 5"}))
 	})
 
+	// All processes started while the store was silent. It came back 0.7 s later, but their first calls stayed without an
+	// answer until they timed out after 2.5 s; 400 callers were refused meanwhile (vanstops-large, trouble-1).
+	It("does not wait for a first call that stays without an answer", func() {
+		s := &source{answers: []answer{{silent: true}, {silent: true}, {revision: 7}}}
+		begin := time.Now()
+		Expect(play(s)[0]).To(Equal("listed"))
+		Expect(s.calls[:3]).To(Equal([]string{"list", "list", "list"}))
+		Expect(time.Since(begin)).To(BeNumerically("<", 2*time.Second))
+	})
+
+	It("takes the answer to the first call if the store is slow", func() {
+		s := &source{answers: []answer{{revision: 7, after: 500 * time.Millisecond}, {silent: true}, {revision: 8}}}
+		Expect(play(s)[0]).To(Equal("listed"))
+		Expect(s.calls[:2]).To(Equal([]string{"list", "list"}))
+	})
+
 	It("lists again when the history is gone", func() {
 		s := &source{answers: []answer{{revision: 3}, {err: store.ErrCompacted}, {objects: one("a"), revision: 9}}}
 		Expect(play(s)).To(Equal([]string{"listed", "listed a"}))
--- a/pkg/gateway/answers_test.go
+++ b/pkg/gateway/answers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -39,6 +40,20 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Callers that came back every quarter of a second to a router whose store did not answer used up their retries.
+	It("tells callers to come back later the longer no configuration is known", func() {
+		r := newRig()
+		again := func() float64 {
+			resp, _, err := r.call(http.MethodGet, "/get/x")
+			Expect(err).NotTo(HaveOccurred())
+			s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			return s
+		}
+		Expect(again()).To(BeNumerically("~", 0.25, 0.1))
+		Eventually(again, "2s").Should(BeNumerically(">=", 0.6))
+	})
+
 	It("answers 404 only for what no route matches", func() {
 		resp, _, err := r.call(http.MethodGet, "/none/")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -29,7 +29,7 @@
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 10 * time.Second
 	// startDelay is when a caller may come back to a process that has just started: it has its configuration within about
-	// 100 ms.
+	// 100 ms. If it has not, the store does not answer, and callers are told to come back after as long as that has lasted.
 	startDelay = 250 * time.Millisecond
 	// defaultBodyBytes bounds a body if the configuration does not.
 	defaultBodyBytes = 4 << 20
@@ -49,13 +49,14 @@
 	work    context.Context
 	endWork context.CancelFunc
 	held    heldBytes
+	started time.Time
 }
 
 // New returns a gateway.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	work, end := context.WithCancel(context.Background())
 	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, stopping: make(chan struct{}), work: work, endWork: end,
-		held: heldBytes{total: defaultHeld}}
+		held: heldBytes{total: defaultHeld}, started: time.Now()}
 }
 
 // LimitHeld bounds the memory of the bodies that are held at a time, in bytes. It is called before the first request.
@@ -105,7 +106,7 @@
 	}
 	defer func() { g.held.release(c.held) }()
 	if cfg == nil {
-		c.refuse(http.StatusServiceUnavailable, "no configuration is known", startDelay)
+		c.refuse(http.StatusServiceUnavailable, "no configuration is known", c.startWait())
 		return
 	}
 	c.config = cfg.Version
@@ -127,6 +128,16 @@
 	c.run()
 }
 
+// startWait returns when the caller may come back while no configuration is known: at most after a third of the time that it
+// has left, which is what callers wait for.
+func (c *call) startWait() time.Duration {
+	after := max(startDelay, time.Since(c.g.started))
+	if c.meta.Wait > 0 {
+		after = min(after, (c.meta.Wait-time.Since(c.start))/3)
+	}
+	return max(after, 0)
+}
+
 // recovered gives the request its truthful answer after a panic: it may have run if a send has begun.
 func (c *call) recovered() {
 	p := recover()
