Call callers back when an overloaded model has room; read the changing list less often

(1) Callers refused for a queue that was too long by a little were told to come back after some 80 ms, met the same queue and were refused for good. (2) Routers read the list of upstreams once a second while it changes; what engines hold comes from their agents, the list is needed for what joins and leaves. Change: (1) callers come back after half of the queue, or when the copy that is being loaded is ready, at most a third of the time they have left; (2) two calls for the list are two fifths of the drain bound apart (1.6 s at 4 s; 1 s at 2.5 s), which leaves a call without an answer and its repeat within the bound. Test: pkg/dispatch, tells callers that are refused for a little to come back when the queue is shorter.

--- a/cmd/hibiscuscrossd/platform.go
+++ b/cmd/hibiscuscrossd/platform.go
@@ -36,8 +36,9 @@
 	// minWatchHold is the shortest hold of a watch.
 	minWatchHold = time.Second
 	// listShare is the share of the time in which a leaving upstream must get no more requests that passes between two
-	// calls for the list of upstreams while it changes. What upstreams hold comes from the agents.
-	listShare = 0.25
+	// calls for the list of upstreams while it changes: a call that gets no answer and its repeat fit into the rest. What
+	// upstreams hold comes from the agents.
+	listShare = 0.4
 	// storeBackoff bounds the mean pause of a router between two calls that the store does not answer. Half as long again, it
 	// stays below the shortest time in which a change must be in force (deployment sheets: 2.5 s).
 	storeBackoff = 1200 * time.Millisecond
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -145,7 +145,7 @@
 	if late := bestCost + reserve - r.waitLimit(now); late > 0 && r.sends == 0 && r.Model != "" && s.engine(r.Service) != nil {
 		s.scaleOut(now, r)
 		s.noteRefused(now, r.Model)
-		d.Action, d.Reason, d.RetryAfter = Refuse, "first event is expected too late", s.retryAfter(now, r, late)
+		d.Action, d.Reason, d.RetryAfter = Refuse, "first event is expected too late", s.retryAfter(now, r, s.roomAfter(now, r, late, bestCost))
 		return d
 	}
 	if r.Adapter != "" && !best.HoldsAdapter(r.Model, r.Adapter) {
@@ -161,6 +161,16 @@
 	return d
 }
 
+// roomAfter returns when an overloaded model is expected to have room. A queue that is too long by a little stays so while
+// requests arrive faster than it is served: callers wait for half of it to pass, or for the copy that is being loaded.
+func (s *State) roomAfter(now time.Time, r *Request, late, queue time.Duration) time.Duration {
+	after := max(late, queue/2)
+	if m := s.underWay(now, r); m != nil {
+		after = max(after, m.OrderUntil.Sub(now))
+	}
+	return after
+}
+
 // firstRanked returns the member that ranks first for the shared parts of the prompt: among those of the router's region if
 // there are any, since a prompt that goes to another region is paid by volume.
 func (s *State) firstRanked(r *Request, members []*fleet.Member) string {
--- a/pkg/dispatch/overload_test.go
+++ b/pkg/dispatch/overload_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 )
 
 // Requests for a model were sent into the queue of an overloaded upstream for longer than their callers wait: 59 of 108 in
@@ -31,6 +32,16 @@
 		Expect(d.RetryAfter).To(BeNumerically("<", 4*time.Second))
 	})
 
+	// Callers that were told to come back after some 80 ms met the same queue and were refused for good: a tenth of the worth
+	// was refused twice (vanstops-large, trouble-1).
+	It("tells callers that are refused for a little to come back when the queue is shorter or another copy is loaded", func() {
+		d := decide(6100 * time.Millisecond)
+		Expect(d.Action).To(Equal(dispatch.Refuse))
+		Expect(d.RetryAfter).To(BeNumerically(">", 2500*time.Millisecond))
+		add(s, upstream{id: "u2", order: &placement.Order{Model: "a"}, orderMS: 4500})
+		Expect(decide(6100 * time.Millisecond).RetryAfter).To(BeNumerically(">=", 4500*time.Millisecond))
+	})
+
 	It("serves callers that wait for longer", func() {
 		Expect(decide(10 * time.Second).Action).To(Equal(dispatch.Send))
 	})
