--- a/pkg/processtest/fault_test.go
+++ b/pkg/processtest/fault_test.go
@@ -22,6 +22,7 @@
 		all := streams(c, 2)
 		busy := busyEngine(c)
 		Expect(c.DelayLoans(2 * time.Second)).To(Succeed())
+		Eventually(func() error { _, err := c.BusyOwner(); return err }).Should(HaveOccurred()) // of earlier loans
 		probe := processtest.NewKey()
 		probed := loan(c.Routers[0], probe, 1)
 		owner := busyOwner(c, probed)
