--- a/cmd/hibiscuscross-capacity/main.go
+++ b/cmd/hibiscuscross-capacity/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 
@@ -28,5 +29,9 @@
 	if err := capacity.WriteReport(&page, os.Stdout); err != nil {
 		return err
 	}
-	return os.WriteFile(cli.File, page.Bytes(), 0o644)
+	old, err := os.ReadFile(cli.File)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return os.WriteFile(cli.File, capacity.Keep(old, page.Bytes()), 0o644)
 }
