Never give a process up for panics of requests and messages

Cause, found by reading the diff: five panics under one name within a minute ended the process, also those of requests and of messages of other processes, so a caller that repeats a request which panics could have ended one router after the other. Change: only steps of duties count; requests and messages are counted and logged.

--- a/pkg/follow/first.go
+++ b/pkg/follow/first.go
@@ -27,7 +27,7 @@
 // beside them, and the first answer counts. A store that is slow answers the first one, one that was silent a later one.
 func (f *Follower) read(ctx context.Context) ([]platform.Object, uint64, error) {
 	if f.listed {
-		return f.src.List(ctx, f.kind) //nolint:wrapcheck // the store names the step
+		return f.src.List(ctx, f.kind)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -144,7 +144,7 @@
 	switch {
 	case p == nil:
 		return
-	case p == http.ErrAbortHandler: //nolint:errorlint // the server compares it in the same way
+	case p == http.ErrAbortHandler: // the server compares it in the same way
 		panic(p)
 	}
 	c.g.guard.Note("request", p)
--- a/pkg/gateway/held.go
+++ b/pkg/gateway/held.go
@@ -63,7 +63,7 @@
 func (s segments) writeTo(w io.Writer) error {
 	for _, part := range s {
 		if _, err := w.Write(part); err != nil {
-			return err //nolint:wrapcheck // the caller names the step
+			return err
 		}
 	}
 	return nil
@@ -102,7 +102,7 @@
 		m, err := r.Read(buf[n:])
 		n += m
 		if err != nil {
-			return buf[:n], err //nolint:wrapcheck // the caller names the step
+			return buf[:n], err
 		}
 	}
 	return buf, nil
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -67,7 +67,7 @@
 func (p *Peers) receive(ctx context.Context) error {
 	return p.socket.Receive(ctx, func(_ netip.AddrPort, m peer.Message) {
 		if m.State != nil {
-			p.guard.Do("agent's report", func() { p.report(m.State) })
+			p.guard.Try("agent's report", func() { p.report(m.State) })
 		}
 	}, func(from netip.AddrPort, err error) {
 		p.log.Request("message not received", "from", from.String(), "err", err)
--- a/pkg/guard/guard.go
+++ b/pkg/guard/guard.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	logged map[string]bool // duties whose stack has been written
 	at     map[string][]time.Time
 	given  chan struct{} // closed when a duty is given up
+	give   sync.Once
 	total  uint64
 }
 
@@ -48,46 +50,53 @@
 	return g.total
 }
 
-// Do runs f and reports whether it has panicked.
-func (g *Guard) Do(name string, f func()) (panicked bool) {
+// Do runs a step of a duty and reports whether it has panicked. A duty whose steps panic again and again is given up.
+func (g *Guard) Do(name string, step func()) (panicked bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			panicked = true
-			g.Note(name, p)
+			g.count(name, p, true)
 		}
 	}()
-	f()
+	step()
 	return false
 }
 
-// Note counts a panic that was recovered. The stack is written once for each name, since a panic tends to come again.
-func (g *Guard) Note(name string, p any) {
+// Try handles a message of another process. However many of them panic, nothing is given up: whoever sends them could end
+// one process after the other.
+func (g *Guard) Try(name string, handle func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			g.Note(name, p)
+		}
+	}()
+	handle()
+}
+
+// Note counts a panic in a request that was recovered.
+func (g *Guard) Note(name string, p any) { g.count(name, p, false) }
+
+// count counts a panic. The stack is written once for each name, since a panic tends to come again.
+func (g *Guard) count(name string, p any, duty bool) {
+	now := time.Now()
 	g.mu.Lock()
 	first := !g.logged[name]
 	g.logged[name] = true
 	g.total++
-	now := time.Now()
-	recent := g.at[name][:0]
-	for _, at := range g.at[name] {
-		if now.Sub(at) < panicWindow {
-			recent = append(recent, at)
-		}
+	recent := slices.DeleteFunc(g.at[name], func(at time.Time) bool { return now.Sub(at) >= panicWindow })
+	if len(recent) < maxPanics {
+		recent = append(recent, now)
 	}
-	g.at[name] = append(recent, now)
-	if len(g.at[name]) == maxPanics {
-		select {
-		case <-g.given:
-		default:
-			close(g.given)
-		}
+	g.at[name] = recent
+	if duty && len(recent) == maxPanics {
+		g.give.Do(func() { close(g.given) })
 	}
-	count := len(g.at[name])
 	g.mu.Unlock()
 	stack := ""
 	if first {
 		stack = string(debug.Stack())
 	}
-	g.log.State("panic", "in", name, "value", p, "within_a_minute", count, "stack", stack)
+	g.log.State("panic", "in", name, "value", p, "within_a_minute", len(recent), "stack", stack)
 }
 
 // Watch returns ErrGivenUp once something has panicked too often, and nil when ctx ends. The process then stops as it does
--- a/pkg/h1/head.go
+++ b/pkg/h1/head.go
@@ -65,7 +65,7 @@
 			return ErrHeadTooLong
 		}
 		if _, err := c.br.Peek(len(held) + 1); err != nil {
-			return nil //nolint:nilerr // the parser meets the same error after the bytes that are there
+			return nil // the parser meets the same error after the bytes that are there
 		}
 	}
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -144,7 +144,7 @@
 }
 
 func (a *Agent) take(r received) {
-	a.guard.Do("router's message", func() { a.routers.take(time.Now(), r.from, r.demand) })
+	a.guard.Try("router's message", func() { a.routers.take(time.Now(), r.from, r.demand) })
 }
 
 func (a *Agent) drain() {
