Keep no rates of models that are not configured

Cause, found by reading the diff: a rate was kept for each model name that a caller sent, some 400 bytes a name since rates are kept by priority, so a caller could fill a router's memory with names. 50,000 names took 19.6 MB. Change: only requests for configured models count. No decision depends on the others: they are refused as not configured. Test: pkg/dispatch, requests for models that are not configured; it fails on the code before.

--- a/pkg/dispatch/overload_test.go
+++ b/pkg/dispatch/overload_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"runtime"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -73,3 +75,22 @@
 		Expect(ask(&urgent).Action).To(Equal(dispatch.Send))
 	})
 })
+
+// Rates were kept for each name that a caller sent: a router's memory grew with the names.
+var _ = Describe("requests for models that are not configured", func() {
+	It("take no memory once they have ended", func() {
+		const requests, limit = 50_000, 1 << 20 // bytes: an entry each would take some 20 MB
+		s := newState()
+		s.Arrived(now, request(&chatRoute, "llm", "none"))
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range requests {
+			s.Arrived(now, &dispatch.Request{Route: &chatRoute, Service: "llm", Model: strconv.Itoa(i)})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", limit))
+		Expect(s.Decide(now, request(&chatRoute, "llm", "none")).Action).To(Equal(dispatch.Refuse))
+	})
+})
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -135,7 +135,11 @@
 // Arrived counts a new request.
 func (s *State) Arrived(now time.Time, r *Request) {
 	s.quota(r.Service).Request(now)
-	if r.Model == "" {
+	engine := s.engine(r.Service)
+	if engine == nil {
+		return
+	}
+	if _, known := engine.Models[r.Model]; !known { // callers can name any number of others
 		return
 	}
 	x := s.rates[r.Model]
