--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -15,7 +15,8 @@
 // MaxDatagram bounds a message in bytes.
 const MaxDatagram = 16 << 10
 
-// Want is a model or an adapter that requests at a router wait for.
+// Want is a model or an adapter that requests at a router wait for. Waiting counts them, and for a model also the requests that
+// were refused for the lack of it within the last seconds.
 type Want struct {
 	Model   string `cbor:"1,keyasint"`
 	Adapter string `cbor:"2,keyasint,omitempty"`
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -27,7 +27,8 @@
 
 // Demand is what the routers ask of one upstream and how often each model is used.
 type Demand struct {
-	// Models and Adapters count the requests that wait for a load at this upstream.
+	// Models and Adapters count the requests that wait for a load at this upstream; Models, Urgent and More also those that
+	// were refused for the lack of a model within the last seconds.
 	Models   map[string]int
 	Adapters map[Adapter]int
 	// Urgent counts the requests that wait for a model anywhere.
