Log where a request's time went and explain late requests by cause

Cause: the request line named neither the first event nor the longest pause, so logs could not tell which requests were late, or why. Change: the line gains the waits by cause, the time of sending, uncached tokens, first event and longest pause; hibiscuscrossctl explain attributes lost credit to causes and plots service and waits over time.

--- a/cmd/hibiscuscrossctl/main.go
+++ b/cmd/hibiscuscrossctl/main.go
@@ -1,5 +1,5 @@
 // Command hibiscuscrossctl is the operators' tool: it checks, compares and applies configurations, shows the system's
-// status and drains VMs.
+// status, drains VMs and explains late requests.
 package main
 
 import (
@@ -67,6 +67,7 @@
 	Get      getCmd      `cmd:"" help:"Print the configuration in force."`
 	Status   statusCmd   `cmd:"" help:"Show versions, grants, key slots, refused requests and processes."`
 	Drain    drainCmd    `cmd:"" help:"Mark a VM as leaving through its agent."`
+	Explain  explainCmd  `cmd:"" help:"Attribute requests that were not answered on time to causes, from logs of entry processes."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -156,7 +156,7 @@
 		return d
 	}
 	if r.Adapter != "" && !best.HoldsAdapter(r.Model, r.Adapter) {
-		d.Action, d.Reason, d.Until = Wait, "adapter is not loaded", now.Add(recheckInterval)
+		d.Action, d.WaitCause, d.Reason, d.Until = Wait, WaitAdapter, "adapter is not loaded", now.Add(recheckInterval)
 		d.LoadRequest = s.requestLoad(now, best.ID, r.Model, r.Adapter)
 		return d
 	}
@@ -279,7 +279,7 @@
 	if !ok {
 		return Decision{Action: Refuse, Reason: "model has no home", RetryAfter: s.retryAfter(now, r, time.Second)}
 	}
-	d := Decision{Action: Wait, Reason: "model is not loaded", Cost: assigned.wait, Until: now.Add(recheckInterval)}
+	d := Decision{Action: Wait, WaitCause: WaitModel, Reason: "model is not loaded", Cost: assigned.wait, Until: now.Add(recheckInterval)}
 	d.LoadRequest = s.requestLoad(now, assigned.upstream, r.Model, "")
 	if assigned.wait+answerReserve > r.waitLimit(now) {
 		s.recordRefusal(now, r.Model)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -70,9 +70,26 @@
 	Refuse
 )
 
+// WaitCause is what a waiting request waits for.
+type WaitCause int
+
+// Causes of waits.
+const (
+	// WaitReports is the wait for the agents' first reports after the start of the router.
+	WaitReports WaitCause = iota
+	// WaitModel is the wait for a model to be loaded.
+	WaitModel
+	// WaitAdapter is the wait for an adapter to be loaded.
+	WaitAdapter
+	// WaitCauses is the number of causes.
+	WaitCauses
+)
+
 // Decision is the next action for a request and the reason for it.
 type Decision struct {
-	Action   Action
+	Action Action
+	// WaitCause applies if Action is Wait.
+	WaitCause WaitCause
 	Upstream *UpstreamRef
 	// LoadRequest is the load to request from the upstream's agent; nil if there is none.
 	LoadRequest *LoadRequest
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -87,6 +87,7 @@
 	waitingFor dispatch.LoadRequest
 	// attempted reports whether an attempt has started.
 	attempted bool
+	timing    timing
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
 }
@@ -254,6 +255,8 @@
 		c.g.core.Do(func(s *dispatch.State) { s.AddWaiting(*d.LoadRequest, 1) })
 		defer c.g.core.Do(func(s *dispatch.State) { s.AddWaiting(*d.LoadRequest, -1) })
 	}
+	started := time.Now()
+	defer func() { c.timing.waited[d.WaitCause] += time.Since(started) }()
 	timer := time.NewTimer(time.Until(d.Until))
 	defer timer.Stop()
 	select {
@@ -342,6 +345,7 @@
 		if c.decision.Upstream != nil {
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
+		fields = append(fields, c.timing.fields(c.start, c.req.Route)...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -44,6 +44,7 @@
 		tokens = s.Uncached(id, c.req)
 		s.RecordStart(id, c.req)
 	})
+	c.timing.recordSend(time.Now(), tokens)
 	headRead := false
 	recordFirst := func() {
 		if !headRead {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -47,6 +47,7 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
+		c.timing.recordEvent(time.Now())
 		if e.ID != "" {
 			c.lastEventID = e.ID
 		}
