Hold prompts back while an engine processes others

Change: a router sends an engine no further prompt while its own unanswered ones there exceed what the longest pause allows in one step; another engine with room gets it, or it waits, behind more urgent ones, for at most half of the time to spare.

--- a/pkg/account/account_test.go
+++ b/pkg/account/account_test.go
@@ -45,8 +45,12 @@
 		Entry("a slow plain service", stream(func(r *account.Record) { r.FirstEvent, r.MaxGap = -1, 0 }), account.PlainSlow),
 		Entry("an error of the upstream", stream(func(r *account.Record) { r.Status = 500 }), account.UpstreamFailed),
 		Entry("a truncated stream", stream(func(r *account.Record) { r.Outcome = "cut" }), account.Truncated),
-		Entry("a missing replica", stream(func(r *account.Record) { r.Outcome, r.Status, r.Reason = "refused", 503, "model cannot be loaded in time" }), account.RefusedModel),
-		Entry("a queue", stream(func(r *account.Record) { r.Outcome, r.Status, r.Reason = "refused", 503, "first event is expected too late" }), account.RefusedQueue),
+		Entry("a missing replica", stream(func(r *account.Record) {
+			r.Outcome, r.Status, r.Reason = "refused", 503, "model cannot be loaded in time"
+		}), account.RefusedModel),
+		Entry("a queue", stream(func(r *account.Record) {
+			r.Outcome, r.Status, r.Reason = "refused", 503, "first event is expected too late"
+		}), account.RefusedQueue),
 		Entry("a possible run", stream(func(r *account.Record) { r.Outcome, r.Status = "refused", 502 }), account.Unknown),
 		Entry("a caller", stream(func(r *account.Record) { r.Outcome = "caller_left" }), account.CallerLeft),
 	)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -136,15 +136,7 @@
 
 // pick returns the decision to use the candidate with the least expected time to the first byte.
 func (s *State) pick(now time.Time, r *Request, members []*fleet.Member) Decision {
-	var best *fleet.Member
-	var bestCost time.Duration
-	first := s.firstRanked(r, members)
-	for _, m := range members {
-		cost := s.cost(now, r, m, m.ID == first)
-		if best == nil || cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
+	best, bestCost, mustWait := s.choose(now, r, members)
 	d := Decision{Cost: bestCost, Age: -time.Second}
 	if !best.ReportedAt.IsZero() {
 		d.Age = now.Sub(best.ReportedAt)
@@ -160,6 +152,10 @@
 		d.LoadRequest = s.requestLoad(now, best.ID, r.Model, r.Adapter)
 		return d
 	}
+	if mustWait {
+		d.Action, d.WaitCause, d.Reason, d.Until = Wait, WaitPrefill, "engine is processing other prompts", s.prefillWaitEnd(r, bestCost)
+		return d
+	}
 	d.Action, d.Reason = Send, "least expected time"
 	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone}
 	if r.Model != "" && bestCost > scaleOutCost && s.engine(r.Service) != nil {
--- /dev/null
+++ b/pkg/dispatch/prefill.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
+)
+
+// An engine processes prompts between the tokens of the streams that it generates. Prompts that arrive together lengthen
+// each step, and an event spans several steps, so a burst of prompts delays the next event of all streams of the engine
+// beyond the longest pause that counts as on time. The callers of the prompts can wait: their first event is due later
+// than it is expected.
+
+const (
+	// stepsPerEvent is the number of generation steps that an event is assumed to span.
+	stepsPerEvent = 8
+	// prefillWaitShare is the share of the time to spare until the first event is due for which a prompt may wait.
+	prefillWaitShare = 0.5
+)
+
+// choose returns the candidate with the least expected time to the first byte, its cost, and whether the request is to
+// wait for room there. If that engine has no room for the prompt, the best one with room is chosen unless it is much
+// slower.
+func (s *State) choose(now time.Time, r *Request, members []*fleet.Member) (best *fleet.Member, cost time.Duration, mustWait bool) {
+	var open *fleet.Member
+	var openCost time.Duration
+	first := s.firstRanked(r, members)
+	for _, m := range members {
+		c := s.cost(now, r, m, m.ID == first)
+		if best == nil || c < cost {
+			best, cost = m, c
+		}
+		if s.hasPrefillRoom(r, m) && (open == nil || c < openCost) {
+			open, openCost = m, c
+		}
+	}
+	switch {
+	case best == open || !now.Before(s.prefillWaitEnd(r, cost)):
+		return best, cost, false
+	case open != nil && openCost <= cost+affinityBonus:
+		return open, openCost, false
+	}
+	return best, cost, true
+}
+
+// hasPrefillRoom reports whether the engine can process the request's prompt without delaying the events of its streams
+// too long. More urgent prompts that wait take precedence. A prompt is never held back by itself alone.
+func (s *State) hasPrefillRoom(r *Request, m *fleet.Member) bool {
+	if r.Model == "" || r.Route.MaxEventGap == 0 || r.attempts > 0 {
+		return true
+	}
+	stats := s.upstreamStats(m.ID)
+	ahead := 0
+	for _, n := range stats.prefill {
+		ahead += n
+	}
+	if pending := s.pendingPrefill[r.Model]; pending != nil {
+		for _, n := range pending[:r.priority()] {
+			ahead += n
+		}
+	}
+	return ahead <= 0 || ahead+s.uncached(stats, r) <= prefillBudget(r.Route.MaxEventGap)
+}
+
+// prefillBudget returns the number of prompt tokens that may be processed in one step of an engine so that the steps of
+// an event take no longer than maxGap.
+func prefillBudget(maxGap time.Duration) int {
+	return int(float64(maxGap.Milliseconds()) / stepsPerEvent * prefillTokensPerMS)
+}
+
+// prefillWaitEnd returns until when the request may wait for room at an engine at which it costs the given time to the
+// first event.
+func (s *State) prefillWaitEnd(r *Request, cost time.Duration) time.Time {
+	if r.EventTarget.IsZero() {
+		return time.Time{}
+	}
+	arrived := r.EventTarget.Add(-r.Route.Target)
+	spare := max(0, r.Route.Target-cost-answerReserve)
+	return arrived.Add(time.Duration(prefillWaitShare * float64(spare)))
+}
+
+// AddPendingPrompt records that the request starts to wait for room at an engine.
+func (s *State) AddPendingPrompt(r *Request) {
+	pending := s.pendingPrefill[r.Model]
+	if pending == nil {
+		pending = &perPriority[int]{}
+		s.pendingPrefill[r.Model] = pending
+	}
+	for _, p := range r.Parts {
+		r.pending += p.Tokens
+	}
+	pending[r.priority()] += r.pending
+}
+
+// RemovePendingPrompt records that the request no longer waits for room at an engine.
+func (s *State) RemovePendingPrompt(r *Request) {
+	if pending := s.pendingPrefill[r.Model]; pending != nil {
+		pending[r.priority()] -= r.pending
+		if *pending == (perPriority[int]{}) {
+			delete(s.pendingPrefill, r.Model)
+		}
+	}
+	r.pending = 0
+}
+
+// HasPendingPrompts reports whether requests wait for room at an engine.
+func (s *State) HasPendingPrompts() bool { return len(s.pendingPrefill) > 0 }
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -24,12 +24,15 @@
 	Deadline time.Time
 	// EventDeadline is when the caller disconnects if no event has arrived; zero if it waits until Deadline.
 	EventDeadline time.Time
+	// EventTarget is when the first event of a stream is due to be on time; zero if the route has no target.
+	EventTarget time.Time
 	// Fingerprint is the same whenever the same caller sends the same request again.
 	Fingerprint uint64
 
 	tried        map[string]bool // upstreams excluded from further attempts
 	possibleRuns int             // attempts that may have run
 	attempts     int             // attempts that reached an upstream
+	pending      int             // prompt tokens counted as waiting for room at an engine
 }
 
 // waitLimit returns how much longer the request may wait for its first event.
@@ -81,6 +84,8 @@
 	WaitModel
 	// WaitAdapter is the wait for an adapter to be loaded.
 	WaitAdapter
+	// WaitPrefill is the wait for the prompts of other requests to be processed.
+	WaitPrefill
 	// WaitCauses is the number of causes.
 	WaitCauses
 )
@@ -90,7 +95,7 @@
 	Action Action
 	// WaitCause applies if Action is Wait.
 	WaitCause WaitCause
-	Upstream *UpstreamRef
+	Upstream  *UpstreamRef
 	// LoadRequest is the load to request from the upstream's agent; nil if there is none.
 	LoadRequest *LoadRequest
 	// Until is when Decide is called again for a waiting request even if nothing has changed.
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -61,7 +61,9 @@
 	// extraReplicas is the set of load requests for an extra replica of a loaded model from the weight store.
 	extraReplicas map[LoadRequest]bool
 	// refused is the rate of refused requests by model, where the model could not be loaded or was overloaded.
-	refused        map[string]*rate
+	refused map[string]*rate
+	// pendingPrefill is the number of prompt tokens of the requests that wait for room at an engine, by model.
+	pendingPrefill map[string]*perPriority[int]
 	fetchEstimator fetchEstimator
 	rates          map[string]*modelRate
 	// used is the set of adapters that requests sent to each upstream have used since TakeUsedAdapters was called.
@@ -83,7 +85,7 @@
 func New(s Settings) *State {
 	return &State{
 		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*routing.Quota{},
-		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, rates: map[string]*modelRate{},
+		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters,
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
 	}
--- a/pkg/gateway/core.go
+++ b/pkg/gateway/core.go
@@ -78,10 +78,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f(c.state)
+	c.wake()
+}
+
+// wake wakes the waiting requests. The caller holds the lock.
+func (c *Core) wake() {
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// recordFirstEvent records the first event of a request and wakes the requests that wait for room at an engine.
+func (c *Core) recordFirstEvent(upstream string, r *dispatch.Request, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.RecordFirstEvent(upstream, r, tokens)
+	if c.state.HasPendingPrompts() {
+		c.wake()
+	}
+}
+
 // config returns the active configuration, or nil.
 func (c *Core) config() *catalog.Config {
 	c.mu.Lock()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -206,6 +206,9 @@
 	if eventTimeout := route.EventTimeout(); eventTimeout > 0 {
 		c.req.EventDeadline = c.start.Add(eventTimeout)
 	}
+	if route.Kind == catalog.Streaming && route.Target > 0 {
+		c.req.EventTarget = c.start.Add(route.Target)
+	}
 	c.lastEventID = c.meta.LastEvent
 }
 
@@ -250,6 +253,10 @@
 
 // wait blocks until the fleet changes. It returns false if the request has ended meanwhile.
 func (c *callerRequest) wait(d dispatch.Decision, changed <-chan struct{}) bool {
+	if d.WaitCause == dispatch.WaitPrefill {
+		c.g.core.Do(func(s *dispatch.State) { s.AddPendingPrompt(c.req) })
+		defer c.g.core.Do(func(s *dispatch.State) { s.RemovePendingPrompt(c.req) })
+	}
 	if d.LoadRequest != nil {
 		c.logWait(d)
 		c.g.core.Do(func(s *dispatch.State) { s.AddWaiting(*d.LoadRequest, 1) })
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -49,7 +49,7 @@
 	recordFirst := func() {
 		if !headRead {
 			headRead = true
-			c.g.core.Do(func(s *dispatch.State) { s.RecordFirstEvent(id, c.req, tokens) })
+			c.g.core.recordFirstEvent(id, c.req, tokens)
 		}
 	}
 	outcome := dispatch.Interrupted // applies if the exchange panics
