Count a waiting prompt under the lock of its decision; explain waits for other prompts

Cause: a first event between the decision to wait for room at an engine and the count of the waiting prompt woke nobody, and the request waited until half of its time to spare was over (read from the code). The count is made under the lock of the decision now; a spec shows that a first event wakes the waiting request. hibiscuscrossctl explain names waits for other prompts as a cause.

--- a/pkg/account/account_test.go
+++ b/pkg/account/account_test.go
@@ -36,6 +36,7 @@
 		Entry("a load", stream(func(r *account.Record) { r.ForModel, r.Sent, r.FirstEvent = 700*ms, 705*ms, 790*ms }), account.ForModel),
 		Entry("an adapter", stream(func(r *account.Record) { r.ForAdapter, r.Sent, r.FirstEvent = 450*ms, 455*ms, 550*ms }), account.ForAdapter),
 		Entry("a start", stream(func(r *account.Record) { r.ForReports, r.Sent, r.FirstEvent = 450*ms, 455*ms, 550*ms }), account.ForReports),
+		Entry("other prompts", stream(func(r *account.Record) { r.ForPrefill, r.Sent, r.FirstEvent = 450*ms, 455*ms, 550*ms }), account.ForPrefill),
 		Entry("an earlier attempt", stream(func(r *account.Record) { r.Attempts, r.Sent, r.FirstEvent = 2, 600*ms, 650*ms }), account.AfterFailure),
 		Entry("a queue that was not expected", stream(func(r *account.Record) { r.FirstEvent = 700 * ms }), account.EngineQueue),
 		Entry("a queue that was expected", stream(func(r *account.Record) { r.FirstEvent, r.Expected = 700*ms, 600*ms }), account.ExpectedQueue),
--- a/pkg/account/cause.go
+++ b/pkg/account/cause.go
@@ -14,6 +14,7 @@
 	ForModel        Cause = "late: waited for a model"
 	ForAdapter      Cause = "late: waited for an adapter"
 	ForReports      Cause = "late: waited for reports after a start"
+	ForPrefill      Cause = "late: waited for other prompts"
 	AfterFailure    Cause = "late: an earlier attempt failed"
 	ExpectedQueue   Cause = "late: accepted although the first event was expected late"
 	EngineQueue     Cause = "late: queue or prefill took longer than expected"
@@ -93,8 +94,8 @@
 		cause Cause
 		took  time.Duration
 	}{
-		{ForModel, r.ForModel}, {ForAdapter, r.ForAdapter}, {ForReports, r.ForReports},
-		{AfterFailure, r.Sent - r.ForModel - r.ForAdapter - r.ForReports}, {EngineQueue, arrived - r.Sent},
+		{ForModel, r.ForModel}, {ForAdapter, r.ForAdapter}, {ForReports, r.ForReports}, {ForPrefill, r.ForPrefill},
+		{AfterFailure, r.Sent - r.ForModel - r.ForAdapter - r.ForReports - r.ForPrefill}, {EngineQueue, arrived - r.Sent},
 	}
 	longest := parts[0]
 	for _, p := range parts {
--- a/pkg/account/record.go
+++ b/pkg/account/record.go
@@ -23,8 +23,8 @@
 	Took    time.Duration
 	// Target and MaxGap are the route's longest times to the answer or first event and between two events.
 	Target, MaxGap time.Duration
-	// ForReports, ForModel and ForAdapter are the times that the request waited before it was sent.
-	ForReports, ForModel, ForAdapter time.Duration
+	// ForReports, ForModel, ForAdapter and ForPrefill are the times that the request waited before it was sent.
+	ForReports, ForModel, ForAdapter, ForPrefill time.Duration
 	// Expected is the expected time from the last attempt to the first event.
 	Expected                         time.Duration
 	Sent, FirstEvent, Pause, PauseAt time.Duration
@@ -80,7 +80,7 @@
 	rec = Record{
 		ID: fields["id"], Route: fields["route"], Model: fields["model"], Outcome: fields["outcome"], Reason: fields["reason"], VM: fields["vm"], Upstream: fields["upstream"],
 		Status: number("status"), Priority: number("priority"), Runs: number("runs"), Attempts: number("sends"), Uncached: number("uncached"),
-		Took: ms("took_ms"), Target: ms("target_ms"), MaxGap: ms("gap_ms"), ForReports: ms("reports_ms"), ForModel: ms("model_ms"), ForAdapter: ms("adapter_ms"),
+		Took: ms("took_ms"), Target: ms("target_ms"), MaxGap: ms("gap_ms"), ForReports: ms("reports_ms"), ForModel: ms("model_ms"), ForAdapter: ms("adapter_ms"), ForPrefill: max(0, ms("prefill_ms")),
 		Expected: ms("cost_ms"), Sent: ms("sent_ms"), FirstEvent: ms("first_ms"), Pause: ms("pause_ms"), PauseAt: ms("pause_at_ms"),
 	}
 	midnight := time.Date(at.Year(), at.Month(), at.Day(), 0, 0, 0, 0, at.Location())
--- a/pkg/account/summary.go
+++ b/pkg/account/summary.go
@@ -130,8 +130,8 @@
 	var out strings.Builder
 	for i, r := range e.Records {
 		fmt.Fprintf(&out, "%s at %s, upstream %s: %s\n", r.ID, r.VM, r.Upstream, e.Causes[i])
-		fmt.Fprintf(&out, "  waited for reports %v, model %v, adapter %v; sent after %v, first event after %v of %v, expected %v after sending\n",
-			r.ForReports, r.ForModel, r.ForAdapter, r.Sent, r.FirstEvent, r.Target, r.Expected)
+		fmt.Fprintf(&out, "  waited for reports %v, model %v, adapter %v, other prompts %v; sent after %v, first event after %v of %v, expected %v after sending\n",
+			r.ForReports, r.ForModel, r.ForAdapter, r.ForPrefill, r.Sent, r.FirstEvent, r.Target, r.Expected)
 		fmt.Fprintf(&out, "  longest pause %v of %v, ended after %v; took %v, outcome %s %s\n", r.Pause, r.MaxGap, r.PauseAt, r.Took, r.Outcome, r.Reason)
 	}
 	return out.String()
--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -79,20 +79,20 @@
 	return arrived.Add(time.Duration(prefillWaitShare * float64(spare)))
 }
 
-// AddPendingPrompt records that the request starts to wait for room at an engine.
+// AddPendingPrompt records that the request starts to wait for room at an engine. The whole prompt counts, since the
+// engine that will process it, and thus its cached part, is not known yet.
 func (s *State) AddPendingPrompt(r *Request) {
+	s.RemovePendingPrompt(r)
 	pending := s.pendingPrefill[r.Model]
 	if pending == nil {
 		pending = &perPriority[int]{}
 		s.pendingPrefill[r.Model] = pending
 	}
-	for _, p := range r.Parts {
-		r.pending += p.Tokens
-	}
+	r.pending = promptTokens(r)
 	pending[r.priority()] += r.pending
 }
 
-// RemovePendingPrompt records that the request no longer waits for room at an engine.
+// RemovePendingPrompt records that the request no longer waits for room at an engine, if it did.
 func (s *State) RemovePendingPrompt(r *Request) {
 	if pending := s.pendingPrefill[r.Model]; pending != nil {
 		pending[r.priority()] -= r.pending
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -284,11 +284,16 @@
 func (s *State) Uncached(id string, r *Request) int { return s.uncached(s.upstreamStats(id), r) }
 
 func (s *State) uncached(stats *upstreamStats, r *Request) int {
+	return promptTokens(r) - stats.cache.CachedTokens(r.Chain, r.Parts)
+}
+
+// promptTokens returns the number of tokens of the request's prompt.
+func promptTokens(r *Request) int {
 	total := 0
 	for _, p := range r.Parts {
 		total += p.Tokens
 	}
-	return total - stats.cache.CachedTokens(r.Chain, r.Parts)
+	return total
 }
 
 // RecordEnd records how an attempt ended.
--- a/pkg/gateway/core.go
+++ b/pkg/gateway/core.go
@@ -104,7 +104,9 @@
 	return c.state.Config()
 }
 
-// decide returns the decision for a request and a channel that is closed at the next change of the fleet.
+// decide returns the decision for a request and a channel that is closed at the next change of the fleet. A request that
+// is to wait for room at an engine is counted as waiting until RemovePendingPrompt is called. It is counted under the
+// same lock as the decision; otherwise a first event in between would not wake it.
 func (c *Core) decide(r *dispatch.Request) (dispatch.Decision, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,5 +117,8 @@
 		default:
 		}
 	}
+	if d.Action == dispatch.Wait && d.WaitCause == dispatch.WaitPrefill {
+		c.state.AddPendingPrompt(r)
+	}
 	return d, c.changed
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -254,7 +254,6 @@
 // wait blocks until the fleet changes. It returns false if the request has ended meanwhile.
 func (c *callerRequest) wait(d dispatch.Decision, changed <-chan struct{}) bool {
 	if d.WaitCause == dispatch.WaitPrefill {
-		c.g.core.Do(func(s *dispatch.State) { s.AddPendingPrompt(c.req) })
 		defer c.g.core.Do(func(s *dispatch.State) { s.RemovePendingPrompt(c.req) })
 	}
 	if d.LoadRequest != nil {
--- a/pkg/gateway/timing_test.go
+++ b/pkg/gateway/timing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 )
 
 // Guards against late streams whose request line does not say whether they waited before or after they were sent, or
@@ -34,3 +35,32 @@
 		Expect(t.fields(time.Unix(1000, 0), &catalog.Route{})).To(ContainElements("first_ms", int64(-1), "sent_ms"))
 	})
 })
+
+// Guards against requests that wait for room at an engine until their time is up although there is room again.
+var _ = Describe("a first event", func() {
+	It("wakes the requests that wait for room at the engine, and no others", func() {
+		start := time.Unix(1000, 0)
+		state := dispatch.New(dispatch.Settings{Zone: "z1"})
+		state.SetConfig(catalog.NewConfig(1, nil, []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Models: map[string]catalog.Model{"a": {Name: "a"}}, Slots: 64}}}, catalog.Limits{}))
+		state.Fleet.Put(start, catalog.Upstream{ID: "u1", Service: "llm", Address: "u1:1", Zone: "z1", Models: []catalog.Resident{{Model: "a"}}})
+		core := NewCore(state)
+		route := &catalog.Route{Kind: catalog.Streaming, MaxAttempts: 1, Target: time.Minute, MaxEventGap: 150 * time.Millisecond}
+		newRequest := func(id string) *dispatch.Request {
+			return &dispatch.Request{ID: id, Route: route, Service: "llm", Model: "a", Parts: []prompt.Part{{ID: id, Tokens: 600}}, Chain: prompt.Chain("a", "", []prompt.Part{{ID: id, Tokens: 600}}),
+				Deadline: time.Now().Add(time.Hour), EventTarget: time.Now().Add(time.Minute)}
+		}
+		first, second := newRequest("p1"), newRequest("p2")
+		d, changed := core.decide(first)
+		Expect(d.Action).To(Equal(dispatch.Send))
+		core.Do(func(s *dispatch.State) { s.RecordStart("u1", first) })
+		core.recordFirstEvent("u1", first, 0)
+		Expect(changed).NotTo(BeClosed())
+		d, changed = core.decide(second)
+		Expect(d.WaitCause).To(Equal(dispatch.WaitPrefill))
+		core.recordFirstEvent("u1", first, 600)
+		Expect(changed).To(BeClosed())
+		core.Do(func(s *dispatch.State) { s.RemovePendingPrompt(second) })
+		d, _ = core.decide(second)
+		Expect(d.Action).To(Equal(dispatch.Send))
+	})
+})
