--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -44,7 +44,8 @@
 }
 
 // hasPrefillRoom reports whether the engine can process the request's prompt without delaying the events of its streams
-// too long. More urgent prompts that wait take precedence. A prompt is never held back by itself alone.
+// too long. The bound of the request's own route stands for those of the running streams, which are not known by route.
+// More urgent prompts that wait take precedence. A prompt is never held back if the router has no other one there.
 func (s *State) hasPrefillRoom(r *Request, m *fleet.Member) bool {
 	if r.Model == "" || r.Route.MaxEventGap == 0 || r.attempts > 0 {
 		return true
