--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: bench build check test demo matrix capacity soak platform-score platform-hunt
+.PHONY: bench build check test demo matrix capacity soak platform-score platform-hunt platform-compare
 build:
 	go build -o bin/ ./cmd/...
 check:
@@ -28,3 +28,6 @@
 	@if [ ! -x $(FLEETBENCH) ]; then echo "the users' bench is not here; nothing was played"; else \
 	for site in $(SITES); do \
 	$(FLEETBENCH) $(if $(filter platform-hunt,$@),hunt,score) $(BENCH)/$$site.toml --why "make $@" || exit 1; done; fi
+# Plays the days of SITES with two commits and prints the differences: make platform-compare BASE=main CHANGE=HEAD WHY="..."
+platform-compare:
+	go run ./cmd/hibiscuscross-compare --bench $(FLEETBENCH) --base $(BASE) --change $(CHANGE) --why "$(WHY)" $(foreach site,$(SITES),$(BENCH)/$(site).toml)
--- a/cmd/hibiscuscross-compare/main.go
+++ b/cmd/hibiscuscross-compare/main.go
@@ -15,11 +15,11 @@
 )
 
 var cli struct {
-	Sites   []string `arg:"" help:"Site files of the bench."`
-	Bench   string   `help:"Program of the bench." required:"" env:"HIBISCUSCROSS_BENCH"`
+	Sites   []string `arg:"" help:"Site files of the bench." type:"path"`
+	Bench   string   `help:"Program of the bench." required:"" env:"HIBISCUSCROSS_BENCH" type:"path"`
 	Base    string   `help:"Commit to compare with." default:"HEAD"`
 	Change  string   `help:"Commit that is compared with the base; without it, the base alone is played."`
-	Days    []string `help:"Days to play; by default all standard days of each site."`
+	Days    []string `help:"Names of days, or day files in the commits, to play; by default all standard days of each site."`
 	Seeds   int      `help:"Number of seeds for each day." default:"3"`
 	First   int      `help:"First seed." default:"1"`
 	Jobs    int      `help:"Number of concurrent plays." default:"5"`
