Log what a decision on a retry knows of the shared limit

Callers saw more repeats than the voted limit allows. Change: the line "send failed" names the router's requests and retries within the window, the limit and the number of routers that share the burst. No decision changes.

--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
 )
 
 // maxRefusals is the number of attempts that upstreams may refuse before the request itself is refused.
@@ -15,12 +17,23 @@
 	// Status is the final HTTP status if there is no retry; 0 forwards the upstream's own answer.
 	Status int
 	Reason string
+	// Quota is the router's usage of the shared limit before the decision, and Routers the number of routers that the
+	// router divides the constant part of the limit by.
+	Quota   routing.QuotaUsage
+	Routers int
 }
 
 // DecideRetry decides whether a request is retried after an attempt that ended with o. A request that may have run
 // is retried only if its route is retryable. A retry after an attempt that reached an upstream counts against the limit
 // that the routers share.
 func (s *State) DecideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
+	usage := s.quota(r.Service).Usage(now, s.routers)
+	d := s.decideRetry(now, r, o)
+	d.Quota, d.Routers = usage, s.routers
+	return d
+}
+
+func (s *State) decideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
 	remaining := r.Deadline.Sub(now)
 	switch {
 	case o == Cancelled && remaining <= 0:
--- a/pkg/routing/budget.go
+++ b/pkg/routing/budget.go
@@ -72,11 +72,23 @@
 // RecordRequest counts a new request.
 func (q *Quota) RecordRequest(now time.Time) { q.bucketAt(now).requests++ }
 
+// QuotaUsage is what a process has counted within the window, and the number of retries that this allows.
+type QuotaUsage struct {
+	Requests, Retries int
+	Limit             float64
+}
+
+// Usage returns the process's usage while the given number of processes share the limit.
+func (q *Quota) Usage(now time.Time, processes int) QuotaUsage {
+	requests, retries := q.sum(now)
+	return QuotaUsage{Requests: requests, Retries: retries, Limit: q.ratio*float64(requests) + q.burst/float64(max(1, processes))}
+}
+
 // AllowRetry reports whether a retry is allowed while the given number of processes share the limit, and counts it if
 // so.
 func (q *Quota) AllowRetry(now time.Time, processes int) bool {
-	requests, retries := q.sum(now)
-	if float64(retries+1) > q.ratio*float64(requests)+q.burst/float64(max(1, processes)) {
+	usage := q.Usage(now, processes)
+	if float64(usage.Retries+1) > usage.Limit {
 		return false
 	}
 	q.bucketAt(now).retries++
