--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -100,6 +100,9 @@
 // ApplyReport applies an agent's report and reports whether the upstream's holdings have changed.
 func (s *State) ApplyReport(now time.Time, r *peer.Report) bool {
 	changed := s.Fleet.ApplyReport(now, r)
+	if r.Routers > 0 {
+		s.SetRouters(r.Routers)
+	}
 	m := s.Fleet.Get(r.ID)
 	if m == nil {
 		return changed
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -82,9 +82,6 @@
 		recovered = s.Fleet.RecordHeartbeat(time.Now(), report.ID)
 		changed = s.ApplyReport(time.Now(), report)
 		s.Crashes.Merge(time.Now(), report.Crashes)
-		if report.Routers > 0 {
-			s.SetRouters(report.Routers)
-		}
 	})
 	if recovered {
 		p.log.State("upstream is no longer silent", "upstream", report.ID)
