Count retries over the whole sliding window, in monotonic time

Callers saw more repeats than the limit allows. Cause: the quota counted ten buckets of one second with the current one, 9 to 10 s of the window of 10 s, and numbered them by the time of day, so a clock that jumped ahead dropped them; the window of the settings was not used. Change: pkg/retrylimit counts retries over the window of the settings and up to a fortieth more, requests over up to a fortieth less, in buckets since the quota's first call.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -52,7 +52,7 @@
 	defer func() { _ = closer.Close() }()
 
 	core := gateway.NewCore(dispatch.New(dispatch.Settings{
-		Name: set.NodeName, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryRatio: set.RetryRatio, RetryBurst: set.RetryBurst,
+		Name: set.NodeName, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryLimit: set.RetryLimit,
 	}))
 	pool := h1.NewPool()
 	tracer, flushSpans, err := telemetry.NewTracer(context.Background(), telemetry.Exporter(c.TraceExporter), c.TraceURL, "entry")
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 )
 
 func TestDispatch(t *testing.T) {
@@ -31,7 +32,7 @@
 )
 
 func newState() *dispatch.State {
-	s := dispatch.New(dispatch.Settings{Zone: "z1", ZoneRegion: map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}, RetryRatio: 0.2, RetryBurst: 40})
+	s := dispatch.New(dispatch.Settings{Zone: "z1", ZoneRegion: map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}, RetryLimit: retrylimit.Limit{Ratio: 0.2, Burst: 40, Window: 10 * time.Second}})
 	s.SetRouters(1)
 	models := map[string]catalog.Model{}
 	for _, n := range []string{"a", "b", "c"} {
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 )
 
 // maxRefusals is the number of attempts that upstreams may refuse before the request itself is refused.
@@ -19,7 +19,7 @@
 	Reason string
 	// Quota is the router's usage of the shared limit before the decision, and Routers the number of routers that the
 	// router divides the constant part of the limit by.
-	Quota   routing.QuotaUsage
+	Quota   retrylimit.Usage
 	Routers int
 }
 
@@ -27,7 +27,7 @@
 // is retried only if its route is retryable. A retry after an attempt that reached an upstream counts against the limit
 // that the routers share.
 func (s *State) DecideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
-	usage := s.quota(r.Service).Usage(now, s.routers)
+	usage := s.quota(r.Service).Usage(now, s.retryBurst())
 	d := s.decideRetry(now, r, o)
 	d.Quota, d.Routers = usage, s.routers
 	return d
@@ -52,7 +52,7 @@
 		return s.finalDecision(r, o, "refused by several upstreams")
 	case o == NotConnected && r.attempts == 0:
 		return RetryDecision{Retry: true, Reason: "not connected"}
-	case !s.quota(r.Service).AllowRetry(now, s.routers):
+	case !s.quota(r.Service).AllowRetry(now, s.retryBurst()):
 		return s.finalDecision(r, o, "retry limit reached")
 	}
 	return RetryDecision{Retry: true, Reason: o.String()}
--- a/pkg/dispatch/retrylimit_sim_test.go
+++ b/pkg/dispatch/retrylimit_sim_test.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 )
 
 const (
@@ -79,7 +80,7 @@
 func (w *limitSim) start(i int) {
 	r := w.routers[i]
 	r.process++
-	r.state = dispatch.New(dispatch.Settings{Zone: "z1", Name: r.name, Started: w.now, RetryRatio: simRatio, RetryBurst: simBurst})
+	r.state = dispatch.New(dispatch.Settings{Zone: "z1", Name: r.name, Started: w.now, RetryLimit: retrylimit.Limit{Ratio: simRatio, Burst: simBurst, Window: simWindow}})
 	r.state.SetConfig(catalog.NewConfig(1, nil, []catalog.Service{{Name: "plain"}, {Name: "llm", Engine: &catalog.Engine{}}}, catalog.Limits{}))
 	for a := range simAgents {
 		r.state.Fleet.Put(w.now, simUpstream(a))
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -9,7 +9,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
-	"github.com/hibiscuscross/hibiscuscross/pkg/routing"
+	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 )
 
 const (
@@ -33,8 +33,8 @@
 	// Name identifies the router, and Started distinguishes its successive processes.
 	Name    string
 	Started time.Time
-	// RetryRatio and RetryBurst limit the retries to a service over all routers.
-	RetryRatio, RetryBurst float64
+	// RetryLimit limits the retries to a service over all routers.
+	RetryLimit retrylimit.Limit
 }
 
 // upstreamStats is what the router has observed of an upstream through its own attempts.
@@ -54,7 +54,7 @@
 	settings Settings
 	config   *catalog.Config
 	stats    map[string]*upstreamStats
-	quotas   map[string]*routing.Quota
+	quotas   map[string]*retrylimit.Quota
 	// requestedUntil is when each load request expires, and waiting the number of requests that wait for it.
 	requestedUntil map[LoadRequest]time.Time
 	waiting        map[LoadRequest]int
@@ -84,7 +84,7 @@
 // New returns a state without a configuration or upstreams.
 func New(s Settings) *State {
 	return &State{
-		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*routing.Quota{},
+		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*retrylimit.Quota{},
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters,
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
@@ -97,6 +97,9 @@
 // SetRouters sets the number of routers that share the retry limit.
 func (s *State) SetRouters(n int) { s.routers = max(1, n) }
 
+// retryBurst returns the router's part of the burst of the retry limit.
+func (s *State) retryBurst() float64 { return s.settings.RetryLimit.Burst / float64(s.routers) }
+
 // Config returns the active configuration, or nil.
 func (s *State) Config() *catalog.Config { return s.config }
 
@@ -128,10 +131,10 @@
 // upstreamCacheTokens is the assumed capacity, in tokens, of an upstream's prompt cache for this router's requests.
 const upstreamCacheTokens = 150_000
 
-func (s *State) quota(service string) *routing.Quota {
+func (s *State) quota(service string) *retrylimit.Quota {
 	q := s.quotas[service]
 	if q == nil {
-		q = routing.NewQuota(s.settings.RetryRatio, s.settings.RetryBurst)
+		q = retrylimit.NewQuota(s.settings.RetryLimit)
 		s.quotas[service] = q
 	}
 	return q
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
@@ -37,7 +38,7 @@
 }
 
 func newRig() *rig {
-	r := &rig{core: gateway.NewCore(dispatch.New(dispatch.Settings{Zone: "z1", RetryRatio: 0.2, RetryBurst: 50}))}
+	r := &rig{core: gateway.NewCore(dispatch.New(dispatch.Settings{Zone: "z1", RetryLimit: retrylimit.Limit{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}}))}
 	r.serve(noop.NewTracerProvider().Tracer(""))
 	return r
 }
