Count a retry when it is sent, not when it is decided

Callers saw more repeats than the limit allows. Cause: a retry that waits for a model or an adapter counted at its decision, seconds before it reached an upstream, so retries whose waits ended together exceeded the limit within a window in which they no longer counted. Change: DecideRetry only asks for room; Decide takes it right before the request is sent, and refuses otherwise. The spec on a router's share counted decisions; it now counts the retries that are sent, with the same number.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -45,10 +45,23 @@
 	// overdueOrderRemaining is the assumed remaining time of an order that takes longer than expected, such as an
 	// unload that waits for running requests to end.
 	overdueOrderRemaining = 250 * time.Millisecond
+	// retryLimitWait is the delay after which a caller whose retry exceeds the limit may come back with a new request:
+	// an upstream that refuses is avoided for as long.
+	retryLimitWait = initialBlock
+	// reasonRetryLimit is the reason of a refusal because the routers' limit on retries is used up.
+	reasonRetryLimit = "retry limit reached"
 )
 
-// Decide returns the next action for the request.
+// Decide returns the next action for the request. A retry that is to be sent counts towards the retry limit.
 func (s *State) Decide(now time.Time, r *Request) Decision {
+	d := s.decide(now, r)
+	if d.Action == Send && r.attempts > 0 && !s.quota(r.Service).Take(now, s.retryBurst()) {
+		return Decision{Action: Refuse, Reason: reasonRetryLimit, RetryAfter: s.retryAfter(now, r, retryLimitWait)}
+	}
+	return d
+}
+
+func (s *State) decide(now time.Time, r *Request) Decision {
 	if !now.Before(r.Deadline) {
 		return Decision{Action: Refuse, Reason: "deadline passed"}
 	}
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -358,7 +358,10 @@
 		s.SetRouters(10)
 		retries := 0
 		for range 50 {
-			if after(&getRoute, dispatch.Failed).Retry {
+			r := request(&getRoute, "plain", "")
+			s.RecordStart("u1", r)
+			s.RecordEnd(now, "u1", r, dispatch.Failed)
+			if s.DecideRetry(now, r, dispatch.Failed).Retry && s.Decide(now, r).Action == dispatch.Send {
 				retries++
 			}
 		}
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -24,8 +24,8 @@
 }
 
 // DecideRetry decides whether a request is retried after an attempt that ended with o. A request that may have run
-// is retried only if its route is retryable. A retry after an attempt that reached an upstream counts against the limit
-// that the routers share.
+// is retried only if its route is retryable. A retry after an attempt that reached an upstream needs room in the limit
+// that the routers share; it is counted when it is sent, since it may wait for a model before.
 func (s *State) DecideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
 	usage := s.quota(r.Service).Usage(now, s.retryBurst())
 	d := s.decideRetry(now, r, o)
@@ -52,8 +52,8 @@
 		return s.finalDecision(r, o, "refused by several upstreams")
 	case o == NotConnected && r.attempts == 0:
 		return RetryDecision{Retry: true, Reason: "not connected"}
-	case !s.quota(r.Service).AllowRetry(now, s.retryBurst()):
-		return s.finalDecision(r, o, "retry limit reached")
+	case !s.quota(r.Service).HasRoom(now, s.retryBurst()):
+		return s.finalDecision(r, o, reasonRetryLimit)
 	}
 	return RetryDecision{Retry: true, Reason: o.String()}
 }
--- a/pkg/retrylimit/quota.go
+++ b/pkg/retrylimit/quota.go
@@ -52,10 +52,15 @@
 	return u
 }
 
-// AllowRetry reports whether a retry is allowed if the router's part of the burst is burst, and counts it if so.
-func (q *Quota) AllowRetry(now time.Time, burst float64) bool {
+// HasRoom reports whether a retry is allowed if the router's part of the burst is burst.
+func (q *Quota) HasRoom(now time.Time, burst float64) bool {
 	u := q.Usage(now, burst)
-	if float64(u.Retries+1) > u.Limit {
+	return float64(u.Retries+1) <= u.Limit
+}
+
+// Take counts a retry that is about to be sent if HasRoom allows it, and reports whether it does.
+func (q *Quota) Take(now time.Time, burst float64) bool {
+	if !q.HasRoom(now, burst) {
 		return false
 	}
 	q.retries.add(q.bucket(now))
--- a/pkg/retrylimit/retrylimit_test.go
+++ b/pkg/retrylimit/retrylimit_test.go
@@ -23,9 +23,9 @@
 	// Guards against retries that are forgotten before the window has passed, and against retries that count for ever.
 	It("counts a retry until the window has passed", func() {
 		q := retrylimit.NewQuota(limit)
-		Expect(q.AllowRetry(start, 1)).To(BeTrue())
-		Expect(q.AllowRetry(start.Add(limit.Window), 1)).To(BeFalse())
-		Expect(q.AllowRetry(start.Add(limit.Window*11/10), 1)).To(BeTrue())
+		Expect(q.Take(start, 1)).To(BeTrue())
+		Expect(q.Take(start.Add(limit.Window), 1)).To(BeFalse())
+		Expect(q.Take(start.Add(limit.Window*11/10), 1)).To(BeTrue())
 	})
 
 	// Guards against requests that still count after the window, in which the limit does not count them.
@@ -40,7 +40,7 @@
 
 	It("uses a window of ten seconds if the limit names none", func() {
 		q := retrylimit.NewQuota(retrylimit.Limit{Burst: 1})
-		Expect(q.AllowRetry(start, 1)).To(BeTrue())
-		Expect(q.AllowRetry(start.Add(9*time.Second), 1)).To(BeFalse())
+		Expect(q.Take(start, 1)).To(BeTrue())
+		Expect(q.Take(start.Add(9*time.Second), 1)).To(BeFalse())
 	})
 })
