Bound retries by tokens that a process has earned since its start

Cause: what a router had sent was known to its process only. A new process used its part of the burst again, and also the ratio: its predecessor had spent that on requests from before the window. Change: each retry uses a token. A router earns three quarters of the ratio with each request and half of its part of the burst over a window, and stores at most the other half and a quarter of the ratio of the last window's requests. A process starts without tokens, so restarts lose tokens and never create any. The sum over all routers is at most the limit in each window.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -55,7 +55,7 @@
 // Decide returns the next action for the request. A retry that is to be sent counts towards the retry limit.
 func (s *State) Decide(now time.Time, r *Request) Decision {
 	d := s.decide(now, r)
-	if d.Action == Send && r.attempts > 0 && !s.quota(r.Service).Take(now, s.retryBurst()) {
+	if d.Action == Send && r.attempts > 0 && !s.quota(r.Service).Take(now, s.RetryShare.Burst(now)) {
 		return Decision{Action: Refuse, Reason: reasonRetryLimit, RetryAfter: s.retryAfter(now, r, retryLimitWait)}
 	}
 	return d
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -18,7 +18,7 @@
 	Status int
 	Reason string
 	// Quota is the router's usage of the shared limit before the decision, and Routers the number of routers that the
-	// router divides the constant part of the limit by.
+	// router divides the burst of the limit by.
 	Quota   retrylimit.Usage
 	Routers int
 }
@@ -27,9 +27,9 @@
 // is retried only if its route is retryable. A retry after an attempt that reached an upstream needs room in the limit
 // that the routers share; it is counted when it is sent, since it may wait for a model before.
 func (s *State) DecideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
-	usage := s.quota(r.Service).Usage(now, s.retryBurst())
+	usage := s.quota(r.Service).Usage(now, s.RetryShare.Burst(now))
 	d := s.decideRetry(now, r, o)
-	d.Quota, d.Routers = usage, s.routers
+	d.Quota, d.Routers = usage, s.RetryShare.Routers()
 	return d
 }
 
@@ -52,7 +52,7 @@
 		return s.finalDecision(r, o, "refused by several upstreams")
 	case o == NotConnected && r.attempts == 0:
 		return RetryDecision{Retry: true, Reason: "not connected"}
-	case !s.quota(r.Service).HasRoom(now, s.retryBurst()):
+	case !s.quota(r.Service).HasRoom(now, s.RetryShare.Burst(now)):
 		return s.finalDecision(r, o, reasonRetryLimit)
 	}
 	return RetryDecision{Retry: true, Reason: o.String()}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -71,7 +71,9 @@
 	// Crashes decides which requests are refused because they crash upstreams.
 	Crashes  *quarantine.Reports
 	listedAt time.Time // when the list of upstreams was first read
-	// routers is the number of routers that share the retry limit.
+	// RetryShare decides which part of the burst of the retry limit the router has.
+	RetryShare *retrylimit.Share
+	// routers is the number of live routers that an agent last reported.
 	routers int
 	// unreachableAt is when a connection to an upstream last failed, by service.
 	unreachableAt map[string]time.Time
@@ -86,7 +88,7 @@
 	return &State{
 		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*retrylimit.Quota{},
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
-		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters,
+		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit, s.Started),
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
 	}
 }
@@ -94,11 +96,11 @@
 // defaultRouters is the number of routers assumed until an agent has reported it.
 const defaultRouters = 8
 
-// SetRouters sets the number of routers that share the retry limit.
-func (s *State) SetRouters(n int) { s.routers = max(1, n) }
-
-// retryBurst returns the router's part of the burst of the retry limit.
-func (s *State) retryBurst() float64 { return s.settings.RetryLimit.Burst / float64(s.routers) }
+// recordRouters records the number of live routers that an agent has reported.
+func (s *State) recordRouters(n int) {
+	s.routers = n
+	s.RetryShare.RecordRouters(n)
+}
 
 // Config returns the active configuration, or nil.
 func (s *State) Config() *catalog.Config { return s.config }
@@ -142,7 +144,7 @@
 
 // RecordArrival counts a new request.
 func (s *State) RecordArrival(now time.Time, r *Request) {
-	s.quota(r.Service).RecordRequest(now)
+	s.quota(r.Service).RecordRequest(now, s.RetryShare.Burst(now))
 	engine := s.engine(r.Service)
 	if engine == nil {
 		return
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -243,7 +243,7 @@
 			c.g.core.Do(func(s *dispatch.State) { retry = s.DecideRetry(time.Now(), c.req, outcome) })
 			c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
 				"retry", retry.Retry, "reason", retry.Reason, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.AgeMS(),
-				"window_requests", retry.Quota.Requests, "window_retries", retry.Quota.Retries, "retry_limit", int(retry.Quota.Limit), "routers", retry.Routers)
+				"window_requests", retry.Quota.Requests, "retry_tokens", int(retry.Quota.Tokens), "retry_capacity", int(retry.Quota.Capacity), "routers", retry.Routers)
 			if !retry.Retry {
 				c.finishFailed(retry, answer)
 				return
--- a/pkg/retrylimit/quota.go
+++ b/pkg/retrylimit/quota.go
@@ -1,4 +1,8 @@
 // Package retrylimit divides the voted limit on retries among the routers. It is pure: the caller passes the time.
+//
+// What a process has sent is known to that process only, so nothing may depend on remembering it: processes restart at
+// any time. Each retry therefore uses a token that the process has earned since its start, and the number of tokens that
+// all processes can have or earn within a window is at most the limit.
 package retrylimit
 
 import "time"
@@ -13,91 +17,120 @@
 // defaultWindow applies if the settings name no window.
 const defaultWindow = 10 * time.Second
 
-// bucketsPerWindow is the resolution of the sliding window: a quota loses up to one bucket of the window.
-const bucketsPerWindow = 40
+func (l Limit) withDefaults() Limit {
+	if l.Window <= 0 {
+		l.Window = defaultWindow
+	}
+	return l
+}
+
+const (
+	// storedRatio is the part of Ratio that a router may have in store from requests of the last window. The remaining
+	// part is earned with each request. Both together are at most Ratio of the requests in a window or in the one before.
+	storedRatio = 0.25
+	// storedBurst is the part of a router's burst that it may have in store. The remaining part is earned evenly over a
+	// window.
+	storedBurst = 0.5
+	// requestBuckets is the resolution with which requests leave the window.
+	requestBuckets = 40
+)
 
-// Usage is what a router has counted within the window, and the number of retries that this allows.
+// Usage is what a router has counted of the requests within the window, and its tokens for retries.
 type Usage struct {
-	Requests, Retries int
-	Limit             float64
+	Requests         int
+	Tokens, Capacity float64
 }
 
-// Quota is one router's part of the limit for a service: Ratio of the router's own requests and a part of Burst. It is
-// not safe for concurrent use.
+// Quota is one router's part of the limit for a service. It is not safe for concurrent use.
 type Quota struct {
 	limit Limit
 	// epoch is the time of the first call. Buckets are numbered by the time since then, which steps of the wall clock do
 	// not change.
-	epoch             time.Time
-	requests, retries counter
+	epoch     time.Time
+	requests  counter
+	tokens    float64
+	updatedAt time.Time
 }
 
-// NewQuota returns a quota without any requests.
-func NewQuota(l Limit) *Quota {
-	if l.Window <= 0 {
-		l.Window = defaultWindow
-	}
-	return &Quota{limit: l}
-}
+// NewQuota returns a quota without any tokens.
+func NewQuota(l Limit) *Quota { return &Quota{limit: l.withDefaults()} }
 
-// RecordRequest counts a new request.
-func (q *Quota) RecordRequest(now time.Time) { q.requests.add(q.bucket(now)) }
+// RecordRequest counts a new request. The argument burst is the router's part of the burst.
+func (q *Quota) RecordRequest(now time.Time, burst float64) {
+	q.requests.add(q.bucket(now))
+	q.tokens += (1 - storedRatio) * q.limit.Ratio
+	q.update(now, burst)
+}
 
-// Usage returns the router's usage if its part of the burst is burst. Retries are counted over the window and up to one
-// bucket more, requests over the window less up to one bucket, so that each window of the limit is kept.
+// Usage returns the router's usage.
 func (q *Quota) Usage(now time.Time, burst float64) Usage {
-	bucket := q.bucket(now)
-	u := Usage{Requests: q.requests.sum(bucket, bucketsPerWindow), Retries: q.retries.sum(bucket, bucketsPerWindow+1)}
-	u.Limit = q.limit.Ratio*float64(u.Requests) + burst
-	return u
+	q.update(now, burst)
+	return Usage{Requests: q.windowRequests(now), Tokens: q.tokens, Capacity: q.capacity(now, burst)}
 }
 
-// HasRoom reports whether a retry is allowed if the router's part of the burst is burst.
+// HasRoom reports whether a retry is allowed.
 func (q *Quota) HasRoom(now time.Time, burst float64) bool {
-	u := q.Usage(now, burst)
-	return float64(u.Retries+1) <= u.Limit
+	q.update(now, burst)
+	return q.tokens >= 1
 }
 
-// Take counts a retry that is about to be sent if HasRoom allows it, and reports whether it does.
+// Take uses a token for a retry that is about to be sent, and reports whether there is one.
 func (q *Quota) Take(now time.Time, burst float64) bool {
 	if !q.HasRoom(now, burst) {
 		return false
 	}
-	q.retries.add(q.bucket(now))
+	q.tokens--
 	return true
 }
 
+// update adds the tokens that were earned since the last update and drops those beyond the capacity.
+func (q *Quota) update(now time.Time, burst float64) {
+	if elapsed := now.Sub(q.updatedAt); !q.updatedAt.IsZero() && elapsed > 0 {
+		q.tokens += (1 - storedBurst) * burst * float64(elapsed) / float64(q.limit.Window)
+	}
+	q.updatedAt = now
+	q.tokens = min(q.tokens, q.capacity(now, burst))
+}
+
+// capacity returns the largest number of tokens that the router may have in store.
+func (q *Quota) capacity(now time.Time, burst float64) float64 {
+	return storedBurst*burst + storedRatio*q.limit.Ratio*float64(q.windowRequests(now))
+}
+
+// windowRequests returns the number of requests within the window less up to one bucket.
+func (q *Quota) windowRequests(now time.Time) int { return q.requests.sum(q.bucket(now)) }
+
 // bucket returns the number of the current bucket.
 func (q *Quota) bucket(now time.Time) int64 {
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
-	return int64(now.Sub(q.epoch) / (q.limit.Window / bucketsPerWindow))
+	return int64(now.Sub(q.epoch) / (q.limit.Window / requestBuckets))
 }
 
-// counter counts events in a ring of buckets.
+// counter counts the events of the last requestBuckets buckets in a ring.
 type counter struct {
-	buckets [bucketsPerWindow + 1]struct {
-		number int64
-		events int
+	buckets [requestBuckets]int
+	last    int64 // number of the latest bucket
+	total   int
+}
+
+// advance drops the buckets that are no longer among the last ones when bucket is the latest.
+func (c *counter) advance(bucket int64) {
+	for n := max(c.last+1, bucket-requestBuckets+1); n <= bucket; n++ {
+		c.total -= c.buckets[n%requestBuckets]
+		c.buckets[n%requestBuckets] = 0
 	}
+	c.last = max(c.last, bucket)
 }
 
 func (c *counter) add(bucket int64) {
-	b := &c.buckets[bucket%int64(len(c.buckets))]
-	if b.number != bucket {
-		b.number, b.events = bucket, 0
-	}
-	b.events++
+	c.advance(bucket)
+	c.buckets[bucket%requestBuckets]++
+	c.total++
 }
 
-// sum returns the number of events in the last n buckets up to and including the given one.
-func (c *counter) sum(bucket int64, n int64) int {
-	total := 0
-	for _, b := range c.buckets {
-		if bucket-b.number < n {
-			total += b.events
-		}
-	}
-	return total
+func (c *counter) sum(bucket int64) int {
+	c.advance(bucket)
+	return c.total
 }
