Divide the burst by the largest number of routers reported lately

Callers met more repeats than the limit allows while agents were restarting or routers were partitioned. Cause: each router divided the burst by the number of routers in the report that came last; an agent that has just started or is cut off knows fewer. Change: the largest number reported within ten minutes counts, and a router has no part until most agents have reported and the others have had time to learn of it. The rate of a model, which needs the current number, still uses the last report.

--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -46,7 +46,7 @@
 
 // setRouters makes the router share the retry limit with n-1 others. The quotas have had time to earn tokens.
 func setRouters(s *dispatch.State, n int) {
-	s.RetryShare.RecordRouters(n)
+	s.RetryShare.RecordRouters(now.Add(-time.Hour), n, true)
 	for _, service := range []string{"plain", "llm"} {
 		s.RecordArrival(now.Add(-time.Minute), request(&getRoute, service, ""))
 	}
--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -101,7 +101,7 @@
 func (s *State) ApplyReport(now time.Time, r *peer.Report) bool {
 	changed := s.Fleet.ApplyReport(now, r)
 	if r.Routers > 0 {
-		s.recordRouters(r.Routers)
+		s.recordRouters(now, r.Routers)
 	}
 	m := s.Fleet.Get(r.ID)
 	if m == nil {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -77,3 +77,20 @@
 	}
 	return 2*n > len(members)
 }
+
+// defaultRouters is the number of routers assumed until an agent has reported it.
+const defaultRouters = 8
+
+// recordRouters records the number of live routers that an agent has reported.
+func (s *State) recordRouters(now time.Time, n int) {
+	s.routers = n
+	s.RetryShare.RecordRouters(now, n, s.RetryShare.Known() || s.mostAgentsReported(now))
+}
+
+func (s *State) mostAgentsReported(now time.Time) bool {
+	var members []*fleet.Member
+	for service := range s.services() {
+		members = append(members, s.Fleet.Members(now, service)...)
+	}
+	return mostReported(members)
+}
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -29,7 +29,7 @@
 func (s *State) DecideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
 	usage := s.quota(r.Service).Usage(now, s.RetryShare.Burst(now))
 	d := s.decideRetry(now, r, o)
-	d.Quota, d.Routers = usage, s.RetryShare.Routers()
+	d.Quota, d.Routers = usage, s.RetryShare.Routers(now)
 	return d
 }
 
--- a/pkg/dispatch/retrylimit_sim_test.go
+++ b/pkg/dispatch/retrylimit_sim_test.go
@@ -22,8 +22,6 @@
 	simBurst  = 54
 	simWindow = 10 * time.Second
 	simLength = 50 * time.Second
-	// simRequestInterval is the time between two requests at a router.
-	simRequestInterval = 40 * time.Millisecond
 	// simMessageInterval is the time between two messages of a router and an agent.
 	simMessageInterval = 500 * time.Millisecond
 	// simRouterTimeout is how long an agent counts a router that it no longer hears from.
@@ -49,13 +47,15 @@
 	// healthy reports whether the upstreams serve requests.
 	healthy func(elapsed time.Duration) bool
 	// sendDelay is the time between the decision to retry and the next attempt, such as a wait for a model.
-	sendDelay         func() time.Duration
+	sendDelay func() time.Duration
+	// requestInterval is the time between two requests at a router.
+	requestInterval   time.Duration
 	requests, repeats []time.Time
 }
 
-func newLimitSim(seed uint64) *limitSim {
+func newLimitSim(seed uint64, requestInterval time.Duration) *limitSim {
 	w := &limitSim{
-		now: now, rng: rand.New(rand.NewPCG(seed, 1)), cut: func(int, int) bool { return false },
+		now: now, requestInterval: requestInterval, rng: rand.New(rand.NewPCG(seed, 1)), cut: func(int, int) bool { return false },
 		healthy: func(time.Duration) bool { return false }, sendDelay: func() time.Duration { return 0 },
 	}
 	for range simAgents {
@@ -72,7 +72,7 @@
 	i := len(w.routers)
 	w.routers = append(w.routers, &simRouter{name: name})
 	w.start(i)
-	w.every(simRequestInterval, func() { w.arrive(i) })
+	w.every(w.requestInterval, func() { w.arrive(i) })
 	for a := range w.agents {
 		w.every(simMessageInterval, func() { w.exchange(i, a) })
 	}
--- a/pkg/dispatch/retrylimit_test.go
+++ b/pkg/dispatch/retrylimit_test.go
@@ -7,11 +7,17 @@
 	. "github.com/onsi/gomega"
 )
 
+// busy and quiet are times between two requests at a router. With few requests most retries come from the burst.
+const (
+	busy  = 40 * time.Millisecond
+	quiet = 400 * time.Millisecond
+)
+
 // Each spec guards against retries of all routers that exceed the voted limit within a sliding window while upstreams
 // reject their requests. The comments name what made them exceed it.
 var _ = Describe("the limit on retries of all routers", func() {
 	var w *limitSim
-	BeforeEach(func() { w = newLimitSim(1) })
+	BeforeEach(func() { w = newLimitSim(1, busy) })
 	expectWithinLimit := func() {
 		GinkgoHelper()
 		w.run()
@@ -70,24 +76,37 @@
 		expectWithinLimit()
 	})
 
-	// Routers took the number of routers from the report that came last.
-	It("holds when agents restart", func() {
-		for t := 20 * time.Second; t < 30*time.Second; t += 700 * time.Millisecond {
-			w.at(t, func() { w.agents[w.rng.IntN(simAgents)] = map[string]time.Time{} })
-		}
-		expectWithinLimit()
-	})
+	Describe("with the number of routers not the same in all reports", func() {
+		BeforeEach(func() {
+			w = newLimitSim(1, quiet)
+			w.healthy = func(elapsed time.Duration) bool { return elapsed < 30*time.Second } // routers have full stores then
+		})
 
-	It("holds when routers reach only some agents", func() {
-		partition := func(router, agent int) bool { return (router < 2) != (agent < 4) }
-		w.at(18*time.Second, func() { w.cut = partition })
-		expectWithinLimit()
-	})
+		// Routers took the number of routers from the report that came last.
+		It("holds when agents restart", func() {
+			for t := 20 * time.Second; t < 35*time.Second; t += 100 * time.Millisecond {
+				w.at(t, func() { w.agents[w.rng.IntN(simAgents)] = map[string]time.Time{} })
+			}
+			expectWithinLimit()
+		})
 
-	It("holds when routers start while they reach only some agents", func() {
-		w.cut = func(router, agent int) bool { return (router < 1) != (agent < 3) }
-		w.at(27*time.Second, func() { w.cut = func(int, int) bool { return false } })
-		expectWithinLimit()
+		It("holds when routers reach only some agents", func() {
+			w.at(18*time.Second, func() { w.cut = func(router, agent int) bool { return (router < 2) != (agent < 4) } })
+			expectWithinLimit()
+		})
+
+		It("holds when routers start while they reach only some agents", func() {
+			w.cut = func(router, agent int) bool { return (router < 1) != (agent < 3) }
+			w.at(27*time.Second, func() { w.cut = func(int, int) bool { return false } })
+			expectWithinLimit()
+		})
+
+		It("holds when routers have been down", func() {
+			for i := range simRouters - 1 {
+				w.at(15*time.Second, func() { w.restart(i, false, 12*time.Second) })
+			}
+			expectWithinLimit()
+		})
 	})
 
 	It("holds when routers are added and replaced", func() {
@@ -122,7 +141,7 @@
 
 	It("holds under random faults", func() {
 		for seed := range uint64(60) {
-			w = newLimitSim(seed)
+			w = newLimitSim(seed, []time.Duration{busy, quiet}[seed%2])
 			w.playRandomFaults()
 			w.run()
 			excess, from := w.worstExcess()
@@ -133,11 +152,11 @@
 
 // playRandomFaults schedules three to eight faults in the first 35 s.
 func (w *limitSim) playRandomFaults() {
-	for range 3 + w.rng.IntN(6) {
+	for range 3 + w.rng.IntN(7) {
 		at := time.Duration(w.rng.Int64N(int64(35 * time.Second)))
 		length := time.Duration(w.rng.Int64N(int64(12 * time.Second)))
 		router, agent, splitRouters, splitAgents := w.rng.IntN(simRouters), w.rng.IntN(simAgents), w.rng.IntN(simRouters), w.rng.IntN(simAgents)
-		switch w.rng.IntN(6) {
+		switch w.rng.IntN(7) {
 		case 0:
 			w.at(at, func() { w.restart(router, w.rng.IntN(2) == 0, length/4) })
 		case 1:
@@ -154,6 +173,8 @@
 		case 4:
 			w.at(at, func() { w.addRouter("added-" + at.String()) })
 		case 5:
+			w.healthy = func(elapsed time.Duration) bool { return elapsed < at }
+		case 6:
 			w.at(at, func() {
 				due := w.now.Add(length / 4)
 				w.sendDelay = func() time.Duration { return max(0, due.Sub(w.now)) }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -88,20 +88,11 @@
 	return &State{
 		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*retrylimit.Quota{},
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
-		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit, s.Started),
+		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit),
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
 	}
 }
 
-// defaultRouters is the number of routers assumed until an agent has reported it.
-const defaultRouters = 8
-
-// recordRouters records the number of live routers that an agent has reported.
-func (s *State) recordRouters(n int) {
-	s.routers = n
-	s.RetryShare.RecordRouters(n)
-}
-
 // Config returns the active configuration, or nil.
 func (s *State) Config() *catalog.Config { return s.config }
 
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -39,7 +39,7 @@
 
 func newRig() *rig {
 	state := dispatch.New(dispatch.Settings{Zone: "z1", RetryLimit: retrylimit.Limit{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}})
-	state.RetryShare.RecordRouters(1)
+	state.RetryShare.RecordRouters(time.Now().Add(-time.Hour), 1, true)
 	for _, service := range []string{"plain", "llm"} { // the quotas have had time to earn tokens
 		state.RecordArrival(time.Now().Add(-time.Minute), &dispatch.Request{Service: service})
 	}
--- a/pkg/retrylimit/retrylimit_test.go
+++ b/pkg/retrylimit/retrylimit_test.go
@@ -69,15 +69,35 @@
 })
 
 var _ = Describe("share of the burst", func() {
+	var s *retrylimit.Share
+	BeforeEach(func() { s = retrylimit.NewShare(limit) })
+
 	// Guards against a started router that takes a part before the others have reduced theirs.
 	It("is empty until the others have learnt of the router", func() {
-		s := retrylimit.NewShare(limit, start)
-		s.RecordRouters(4)
+		s.RecordRouters(start, 4, true)
 		Expect(s.Burst(start.Add(3 * time.Second))).To(BeZero())
 		Expect(s.Burst(start.Add(5 * time.Second))).To(BeEquivalentTo(10))
 	})
 
-	It("is empty while the number of routers is not known", func() {
-		Expect(retrylimit.NewShare(limit, start).Burst(start.Add(time.Minute))).To(BeZero())
+	// Guards against a router that started behind a partition and counts only the routers on its side.
+	It("is empty while most agents have not reported", func() {
+		s.RecordRouters(start, 1, false)
+		Expect(s.Burst(start.Add(time.Minute))).To(BeZero())
+	})
+
+	// Guards against larger parts for the time in which an agent knows only some of the routers.
+	It("does not grow when fewer routers are reported", func() {
+		s.RecordRouters(start, 4, true)
+		s.RecordRouters(start.Add(time.Second), 1, true)
+		s.RecordRouters(start.Add(2*time.Second), 2, true)
+		Expect(s.Burst(start.Add(time.Minute))).To(BeEquivalentTo(10))
+		s.RecordRouters(start.Add(10*time.Minute), 2, true)
+		Expect(s.Burst(start.Add(11 * time.Minute))).To(BeEquivalentTo(20))
+	})
+
+	It("shrinks at once when more routers are reported", func() {
+		s.RecordRouters(start, 4, true)
+		s.RecordRouters(start.Add(10*time.Second), 8, true)
+		Expect(s.Burst(start.Add(10 * time.Second))).To(BeEquivalentTo(5))
 	})
 })
