Refuse prompt parts that crash upstreams

Cause: crashes count by the fingerprint of the whole request, so none ever adds up. Ruled out as the cause: late or missing reports. Change: routers report the shared parts of the requests that had no event yet when an upstream ended. A request that produces an event clears its parts. A sidecar tells the routers at once that its engine refuses connections, and a refused connection is told apart from one that only fails.

--- /dev/null
+++ b/pkg/dispatch/crash.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+)
+
+// partKeys returns the keys of the prompt parts that the request can share with others. The last part is its own or its
+// session's.
+func (r *Request) partKeys() []uint64 {
+	if r.sharedParts == nil && len(r.Parts) > 1 {
+		for _, part := range r.Parts[:len(r.Parts)-1] {
+			r.sharedParts = append(r.sharedParts, quarantine.PartKey(part.ID))
+		}
+	}
+	return r.sharedParts
+}
+
+// RecordEvent records that the current attempt has produced an event or a complete answer, so that its prompt parts do
+// not crash the upstream.
+func (s *State) RecordEvent(now time.Time, r *Request) {
+	if r.hasEvent {
+		return
+	}
+	r.hasEvent = true
+	s.Crashes.RecordAnswered(now, r.partKeys())
+}
+
+// RecordUpstreamEnded records that the agent beside the upstream has found its process to have ended.
+func (s *State) RecordUpstreamEnded(now time.Time, id string) { s.Crashes.RecordUpstreamEnd(now, id) }
+
+// recordInterrupted records that an attempt ended without a complete answer. The end of an upstream that is leaving says
+// nothing about prompt parts.
+func (s *State) recordInterrupted(now time.Time, id string, r *Request) {
+	parts, started := r.partKeys(), int64(0)
+	m := s.Fleet.Get(id)
+	if m != nil {
+		started = m.StartedUnixMS
+	}
+	if r.hasEvent || m != nil && m.Draining {
+		parts = nil
+	}
+	s.Crashes.RecordInterrupted(now, r.Fingerprint, parts, id, started)
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -71,6 +71,9 @@
 	if s.Crashes.IsQuarantined(now, r.Fingerprint) {
 		return Decision{Action: Refuse, Reason: "request crashes upstreams"}
 	}
+	if i := s.Crashes.CrashingPart(now, r.partKeys()); i >= 0 {
+		return Decision{Action: Refuse, Reason: "prompt part " + r.Parts[i].ID + " crashes upstreams"}
+	}
 	members := s.candidates(now, r)
 	if len(members) == 0 {
 		return s.refuseWithoutMember(now, r)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -33,6 +33,8 @@
 	possibleRuns int             // attempts that may have run
 	attempts     int             // attempts that reached an upstream
 	pending      int             // prompt tokens counted as waiting for room at an engine
+	hasEvent     bool            // whether the current attempt has produced an event
+	sharedParts  []uint64        // keys of the prompt parts that requests share; see partKeys
 }
 
 // waitLimit returns how much longer the request may wait for its first event.
@@ -131,6 +133,8 @@
 	Done Outcome = iota
 	// NotConnected means that the connection failed before any byte was sent.
 	NotConnected
+	// NotListening means that the upstream refused the connection: its process has ended.
+	NotListening
 	// NotRun means that the upstream refused the request and will never run it.
 	NotRun
 	// Misdirected means that the upstream refused the request because the model is not loaded there or because another
@@ -149,7 +153,7 @@
 	Expired
 )
 
-var outcomeNames = [...]string{"done", "not_connected", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
+var outcomeNames = [...]string{"done", "not_connected", "not_listening", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -255,6 +255,7 @@
 // RecordStart records the start of an attempt at an upstream.
 func (s *State) RecordStart(id string, r *Request) {
 	stats := s.upstreamStats(id)
+	r.hasEvent = false
 	stats.outstanding++
 	if r.Model != "" {
 		stats.running[placement.Adapter{Model: r.Model, Name: r.Adapter}]++
@@ -303,15 +304,19 @@
 	failed := 0.0
 	switch o {
 	case Done:
+		s.RecordEvent(now, r)
 		stats.failures = 0
 		r.possibleRuns++
 		r.attempts++
 	case Expired:
 		return
-	case NotConnected:
+	case NotConnected, NotListening:
+		s.Crashes.RecordUnreachable(now, id) // an upstream that interrupted an answer before has probably ended
+		if o == NotListening {
+			s.Crashes.RecordUpstreamEnd(now, id)
+		}
 		s.block(now, stats)
 		s.unreachableAt[r.Service] = now
-		s.Crashes.RecordUpstreamEnd(now, id) // an upstream that interrupted an answer before has ended
 		r.markTried(id)
 		return
 	case NotRun:
@@ -331,7 +336,7 @@
 		r.markTried(id)
 		if o == Interrupted {
 			s.block(now, stats)
-			s.Crashes.RecordInterrupted(now, r.Fingerprint, id)
+			s.recordInterrupted(now, id, r)
 		}
 	case Cancelled:
 		r.possibleRuns++
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
 
 const (
@@ -77,6 +78,10 @@
 }
 
 func (p *Peers) applyReport(report *peer.Report) {
+	if report.Ended {
+		p.core.Do(func(s *dispatch.State) { s.RecordUpstreamEnded(time.Now(), report.ID) })
+		return
+	}
 	changed, recovered := false, false
 	p.core.Do(func(s *dispatch.State) {
 		recovered = s.Fleet.RecordHeartbeat(time.Now(), report.ID)
@@ -139,10 +144,12 @@
 func (p *Peers) sendProbes() {
 	now := time.Now()
 	var unresponsive []string
+	var verdicts []quarantine.Verdict
 	addresses := map[string]bool{}
 	partitioned := false
 	p.core.Do(func(s *dispatch.State) {
 		partitioned = s.IsPartitioned(now)
+		verdicts = s.Crashes.TakeVerdicts(now)
 		if last := s.Crashes.LastSeq(); last != p.sentCrashSeq {
 			p.sentCrashSeq = last
 			for _, address := range s.Relays(now) {
@@ -164,6 +171,9 @@
 		p.onReachable(!partitioned)
 		p.log.State("reach of upstreams changed", "within_reach", !partitioned)
 	}
+	for _, v := range verdicts {
+		p.log.State("prompt part is refused", "key", v.Part, "crashes", v.Crashes, "last_crash_ms", v.LastCrash.Milliseconds(), "for_ms", v.Until.Sub(now).Milliseconds())
+	}
 	for address := range addresses {
 		d := p.demand(address, false)
 		d.Probe = true
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -36,7 +38,7 @@
 // attempt sends the request to the chosen upstream and receives its answer.
 func (c *callerRequest) attempt(d dispatch.Decision) (dispatch.Outcome, *answer) {
 	id := d.Upstream.ID
-	c.attempted = true
+	c.attempted, c.eventRecorded = true, false
 	_, span := c.g.trace.Start(c.ctx, "send", trace.WithAttributes(attribute.String("upstream", id), attribute.String("zone", d.Upstream.Zone)))
 	defer span.End()
 	tokens := 0
@@ -69,6 +71,9 @@
 		if c.ctx.Err() != nil {
 			return dispatch.Expired, nil
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return dispatch.NotListening, nil
+		}
 		return dispatch.NotConnected, nil
 	}
 	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -47,6 +47,10 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
+		if !c.eventRecorded {
+			c.eventRecorded = true
+			c.g.core.Do(func(s *dispatch.State) { s.RecordEvent(time.Now(), c.req) })
+		}
 		c.timing.recordEvent(time.Now())
 		if e.ID != "" {
 			c.lastEventID = e.ID
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -104,6 +104,9 @@
 	Crashes      []quarantine.Report `cbor:"13,keyasint,omitempty"`
 	CrashesNext  uint32              `cbor:"17,keyasint,omitempty"`
 	CrashesAcked uint64              `cbor:"18,keyasint,omitempty"`
+	// Ended states that the instance's process has ended: its address refuses connections. The load and the holdings are
+	// then not set.
+	Ended bool `cbor:"19,keyasint,omitempty"`
 	// Address is the upstream's address (IP:port). A router that does not have the id yet uses it to find the previous
 	// instance.
 	Address string `cbor:"16,keyasint,omitempty"`
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -1,9 +1,11 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -18,14 +20,38 @@
 	// MaxReports bounds the interrupted attempts that a process tracks and the reports in one of its messages. Its
 	// square bounds the reports that a process stores.
 	MaxReports = 64
+	// maxOwnReports bounds the reports of one process that are sent to relays.
+	maxOwnReports = 1024
+	// pruneInterval is the time between two removals of old reports.
+	pruneInterval = time.Second
 )
 
-// Report states that a request was running when an upstream ended. Reporter and Seq identify the report in all
-// processes.
+// Kind is what a report states.
+type Kind uint8
+
+// Kinds of reports.
+const (
+	// RequestCrash states that a request was running when an upstream ended.
+	RequestCrash Kind = iota
+	// PartCrash states that an upstream ended while a request with a prompt part had no event yet.
+	PartCrash
+	// PartAnswered states that a request with a suspected prompt part has produced an event.
+	PartAnswered
+)
+
+// Report is an observation of a router. Reporter and Seq identify the report in all processes.
 type Report struct {
+	// Fingerprint is that of the request or the key of the prompt part.
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	Reporter    string `cbor:"2,keyasint"`
 	Seq         uint64 `cbor:"3,keyasint"`
+	Kind        Kind   `cbor:"4,keyasint,omitempty"`
+	// Upstream identifies the instance that ended and UnixMS is when its answers were interrupted, in Unix milliseconds; only
+	// for PartCrash.
+	Upstream uint64 `cbor:"5,keyasint,omitempty"`
+	UnixMS   int64  `cbor:"6,keyasint,omitempty"`
+	// Position is the part's position in the prompt; only for PartCrash.
+	Position int `cbor:"7,keyasint,omitempty"`
 }
 
 // interruptedAttempt is an attempt that ended without an answer.
@@ -35,32 +61,76 @@
 	at          time.Time
 }
 
-// Reports decides at a router which requests are refused because they crash upstreams, based on the crash reports of
-// all routers. It is not safe for concurrent use.
+// unansweredParts are the prompt parts of the attempts that had no event when their upstream interrupted them.
+type unansweredParts struct {
+	instance uint64         // of the upstream
+	at       time.Time      // of the last interruption
+	parts    map[uint64]int // positions in the prompts by part
+}
+
+// maxUnansweredParts bounds the parts that are reported for one crash.
+const maxUnansweredParts = 256
+
+func (u *unansweredParts) add(now time.Time, parts []uint64) {
+	u.at = now
+	for position, part := range parts {
+		if len(u.parts) < maxUnansweredParts {
+			u.parts[part] = position
+		}
+	}
+}
+
+// receivedReport is a report and when it was received.
+type receivedReport struct {
+	Report
+	at time.Time
+}
+
+// Reports decides at a router which requests are refused because they crash upstreams, based on the reports of all
+// routers. It is not safe for concurrent use.
 type Reports struct {
 	reporter    string
 	seq         uint64
 	interrupted []interruptedAttempt // oldest first
-	received    map[Report]time.Time
+	// unanswered contains the prompt parts of interrupted attempts without an event, by upstream.
+	unanswered map[string]*unansweredParts
+	own        []receivedReport // this router's reports, oldest first
+	// received contains the reports of request crashes, and receivedParts all others. Reports stay for twice as long as
+	// relays send them, since several relays send the same ones.
+	received, receivedParts map[Report]time.Time
+	prunedAt                time.Time
+	parts                   *parts
 }
 
-// NewReports returns the crash reports of a router. The sequence numbers begin at start, so that they differ between
+// NewReports returns the reports of a router. The sequence numbers begin at start, so that they differ between
 // successive processes of the router.
 func NewReports(reporter string, start time.Time) *Reports {
-	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), received: map[Report]time.Time{}}
+	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), received: map[Report]time.Time{}, receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, parts: newParts()}
 }
 
-// RecordInterrupted records that an attempt at the upstream ended without an answer.
-func (r *Reports) RecordInterrupted(now time.Time, fp uint64, upstream string) {
+// RecordInterrupted records that an attempt at the upstream ended without an answer. The argument parts contains the
+// keys of the request's shared prompt parts if no event of the answer arrived, and startedUnixMS the start of the
+// upstream's process, which may have the id of an earlier one.
+func (r *Reports) RecordInterrupted(now time.Time, fp uint64, parts []uint64, upstream string, startedUnixMS int64) {
+	r.prune(now)
 	r.interrupted = append(r.interrupted, interruptedAttempt{fingerprint: fp, upstream: upstream, at: now})
 	if len(r.interrupted) > MaxReports {
 		r.interrupted = slices.Delete(r.interrupted, 0, 1)
 	}
+	if len(parts) == 0 {
+		return
+	}
+	u := r.unanswered[upstream]
+	if u == nil || now.Sub(u.at) > confirmTimeout {
+		u = &unansweredParts{instance: xxhash.Sum64String(upstream + "\x00" + strconv.FormatInt(startedUnixMS, 10)), parts: map[uint64]int{}}
+		r.unanswered[upstream] = u
+	}
+	u.add(now, parts)
 }
 
-// RecordUpstreamEnd records that the upstream has ended: attempts that were interrupted there shortly before count as
-// crashes.
-func (r *Reports) RecordUpstreamEnd(now time.Time, upstream string) {
+// RecordUnreachable records that the upstream accepts no connection: requests that were interrupted there shortly before
+// count as crashes. Their prompt parts do not, since the path to the upstream may be cut.
+func (r *Reports) RecordUnreachable(now time.Time, upstream string) {
 	remaining := r.interrupted[:0]
 	for _, attempt := range r.interrupted {
 		switch {
@@ -68,13 +138,50 @@
 		case attempt.upstream != upstream:
 			remaining = append(remaining, attempt)
 		default:
-			r.seq++
-			r.add(now, Report{Fingerprint: attempt.fingerprint, Reporter: r.reporter, Seq: r.seq})
+			r.report(now, Report{Fingerprint: attempt.fingerprint})
 		}
 	}
 	r.interrupted = remaining
 }
 
+// RecordUpstreamEnd records that the upstream has ended: attempts that were interrupted there shortly before count as
+// crashes.
+func (r *Reports) RecordUpstreamEnd(now time.Time, upstream string) {
+	r.RecordUnreachable(now, upstream)
+	u := r.unanswered[upstream]
+	if u == nil {
+		return
+	}
+	delete(r.unanswered, upstream)
+	if now.Sub(u.at) > confirmTimeout {
+		return
+	}
+	for part, position := range u.parts {
+		r.report(now, Report{Fingerprint: part, Kind: PartCrash, Upstream: u.instance, UnixMS: u.at.UnixMilli(), Position: position})
+	}
+}
+
+// RecordAnswered records that a request with the prompt parts has produced an event.
+func (r *Reports) RecordAnswered(now time.Time, parts []uint64) {
+	for _, part := range parts {
+		if r.parts.recordAnswered(part) {
+			r.report(now, Report{Fingerprint: part, Kind: PartAnswered})
+		}
+	}
+}
+
+// report adds a report of this router.
+func (r *Reports) report(now time.Time, x Report) {
+	r.seq++
+	x.Reporter, x.Seq = r.reporter, r.seq
+	expired := 0
+	for expired < len(r.own) && (len(r.own)-expired >= maxOwnReports || now.Sub(r.own[expired].at) > reportTTL) {
+		expired++
+	}
+	r.own = append(slices.Delete(r.own, 0, expired), receivedReport{Report: x, at: now})
+	r.add(now, x)
+}
+
 // Merge adds the reports of other routers.
 func (r *Reports) Merge(now time.Time, reports []Report) {
 	for _, x := range reports {
@@ -83,27 +190,62 @@
 }
 
 func (r *Reports) add(now time.Time, x Report) {
-	if _, ok := r.received[x]; ok || len(r.received) >= MaxReports*MaxReports {
+	r.prune(now)
+	received := r.receivedParts
+	if x.Kind == RequestCrash {
+		received = r.received
+	}
+	if _, ok := received[x]; ok || len(received) >= MaxReports*MaxReports {
+		return
+	}
+	received[x] = now
+	switch x.Kind {
+	case PartCrash:
+		r.parts.recordCrash(now, x)
+	case PartAnswered:
+		r.parts.recordAnswered(x.Fingerprint)
+	}
+}
+
+// prune drops reports that no relay sends any more.
+func (r *Reports) prune(now time.Time) {
+	if now.Sub(r.prunedAt) < pruneInterval {
 		return
 	}
-	r.received[x] = now
+	r.prunedAt = now
+	for upstream, u := range r.unanswered {
+		if now.Sub(u.at) > confirmTimeout {
+			delete(r.unanswered, upstream)
+		}
+	}
+	for _, received := range []map[Report]time.Time{r.received, r.receivedParts} {
+		for x, at := range received {
+			if now.Sub(at) > 2*reportTTL {
+				delete(received, x)
+			}
+		}
+	}
 }
 
 // IsQuarantined reports whether requests with the fingerprint are refused.
 func (r *Reports) IsQuarantined(now time.Time, fp uint64) bool {
 	crashes := 0
 	for x, at := range r.received {
-		if now.Sub(at) > reportTTL {
-			delete(r.received, x)
-			continue
-		}
-		if x.Fingerprint == fp {
+		if x.Fingerprint == fp && now.Sub(at) <= reportTTL {
 			crashes++
 		}
 	}
 	return crashes >= routerCrashThreshold
 }
 
+// CrashingPart returns the index of the first prompt part whose requests are refused because they crash upstreams, or -1.
+func (r *Reports) CrashingPart(now time.Time, parts []uint64) int {
+	return slices.IndexFunc(parts, func(part uint64) bool { return r.parts.isRefused(now, part) })
+}
+
+// TakeVerdicts returns the prompt parts that have come to be refused since the last call.
+func (r *Reports) TakeVerdicts(now time.Time) []Verdict { return r.parts.takeVerdicts(now) }
+
 // ReportsAfter returns this router's reports with a sequence number above seq, oldest first, at most as many as fit
 // into a message. A seq that this process has not assigned is treated as 0.
 func (r *Reports) ReportsAfter(now time.Time, seq uint64) []Report {
@@ -111,13 +253,12 @@
 		seq = 0
 	}
 	var out []Report
-	for x, at := range r.received {
-		if x.Reporter == r.reporter && x.Seq > seq && now.Sub(at) <= reportTTL {
-			out = append(out, x)
+	for _, x := range r.own {
+		if x.Seq > seq && now.Sub(x.at) <= reportTTL && len(out) < MaxReports {
+			out = append(out, x.Report)
 		}
 	}
-	slices.SortFunc(out, func(a, b Report) int { return cmp.Compare(a.Seq, b.Seq) })
-	return out[:min(len(out), MaxReports)]
+	return out
 }
 
 // LastSeq returns the sequence number of this router's last report.
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -45,6 +45,28 @@
 	}
 }
 
+// endNotices is the number of notices of an ended engine that are sent to each router, one after each failed read of the
+// engine's report, since datagrams can be lost.
+const endNotices = 3
+
+// publishEnd tells the routers that the process of the upstream that last reported has ended.
+func (a *Agent) publishEnd() {
+	upstream := a.report.Upstream
+	if upstream.ID != a.endedID {
+		a.endedID, a.endNoticesSent = upstream.ID, 0
+	}
+	if upstream.ID == "" || a.endNoticesSent >= endNotices {
+		return
+	}
+	a.endNoticesSent++
+	notice := peer.Message{Report: &peer.Report{ID: upstream.ID, StartedUnixMS: upstream.StartedUnixMS, Ended: true}}
+	for _, r := range a.routers.liveRouters(time.Now()) {
+		if err := a.socket.Send(r.address, notice); err != nil {
+			a.log.Request("message not sent", "err", err)
+		}
+	}
+}
+
 // due reports whether a report to a router is due, given the age of the last one. A change is sent at once, all else
 // after the interval for the router's region.
 func due(age time.Duration, changed, loadChanged, sameRegion bool) bool {
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
@@ -76,6 +78,9 @@
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
+	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
+	endedID        string
+	endNoticesSent int
 }
 
 // orderInProgress is an order that the engine is executing.
@@ -196,6 +201,9 @@
 			a.log.State("engine report not available", "err", err)
 		}
 		a.engineReporting = false
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.publishEnd()
+		}
 		return false
 	}
 	if !a.engineReporting {
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,16 +39,16 @@
 	self        catalog.Upstream
 	orders      []placement.Order
 	tokens      []uint64
-	loseReplies int // number of replies to orders to lose after executing the order
-	down        bool
-	reverse     bool // each report lists the loaded models in reverse order
+	loseReplies int   // number of replies to orders to lose after executing the order
+	reportErr   error // returned for each report unless nil
+	reverse     bool  // each report lists the loaded models in reverse order
 }
 
 func (e *engine) Report(context.Context) (platform.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down {
-		return platform.Report{}, errors.New("down")
+	if e.reportErr != nil {
+		return platform.Report{}, e.reportErr
 	}
 	if e.reverse {
 		e.self.Models = slices.Clone(e.self.Models)
@@ -134,6 +136,13 @@
 	Expect(f.router.Send(f.agentAddr, peer.Message{Demand: &peer.Demand{Router: "edge-1", Here: []peer.LoadRequest{{Model: model, Waiting: 1}}}})).To(Succeed())
 }
 
+// fail makes the engine fail to report.
+func (f *fixture) fail(err error) {
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	f.engine.reportErr = err
+}
+
 func hasLoaded(report peer.Report, model string) bool {
 	return report.Holdings != nil && len(report.Holdings.Models) == 1 && report.Holdings.Models[0].Model == model
 }
@@ -198,6 +207,17 @@
 		}
 	})
 
+	// Guards against routers that learn of an engine's end only when the list shows it, seconds later.
+	It("tells routers that the engine has ended when its address refuses connections", func() {
+		f := newFixture("a")
+		f.requestLoad("a")
+		Eventually(f.reports, "2s").Should(Receive())
+		f.fail(errors.New("timeout"))
+		Consistently(f.reports, "500ms").ShouldNot(Receive(Satisfy(func(r peer.Report) bool { return r.Ended })))
+		f.fail(fmt.Errorf("dial: %w", syscall.ECONNREFUSED))
+		Eventually(f.reports, "1s").Should(Receive(Satisfy(func(r peer.Report) bool { return r.Ended && r.ID == "i-1" && r.StartedUnixMS == 5 })))
+	})
+
 	It("loads the model that a router requests and reports it", func() {
 		f := newFixture()
 		f.agent.SetToken(41)
