Take an unframed stream without any event for broken off

Callers could get an empty stream as a complete answer: an answer with neither a length nor chunks ends with its connection, and an upstream that ends right behind the head closes it. Cause: the end of the connection counted as the end of the stream whatever had arrived. Evidence: the spec "is no stream if the connection is closed before the first event" got status 200 before this change. The other four specs held before: complete answers and streams are delivered, a reset answer is not, and a stream that ends within an event is truncated towards the caller.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -22,16 +22,21 @@
 	events := sse.NewReader(resp.Body)
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
-	lastHeartbeat := time.Time{}
+	lastHeartbeat, received := time.Time{}, false
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !received && isUnframed(resp) {
+				c.cause = "connection closed before the first event"
+				return dispatch.Interrupted, nil, nil
+			}
 			c.writeHead(resp)
 			return dispatch.Done, a, nil
 		}
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
+		received = true
 		if now := time.Now(); now.Sub(lastHeartbeat) > heartbeatInterval {
 			lastHeartbeat = now
 			c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordHeartbeat(now, upstream) })
@@ -58,6 +63,12 @@
 	}
 }
 
+// isUnframed reports whether only the end of the connection marks the end of the answer, so that it cannot be told from a
+// connection that the upstream's end has closed.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func (c *callerRequest) writeHead(resp *http.Response) {
 	if c.headWritten {
 		return
