Check the limit on retries against the daemon as processes

Reproduced on loopback: while runners reject nine tenths of the requests, all entries are killed every three seconds.

--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -13,6 +13,7 @@
 // sentRequest records a request that a caller has sent, and its runs.
 type sentRequest struct {
 	kind, target string
+	arrived      bool // a runner has received it
 	bodyHash     uint64
 	runs         int
 	runners      map[string]int
@@ -21,11 +22,13 @@
 
 // checker collects the observations of callers and runners and detects violations of the system's guarantees.
 type checker struct {
-	mu         sync.Mutex
-	requests   map[string]*sentRequest
-	arrivals   []arrival
-	violations []string
-	outcomes   map[string]int
+	mu       sync.Mutex
+	requests map[string]*sentRequest
+	arrivals []arrival
+	// requestTimes and repeatTimes are the times of the requests and of their arrivals beyond the first, by service.
+	requestTimes, repeatTimes map[string][]time.Time
+	violations                []string
+	outcomes                  map[string]int
 }
 
 // arrival is the arrival of a request at a runner.
@@ -35,7 +38,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}}
+	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -52,6 +55,7 @@
 func (c *checker) recordSent(id, kind, target string, body []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requestTimes[serviceOf(kind)] = append(c.requestTimes[serviceOf(kind)], time.Now())
 	c.requests[id] = &sentRequest{kind: kind, target: target, bodyHash: xxhash.Sum64(body), runners: map[string]int{}}
 }
 
@@ -85,9 +89,10 @@
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
 	return standin.Observer{
-		RequestArrived: func(_, runner string, at time.Time) {
+		RequestArrived: func(id, runner string, at time.Time) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			c.countRepeat(id, at)
 			c.arrivals = append(c.arrivals, arrival{runner: runner, at: at})
 		},
 		RequestRan: c.recordRun,
--- a/pkg/soak/check_test.go
+++ b/pkg/soak/check_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
 // Guards against checks that detect nothing: with them every seed would pass.
@@ -35,6 +37,16 @@
 		}),
 	)
 
+	It("detect retries beyond the limit", func() {
+		at := time.Now()
+		arrive := c.observer().RequestArrived
+		for i := range int(standin.RetryBurst) + 2 {
+			arrive("1", "a", at.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		c.checkRetryLimit()
+		Expect(c.violations).To(ConsistOf(ContainSubstring("budget: 59 repeats")))
+	})
+
 	// Guards against reporting permitted outcomes as violations.
 	It("accept what the guarantees permit", func() {
 		c.recordRun("2", "a", "/lookup/x", body("2"))
--- /dev/null
+++ b/pkg/soak/limit.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
+)
+
+const (
+	// rejectShare is the share of requests that runners reject while the limit on retries is tested.
+	rejectShare = 0.9
+	// killInterval is the time between two kills of all entries.
+	killInterval = 3 * time.Second
+)
+
+// serviceOf returns the service that requests of the kind are sent to.
+func serviceOf(kind string) string {
+	if kind == "report" || kind == "chat" {
+		return "llm"
+	}
+	return "loans"
+}
+
+// countRepeat counts an arrival at a runner if it is not the request's first. The caller holds the lock.
+func (c *checker) countRepeat(id string, at time.Time) {
+	s := c.requests[id]
+	switch {
+	case s == nil: // recordRun reports it
+	case s.arrived:
+		c.repeatTimes[serviceOf(s.kind)] = append(c.repeatTimes[serviceOf(s.kind)], at)
+	default:
+		s.arrived = true
+	}
+}
+
+// checkRetryLimit checks that the arrivals beyond the first of each request stay within the limit on retries in each
+// window. The requests are counted in the window, the one before it or the one half a window before it.
+func (c *checker) checkRetryLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, repeats := range c.repeatTimes {
+		sort.Slice(repeats, func(i, j int) bool { return repeats[i].Before(repeats[j]) })
+		requests := c.requestTimes[service]
+		worst, detail := 0.0, ""
+		for _, start := range repeats {
+			n := max(countWithin(requests, start), countWithin(requests, start.Add(-standin.RetryWindow)), countWithin(requests, start.Add(-standin.RetryWindow/2)))
+			allowed := standin.RetryRatio*float64(n) + standin.RetryBurst
+			if got := countWithin(repeats, start); float64(got)-allowed > worst {
+				worst, detail = float64(got)-allowed, fmt.Sprintf("%d repeats arrived at %s within %s for %d requests, %.0f allowed", got, service, standin.RetryWindow, n, allowed)
+			}
+		}
+		if worst > 0 {
+			c.recordViolationLocked("budget", detail)
+		}
+	}
+}
+
+// countWithin returns the number of the sorted times within the window of the limit on retries from start.
+func countWithin(times []time.Time, start time.Time) int {
+	before := func(end time.Time) int {
+		return sort.Search(len(times), func(i int) bool { return !times[i].Before(end) })
+	}
+	return before(start.Add(standin.RetryWindow)) - before(start)
+}
+
+// killEntries kills all entries again and again while most requests are rejected.
+func (w *world) killEntries() []string {
+	for _, r := range w.runners {
+		r.SetRejectShare(rejectShare)
+	}
+	var events []string
+	for start := time.Now(); time.Since(start) < w.options.FaultPeriod; {
+		time.Sleep(killInterval)
+		for _, p := range w.processes[:numEntries] {
+			p.kill()
+			w.restartProcess(p)
+		}
+		events = append(events, fmt.Sprintf("%6.2f s kill all entries", time.Since(start).Seconds()))
+	}
+	for _, r := range w.runners {
+		r.SetRejectShare(0)
+	}
+	return events
+}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -59,12 +59,17 @@
 			w.newCaller(n, s).run(ctx, lb.inRotation, recovered)
 		}()
 	}
-	res.Events = w.injectFaults()
+	if opt.KillEntries {
+		res.Events = w.killEntries()
+	} else {
+		res.Events = w.injectFaults()
+	}
 	time.Sleep(recoveryTime)
 	close(recovered)
 	time.Sleep(measureTime)
 	cancel()
 	wg.Wait()
+	w.check.checkRetryLimit()
 	res.Violations, res.Outcomes, res.Sent, res.Served = w.check.violations, w.check.outcomes, s.sent, s.served
 	if float64(s.served) < minServedShare*float64(s.sent) || s.sent == 0 {
 		res.Violations = append(res.Violations, fmt.Sprintf("recover: %d of %d requests served after the last disturbance", s.served, s.sent))
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -35,6 +35,13 @@
 		Expect(err).NotTo(HaveOccurred(), string(out))
 	})
 
+	// Guards against retries beyond the limit of all routers when a restarted router spends what its predecessor has spent.
+	It("keeps the limit on retries when routers are killed while runners reject requests", func() {
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 10 * time.Second, KillEntries: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	})
+
 	for _, s := range seeds {
 		It(fmt.Sprintf("keeps every guarantee with seed %d (%s)", s.seed, s.cause), func() {
 			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: 19, FaultPeriod: 6 * time.Second})
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -42,6 +42,8 @@
 	LoopbackNet int
 	// FaultPeriod is the period in which faults are started.
 	FaultPeriod time.Duration
+	// KillEntries kills all entries again and again while runners reject most requests, in place of the random faults.
+	KillEntries bool
 }
 
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
