--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
@@ -76,3 +78,40 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
 	})
 })
+
+// Guards against streams that end behind an event because their upstream's process has ended, whose connections the
+// kernel closes, and that look complete (soak, seeds 203, 206 and 209).
+var _ = Describe("an upstream that ends while it sends a stream with neither a length nor chunks", func() {
+	// stream returns the error with which a caller reads a stream from an upstream that ends behind the first event.
+	stream := func(draining bool) error {
+		r := newRig()
+		r.configure()
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		put := func(draining bool) {
+			r.core.Update(func(s *dispatch.State) {
+				s.Fleet.Put(time.Now(), catalog.Upstream{ID: "u1", Service: "llm", Address: ln.Addr().String(), Zone: "z1", Slots: 8, Draining: draining, Models: []catalog.Resident{{Model: "m"}}})
+			})
+		}
+		put(false)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, standin.StreamHead(standin.RequestID(req.Header), "stamp")+"id: 1\ndata: a\n\n")
+			}
+			put(draining)
+			_ = ln.Close()
+			_ = c.Close()
+		}()
+		_, _, err = r.call(http.MethodPost, "/once/a")
+		return err
+	}
+
+	It("has not completed it", func() { Expect(stream(false)).To(MatchError(io.ErrUnexpectedEOF)) })
+
+	// Guards against truncating the last streams of an upstream that leaves, which accepts no connections any more.
+	It("has completed it if it was leaving", func() { Expect(stream(true)).To(Succeed()) })
+})
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -144,6 +144,8 @@
 		want = b.String()
 	}
 	switch {
+	case strings.HasPrefix(want, string(answer)) && string(answer) != want:
+		c.world.check.recordViolation("order", fmt.Sprintf("%s %s: truncated answer looks complete: got %q", kind, id, answer))
 	case string(answer) != want:
 		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: got %q", kind, id, answer))
 	case !standin.Signed(resp.Header):
