Send no requests to an upstream whose answer announces that it is leaving

An upstream that leaves says so in all its answers (Server-Leaving: 1); callers' requests still went there until the list or its agent's report showed it, which takes long while the store is out. Cause: the header was not decoded. Change: the first such answer makes the instance draining for good; one that names another instance at the address does not.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -247,6 +247,18 @@
 	return 0, 0
 }
 
+// RecordLeaving records that an answer of the upstream has announced that it is leaving. It reports whether this was not
+// known.
+func (s *State) RecordLeaving(id string) bool {
+	m := s.members[id]
+	if m == nil || m.Draining {
+		return false
+	}
+	m.Draining = true
+	s.version++
+	return true
+}
+
 // RecordMissing records that an upstream refused a request because the model or adapter is not loaded there. The
 // agent's full holdings are requested with the next report.
 func (s *State) RecordMissing(id, model, adapter string) {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -94,6 +94,7 @@
 		return c.interruptedOutcome(cancelled(), unresponsive.Load(), err), nil
 	}
 	recordFirst()
+	c.applyUpstreamState(resp, d.Upstream.ID)
 	outcome, a, err := c.receive(resp, d.Upstream.ID)
 	if cancelled() || err != nil {
 		_ = conn.Close()
@@ -114,6 +115,21 @@
 	return outcome, a
 }
 
+// applyUpstreamState applies what an answer says about the upstream itself. An answer of another instance at the address
+// says nothing about it.
+func (c *callerRequest) applyUpstreamState(resp *http.Response, upstream string) {
+	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	if !head.Leaving || head.Instance != "" && head.Instance != upstream {
+		return
+	}
+	changed := false
+	c.g.core.Do(func(s *dispatch.State) { changed = s.Fleet.RecordLeaving(upstream) })
+	if changed {
+		c.g.log.State("upstream announced that it is leaving", "upstream", upstream, "id", c.meta.ID)
+		c.g.core.Update(func(*dispatch.State) {})
+	}
+}
+
 // isComplete reports whether an answer that ended with its connection is complete. If the upstream's process has ended,
 // its connections were closed wherever its answers were. An upstream that is leaving accepts no connections but completes
 // its answers.
