Leave upstreams alone for as long as they ask

An upstream that rejects a request with 503 may say in Retry-After for how long it wants no requests from this router; it got them all the same, as soon as 0.3 s later and as a last resort at any time. Cause: the header was not decoded. Change: the instance gets no request before the time has passed.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -75,6 +75,9 @@
 		return Decision{Action: Refuse, Reason: "prompt part " + r.Parts[i].ID + " crashes upstreams"}
 	}
 	members := s.candidates(now, r)
+	if d, ok := s.awaitPause(now, r, members); ok {
+		return d
+	}
 	if len(members) == 0 {
 		return s.refuseWithoutMember(now, r)
 	}
@@ -108,7 +111,7 @@
 	tryAll := s.tryAll(now, r.Service, members)
 	for _, m := range members {
 		switch {
-		case r.tried[m.ID], m.IsUnresponsive(now) && !tryAll:
+		case r.tried[m.ID], m.IsUnresponsive(now) && !tryAll, now.Before(m.PausedUntil()):
 		case now.Before(s.upstreamStats(m.ID).blockedUntil):
 			blocked = append(blocked, m)
 		default:
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -88,6 +88,8 @@
 	WaitAdapter
 	// WaitPrefill is the wait for the prompts of other requests to be processed.
 	WaitPrefill
+	// WaitPause is the wait for an upstream that wants no requests for a while.
+	WaitPause
 	// WaitCauses is the number of causes.
 	WaitCauses
 )
--- a/pkg/gateway/leaving_test.go
+++ b/pkg/gateway/leaving_test.go
@@ -71,3 +71,25 @@
 		Expect(received.Load()).To(BeEquivalentTo(3))
 	})
 })
+
+// Guards against an upstream that gets requests for as long as it rejects them.
+var _ = Describe("an upstream that rejects a request and names a time", func() {
+	It("gets no further request before", func() {
+		r := newRig()
+		r.configure()
+		var received atomic.Int32
+		r.upstream("u1", "plain", nil, func(w http.ResponseWriter, _ *http.Request) {
+			received.Add(1)
+			standin.SetNotRun(w.Header())
+			w.Header().Set("Retry-After", "20")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		for range 5 {
+			resp, _, err := r.call(http.MethodGet, "/get/a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(received.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -119,7 +119,14 @@
 // says nothing about it.
 func (c *callerRequest) applyUpstreamState(resp *http.Response, upstream string) {
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
-	if !head.Leaving || head.Instance != "" && head.Instance != upstream {
+	if head.Instance != "" && head.Instance != upstream {
+		return
+	}
+	if head.RetryAfter > 0 {
+		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordPause(upstream, time.Now().Add(head.RetryAfter)) })
+		c.g.log.Request("upstream wants no requests", "id", c.meta.ID, "upstream", upstream, "for_ms", head.RetryAfter.Milliseconds())
+	}
+	if !head.Leaving {
 		return
 	}
 	changed := false
