Unload an adapter whose base model has gone

An agent that left its VM never finished draining: an adapter stayed loaded without its base model. Cause: an order without an answer can load an adapter after its base has been unloaded, and planRequiredUnloads unloaded adapters with their base or if they were not configured. Change: a loaded adapter whose base is absent has to be unloaded.

--- a/pkg/residency/unload.go
+++ b/pkg/residency/unload.go
@@ -19,7 +19,9 @@
 			m.base.mustUnload = m.base.phase != absent
 		}
 		for _, t := range m.targets()[1:] {
-			if _, configured := s.size(m, t); !configured && t.phase != absent && t.inUse == 0 {
+			// An order without an answer can load an adapter after its base model has been unloaded.
+			orphaned := m.base.phase == absent && t.phase == resident
+			if _, configured := s.size(m, t); (orphaned || !configured && t.phase != absent) && t.inUse == 0 {
 				t.mustUnload = true
 			}
 		}
