Read an event's lines whole before looking for its end

A stream could skip or join events after an interruption: an event counted as forwarded before it was complete. Cause: where a line filled the read buffer up to its line break (8,186 bytes of data), the line break alone was taken for the blank line behind the event.

--- a/pkg/sse/sse.go
+++ b/pkg/sse/sse.go
@@ -33,9 +33,10 @@
 // event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	lineStart := 0
 	for {
-		line, err := r.r.ReadSlice('\n')
-		e.Raw = append(e.Raw, line...)
+		part, err := r.r.ReadSlice('\n')
+		e.Raw = append(e.Raw, part...)
 		if len(e.Raw) > maxEventBytes {
 			return Event{}, fault.Newf(fault.StepStream, "", "event exceeds %d bytes", maxEventBytes)
 		}
@@ -48,7 +49,8 @@
 		if err != nil {
 			return Event{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.Raw[lineStart:], "\r\n")
+		lineStart = len(e.Raw)
 		if len(line) == 0 {
 			return e, nil
 		}
--- a/pkg/sse/sse_test.go
+++ b/pkg/sse/sse_test.go
@@ -57,6 +57,18 @@
 		Expect(string(out[0].Raw)).To(Equal(long))
 	})
 
+	// Guards against taking the end of a line that fills the buffer for the blank line behind an event: the event counted
+	// as forwarded before it was complete.
+	It("reads lines of any length as part of one event", func() {
+		for n := 8100; n < 8300; n++ {
+			event := "id: 1\ndata: " + strings.Repeat("x", n) + "\n\n"
+			out, err := readAll(strings.NewReader(event + event))
+			Expect(err).To(Equal(io.EOF))
+			Expect(out).To(HaveLen(2), "%d bytes", n)
+			Expect(string(out[0].Raw)).To(Equal(event))
+		}
+	})
+
 	It("refuses an endless event", func() {
 		_, err := readAll(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100_000)))
 		Expect(err).To(MatchError(ContainSubstring("exceeds")))
