--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -75,7 +75,7 @@
 		return Decision{Action: Refuse, Reason: "prompt part " + r.Parts[i].ID + " crashes upstreams"}
 	}
 	members := s.candidates(now, r)
-	if d, ok := s.awaitPause(now, r, members); ok {
+	if d, ok := s.awaitBackoff(now, r, members); ok {
 		return d
 	}
 	if len(members) == 0 {
@@ -103,15 +103,15 @@
 	return s.awaitModel(now, r, confirmed)
 }
 
-// candidates returns the upstreams that may get the request. Upstreams blocked after failures are included only if no
-// other upstream can serve the request.
+// candidates returns the upstreams that may get the request. Those that have requested backoff may not. Upstreams
+// blocked after failures are included only if no other upstream can serve the request.
 func (s *State) candidates(now time.Time, r *Request) []*fleet.Member {
 	var open, blocked []*fleet.Member
 	members := s.Fleet.Members(now, r.Service)
 	tryAll := s.tryAll(now, r.Service, members)
 	for _, m := range members {
 		switch {
-		case r.tried[m.ID], m.IsUnresponsive(now) && !tryAll, now.Before(m.PausedUntil()):
+		case r.tried[m.ID], m.IsUnresponsive(now) && !tryAll, now.Before(m.BackoffUntil()):
 		case now.Before(s.upstreamStats(m.ID).blockedUntil):
 			blocked = append(blocked, m)
 		default:
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -88,8 +88,8 @@
 	WaitAdapter
 	// WaitPrefill is the wait for the prompts of other requests to be processed.
 	WaitPrefill
-	// WaitPause is the wait for an upstream that wants no requests for a while.
-	WaitPause
+	// WaitBackoff is the wait for the end of the backoff that upstreams have requested.
+	WaitBackoff
 	// WaitCauses is the number of causes.
 	WaitCauses
 )
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -46,9 +46,9 @@
 	crashesAcked uint64
 	// unlistedUntil is when a member that only its agent has reported is removed unless the list names it.
 	unlistedUntil time.Time
-	// pausedUntil is until when the upstream wants no requests from this process.
-	pausedUntil time.Time
-	removeAt    time.Time // when an entry that is pending removal is removed; zero while it is listed
+	// backoffUntil is the end of the backoff that the upstream has requested from this process.
+	backoffUntil time.Time
+	removeAt     time.Time // when an entry that is pending removal is removed; zero while it is listed
 	// superseded reports whether a later instance runs at the member's address while the member's own entry still
 	// exists.
 	superseded bool
@@ -249,16 +249,16 @@
 	return 0, 0
 }
 
-// RecordPause records that the upstream, while it rejected a request, asked for no further ones before until.
-func (s *State) RecordPause(id string, until time.Time) {
-	if m := s.members[id]; m != nil && until.After(m.pausedUntil) {
-		m.pausedUntil = until
+// RecordBackoff records that the upstream, when it rejected a request, requested backoff until the given time.
+func (s *State) RecordBackoff(id string, until time.Time) {
+	if m := s.members[id]; m != nil && until.After(m.backoffUntil) {
+		m.backoffUntil = until
 		s.version++
 	}
 }
 
-// PausedUntil returns until when the upstream wants no requests from this process.
-func (m *Member) PausedUntil() time.Time { return m.pausedUntil }
+// BackoffUntil returns the end of the backoff that the upstream has requested; it gets no requests before.
+func (m *Member) BackoffUntil() time.Time { return m.backoffUntil }
 
 // RecordLeaving records that an answer of the upstream has announced that it is leaving. It reports whether this was not
 // known.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -123,8 +123,8 @@
 		return
 	}
 	if head.RetryAfter > 0 {
-		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordPause(upstream, time.Now().Add(head.RetryAfter)) })
-		c.g.log.Request("upstream wants no requests", "id", c.meta.ID, "upstream", upstream, "for_ms", head.RetryAfter.Milliseconds())
+		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordBackoff(upstream, time.Now().Add(head.RetryAfter)) })
+		c.g.log.Request("upstream requested backoff", "id", c.meta.ID, "upstream", upstream, "for_ms", head.RetryAfter.Milliseconds())
 	}
 	if !head.Leaving {
 		return
@@ -146,7 +146,7 @@
 		m := s.Fleet.Get(u.ID)
 		leaving = m == nil || m.Draining
 	})
-	return leaving || c.g.pool.Accepts(c.ctx, u.Address)
+	return leaving || c.ctx.Err() != nil || c.g.pool.Accepts(c.ctx, u.Address)
 }
 
 func (c *callerRequest) interruptedOutcome(cancelled, unresponsive bool, err error) dispatch.Outcome {
--- a/pkg/gateway/timing.go
+++ b/pkg/gateway/timing.go
@@ -52,6 +52,6 @@
 		"priority", route.Priority, "target_ms", route.Target.Milliseconds(), "gap_ms", route.MaxEventGap.Milliseconds(),
 		"reports_ms", t.waited[dispatch.WaitReports].Milliseconds(), "model_ms", t.waited[dispatch.WaitModel].Milliseconds(),
 		"adapter_ms", t.waited[dispatch.WaitAdapter].Milliseconds(), "prefill_ms", t.waited[dispatch.WaitPrefill].Milliseconds(),
-		"upstream_pause_ms", t.waited[dispatch.WaitPause].Milliseconds(), "sent_ms", since(t.sentAt), "uncached", t.uncached, "first_ms", since(t.firstAt), "pause_ms", t.longestPause.Milliseconds(), "pause_at_ms", since(t.pauseAt),
+		"backoff_ms", t.waited[dispatch.WaitBackoff].Milliseconds(), "sent_ms", since(t.sentAt), "uncached", t.uncached, "first_ms", since(t.firstAt), "pause_ms", t.longestPause.Milliseconds(), "pause_at_ms", since(t.pauseAt),
 	}
 }
