Look up a request's crash reports by its fingerprint

Callers waited longer the more crashes had been reported: each decision on a request, and each waiting request decides again at every change of the fleet, went through up to 4,096 reports. Cause: IsQuarantined counted by a loop over all of them; since reports are now kept for as long as relays may repeat them, there are more. Change: the times of the reports by fingerprint.

--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -98,14 +98,16 @@
 	// received contains the reports of request crashes, and receivedParts all others. Reports stay for twice as long as
 	// relays send them, since several relays send the same ones.
 	received, receivedParts map[Report]time.Time
-	prunedAt                time.Time
-	parts                   *parts
+	// crashes contains the times at which the reports in received arrived, by fingerprint.
+	crashes  map[uint64][]time.Time
+	prunedAt time.Time
+	parts    *parts
 }
 
 // NewReports returns the reports of a router. The sequence numbers begin at start, so that they differ between
 // successive processes of the router.
 func NewReports(reporter string, start time.Time) *Reports {
-	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), received: map[Report]time.Time{}, receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, parts: newParts()}
+	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), received: map[Report]time.Time{}, crashes: map[uint64][]time.Time{}, receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, parts: newParts()}
 }
 
 // RecordInterrupted records that an attempt at the upstream ended without an answer. The argument parts contains the
@@ -200,6 +202,8 @@
 	}
 	received[x] = now
 	switch x.Kind {
+	case RequestCrash:
+		r.crashes[x.Fingerprint] = append(r.crashes[x.Fingerprint], now)
 	case PartCrash:
 		r.parts.recordCrash(now, x)
 	case PartAnswered:
@@ -218,6 +222,11 @@
 			delete(r.unanswered, upstream)
 		}
 	}
+	for fp, times := range r.crashes {
+		if now.Sub(times[len(times)-1]) > reportTTL {
+			delete(r.crashes, fp)
+		}
+	}
 	for _, received := range []map[Report]time.Time{r.received, r.receivedParts} {
 		for x, at := range received {
 			if now.Sub(at) > 2*reportTTL {
@@ -230,8 +239,8 @@
 // IsQuarantined reports whether requests with the fingerprint are refused.
 func (r *Reports) IsQuarantined(now time.Time, fp uint64) bool {
 	crashes := 0
-	for x, at := range r.received {
-		if x.Fingerprint == fp && now.Sub(at) <= reportTTL {
+	for _, at := range r.crashes[fp] {
+		if now.Sub(at) <= reportTTL {
 			crashes++
 		}
 	}
--- a/pkg/quarantine/reports_test.go
+++ b/pkg/quarantine/reports_test.go
@@ -63,4 +63,25 @@
 		}
 		Expect(len(a.ReportsAfter(at, 0))).To(BeNumerically("<=", quarantine.MaxReports))
 	})
+
+	// Guards against decisions that take longer the more crashes have been reported: each decision on a request asks.
+	It("finds the crashes of a request without going through all reports", func() {
+		perCall := func(reports int) float64 {
+			r := quarantine.NewReports("a", at)
+			for i := range reports {
+				r.Merge(at, []quarantine.Report{{Fingerprint: uint64(100 + i), Reporter: "b", Seq: uint64(i)}})
+			}
+			least := time.Minute // of several measurements, since others may use the processor meanwhile
+			for range 5 {
+				start := time.Now()
+				for range 20_000 {
+					r.IsQuarantined(at, 7)
+				}
+				least = min(least, time.Since(start))
+			}
+			return least.Seconds()
+		}
+		few := perCall(10)
+		Expect(perCall(4000)).To(BeNumerically("<", 50*few+0.05))
+	})
 })
