Count a prompt part as answered from the second event on

Callers could see runners crash one after the other where these send the first event before they end: the event cleared the part that crashed them, at each crash anew. Cause: one event counted as proof. Evidence: the spec "with one event sent" fails without the change (never refused). Change: the second event or a complete answer clears the parts, and requests with one event count as not answered.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -17,13 +17,13 @@
 	return r.sharedParts
 }
 
-// RecordEvent records that the current attempt has produced an event or a complete answer, so that its prompt parts do
-// not crash the upstream.
-func (s *State) RecordEvent(now time.Time, r *Request) {
-	if r.hasEvent {
+// RecordProgress records that the answer of the current attempt has gone on beyond its beginning or is complete, so that
+// the request's prompt parts do not crash the upstream.
+func (s *State) RecordProgress(now time.Time, r *Request) {
+	if r.progressed {
 		return
 	}
-	r.hasEvent = true
+	r.progressed = true
 	s.Crashes.RecordAnswered(now, r.partKeys())
 }
 
@@ -38,7 +38,7 @@
 	if m != nil {
 		started = m.StartedUnixMS
 	}
-	if r.hasEvent || m != nil && m.Draining {
+	if r.progressed || m != nil && m.Draining {
 		parts = nil
 	}
 	s.Crashes.RecordInterrupted(now, r.Fingerprint, parts, id, started)
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -186,7 +186,7 @@
 			if settled {
 				w.served++
 			}
-			s.RecordEvent(w.now, a.req)
+			s.RecordProgress(w.now, a.req)
 			w.after(streamTime, func() {
 				if e.open[a] {
 					delete(e.open, a)
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -255,7 +255,7 @@
 // RecordStart records the start of an attempt at an upstream.
 func (s *State) RecordStart(id string, r *Request) {
 	stats := s.upstreamStats(id)
-	r.hasEvent = false
+	r.progressed = false
 	stats.outstanding++
 	if r.Model != "" {
 		stats.running[placement.Adapter{Model: r.Model, Name: r.Adapter}]++
@@ -304,7 +304,7 @@
 	failed := 0.0
 	switch o {
 	case Done:
-		s.RecordEvent(now, r)
+		s.RecordProgress(now, r)
 		stats.failures = 0
 		r.possibleRuns++
 		r.attempts++
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -20,7 +20,7 @@
 // Guards against requests that crash one upstream after the other because they share a prompt part. An upstream that
 // crashes when it begins to answer may have sent the head of the answer before.
 var _ = Describe("a prompt part that crashes upstreams", func() {
-	It("is refused while requests that share the other parts are served", func() {
+	DescribeTable("is refused while requests that share the other parts are served", func(sent string, crashStatus int) {
 		r := newRig()
 		r.configure()
 		model := []catalog.Resident{{Model: "m"}}
@@ -33,7 +33,7 @@
 			h := http.Header{}
 			standin.Sign(h, standin.RequestID(req.Header), "stamp")
 			_ = h.Write(c)
-			_, _ = io.WriteString(c, "\r\n")
+			_, _ = io.WriteString(c, "\r\n"+sent)
 		}
 		call := func(parts string) (int, string) {
 			req, err := http.NewRequest(http.MethodPost, r.front.URL+"/once/a", nil)
@@ -50,7 +50,7 @@
 			id := fmt.Sprintf("u%d", i)
 			r.raw(id, "llm", model, crashing)
 			status, _ := call(fmt.Sprintf("c0:80,dead:90,0%d:500", i))
-			Expect(status).To(Equal(http.StatusBadGateway))
+			Expect(status).To(Equal(crashStatus))
 			r.core.Update(func(s *dispatch.State) {
 				s.RecordUpstreamEnded(time.Now(), id)
 				s.Fleet.Remove(time.Now(), id)
@@ -63,7 +63,7 @@
 			}
 			sign(w, req)
 			w.Header().Set("Content-Type", "text/event-stream")
-			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n"+"id: 2\ndata: y\n\n")
 		})
 		status, _ := call("c0:80,b1:90,11:500")
 		Expect(status).To(Equal(http.StatusOK))
@@ -73,5 +73,8 @@
 		}, "3s", "100ms").Should(ContainSubstring("prompt part dead crashes upstreams"))
 		status, _ = call("c0:80,b2:90,12:500")
 		Expect(status).To(Equal(http.StatusOK))
-	})
+	},
+		Entry("with nothing but the head sent", "", http.StatusBadGateway),
+		Entry("with one event sent", "11\r\nid: 1\ndata: abc\n\n\r\n", http.StatusOK),
+	)
 })
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -88,8 +88,6 @@
 	// attempted reports whether an attempt has started.
 	attempted bool
 	timing    timing
-	// eventRecorded reports whether the first event of the current attempt's answer has been recorded.
-	eventRecorded bool
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -38,7 +38,7 @@
 // attempt sends the request to the chosen upstream and receives its answer.
 func (c *callerRequest) attempt(d dispatch.Decision) (dispatch.Outcome, *answer) {
 	id := d.Upstream.ID
-	c.attempted, c.eventRecorded = true, false
+	c.attempted = true
 	_, span := c.g.trace.Start(c.ctx, "send", trace.WithAttributes(attribute.String("upstream", id), attribute.String("zone", d.Upstream.Zone)))
 	defer span.End()
 	tokens := 0
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -16,17 +16,21 @@
 // time after which the upstream would be probed.
 const heartbeatInterval = 100 * time.Millisecond
 
+// provenEvents is the number of events after which a request does not crash its upstream by its prompt: an upstream may
+// send the first event before it ends.
+const provenEvents = 2
+
 // forward writes the events of a stream to the caller as they arrive. The head is written with the first event, so a
 // stream that is interrupted before it can still be refused or retried at another upstream.
 func (c *callerRequest) forward(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
 	events := sse.NewReader(resp.Body)
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
-	lastHeartbeat, received := time.Time{}, false
+	lastHeartbeat, received := time.Time{}, 0
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !received && isUnframed(resp) {
+			if received == 0 && isUnframed(resp) {
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
@@ -36,7 +40,9 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
-		received = true
+		if received++; received == provenEvents {
+			c.g.core.Do(func(s *dispatch.State) { s.RecordProgress(time.Now(), c.req) })
+		}
 		if now := time.Now(); now.Sub(lastHeartbeat) > heartbeatInterval {
 			lastHeartbeat = now
 			c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordHeartbeat(now, upstream) })
@@ -52,10 +58,6 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
-		if !c.eventRecorded {
-			c.eventRecorded = true
-			c.g.core.Do(func(s *dispatch.State) { s.RecordEvent(time.Now(), c.req) })
-		}
 		c.timing.recordEvent(time.Now())
 		if e.ID != "" {
 			c.lastEventID = e.ID
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -46,7 +46,7 @@
 
 // parts decides which prompt parts crash upstreams. Requests share parts, and sound requests wait beside the one that
 // crashes an upstream. The parts that are refused are therefore the fewest that explain the crashes, and a request that
-// produces an event clears its parts.
+// is answered beyond the beginning clears its parts.
 type parts struct {
 	crashes []*partCrash // oldest first
 	// refusedUntil is when requests with each refused part may be sent again.
@@ -55,7 +55,7 @@
 	verdicts []Verdict
 	// evaluateAt is when refusedUntil is to be computed anew; zero if nothing has changed.
 	evaluateAt time.Time
-	// answered and answeredBefore are two generations of the parts of requests that have produced an event.
+	// answered and answeredBefore are two generations of the parts of requests that have been answered.
 	answered, answeredBefore map[uint64]bool
 }
 
@@ -63,7 +63,7 @@
 	return &parts{refusedUntil: map[uint64]time.Time{}, answered: map[uint64]bool{}, answeredBefore: map[uint64]bool{}}
 }
 
-// recordAnswered records an event of a request with the part. It reports whether the part was suspected.
+// recordAnswered records that a request with the part has been answered. It reports whether the part was suspected.
 func (p *parts) recordAnswered(part uint64) bool {
 	if !p.answered[part] {
 		if len(p.answered) >= maxAnsweredParts {
@@ -82,7 +82,7 @@
 	return suspected
 }
 
-// recordCrash records that an upstream crashed while a request with the part at the position had no event yet.
+// recordCrash records that an upstream crashed while a request with the part at the position was not answered yet.
 func (p *parts) recordCrash(now time.Time, x Report) {
 	i := slices.IndexFunc(p.crashes, func(c *partCrash) bool { return c.upstream == x.Upstream })
 	if i < 0 {
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -33,9 +33,10 @@
 const (
 	// RequestCrash states that a request was running when an upstream ended.
 	RequestCrash Kind = iota
-	// PartCrash states that an upstream ended while a request with a prompt part had no event yet.
+	// PartCrash states that an upstream ended while it had sent at most the beginning of the answer to a request with a
+	// prompt part.
 	PartCrash
-	// PartAnswered states that a request with a suspected prompt part has produced an event.
+	// PartAnswered states that a request with a suspected prompt part has been answered beyond the beginning.
 	PartAnswered
 )
 
@@ -61,7 +62,8 @@
 	at          time.Time
 }
 
-// unansweredParts are the prompt parts of the attempts that had no event when their upstream interrupted them.
+// unansweredParts are the prompt parts of the attempts of whose answers at most the beginning had arrived when their
+// upstream interrupted them.
 type unansweredParts struct {
 	instance uint64         // of the upstream
 	at       time.Time      // of the last interruption
@@ -92,7 +94,7 @@
 	reporter    string
 	seq         uint64
 	interrupted []interruptedAttempt // oldest first
-	// unanswered contains the prompt parts of interrupted attempts without an event, by upstream.
+	// unanswered contains the prompt parts of interrupted attempts without an answer, by upstream.
 	unanswered map[string]*unansweredParts
 	own        []receivedReport // this router's reports, oldest first
 	// received contains the reports of request crashes, and receivedParts all others. Reports stay for twice as long as
@@ -111,7 +113,7 @@
 }
 
 // RecordInterrupted records that an attempt at the upstream ended without an answer. The argument parts contains the
-// keys of the request's shared prompt parts if no event of the answer arrived, and startedUnixMS the start of the
+// keys of the request's shared prompt parts if at most the beginning of the answer arrived, and startedUnixMS the start of the
 // upstream's process, which may have the id of an earlier one.
 func (r *Reports) RecordInterrupted(now time.Time, fp uint64, parts []uint64, upstream string, startedUnixMS int64) {
 	r.prune(now)
@@ -163,7 +165,7 @@
 	}
 }
 
-// RecordAnswered records that a request with the prompt parts has produced an event.
+// RecordAnswered records that a request with the prompt parts has been answered beyond the beginning.
 func (r *Reports) RecordAnswered(now time.Time, parts []uint64) {
 	for _, part := range parts {
 		if r.parts.recordAnswered(part) {
