--- /dev/null
+++ b/review/world/world.go
@@ -0,0 +1,472 @@
+//go:build review
+
+// Command world starts the project's daemon as the deploy file does and plays one case of the review on it: stand-ins for
+// the platform's store, the runners and the clients. See review/REPORT.md.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// world is one small deployment.
+type world struct {
+	trouble bool
+	dir     string // temporary folder of this run
+	record  *os.File
+	start   time.Time
+	net     string // first two bytes of all addresses
+	store   *store
+	front   string
+
+	mu       sync.Mutex
+	notes    []happening
+	running  map[string]int // requests at each runner
+	procs    map[*exec.Cmd]bool
+	admin    string
+	sequence int
+	machines int
+}
+
+func newWorld(recordPath string) *world {
+	dir, err := os.MkdirTemp("", "review")
+	must(err)
+	f, err := os.Create(recordPath)
+	must(err)
+	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: f, start: time.Now(), store: newStore(), procs: map[*exec.Cmd]bool{},
+		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()/250%200, 1+os.Getpid()%250)}
+	ln, err := net.Listen("tcp4", w.net+".1:0")
+	must(err)
+	w.admin = "http://" + ln.Addr().String() + "/"
+	go func() { _ = (&http.Server{Handler: http.HandlerFunc(w.note)}).Serve(ln) }()
+	return w
+}
+
+// address returns the address of a new machine.
+func (w *world) address() string {
+	w.machines++
+	return fmt.Sprintf("%s.%d", w.net, 1+w.machines)
+}
+
+func (w *world) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// note takes what a runner tells.
+func (w *world) note(_ http.ResponseWriter, r *http.Request) {
+	var h happening
+	if json.NewDecoder(r.Body).Decode(&h) != nil {
+		return
+	}
+	w.mu.Lock()
+	w.notes = append(w.notes, h)
+	w.mu.Unlock()
+	w.say("runner %s: %s %s %s", h.Runner, h.What, h.ID, h.Path)
+}
+
+// noted returns what the runners have told so far.
+func (w *world) noted(what string) []happening {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []happening
+	for _, h := range w.notes {
+		if h.What == what {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// settings are like those of the small deployments (DEPLOY.md).
+func (w *world) settings(name, ip, zone, storeAddress, more string) string {
+	text := fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = %q
+region = "lagos"
+internalPortRange = [7380,7395]
+seeds = []
+firstStart = true
+discovery = "platform"
+entry = "vip"
+heartbeatMs = 1200
+contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
+%s
+[zones]
+lagos-ikeja = "lagos"
+[limits]
+cpuShare = 0.304
+cores = 1
+memoryMb = 284
+maxFds = 4100
+linkMbps = 1000.0
+diskMb = 0
+[bounds]
+seedLagS = 3
+reuseAfterS = 2
+stableWindowMs = 4000
+ackMs = 5000
+catchUpS = 4
+drainMs = 2500
+graceS = 8
+lossSlackMs = 200
+configMs = 2500
+rollbackSlackMs = 250
+maxSkewMs = 6000
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetBurst = 58
+recoveryS = 12
+passMs = 250
+retryAfterS = 0
+fencingRequired = true
+leaseMs = 3000
+thawSlackMs = 300
+ceilingWindowS = 5
+ceilingFactor = 1.1
+[platform]
+address = %q
+form = "objects"
+writesPerS = 400
+readsPerS = 2000
+historyS = 20
+valueBytes = 1048576
+ttlMinMs = 1000
+`, name, ip, zone, more, storeAddress)
+	path := filepath.Join(w.dir, name+".toml")
+	must(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// daemon starts the project's daemon in a role.
+func (w *world) daemon(role, name, settings string) *exec.Cmd {
+	log, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	must(err)
+	cmd := exec.Command("target/hibiscuscrossd", role)
+	cmd.Env = append(os.Environ(), "HIBISCUSCROSS_BOOT="+settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	w.run(cmd)
+	w.say("%s (%s) started, pid %d", name, role, cmd.Process.Pid)
+	return cmd
+}
+
+// run starts a process and remembers it until it has ended.
+func (w *world) run(cmd *exec.Cmd) {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must(cmd.Start())
+	w.mu.Lock()
+	w.procs[cmd] = true
+	w.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		w.mu.Lock()
+		delete(w.procs, cmd)
+		w.mu.Unlock()
+	}()
+}
+
+func (w *world) alive(cmd *exec.Cmd) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.procs[cmd]
+}
+
+// kill kills a process and waits for its end.
+func (w *world) kill(cmd *exec.Cmd) {
+	_ = cmd.Process.Kill()
+	for w.alive(cmd) {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// close ends all processes and removes the temporary folder.
+func (w *world) close() {
+	w.mu.Lock()
+	var all []*exec.Cmd
+	for cmd := range w.procs {
+		all = append(all, cmd)
+	}
+	w.mu.Unlock()
+	for _, cmd := range all {
+		w.kill(cmd)
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.dir)
+	} else {
+		fmt.Println("kept", w.dir)
+	}
+}
+
+// entryMachine is an entry machine.
+type entryMachine struct {
+	w        *world
+	door     *door
+	settings string
+	cmd      *exec.Cmd
+	ready    string
+}
+
+func (w *world) entry() *entryMachine {
+	ip := w.address()
+	e := &entryMachine{w: w, door: w.store.open(w.net + ".1")}
+	port := func() string {
+		ln, err := net.Listen("tcp4", ip+":0")
+		must(err)
+		defer func() { _ = ln.Close() }()
+		return ln.Addr().String()
+	}
+	w.front, e.ready = port(), port()
+	e.settings = w.settings("edge-1", ip, "lagos-ikeja", e.door.address,
+		fmt.Sprintf("role = \"entry\"\nmachineClass = \"edge\"\nserves = [\"edge\"]\n[listen]\nfront = %q\nready = %q", w.front, e.ready))
+	e.start()
+	return e
+}
+
+func (e *entryMachine) start() { e.cmd = e.w.daemon("entry", "edge-1", e.settings) }
+
+// awaitReady waits until the entry says that it is ready.
+func (e *entryMachine) awaitReady() bool {
+	for range 100 {
+		resp, err := http.Get("http://" + e.ready + "/api/readyz")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// sidecar starts a sidecar beside the runner at app.
+func (w *world) sidecar(name, ip, app, service string) *exec.Cmd {
+	d := w.store.open(w.net + ".1")
+	settings := w.settings(name, ip, "lagos-ikeja", d.address,
+		fmt.Sprintf("role = \"sidecar\"\nmachineClass = \"side\"\nserves = [\"side\"]\napp = %q\nservice = %q", app, service))
+	return w.daemon("sidecar", name, settings)
+}
+
+// runnerMachine is a machine of a runner, which can crash and start again under a new id.
+type runnerMachine struct {
+	w        *world
+	spec     runnerSpec
+	cmd      *exec.Cmd
+	draining bool
+}
+
+// heartbeat is the interval of the runners' writes; their entries are removed after three intervals of silence.
+const heartbeat = 1200 * time.Millisecond
+
+func (w *world) runner(spec runnerSpec) *runnerMachine {
+	m := &runnerMachine{w: w, spec: spec}
+	m.spec.Zone = "lagos-ikeja"
+	if m.spec.Listen == "" {
+		m.spec.Listen = w.address() + ":8501"
+	}
+	m.spec.World = w.admin
+	return m
+}
+
+// start starts a new instance. It registers in the store after the given time.
+func (m *runnerMachine) start(register time.Duration) {
+	m.w.mu.Lock()
+	m.w.sequence++
+	m.spec.ID = fmt.Sprintf("i-%04x%02d", os.Getpid()&0xffff, m.w.sequence)
+	m.w.mu.Unlock()
+	m.spec.Born, m.draining = time.Now().UnixMilli(), false
+	raw, err := json.Marshal(m.spec)
+	must(err)
+	self, err := os.Executable()
+	must(err)
+	m.cmd = exec.Command(self, "runner")
+	m.cmd.Env = append(os.Environ(), "RUNNER="+string(raw))
+	m.cmd.Stderr = os.Stderr
+	m.w.run(m.cmd)
+	m.w.say("runner %s starts at %s", m.spec.ID, m.spec.Listen)
+	for range 200 { // it listens before it registers
+		conn, err := net.Dial("tcp4", m.spec.Listen)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	cmd, spec := m.cmd, m.spec
+	time.AfterFunc(register, func() {
+		if m.w.alive(cmd) {
+			m.w.store.put("servers", spec.ID, m.entry("ready", 0))
+		}
+	})
+	go func() { // three heartbeat intervals after its end the store removes its entry
+		for m.w.alive(cmd) {
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(3 * heartbeat)
+		m.w.store.remove("servers", spec.ID)
+	}()
+}
+
+// entry returns the runner's entry in the store.
+func (m *runnerMachine) entry(state string, remaining time.Duration) map[string]any {
+	models := []map[string]any{}
+	for _, name := range m.spec.Models {
+		models = append(models, map[string]any{"name": name, "version": 1, "adapters": []string{}})
+	}
+	slots := 6
+	if m.spec.Engine {
+		slots = 64
+	}
+	e := map[string]any{"service": m.spec.Service, "address": m.spec.Listen, "zone": m.spec.Zone, "version": 1, "slots": slots, "state": state,
+		"cold" + "RemainingMs": 0, "seq": 1, "born": m.spec.Born, "models": models, "at" + "Hand": map[string]any{"inMemory": []string{}, "onDisk": m.spec.Disk}}
+	if remaining > 0 {
+		e["remainingMs"] = remaining.Milliseconds()
+	}
+	return e
+}
+
+// configure writes the operator's configuration: a plain service with two routes, and a service of model runners with one.
+func (w *world) configure(modelNames ...string) {
+	model := func(name string) map[string]any {
+		return map[string]any{"name": name, "weights" + "Mb": sizes[name], "load" + "TimeS": 6, "disk" + "S": 0.84, "warmup" + "S": 0.4, "adapters": 0, "adapterMb": 66}
+	}
+	route := func(name, prefix, kind, service string, timeout, target, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "ficu95.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "target" + "LatencyMs": target,
+			"priority": 2, "service": service, "maxAttempts": attempts, "resumable": false, "sticky": kind == "streaming", "target" + "GapMs": 400}
+	}
+	var models []any
+	for _, name := range modelNames {
+		models = append(models, model(name))
+	}
+	w.store.put("config", "main", map[string]any{
+		"version": 7,
+		"routes": []any{
+			route("loan-post", "/loan/", "non_idempotent", "circulation", 1200, 200, 1),
+			route("shelf-check", "/shelf/", "idempotent", "circulation", 1200, 200, 2),
+			route("desk-chat", "/chat/", "streaming", "reading-aid", 15000, 500, 1),
+		},
+		"services": []any{
+			map[string]any{"name": "circulation", "health" + "Path": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false},
+			map[string]any{"name": "reading-aid", "health" + "Path": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
+				"slots": 64, "kv" + "Capacity": 232000, "weights" + "Mb": 200000, "adapter" + "Slots": 8, "loads" + "PerS": 1.6, "models": models}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// reply is what a client got for one attempt.
+type reply struct {
+	id, path, body, stamp string
+	sent                  time.Time
+	status                int
+	err                   error // a closed connection, or a body that ended before it was complete
+}
+
+// request sends one client attempt on a new connection and reads its answer.
+func (w *world) request(method, path, model, body string, wait time.Duration) reply {
+	w.mu.Lock()
+	w.sequence++
+	r := reply{id: fmt.Sprintf("%08x%08x", os.Getpid(), w.sequence), path: path, sent: time.Now()}
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.front+path, strings.NewReader(body))
+	must(err)
+	req.Host = "ficu95.example"
+	req.Header.Set(hdrID, r.id)
+	req.Header.Set(hdrDeadline, fmt.Sprint(wait.Milliseconds()))
+	if model != "" {
+		req.Header.Set(hdrModel, model)
+		req.Header.Set(hdrTokens, "826,292")
+		req.Header.Set(hdrPrefix, "5c1e07a2:198,"+r.id+":628")
+	}
+	w.say("client sends %s %s %s", r.id, method, path)
+	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
+	if err != nil {
+		r.err = err
+	} else {
+		raw, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		r.status, r.body, r.err, r.stamp = resp.StatusCode, string(raw), err, resp.Header.Get(hdrStamp)
+	}
+	w.say("client got %s: status %d, stamp %q, %d bytes, error %v", r.id, r.status, r.stamp, len(r.body), r.err)
+	return r
+}
+
+// traffic sends requests at a rate until stop is closed and returns the replies once all have ended.
+func (w *world) traffic(perSecond float64, stop <-chan struct{}, send func(n int) reply) func() []reply {
+	var mu sync.Mutex
+	var all []reply
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+			wg.Go(func() {
+				r := send(n)
+				mu.Lock()
+				all = append(all, r)
+				mu.Unlock()
+			})
+		}
+	})
+	return func() []reply {
+		wg.Wait()
+		return all
+	}
+}
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == "runner" {
+		runRunner()
+		return
+	}
+	if len(os.Args) != 3 {
+		fmt.Println("usage: world CASE RECORD")
+		os.Exit(2)
+	}
+	play := cases[os.Args[1]]
+	code := 2
+	func() {
+		w := newWorld(os.Args[2])
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			<-stop
+			w.close()
+			os.Exit(2)
+		}()
+		defer func() {
+			if p := recover(); p != nil {
+				w.say("the case could not run: %v", p)
+				fmt.Println("could not run:", p)
+			}
+			w.close()
+		}()
+		code = play(w)
+		w.say("exit %d (1: the rule was broken, 0: it held, 2: the case could not run)", code)
+	}()
+	os.Exit(code)
+}
