--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -29,7 +29,7 @@
 		m.start(0)
 		machines = append(machines, m)
 	}
-	e := w.entry()
+	e := w.entry("edge-1")
 	if !e.awaitReady() {
 		return 2
 	}
@@ -90,7 +90,7 @@
 		machines = append(machines, m)
 		w.sidecar(fmt.Sprintf("side-%d", i+1), ip, m.spec.Listen, "reading-aid")
 	}
-	e := w.entry()
+	e := w.entry("edge-1")
 	if !e.awaitReady() {
 		return 2
 	}
@@ -156,7 +156,7 @@
 		Events: 13, DiskTime: 840 * time.Millisecond, FetchTime: 6 * time.Second})
 	m.start(0)
 	side := w.sidecar("side-1", ip, m.spec.Listen, "reading-aid")
-	e := w.entry()
+	e := w.entry("edge-1")
 	if !e.awaitReady() {
 		return 2
 	}
@@ -213,7 +213,12 @@
 		m.start(0)
 		machines = append(machines, m)
 	}
-	e := w.entry()
+	for _, name := range []string{"edge-3", "edge-2"} { // the store serves them all the while
+		if !w.entry(name).awaitReady() {
+			return 2
+		}
+	}
+	e := w.entry("edge-1")
 	if !e.awaitReady() {
 		return 2
 	}
@@ -274,7 +279,7 @@
 	}
 	m.start(0)
 	w.sidecar("side-1", ip, m.spec.Listen, "reading-aid")
-	e := w.entry()
+	e := w.entry("edge-1")
 	if !e.awaitReady() {
 		return 2
 	}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -217,15 +217,17 @@
 // entryMachine is an entry machine.
 type entryMachine struct {
 	w        *world
+	name     string
 	door     *door
 	settings string
 	cmd      *exec.Cmd
 	ready    string
 }
 
-func (w *world) entry() *entryMachine {
+// entry starts an entry machine, to which all clients connect from then on.
+func (w *world) entry(name string) *entryMachine {
 	ip := w.address()
-	e := &entryMachine{w: w, door: w.store.open(w.net + ".1")}
+	e := &entryMachine{w: w, name: name, door: w.store.open(w.net + ".1")}
 	port := func() string {
 		ln, err := net.Listen("tcp4", ip+":0")
 		must(err)
@@ -233,13 +235,13 @@
 		return ln.Addr().String()
 	}
 	w.front, e.ready = port(), port()
-	e.settings = w.settings("edge-1", ip, "lagos-ikeja", e.door.address,
+	e.settings = w.settings(name, ip, "lagos-ikeja", e.door.address,
 		fmt.Sprintf("role = \"entry\"\nmachineClass = \"edge\"\nserves = [\"edge\"]\n[listen]\nfront = %q\nready = %q", w.front, e.ready))
 	e.start()
 	return e
 }
 
-func (e *entryMachine) start() { e.cmd = e.w.daemon("entry", "edge-1", e.settings) }
+func (e *entryMachine) start() { e.cmd = e.w.daemon("entry", e.name, e.settings) }
 
 // awaitReady waits until the entry says that it is ready.
 func (e *entryMachine) awaitReady() bool {
