review: case 3, a restarted sidecar makes entries send resumable streams twice

The stand-ins read prompts at the engines' pace and can go on after a closed connection; the store keeps 20 s of history and can turn one machine away with 503.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -9,7 +9,7 @@
 )
 
 // cases are the scripts of the review. Each returns the exit code of its run.
-var cases = map[string]func(*world) int{"cut-stream": cutStream, "crashing": crashing, "hung-sidecar": hungSidecar, "gone-runner": goneRunner, "late-order": lateOrder}
+var cases = map[string]func(*world) int{"cut-stream": cutStream, "crashing": crashing, "hung-sidecar": hungSidecar, "gone-runner": goneRunner, "late-order": lateOrder, "restarted-sidecars": restartedSidecars, "missed-versions": missedVersions}
 
 func verdict(w *world, broken bool, format string, args ...any) int {
 	w.say("VERDICT "+format, args...)
--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,6 +29,7 @@
 	hdrInstance    = hx + "Instance-" + "Id"
 	hdrNotExecuted = hx + "Not-" + "Executed"
 	hdrStamp       = hx + "Server-" + "Stamp"
+	hdrLastEvent   = "Last-Event" + "-Id"
 )
 
 // runnerSpec is what a runner process gets from the world, as JSON in the variable RUNNER.
@@ -42,6 +44,8 @@
 	LoseHealth                       bool          // the answer to the first health check is lost
 	LateLoad                         string        // the first order to load this model gets no answer and reaches the runner lateBy later
 	DiskTime, FetchTime              time.Duration
+	PromptsPerMS                     float64 // prompt tokens that are read in a millisecond, one prompt after the other; 0 for no wait
+	WorksOn                          bool    // it goes on with a request whose connection has closed; most runners drop it
 }
 
 // happening is what a runner tells the world.
@@ -63,6 +67,7 @@
 	lostHealth bool
 	late       bool
 	server     *http.Server
+	prompts    chan struct{} // holds an element while a prompt is read
 }
 
 // lateBy is how much later an order without an answer reaches the runner; the bench's orders come 2 to 12 s later.
@@ -75,7 +80,7 @@
 
 // runRunner is the main function of a runner process.
 func runRunner() {
-	r := &runner{models: map[string]bool{}, disk: map[string]bool{}}
+	r := &runner{models: map[string]bool{}, disk: map[string]bool{}, prompts: make(chan struct{}, 1)}
 	must(json.Unmarshal([]byte(os.Getenv("RUNNER")), &r.spec))
 	for _, m := range r.spec.Models {
 		r.models[m], r.disk[m] = true, true
@@ -262,6 +267,26 @@
 	r.running += n
 }
 
+// readPrompt reads the request's own part of its prompt, after those that came before; the shared parts are kept. A runner that drops requests whose connection has
+// closed (gone) does not read on.
+func (r *runner) readPrompt(req *http.Request, gone <-chan struct{}) {
+	parts := req.Header.Get(hdrPrefix)
+	n, _ := strconv.Atoi(parts[strings.LastIndex(parts, ":")+1:])
+	if r.spec.PromptsPerMS == 0 {
+		return
+	}
+	select {
+	case <-gone:
+		return
+	case r.prompts <- struct{}{}:
+	}
+	defer func() { <-r.prompts }()
+	select {
+	case <-gone:
+	case <-time.After(time.Duration(float64(n) / r.spec.PromptsPerMS * float64(time.Millisecond))):
+	}
+}
+
 // stream sends the events of a stream, the last of which says that it is the last.
 func (r *runner) stream(w http.ResponseWriter, req *http.Request, id string) {
 	r.mu.Lock()
@@ -276,13 +301,26 @@
 		return fmt.Sprintf("id: %d\ndata: %s event %d of %d%s\n\n", i, id, i, r.spec.Events, end)
 	}
 	if !unframed {
+		defer r.tell("stops work", id, "")
+		gone := req.Context().Done()
+		if r.spec.WorksOn {
+			gone = nil
+		}
+		r.readPrompt(req, gone)
+		first := 1
+		if last, err := strconv.Atoi(req.Header.Get(hdrLastEvent)); err == nil {
+			first = last + 1
+		}
 		w.Header().Set("Content-Type", "text/event-stream")
-		for i := 1; i <= r.spec.Events; i++ {
+		for i := first; i <= r.spec.Events; i++ {
 			select {
-			case <-req.Context().Done():
+			case <-gone:
 				return
 			case <-time.After(r.spec.Work):
 			}
+			if i == first {
+				r.tell("begins to run", id, "")
+			}
 			_, _ = io.WriteString(w, event(i))
 			_ = http.NewResponseController(w).Flush()
 		}
--- a/review/world/store.go
+++ b/review/world/store.go
@@ -27,6 +27,7 @@
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 	kind    string
+	at      time.Time
 }
 
 // store is a stand-in for the platform's store. Each machine has a listener of its own, so that the store can turn one
@@ -37,8 +38,12 @@
 	objects  map[string]map[string]object
 	events   []storeEvent
 	changed  chan struct{}
+	dropped  uint64 // revision of the last event that is no longer in the history
 }
 
+// history is how long events are kept (historyS).
+const history = 20 * time.Second
+
 func newStore() *store {
 	return &store{objects: map[string]map[string]object{}, changed: make(chan struct{})}
 }
@@ -81,17 +86,27 @@
 }
 
 func (s *store) announce(e storeEvent) {
+	e.at = time.Now()
 	s.events = append(s.events, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// trim drops the events that are older than the history. The caller holds the lock.
+func (s *store) trim() {
+	for len(s.events) > 0 && time.Since(s.events[0].at) > history {
+		s.dropped = s.events[0].Object.Metadata.Revision
+		s.events = s.events[1:]
+	}
+}
+
 // door is one machine's way to the store.
 type door struct {
 	s       *store
 	address string
 	mu      sync.Mutex
 	silent  bool
+	busy    bool        // the store answers the machine's calls with 503
 	calls   chan string // kinds of the calls that got no answer
 }
 
@@ -118,7 +133,24 @@
 	return d.silent
 }
 
+// setBusy makes the store answer the machine's calls with 503, or serves them again.
+func (d *door) setBusy(v bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy = v
+}
+
+func (d *door) isBusy() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.busy
+}
+
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.isBusy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
 	if d.isSilent() {
 		d.swallow(r, kind)
@@ -150,6 +182,12 @@
 	defer timer.Stop()
 	for ended := false; ; {
 		d.s.mu.Lock()
+		d.s.trim()
+		if since < d.s.dropped {
+			d.s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		changed, revision := d.s.changed, d.s.revision
 		events := []storeEvent{}
 		for _, e := range d.s.events {
@@ -159,6 +197,10 @@
 		}
 		d.s.mu.Unlock()
 		if len(events) > 0 || ended {
+			if d.isBusy() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			if d.isSilent() { // the machine has been turned away while its call waited
 				d.swallow(r, kind)
 			}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -44,6 +44,7 @@
 	admin    string
 	sequence int
 	machines int
+	bounds   bounds
 }
 
 func newWorld(recordPath string) *world {
@@ -51,7 +52,7 @@
 	must(err)
 	f, err := os.Create(recordPath)
 	must(err)
-	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: f, start: time.Now(), store: newStore(), procs: map[*exec.Cmd]bool{},
+	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: f, start: time.Now(), store: newStore(), bounds: vanstops, procs: map[*exec.Cmd]bool{},
 		net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()/250%200, 1+os.Getpid()%250)}
 	ln, err := net.Listen("tcp4", w.net+".1:0")
 	must(err)
@@ -95,8 +96,17 @@
 	return out
 }
 
+// bounds are the bounds that differ between the sites of the cases.
+type bounds struct{ ack, catchUp, drain, config, burst, recovery, pass, writes, reads int }
+
+var (
+	vanstops      = bounds{ack: 5000, catchUp: 4, drain: 2500, config: 2500, burst: 58, recovery: 12, pass: 250, writes: 400, reads: 2000}
+	vanstopsGrown = bounds{ack: 6000, catchUp: 6, drain: 4000, config: 4000, burst: 94, recovery: 15, pass: 300, writes: 1200, reads: 6000}
+)
+
 // settings are like those of the small deployments (DEPLOY.md).
 func (w *world) settings(name, ip, zone, storeAddress, more string) string {
+	b := w.bounds
 	text := fmt.Sprintf(`nodeName = %q
 ip = %q
 zone = %q
@@ -122,19 +132,19 @@
 seedLagS = 3
 reuseAfterS = 2
 stableWindowMs = 4000
-ackMs = 5000
-catchUpS = 4
-drainMs = 2500
+ackMs = %d
+catchUpS = %d
+drainMs = %d
 graceS = 8
 lossSlackMs = 200
-configMs = 2500
+configMs = %d
 rollbackSlackMs = 250
 maxSkewMs = 6000
 budgetRatio = 0.2
 budgetWindowS = 10
-budgetBurst = 58
-recoveryS = 12
-passMs = 250
+budgetBurst = %d
+recoveryS = %d
+passMs = %d
 retryAfterS = 0
 fencingRequired = true
 leaseMs = 3000
@@ -144,12 +154,12 @@
 [platform]
 address = %q
 form = "objects"
-writesPerS = 400
-readsPerS = 2000
+writesPerS = %d
+readsPerS = %d
 historyS = 20
 valueBytes = 1048576
 ttlMinMs = 1000
-`, name, ip, zone, more, storeAddress)
+`, name, ip, zone, more, b.ack, b.catchUp, b.drain, b.config, b.burst, b.recovery, b.pass, storeAddress, b.writes, b.reads)
 	path := filepath.Join(w.dir, name+".toml")
 	must(os.WriteFile(path, []byte(text), 0o600))
 	return path
@@ -196,6 +206,14 @@
 	}
 }
 
+// terminate stops a process with SIGTERM and waits for its end.
+func (w *world) terminate(cmd *exec.Cmd) {
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	for w.alive(cmd) {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
 	w.mu.Lock()
@@ -216,31 +234,45 @@
 
 // configure writes the operator's configuration: a plain service with two routes, and a service of model runners with one.
 func (w *world) configure(modelNames ...string) {
+	w.store.put("config", "main", w.config(7, 0, "circulation", modelNames...))
+}
+
+// config returns a version of the configuration with a number of further routes that nobody uses. The given service serves
+// the route of shelf-check.
+func (w *world) config(version, further int, shelf string, modelNames ...string) map[string]any {
 	model := func(name string) map[string]any {
 		return map[string]any{"name": name, "weights" + "Mb": sizes[name], "load" + "TimeS": 6, "disk" + "S": 0.84, "warmup" + "S": 0.4, "adapters": 0, "adapterMb": 66}
 	}
 	route := func(name, prefix, kind, service string, timeout, target, attempts int) map[string]any {
 		return map[string]any{"name": name, "host": "ficu95.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "target" + "LatencyMs": target,
-			"priority": 2, "service": service, "maxAttempts": attempts, "resumable": false, "sticky": kind == "streaming", "target" + "GapMs": 400}
+			"priority": 2, "service": service, "maxAttempts": attempts, "resumable": name == "branch-report", "sticky": kind == "streaming", "target" + "GapMs": 400}
 	}
 	var models []any
 	for _, name := range modelNames {
 		models = append(models, model(name))
 	}
-	w.store.put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []any{
-			route("loan-post", "/loan/", "non_idempotent", "circulation", 1200, 200, 1),
-			route("shelf-check", "/shelf/", "idempotent", "circulation", 1200, 200, 2),
-			route("desk-chat", "/chat/", "streaming", "reading-aid", 15000, 500, 1),
-		},
+	routes := []any{
+		route("loan-post", "/loan/", "non_idempotent", "circulation", 1200, 200, 1),
+		route("shelf-check", "/shelf/", "idempotent", shelf, 1200, 200, 2),
+		route("desk-chat", "/chat/", "streaming", "reading-aid", 15000, 500, 1),
+		route("branch-report", "/report/", "streaming", "reading-aid", 17000, 2500, 2),
+	}
+	for i := range further {
+		routes = append(routes, route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/k%06d/", i), "idempotent", "circulation", 1000+version, 200, 2))
+	}
+	plain := func(name string) map[string]any {
+		return map[string]any{"name": name, "health" + "Path": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}
+	}
+	return map[string]any{
+		"version": version,
+		"routes":  routes,
 		"services": []any{
-			map[string]any{"name": "circulation", "health" + "Path": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false},
+			plain("circulation"), plain("circulation-2"),
 			map[string]any{"name": "reading-aid", "health" + "Path": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 64, "kv" + "Capacity": 232000, "weights" + "Mb": 200000, "adapter" + "Slots": 8, "loads" + "PerS": 1.6, "models": models}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
 }
 
 // reply is what a client got for one attempt.
@@ -253,6 +285,11 @@
 
 // request sends one client attempt on a new connection and reads its answer.
 func (w *world) request(method, path, model, body string, wait time.Duration) reply {
+	return w.ask(method, path, model, "826,292", "5c1e07a2:198,ID:628", body, wait)
+}
+
+// ask does the same with the given size and parts of the prompt, where ID stands for the request's id.
+func (w *world) ask(method, path, model, tokens, prefix, body string, wait time.Duration) reply {
 	w.mu.Lock()
 	w.sequence++
 	r := reply{id: fmt.Sprintf("%08x%08x", os.Getpid(), w.sequence), path: path, sent: time.Now()}
@@ -266,8 +303,8 @@
 	req.Header.Set(hdrDeadline, fmt.Sprint(wait.Milliseconds()))
 	if model != "" {
 		req.Header.Set(hdrModel, model)
-		req.Header.Set(hdrTokens, "826,292")
-		req.Header.Set(hdrPrefix, "5c1e07a2:198,"+r.id+":628")
+		req.Header.Set(hdrTokens, tokens)
+		req.Header.Set(hdrPrefix, strings.ReplaceAll(prefix, "ID", r.id))
 	}
 	w.say("client sends %s %s %s", r.id, method, path)
 	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
