--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -25,7 +25,7 @@
 	w.configure("daka51")
 	var machines []*runnerMachine
 	for range 3 {
-		m := w.runner(runnerSpec{Service: "circulation", Work: 30 * time.Millisecond})
+		m := w.runner(runnerSpec{Service: "circulation", Work: 30 * time.Millisecond, Crashes: w.trouble})
 		m.start(0)
 		machines = append(machines, m)
 	}
@@ -55,9 +55,7 @@
 	shelf := w.traffic(3.6, stop, func(n int) reply { return w.request("GET", fmt.Sprint("/shelf/", n), "", "", 1200*time.Millisecond) })
 	time.Sleep(3 * time.Second)
 	for range 19 {
-		if w.trouble {
-			w.request("POST", "/loan/crashing", "", "the same body each time", 1200*time.Millisecond)
-		}
+		w.request("POST", "/loan/crashing", "", "the same body each time", 1200*time.Millisecond)
 		time.Sleep(5 * time.Second)
 	}
 	close(stop)
--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -45,6 +45,7 @@
 	LateLoad                         string        // the first order to load this model gets no answer and reaches the runner lateBy later
 	DiskTime, FetchTime              time.Duration
 	PromptsPerMS                     float64 // prompt tokens that are read in a millisecond, one prompt after the other; 0 for no wait
+	Crashes                          bool    // a request to a path with /crashing crashes it; else it runs like any other
 	WorksOn                          bool    // it goes on with a request whose connection has closed; most runners drop it
 }
 
@@ -244,7 +245,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if strings.Contains(req.URL.Path, "/crashing") { // a request that crashes each runner that begins to run it
+	if r.spec.Crashes && strings.Contains(req.URL.Path, "/crashing") { // a request that crashes each runner that begins to run it
 		r.tell("crashes", id, req.URL.Path)
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		select {}
