Bound the sidecar's query for the engine's id and take it off the order loop

Cause: Agent.identify called the health check without a timeout from the only goroutine that sends orders and reports. Evidence: the stack of the hung process is in platform.(*Engine).Instance below identify; its log has the fencing token and the engine's report, so a missing token and an engine that does not answer are ruled out.

Change: the query runs beside the rounds, one at a time, with a timeout of one second, and is repeated. This works because a round never waits for it.

--- a/pkg/sidecar/identify.go
+++ b/pkg/sidecar/identify.go
@@ -2,19 +2,37 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 )
 
-// instanceQueryInterval is the time between two queries for the engine's id, each of which uses a slot of the engine.
-const instanceQueryInterval = 300 * time.Millisecond
+const (
+	// instanceQueryInterval is the time between two queries for the engine's id, each of which uses a slot of the engine.
+	instanceQueryInterval = 300 * time.Millisecond
+	// instanceQueryTimeout bounds one query. The engine's health check waits for a slot like a request, and its reply can
+	// be lost.
+	instanceQueryTimeout = time.Second
+)
+
+// errQueryPanicked is the outcome of a query that panicked.
+var errQueryPanicked = errors.New("query for the engine's id panicked")
 
-// engineInstance is the id that the engine's health check returned for the instance started at startedUnixMS.
-type engineInstance struct {
+// instanceQuery is the state of the queries for the engine's id.
+type instanceQuery struct {
+	id            string // id of the instance started at startedUnixMS
+	startedUnixMS int64
+	inProgress    bool
+	endedAt       time.Time // end of the last query
+	replies       chan instanceReply
+}
+
+// instanceReply is the outcome of a query for the id of the instance that reported its start at startedUnixMS.
+type instanceReply struct {
 	id            string
 	startedUnixMS int64
-	queriedAt     time.Time // time of the last query
+	err           error
 }
 
 // identify sets the id, service and zone of the reporting engine from the list of upstreams. Until the list contains
@@ -33,18 +51,35 @@
 		path = a.config.Services[u.Service].HealthPath
 	}
 	a.mu.Unlock()
-	if u.ID != "" || u.StartedUnixMS == 0 || path == "" {
+	if u.ID != "" || u.StartedUnixMS == 0 {
 		return
 	}
-	if a.instance.startedUnixMS != u.StartedUnixMS && time.Since(a.instance.queriedAt) >= instanceQueryInterval {
-		id, err := a.engine.Instance(ctx, path)
-		a.instance = engineInstance{queriedAt: time.Now()}
-		if err == nil {
-			a.instance.id, a.instance.startedUnixMS = id, u.StartedUnixMS
-		}
-		a.log.State("engine id queried", "id", id, "born", u.StartedUnixMS, "err", err)
-	}
 	if a.instance.startedUnixMS == u.StartedUnixMS {
 		u.ID = a.instance.id
+		return
+	}
+	if path != "" && !a.instance.inProgress && time.Since(a.instance.endedAt) >= instanceQueryInterval {
+		a.instance.inProgress = true
+		go a.queryInstance(ctx, path, u.StartedUnixMS)
+	}
+}
+
+// queryInstance queries the engine's health check for its id. It runs beside the rounds, so that reports and orders do
+// not wait for the engine's reply.
+func (a *Agent) queryInstance(ctx context.Context, path string, startedUnixMS int64) {
+	reply := instanceReply{startedUnixMS: startedUnixMS, err: errQueryPanicked}
+	defer func() { a.instance.replies <- reply }()
+	a.guard.Do("query for the engine's id", func() {
+		callCtx, cancel := context.WithTimeout(ctx, instanceQueryTimeout)
+		defer cancel()
+		reply.id, reply.err = a.engine.Instance(callCtx, path)
+	})
+}
+
+func (a *Agent) applyInstanceReply(r instanceReply) {
+	a.instance.inProgress, a.instance.endedAt = false, time.Now()
+	if r.err == nil {
+		a.instance.id, a.instance.startedUnixMS = r.id, r.startedUnixMS
 	}
+	a.log.State("engine id queried", "id", r.id, "born", r.startedUnixMS, "err", r.err)
 }
--- /dev/null
+++ b/pkg/sidecar/identify_test.go
@@ -0,0 +1,65 @@
+package sidecar_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+)
+
+// restartEngine makes the engine report a start that the list of upstreams does not name, so that the agent queries its
+// health check, which answers as instance does.
+func (f *fixture) restartEngine(instance func(context.Context) (string, error)) {
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	f.engine.self.StartedUnixMS, f.engine.instance = 6, instance
+}
+
+func isRestarted(r peer.Report) bool { return r.ID == "i-2" && r.StartedUnixMS == 6 }
+
+var _ = Describe("query for the engine's id", func() {
+	// Guards against an agent that waits without limit for a health check whose reply is lost: it sent neither orders nor
+	// reports any more, and the engine stayed empty.
+	It("is repeated after a reply was lost", func() {
+		f := newFixture()
+		var queries atomic.Int32
+		f.restartEngine(func(ctx context.Context) (string, error) {
+			if queries.Add(1) == 1 {
+				<-ctx.Done()
+				return "", ctx.Err()
+			}
+			return "i-2", nil
+		})
+		f.agent.SetToken(41)
+		f.requestLoad("a")
+		Eventually(f.reports, "3s").Should(Receive(Satisfy(isRestarted)))
+		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
+	})
+
+	// Guards against health checks that delay orders and reports: one waits for a slot of the engine like a request.
+	It("does not delay reports once the list contains the engine", func() {
+		f := newFixture("a")
+		queried, release := make(chan struct{}, 1), make(chan struct{})
+		f.restartEngine(func(ctx context.Context) (string, error) {
+			select {
+			case queried <- struct{}{}:
+			default:
+			}
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+			return "i-2", ctx.Err()
+		})
+		DeferCleanup(func() { close(release) })
+		Eventually(queried, "1s").Should(Receive())
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: address, StartedUnixMS: 6}})
+		f.requestLoad("a")
+		Eventually(f.reports, 500*time.Millisecond).Should(Receive(Satisfy(isRestarted)))
+	})
+})
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -74,7 +74,7 @@
 	fetches         *fetchLimiter
 	report          platform.Report
 	order           *orderInProgress
-	instance        engineInstance // id returned by the engine's health check
+	instance        instanceQuery
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
@@ -102,6 +102,7 @@
 	return &Agent{
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
+		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
 	}
 }
 
@@ -138,6 +139,8 @@
 			return
 		case r := <-a.demands:
 			a.applyMessage(r)
+		case r := <-a.instance.replies:
+			a.applyInstanceReply(r)
 		case <-timer.C:
 		}
 		a.applyQueuedMessages()
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -39,9 +39,10 @@
 	self        catalog.Upstream
 	orders      []placement.Order
 	tokens      []uint64
-	loseReplies int   // number of replies to orders to lose after executing the order
-	reportErr   error // returned for each report unless nil
-	reverse     bool  // each report lists the loaded models in reverse order
+	loseReplies int                                   // number of replies to orders to lose after executing the order
+	reportErr   error                                 // returned for each report unless nil
+	reverse     bool                                  // each report lists the loaded models in reverse order
+	instance    func(context.Context) (string, error) // health check; nil answers with the id i-2
 }
 
 func (e *engine) Report(context.Context) (platform.Report, error) {
@@ -57,7 +58,15 @@
 	return platform.Report{Upstream: e.self}, nil
 }
 
-func (e *engine) Instance(context.Context, string) (string, error) { return "i-2", nil }
+func (e *engine) Instance(ctx context.Context, _ string) (string, error) {
+	e.mu.Lock()
+	instance := e.instance
+	e.mu.Unlock()
+	if instance == nil {
+		return "i-2", nil
+	}
+	return instance(ctx)
+}
 
 func (e *engine) Order(_ context.Context, o placement.Order, _ string, acceptedOrders uint64, _ string, token uint64) (platform.OrderResult, error) {
 	e.mu.Lock()
