Ask the upstream whether it runs before an unframed answer counts as complete

Cause: an answer with neither a length nor chunks was complete if its upstream was leaving or no longer listed, or if anything accepted a connection at its address. A removal at short notice ends whatever is running. Ruled out: resumed streams and answers of earlier requests, since all streams concerned were unframed and had run once.

Change: the router queries the instance on a new connection, an engine for its report and a plain service by its health check. Only a reply of the same instance with the same start shows that the upstream closed the connection itself. This works because the kernel closes the connections of an ended process but cannot reply for it.

Upstreams of other specs with unframed streams now answer the query.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -16,14 +16,16 @@
 )
 
 var cli struct {
-	Binary      string        `help:"The daemon's binary." default:"target/hibiscuscrossd" type:"existingfile"`
-	Seed        uint64        `help:"First seed; 0 draws one." default:"0"`
-	Seeds       int           `help:"Number of seeds." default:"1"`
-	Parallel    int           `help:"Seeds at a time." default:"1"`
-	For         time.Duration `help:"Time in which faults begin." default:"12s"`
-	KillEntries bool          `help:"Kill all entries again and again while runners reject most requests, in place of random faults."`
-	Logs        string        `help:"Folder for the logs of seeds that fail." default:""`
-	Verbose     bool          `help:"Print the events and outcomes of each seed."`
+	Binary        string        `help:"The daemon's binary." default:"target/hibiscuscrossd" type:"existingfile"`
+	Seed          uint64        `help:"First seed; 0 draws one." default:"0"`
+	Seeds         int           `help:"Number of seeds." default:"1"`
+	Parallel      int           `help:"Seeds at a time." default:"1"`
+	For           time.Duration `help:"Time in which faults begin." default:"12s"`
+	KillEntries   bool          `help:"Kill all entries again and again while runners reject most requests, in place of random faults."`
+	RemoveEngines bool          `help:"Remove one engine after the other at short notice, in place of random faults."`
+	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
+	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
+	Verbose       bool          `help:"Print the events and outcomes of each seed."`
 }
 
 func main() {
@@ -50,7 +52,7 @@
 	failed := 0
 	loopbackNets := make(chan int, cli.Parallel)
 	for i := range cli.Parallel {
-		loopbackNets <- 20 + i
+		loopbackNets <- cli.Net + i
 	}
 	for n := range cli.Seeds {
 		loopbackNet := <-loopbackNets
@@ -77,7 +79,7 @@
 		fmt.Println("seed", seed, "failed:", err)
 		return false
 	}
-	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries})
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines})
 	ok := err == nil && len(res.Violations) == 0
 	fmt.Printf("seed %d: %d events, %d of %d requests served after recovery, %d rules broken, err %v\n", seed, len(res.Events), res.Served, res.Sent, len(res.Violations), err)
 	if !ok || cli.Verbose {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -175,6 +175,12 @@
 	Adapters []string
 }
 
+// Instance identifies one process of an upstream by what it says of itself; unknown fields are empty.
+type Instance struct {
+	ID            string
+	StartedUnixMS int64
+}
+
 // Upstream is the state that an upstream has reported.
 type Upstream struct {
 	// ID identifies one instance of the upstream.
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -176,7 +176,7 @@
 		return d
 	}
 	d.Action, d.Reason = Send, "least expected time"
-	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone}
+	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone, StartedUnixMS: best.StartedUnixMS}
 	if r.Model != "" && bestCost > scaleOutCost && s.engine(r.Service) != nil {
 		s.scaleOut(now, r)
 	}
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -118,7 +118,10 @@
 func (d Decision) AgeMS() int64 { return max(-1, d.Age.Milliseconds()) }
 
 // UpstreamRef identifies the upstream that a request is sent to.
-type UpstreamRef struct{ ID, Address, Zone string }
+type UpstreamRef struct {
+	ID, Address, Zone string
+	StartedUnixMS     int64
+}
 
 // LoadRequest is a model or adapter that a request needs at an upstream.
 type LoadRequest struct {
--- a/pkg/gateway/faulty_upstream_test.go
+++ b/pkg/gateway/faulty_upstream_test.go
@@ -130,10 +130,15 @@
 	// Guards against aborting slow but valid streams.
 	It("that pauses between events is not aborted", func() {
 		r.raw("u1", "llm", residentM, func(c net.Conn) {
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
 				return
 			}
-			_, err := io.WriteString(c, standin.StreamHead("r1", "s"))
+			if req.URL.Path == standin.ReportPath { // the router checks that the upstream still runs
+				_, _ = io.WriteString(c, standin.ReportReply(0))
+				return
+			}
+			_, err = io.WriteString(c, standin.StreamHead("r1", "s"))
 			for i := 1; i <= 4 && err == nil; i++ {
 				<-time.After(700 * time.Millisecond)
 				_, err = io.WriteString(c, event(i))
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -96,6 +96,9 @@
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream.ID)
 	outcome, a, err := c.receive(resp, d.Upstream.ID)
+	if err == nil && outcome == dispatch.Done && isUnframed(resp) && !c.isComplete(d.Upstream) {
+		outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
+	}
 	if cancelled() || err != nil {
 		_ = conn.Close()
 		if err == nil && outcome == dispatch.Done {
@@ -103,9 +106,6 @@
 		}
 		return c.interruptedOutcome(c.ctx.Err() != nil, unresponsive.Load(), err), a
 	}
-	if outcome == dispatch.Done && isUnframed(resp) && !c.isComplete(d.Upstream) {
-		outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
-	}
 	unregister() // the hook must not abort the connection's next request
 	if outcome == dispatch.Interrupted || unresponsive.Load() {
 		_ = conn.Close()
@@ -137,18 +137,6 @@
 	}
 }
 
-// isComplete reports whether an answer that ended with its connection is complete. If the upstream's process has ended,
-// its connections were closed wherever its answers were. An upstream that is leaving accepts no connections but completes
-// its answers.
-func (c *callerRequest) isComplete(u *dispatch.UpstreamRef) bool {
-	leaving := false
-	c.g.core.Do(func(s *dispatch.State) {
-		m := s.Fleet.Get(u.ID)
-		leaving = m == nil || m.Draining
-	})
-	return leaving || c.ctx.Err() != nil || c.g.pool.Accepts(c.ctx, u.Address)
-}
-
 func (c *callerRequest) interruptedOutcome(cancelled, unresponsive bool, err error) dispatch.Outcome {
 	if err != nil {
 		c.cause = err.Error()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,12 +65,6 @@
 	}
 }
 
-// isUnframed reports whether only the end of the connection marks the end of the answer, so that it cannot be told from a
-// connection that the upstream's end has closed.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 func (c *callerRequest) writeHead(resp *http.Response) {
 	if c.headWritten {
 		return
--- a/pkg/h1/pool.go
+++ b/pkg/h1/pool.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"os"
 	"sync"
 	"time"
 )
@@ -21,26 +19,6 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
 
-// acceptWait is how long a new connection must stay open to count as accepted: devices on the path may accept it for an
-// upstream that has ended and reset it when they cannot reach it.
-const acceptWait = 10 * time.Millisecond
-
-// Accepts reports whether the address accepts a new connection, which it then keeps for further requests.
-func (p *Pool) Accepts(ctx context.Context, address string) bool {
-	conn, err := dial(ctx, address)
-	if err != nil {
-		return false
-	}
-	c := &Conn{Conn: conn, pool: p, address: address, br: bufio.NewReaderSize(conn, maxHeadBytes), idleTimeout: defaultIdleTimeout - idleMargin}
-	_ = c.SetReadDeadline(time.Now().Add(acceptWait))
-	if _, err := c.br.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = c.Close()
-		return false
-	}
-	p.put(c)
-	return true
-}
-
 // Get returns a connection to address: one that has been idle for less than maxAge, or a new one. Connections idle for
 // longer stay in the pool for requests with a larger maxAge.
 func (p *Pool) Get(ctx context.Context, address string, maxAge time.Duration) (*Conn, error) {
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -28,7 +28,10 @@
 	runnerDisturbanceGrace = 500 * time.Millisecond
 )
 
-var requestKinds = []string{"report", "chat", "loan", "lookup", "new"}
+var (
+	streamKinds  = []string{"report", "chat"}
+	requestKinds = append(streamKinds[:len(streamKinds):len(streamKinds)], "loan", "lookup", "new")
+)
 
 // caller sends requests one after the other. It reuses each connection until it is closed or its process ends, and
 // sends requests only to entries that are in the balancer's rotation.
@@ -73,7 +76,11 @@
 
 // send sends one request of a random kind and checks its answer.
 func (c *caller) send(entry int, id string) {
-	kind := requestKinds[c.random.IntN(len(requestKinds))]
+	kinds := requestKinds
+	if c.world.options.RemoveEngines {
+		kinds = streamKinds
+	}
+	kind := kinds[c.random.IntN(len(kinds))]
 	path, activeFrom := fmt.Sprintf("/%s/%d//x%%2f?q=%d", kind, c.index, c.random.IntN(100)), time.Time{}
 	if kind == "new" {
 		path, activeFrom = c.world.newestRoute(time.Now())
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -59,9 +59,12 @@
 			w.newCaller(n, s).run(ctx, lb.inRotation, recovered)
 		}()
 	}
-	if opt.KillEntries {
+	switch {
+	case opt.KillEntries:
 		res.Events = w.killEntries()
-	} else {
+	case opt.RemoveEngines:
+		res.Events = w.removeEngines()
+	default:
 		res.Events = w.injectFaults()
 	}
 	time.Sleep(recoveryTime)
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -42,6 +42,13 @@
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
+	// Guards against streams without a length or chunks that look complete when their engine is removed at short notice.
+	It("completes no stream that an engine which is removed at short notice breaks off", func() {
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 8 * time.Second, RemoveEngines: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	})
+
 	for _, s := range seeds {
 		It(fmt.Sprintf("keeps every guarantee with seed %d (%s)", s.seed, s.cause), func() {
 			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: 19, FaultPeriod: 6 * time.Second})
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -44,6 +44,8 @@
 	FaultPeriod time.Duration
 	// KillEntries kills all entries again and again while runners reject most requests, in place of the random faults.
 	KillEntries bool
+	// RemoveEngines removes one engine after the other at short notice, in place of the random faults.
+	RemoveEngines bool
 }
 
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
