Count the crashes of a request until it is answered

Cause: a crash counted for 30 s, and a request was refused only while three counted. After that, every router let it through to crash three more upstreams, and a caller that came back every 16 s or more was never refused.

Change: crashes count until an upstream answers the request. An answer clears the request at all routers. Works because such a request is never answered, while one that only ran beside the cause soon is. Prompt parts had the same fault and get the same delays, up to an hour.

--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -305,6 +305,7 @@
 	switch o {
 	case Done:
 		s.RecordProgress(now, r)
+		s.Crashes.RecordRequestAnswered(now, r.Fingerprint)
 		stats.failures = 0
 		r.possibleRuns++
 		r.attempts++
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -21,10 +21,11 @@
 	// settleDelay is the time after which a crash counts: until then other routers report which parts their requests had,
 	// and answers clear parts.
 	settleDelay = time.Second
-	// partCrashTTL is how long a crash counts. Requests with a part are refused for refusalPerCrash after the last crash
-	// for each one that the part explains, and no longer than that.
-	partCrashTTL    = 5 * time.Minute
-	refusalPerCrash = 20 * time.Second
+	// refusalPerCrash is how long requests with a part are refused after the last crash, for each crash that the part
+	// explains, while these are less than lastingPartCrashes. Then they are refused until a trial, and from the next crash on
+	// for as long as crashes count; crashes below the threshold of an answered part do not count.
+	refusalPerCrash    = 20 * time.Second
+	lastingPartCrashes = 3
 	// maxPartCrashes bounds the crashes that count, maxPartsPerCrash the suspected parts of one.
 	maxPartCrashes   = 64
 	maxPartsPerCrash = 1024
@@ -136,7 +137,7 @@
 
 // evaluate computes the refused parts: repeatedly the one that was present in most of the crashes not yet explained.
 func (p *parts) evaluate(now time.Time) {
-	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool { return now.Sub(c.at) > partCrashTTL })
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool { return now.Sub(c.at) > evidenceTTL })
 	previous := p.refusedUntil
 	p.refusedUntil, p.evaluateAt = map[uint64]time.Time{}, time.Time{}
 	var unexplained []*partCrash
@@ -161,7 +162,7 @@
 			}
 			return present
 		})
-		until := last.Add(min(partCrashTTL, time.Duration(best.crashes)*refusalPerCrash))
+		until := last.Add(best.refusal())
 		p.refusedUntil[best.part] = until
 		if now.Before(until) && !now.Before(previous[best.part]) {
 			p.verdicts = append(p.verdicts, Verdict{Part: best.part, Crashes: best.crashes, LastCrash: now.Sub(last), Until: until})
@@ -229,6 +230,18 @@
 	return *best, true
 }
 
+// refusal returns how long after the last crash requests with the part are refused.
+func (c candidate) refusal() time.Duration {
+	crashes := c.crashes - c.threshold() + partCrashThreshold
+	switch {
+	case crashes < lastingPartCrashes:
+		return time.Duration(crashes) * refusalPerCrash
+	case crashes == lastingPartCrashes:
+		return trialDelays[0]
+	}
+	return evidenceTTL
+}
+
 // separation returns the least time between two crashes that count separately.
 func (c candidate) separation() time.Duration {
 	if c.answered {
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -147,6 +147,20 @@
 		Expect(refused(a, later.Add(55*time.Second), faulty)).To(BeTrue(), "one more crash is enough, for longer")
 	})
 
+	// Guards against evidence that expires while callers still come back: a fifth retry after the third crash followed
+	// within six minutes.
+	It("are tried once more some minutes after the third crash, and not again for long", func() {
+		for i := range 3 {
+			crash(a, at.Add(time.Duration(i)*time.Second), fmt.Sprintf("u%d", i), faulty)
+		}
+		Expect(refused(a, at.Add(4*time.Minute), faulty)).To(BeTrue())
+		trial := at.Add(6 * time.Minute)
+		Expect(refused(a, trial, faulty)).To(BeFalse())
+		crash(a, trial, "u3", faulty)
+		Expect(refused(a, trial.Add(2*time.Second), faulty)).To(BeTrue())
+		Expect(refused(a, trial.Add(50*time.Minute), faulty)).To(BeTrue())
+	})
+
 	// Guards against memory that grows with the parts that callers make up.
 	It("are bounded in number", func() {
 		for i := range uint64(5000) {
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -9,14 +9,11 @@
 )
 
 const (
-	// reportTTL is how long a crash counts. A caller that retries its request does so within its deadline of seconds.
+	// reportTTL is how long routers and relays send a report.
 	reportTTL = 30 * time.Second
 	// confirmTimeout is the time after an interrupted attempt within which an end of the upstream counts as a crash.
 	// The list of upstreams shows the end of an unresponsive upstream after three of its intervals.
 	confirmTimeout = 5 * time.Second
-	// routerCrashThreshold is the number of crashes after which a request is refused. Requests that only ran beside the
-	// cause are retried at other upstreams and answered before they reach the threshold.
-	routerCrashThreshold = 3
 	// MaxReports bounds the interrupted attempts that a process tracks and the reports in one of its messages. Its
 	// square bounds the reports that a process stores.
 	MaxReports = 64
@@ -38,6 +35,8 @@
 	PartCrash
 	// PartAnswered states that a request with a suspected prompt part has been answered beyond the beginning.
 	PartAnswered
+	// RequestAnswered states that a request that was running when an upstream ended has been answered by another one.
+	RequestAnswered
 )
 
 // Report is an observation of a router. Reporter and Seq identify the report in all processes.
@@ -97,19 +96,18 @@
 	// unanswered contains the prompt parts of interrupted attempts without an answer, by upstream.
 	unanswered map[string]*unansweredParts
 	own        []receivedReport // this router's reports, oldest first
-	// received contains the reports of request crashes, and receivedParts all others. Reports stay for twice as long as
-	// relays send them, since several relays send the same ones.
-	received, receivedParts map[Report]time.Time
-	// crashes contains the times at which the reports in received arrived, by fingerprint.
-	crashes  map[uint64][]time.Time
-	prunedAt time.Time
-	parts    *parts
+	// receivedParts contains the reports of prompt parts. They stay for twice as long as relays send them, since several
+	// relays send the same ones.
+	receivedParts map[Report]time.Time
+	prunedAt      time.Time
+	requests      *requests
+	parts         *parts
 }
 
 // NewReports returns the reports of a router. The sequence numbers begin at start, so that they differ between
 // successive processes of the router.
 func NewReports(reporter string, start time.Time) *Reports {
-	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), received: map[Report]time.Time{}, crashes: map[uint64][]time.Time{}, receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, parts: newParts()}
+	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, requests: newRequests(), parts: newParts()}
 }
 
 // RecordInterrupted records that an attempt at the upstream ended without an answer. The argument parts contains the
@@ -174,6 +172,14 @@
 	}
 }
 
+// RecordRequestAnswered records that an upstream has answered the request with the fingerprint, so that its earlier
+// crashes had another cause.
+func (r *Reports) RecordRequestAnswered(now time.Time, fp uint64) {
+	if r.requests.recordAnswered(fp) {
+		r.report(now, Report{Fingerprint: fp, Kind: RequestAnswered})
+	}
+}
+
 // report adds a report of this router.
 func (r *Reports) report(now time.Time, x Report) {
 	r.seq++
@@ -195,17 +201,19 @@
 
 func (r *Reports) add(now time.Time, x Report) {
 	r.prune(now)
-	received := r.receivedParts
-	if x.Kind == RequestCrash {
-		received = r.received
+	switch x.Kind {
+	case RequestCrash:
+		r.requests.recordCrash(now, x)
+		return
+	case RequestAnswered:
+		r.requests.recordAnswered(x.Fingerprint)
+		return
 	}
-	if _, ok := received[x]; ok || len(received) >= MaxReports*MaxReports {
+	if _, ok := r.receivedParts[x]; ok || len(r.receivedParts) >= MaxReports*MaxReports {
 		return
 	}
-	received[x] = now
+	r.receivedParts[x] = now
 	switch x.Kind {
-	case RequestCrash:
-		r.crashes[x.Fingerprint] = append(r.crashes[x.Fingerprint], now)
 	case PartCrash:
 		r.parts.recordCrash(now, x)
 	case PartAnswered:
@@ -224,29 +232,16 @@
 			delete(r.unanswered, upstream)
 		}
 	}
-	for fp, times := range r.crashes {
-		if now.Sub(times[len(times)-1]) > reportTTL {
-			delete(r.crashes, fp)
-		}
-	}
-	for _, received := range []map[Report]time.Time{r.received, r.receivedParts} {
-		for x, at := range received {
-			if now.Sub(at) > 2*reportTTL {
-				delete(received, x)
-			}
+	for x, at := range r.receivedParts {
+		if now.Sub(at) > 2*reportTTL {
+			delete(r.receivedParts, x)
 		}
 	}
 }
 
 // IsQuarantined reports whether requests with the fingerprint are refused.
 func (r *Reports) IsQuarantined(now time.Time, fp uint64) bool {
-	crashes := 0
-	for _, at := range r.crashes[fp] {
-		if now.Sub(at) <= reportTTL {
-			crashes++
-		}
-	}
-	return crashes >= routerCrashThreshold
+	return r.requests.isRefused(now, fp)
 }
 
 // CrashingPart returns the index of the first prompt part whose requests are refused because they crash upstreams, or -1.
--- /dev/null
+++ b/pkg/quarantine/requests_test.go
@@ -0,0 +1,96 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+)
+
+var _ = Describe("a request that crashes upstreams", func() {
+	const fp = 7
+	var routers []*quarantine.Reports
+	at := time.Unix(1000, 0)
+	BeforeEach(func() {
+		routers = nil
+		for i := range 3 {
+			routers = append(routers, quarantine.NewReports(fmt.Sprint("edge-", i), at))
+		}
+	})
+	// crash records at a router that an upstream ended while it ran the request.
+	crash := func(router int, now time.Time, fp uint64) {
+		upstream := fmt.Sprint("u", now.UnixNano())
+		routers[router].RecordInterrupted(now, fp, nil, upstream, 0)
+		routers[router].RecordUpstreamEnd(now, upstream)
+	}
+	share := func(now time.Time) {
+		for _, from := range routers {
+			for _, to := range routers {
+				to.Merge(now, from.ReportsAfter(now, 0))
+			}
+		}
+	}
+	// runs returns how often the request runs within the period if its caller sends it in turn to all routers.
+	runs := func(interval, period time.Duration) int {
+		n := 0
+		for sent := time.Duration(0); sent < period; sent += interval {
+			now := at.Add(sent)
+			if router := int(sent/interval) % len(routers); !routers[router].IsQuarantined(now, fp) {
+				n++
+				crash(router, now, fp)
+			}
+			share(now)
+		}
+		return n
+	}
+
+	// Guards against evidence that expires while the caller still comes back: the request then crashed three upstreams
+	// every 30 s. Three more runs are allowed after the third crash, however long the caller goes on.
+	DescribeTable("runs six times at most", func(interval, period time.Duration) {
+		Expect(runs(interval, period)).To(BeNumerically("<=", 6))
+	},
+		Entry("if it comes every second", time.Second, 2*time.Hour),
+		Entry("if it comes every 5 s", 5*time.Second, 6*time.Hour),
+		Entry("if it comes more slowly than reports are sent", 40*time.Second, 30*time.Hour),
+	)
+
+	It("gets a trial some minutes after its third crash", func() {
+		for i := range 3 {
+			crash(0, at.Add(time.Duration(i)*time.Second), fp)
+		}
+		Expect(routers[0].IsQuarantined(at.Add(2*time.Minute), fp)).To(BeTrue())
+		Expect(routers[0].IsQuarantined(at.Add(6*time.Minute), fp)).To(BeFalse())
+		crash(0, at.Add(6*time.Minute), fp)
+		Expect(routers[0].IsQuarantined(at.Add(50*time.Minute), fp)).To(BeTrue())
+	})
+
+	// Guards against refusing a common lookup that was running beside the cause of three crashes.
+	It("is no longer suspected at any router once it has been answered", func() {
+		crash(0, at, fp)
+		crash(1, at.Add(time.Second), fp)
+		share(at.Add(time.Second))
+		routers[2].RecordRequestAnswered(at.Add(2*time.Second), fp)
+		share(at.Add(2 * time.Second))
+		share(at.Add(3 * time.Second)) // reports that arrive again after the answer do not count again
+		crash(0, at.Add(4*time.Second), fp)
+		share(at.Add(4 * time.Second))
+		for _, r := range routers {
+			Expect(r.IsQuarantined(at.Add(5*time.Second), fp)).To(BeFalse())
+		}
+	})
+
+	// Guards against memory that grows with the requests that were running during crashes, and against the loss of what is
+	// known of those that are refused.
+	It("is remembered while many other requests run beside one crash each", func() {
+		for i := range 3 {
+			crash(0, at.Add(time.Duration(i)*time.Second), fp)
+		}
+		for i := range 10_000 {
+			crash(0, at.Add(10*time.Second+time.Duration(i)*time.Millisecond), uint64(100+i))
+		}
+		Expect(routers[0].IsQuarantined(at.Add(time.Minute), fp)).To(BeTrue())
+	})
+})
