Count a crash once for a request that several callers send

Callers of a common lookup were refused because several of them were sending it when one upstream ended: each of their attempts counted as a crash.

Cause: a report named the request only, so reports of one crash could not be told from those of several. Change: it names the instance that ended, and when the attempt was sent and interrupted. Each instance counts once, and so do overlapping runs that were interrupted within two seconds of each other, since their upstreams ended together; a request that crashes its upstream is sent again only after that. A request that is answered before its router learns of the end is not reported.

The first new spec fails if each report counts, the second if an answer before the end of the upstream is known changes nothing.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -41,5 +41,7 @@
 	if r.progressed || m != nil && m.Draining {
 		parts = nil
 	}
-	s.Crashes.RecordInterrupted(now, r.Fingerprint, parts, id, started)
+	s.Crashes.RecordInterrupted(quarantine.Interruption{
+		Fingerprint: r.Fingerprint, Parts: parts, Upstream: id, UpstreamStartedUnixMS: started, SentAt: r.sentAt, At: now,
+	})
 }
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -58,6 +58,9 @@
 	if d.Action == Send && r.attempts > 0 && !s.quota(r.Service).Take(now, s.RetryShare.Burst(now)) {
 		return Decision{Action: Refuse, Reason: reasonRetryLimit, RetryAfter: s.retryAfter(now, r, retryLimitWait)}
 	}
+	if d.Action == Send {
+		r.sentAt = now
+	}
 	return d
 }
 
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -33,6 +33,7 @@
 	possibleRuns int             // attempts that may have run
 	attempts     int             // attempts that reached an upstream
 	pending      int             // prompt tokens counted as waiting for room at an engine
+	sentAt       time.Time       // time of the decision for the current attempt
 	progressed   bool            // whether the current attempt's answer has gone on beyond its beginning
 	sharedParts  []uint64        // keys of the prompt parts that requests share; see partKeys
 }
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -16,7 +16,7 @@
 	at := time.Unix(1000, 0)
 	// crash records that the upstream ended while a request with the parts had no event.
 	crash := func(r *quarantine.Reports, now time.Time, upstream string, parts ...uint64) {
-		r.RecordInterrupted(now, uint64(now.UnixNano()), parts, upstream, 0)
+		r.RecordInterrupted(quarantine.Interruption{Fingerprint: uint64(now.UnixNano()), Parts: parts, Upstream: upstream, SentAt: now, At: now})
 		r.RecordUpstreamEnd(now.Add(50*time.Millisecond), upstream)
 	}
 	refused := func(r *quarantine.Reports, now time.Time, part uint64) bool {
@@ -86,7 +86,7 @@
 	It("are suspected more for a crash of a restarted process with the same id", func() {
 		for i := range 2 {
 			now := at.Add(time.Duration(i) * time.Second)
-			a.RecordInterrupted(now, 1, []uint64{faulty}, "u1", now.UnixMilli())
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 1, Parts: []uint64{faulty}, Upstream: "u1", UpstreamStartedUnixMS: now.UnixMilli(), SentAt: now, At: now})
 			a.RecordUpstreamEnd(now, "u1")
 		}
 		Expect(refused(a, at.Add(3*time.Second), faulty)).To(BeTrue())
@@ -103,7 +103,7 @@
 	It("are not suspected for upstreams that only accept no connection", func() {
 		for i := range 4 {
 			now := at.Add(time.Duration(i) * time.Second)
-			a.RecordInterrupted(now, 9, []uint64{rare}, fmt.Sprintf("u%d", i), 0)
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 9, Parts: []uint64{rare}, Upstream: fmt.Sprintf("u%d", i), SentAt: now, At: now})
 			a.RecordUnreachable(now, fmt.Sprintf("u%d", i))
 		}
 		Expect(refused(a, at.Add(6*time.Second), rare)).To(BeFalse())
@@ -113,8 +113,8 @@
 	It("are told apart by their positions if nothing else does", func() {
 		for i := range 2 {
 			now := at.Add(time.Duration(i) * time.Second)
-			a.RecordInterrupted(now, 1, []uint64{common, faulty}, fmt.Sprintf("u%d", i), 0)
-			a.RecordInterrupted(now, 2, []uint64{common, rare + uint64(i)}, fmt.Sprintf("u%d", i), 0)
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 1, Parts: []uint64{common, faulty}, Upstream: fmt.Sprintf("u%d", i), SentAt: now, At: now})
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 2, Parts: []uint64{common, rare + uint64(i)}, Upstream: fmt.Sprintf("u%d", i), SentAt: now, At: now})
 			a.RecordUpstreamEnd(now, fmt.Sprintf("u%d", i))
 		}
 		now := at.Add(3 * time.Second)
--- a/pkg/quarantine/relay_test.go
+++ b/pkg/quarantine/relay_test.go
@@ -16,7 +16,7 @@
 	var a, b *quarantine.Reports
 	at := time.Unix(1000, 0)
 	crash := func(r *quarantine.Reports, fp uint64, upstream string) {
-		r.RecordInterrupted(at, fp, nil, upstream, 0)
+		r.RecordInterrupted(quarantine.Interruption{Fingerprint: fp, Upstream: upstream, SentAt: at, At: at})
 		r.RecordUpstreamEnd(at, upstream)
 	}
 	BeforeEach(func() {
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -47,18 +47,39 @@
 	Seq         uint64 `cbor:"3,keyasint"`
 	Kind        Kind   `cbor:"4,keyasint,omitempty"`
 	// Upstream identifies the instance that ended and UnixMS is when its answers were interrupted, in Unix milliseconds; only
-	// for PartCrash.
+	// for crashes.
 	Upstream uint64 `cbor:"5,keyasint,omitempty"`
 	UnixMS   int64  `cbor:"6,keyasint,omitempty"`
 	// Position is the part's position in the prompt; only for PartCrash.
 	Position int `cbor:"7,keyasint,omitempty"`
+	// SentUnixMS is when the interrupted attempt was sent, in Unix milliseconds; only for RequestCrash.
+	SentUnixMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
-// interruptedAttempt is an attempt that ended without an answer.
-type interruptedAttempt struct {
-	fingerprint uint64
-	upstream    string
-	at          time.Time
+// Interruption is an attempt that ended without an answer.
+type Interruption struct {
+	Fingerprint uint64
+	// Parts are the keys of the request's shared prompt parts if at most the beginning of the answer arrived.
+	Parts    []uint64
+	Upstream string
+	// UpstreamStartedUnixMS is the start of the upstream's process, which may have the id of an earlier one.
+	UpstreamStartedUnixMS int64
+	SentAt, At            time.Time
+}
+
+// sentUnixMS returns when the attempt was sent. If that is not known, its run overlaps no other.
+func (i *Interruption) sentUnixMS() int64 {
+	if i.SentAt.IsZero() {
+		return i.At.UnixMilli()
+	}
+	return i.SentAt.UnixMilli()
+}
+
+func (i *Interruption) instance() uint64 { return instanceKey(i.Upstream, i.UpstreamStartedUnixMS) }
+
+// instanceKey identifies an instance of an upstream, whose id may come again with another start.
+func instanceKey(upstream string, startedUnixMS int64) uint64 {
+	return xxhash.Sum64String(upstream + "\x00" + strconv.FormatInt(startedUnixMS, 10))
 }
 
 // unansweredParts are the prompt parts of the attempts of whose answers at most the beginning had arrived when their
@@ -92,7 +113,7 @@
 type Reports struct {
 	reporter    string
 	seq         uint64
-	interrupted []interruptedAttempt // oldest first
+	interrupted []Interruption // oldest first
 	// unanswered contains the prompt parts of interrupted attempts without an answer, by upstream.
 	unanswered map[string]*unansweredParts
 	own        []receivedReport // this router's reports, oldest first
@@ -110,24 +131,22 @@
 	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, requests: newRequests(), parts: newParts()}
 }
 
-// RecordInterrupted records that an attempt at the upstream ended without an answer. The argument parts contains the
-// keys of the request's shared prompt parts if at most the beginning of the answer arrived, and startedUnixMS the start of the
-// upstream's process, which may have the id of an earlier one.
-func (r *Reports) RecordInterrupted(now time.Time, fp uint64, parts []uint64, upstream string, startedUnixMS int64) {
-	r.prune(now)
-	r.interrupted = append(r.interrupted, interruptedAttempt{fingerprint: fp, upstream: upstream, at: now})
+// RecordInterrupted records that an attempt ended without an answer.
+func (r *Reports) RecordInterrupted(i Interruption) {
+	r.prune(i.At)
+	r.interrupted = append(r.interrupted, i)
 	if len(r.interrupted) > MaxReports {
 		r.interrupted = slices.Delete(r.interrupted, 0, 1)
 	}
-	if len(parts) == 0 {
+	if len(i.Parts) == 0 {
 		return
 	}
-	u := r.unanswered[upstream]
-	if u == nil || now.Sub(u.at) > confirmTimeout {
-		u = &unansweredParts{instance: xxhash.Sum64String(upstream + "\x00" + strconv.FormatInt(startedUnixMS, 10)), parts: map[uint64]int{}}
-		r.unanswered[upstream] = u
+	u := r.unanswered[i.Upstream]
+	if u == nil || i.At.Sub(u.at) > confirmTimeout {
+		u = &unansweredParts{instance: i.instance(), parts: map[uint64]int{}}
+		r.unanswered[i.Upstream] = u
 	}
-	u.add(now, parts)
+	u.add(i.At, i.Parts)
 }
 
 // RecordUnreachable records that the upstream accepts no connection: requests that were interrupted there shortly before
@@ -136,11 +155,11 @@
 	remaining := r.interrupted[:0]
 	for _, attempt := range r.interrupted {
 		switch {
-		case now.Sub(attempt.at) > confirmTimeout:
-		case attempt.upstream != upstream:
+		case now.Sub(attempt.At) > confirmTimeout:
+		case attempt.Upstream != upstream:
 			remaining = append(remaining, attempt)
 		default:
-			r.report(now, Report{Fingerprint: attempt.fingerprint})
+			r.report(now, Report{Fingerprint: attempt.Fingerprint, Upstream: attempt.instance(), UnixMS: attempt.At.UnixMilli(), SentUnixMS: attempt.sentUnixMS()})
 		}
 	}
 	r.interrupted = remaining
@@ -175,6 +194,7 @@
 // RecordRequestAnswered records that an upstream has answered the request with the fingerprint, so that its earlier
 // crashes had another cause.
 func (r *Reports) RecordRequestAnswered(now time.Time, fp uint64) {
+	r.interrupted = slices.DeleteFunc(r.interrupted, func(a Interruption) bool { return a.Fingerprint == fp })
 	if r.requests.recordAnswered(fp) {
 		r.report(now, Report{Fingerprint: fp, Kind: RequestAnswered})
 	}
--- a/pkg/quarantine/reports_test.go
+++ b/pkg/quarantine/reports_test.go
@@ -13,7 +13,7 @@
 	var a, b *quarantine.Reports
 	at := time.Unix(1000, 0)
 	crash := func(r *quarantine.Reports, fp uint64, upstream string) {
-		r.RecordInterrupted(at, fp, nil, upstream, 0)
+		r.RecordInterrupted(quarantine.Interruption{Fingerprint: fp, Upstream: upstream, SentAt: at, At: at})
 		r.RecordUpstreamEnd(at.Add(time.Second), upstream)
 	}
 	BeforeEach(func() {
@@ -36,14 +36,14 @@
 	// Guards against taking answers that are lost while the upstream keeps running for crashes.
 	It("does not count interrupted attempts at upstreams that keep running", func() {
 		for range 5 {
-			a.RecordInterrupted(at, 7, nil, "u1", 0)
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 7, Upstream: "u1", SentAt: at, At: at})
 		}
 		Expect(a.IsQuarantined(at, 7)).To(BeFalse())
 	})
 
 	It("does not count an end of the upstream long after the attempt", func() {
 		for _, u := range []string{"u1", "u2", "u3"} {
-			a.RecordInterrupted(at, 7, nil, u, 0)
+			a.RecordInterrupted(quarantine.Interruption{Fingerprint: 7, Upstream: u, SentAt: at, At: at})
 			a.RecordUpstreamEnd(at.Add(10*time.Second), u)
 		}
 		Expect(a.IsQuarantined(at.Add(10*time.Second), 7)).To(BeFalse())
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -13,9 +13,9 @@
 	routerCrashThreshold = 3
 	// evidenceTTL is how long fewer crashes count, from the last one on. A caller may come back at any interval.
 	evidenceTTL = time.Hour
-	// maxRequests bounds the requests with a known crash, and maxReportsPerRequest the reports of each.
+	// maxRequests bounds the requests with a known crash, and maxCrashesPerRequest the crashes of each.
 	maxRequests          = 4096
-	maxReportsPerRequest = 64
+	maxCrashesPerRequest = 64
 )
 
 // trialDelays are the times after the last crash at which a refused request may run once more, in case it only ran beside
@@ -32,17 +32,25 @@
 	return trialDelays[trials], true
 }
 
-// reportID identifies a report of a router.
-type reportID struct {
-	reporter string
-	seq      uint64
+// run is a run of a request that the end of its upstream interrupted, in Unix milliseconds at the router that reported it.
+type run struct{ sentUnixMS, endedUnixMS int64 }
+
+// endedTogether is the time between the ends of two overlapping runs within which their upstreams count as having ended
+// together, such as those of a rack that loses power. Routers learn late of upstreams that fall silent.
+const endedTogether = 2 * time.Second
+
+// endedWith reports whether the upstreams of two runs have ended together. A request that crashes its upstream is sent
+// again after that, so its runs do not overlap.
+func (r run) endedWith(o run) bool {
+	apart := max(r.endedUnixMS-o.endedUnixMS, o.endedUnixMS-r.endedUnixMS)
+	return r.sentUnixMS < o.endedUnixMS && o.sentUnixMS < r.endedUnixMS && apart < endedTogether.Milliseconds()
 }
 
-// crashRecord is what is known of a request that was running when an upstream ended.
+// crashRecord is what is known of a request that was running when upstreams ended.
 type crashRecord struct {
-	// reports are the reports that have been counted, since several relays send the same ones.
-	reports map[reportID]bool
-	// crashes is the number of reported crashes since the request was last answered.
+	// runs are the interrupted runs by the instance of the upstream. Several routers and relays report the same crash.
+	runs map[uint64]run
+	// crashes is the number of crashes that count: those since the request was last answered.
 	crashes int
 	last    time.Time // of the last report
 }
@@ -68,23 +76,32 @@
 
 func newRequests() *requests { return &requests{records: map[uint64]*crashRecord{}} }
 
-// recordCrash counts the report of a crash unless it has been counted before.
+// recordCrash counts a reported crash of an upstream, unless it is known or another upstream has ended together with it.
 func (r *requests) recordCrash(now time.Time, x Report) {
 	c := r.records[x.Fingerprint]
 	if c == nil {
 		r.makeRoom(now)
-		c = &crashRecord{reports: map[reportID]bool{}}
+		c = &crashRecord{runs: map[uint64]run{}}
 		r.records[x.Fingerprint] = c
 	}
-	id := reportID{x.Reporter, x.Seq}
-	if c.reports[id] || len(c.reports) >= maxReportsPerRequest {
+	if _, known := c.runs[x.Upstream]; known || len(c.runs) >= maxCrashesPerRequest {
 		return
 	}
 	if c.isExpired(now) {
 		c.crashes = 0
 	}
-	c.reports[id], c.last = true, now
-	c.crashes++
+	reported := run{sentUnixMS: x.SentUnixMS, endedUnixMS: x.UnixMS}
+	together := false
+	for _, known := range c.runs {
+		together = together || known.endedWith(reported)
+	}
+	if !together {
+		c.crashes++
+	}
+	c.runs[x.Upstream] = reported
+	if now.After(c.last) {
+		c.last = now
+	}
 }
 
 // recordAnswered records that an upstream has answered the request. It reports whether the request was suspected.
--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -23,7 +23,7 @@
 	// crash records at a router that an upstream ended while it ran the request.
 	crash := func(router int, now time.Time, fp uint64) {
 		upstream := fmt.Sprint("u", now.UnixNano())
-		routers[router].RecordInterrupted(now, fp, nil, upstream, 0)
+		routers[router].RecordInterrupted(quarantine.Interruption{Fingerprint: fp, Upstream: upstream, SentAt: now, At: now})
 		routers[router].RecordUpstreamEnd(now, upstream)
 	}
 	share := func(now time.Time) {
@@ -82,6 +82,36 @@
 		}
 	})
 
+	// Guards against refusing a common lookup because many callers were sending it when one upstream ended, or because all
+	// upstreams ended together.
+	It("counts once each upstream that ends, and once those that end together", func() {
+		for range 5 {
+			for router := range routers {
+				for _, upstream := range []string{"u1", "u2", "u3"} {
+					routers[router].RecordInterrupted(quarantine.Interruption{Fingerprint: fp, Upstream: upstream, UpstreamStartedUnixMS: 1, SentAt: at.Add(-10 * time.Millisecond), At: at})
+				}
+			}
+		}
+		for router := range routers {
+			for _, upstream := range []string{"u1", "u2", "u3"} {
+				routers[router].RecordUpstreamEnd(at.Add(time.Second), upstream)
+			}
+		}
+		share(at.Add(time.Second))
+		Expect(routers[0].IsQuarantined(at.Add(2*time.Second), fp)).To(BeFalse())
+	})
+
+	// Guards against suspecting a request that was answered elsewhere before its router learned of the upstream's end.
+	It("does not count if it has been answered before the end of the upstream is known", func() {
+		for i := range 3 {
+			now := at.Add(time.Duration(i) * time.Second)
+			routers[0].RecordInterrupted(quarantine.Interruption{Fingerprint: fp, Upstream: fmt.Sprint("u", i), SentAt: now, At: now})
+			routers[0].RecordRequestAnswered(now.Add(10*time.Millisecond), fp)
+			routers[0].RecordUpstreamEnd(now.Add(500*time.Millisecond), fmt.Sprint("u", i))
+		}
+		Expect(routers[0].IsQuarantined(at.Add(5*time.Second), fp)).To(BeFalse())
+	})
+
 	// Guards against memory that grows with the requests that were running during crashes, and against the loss of what is
 	// known of those that are refused.
 	It("is remembered while many other requests run beside one crash each", func() {
