Keep refused requests in the store

Cause: what routers and relays know of it ended with their processes. Change: each router keeps the refused requests of which it has reported a crash in an object of its own in the store, and reads those of all routers at its start. It writes nothing before the first read. This works because the store outlives the processes, and only one writer has each object. Cost: a read at each start, a write for each crash of a refused request.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -107,6 +107,10 @@
 		follow.New(store, platform.KindUpstreams, opt, sync.Upstreams(), log).Run(ctx)
 		return nil
 	}))
+	addContext(&g, gd.Duty("refused requests", func(ctx context.Context) error {
+		gateway.NewRefusals(core, store, set.NodeName, log).Run(ctx)
+		return nil
+	}))
 	addContext(&g, peers.Run)
 	addContext(&g, func(ctx context.Context) error { sweepIdleConns(ctx, pool); return nil })
 	err = g.Run()
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -210,6 +210,9 @@
 	}
 	r.own = append(slices.Delete(r.own, 0, expired), receivedReport{Report: x, at: now})
 	r.add(now, x)
+	if x.Kind == RequestCrash {
+		r.requests.keep(x.Fingerprint)
+	}
 }
 
 // Merge adds the reports of other routers.
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -53,6 +53,8 @@
 	// crashes is the number of crashes that count: those since the request was last answered.
 	crashes int
 	last    time.Time // of the last report
+	// own reports whether this router keeps the request for later processes.
+	own bool
 }
 
 func (c *crashRecord) isRefused(now time.Time) bool {
@@ -72,6 +74,8 @@
 // each upstream that begins to run it, so one that has been answered does not. It is not safe for concurrent use.
 type requests struct {
 	records map[uint64]*crashRecord
+	// ownVersion grows with each change of the refused requests that this router keeps for later processes.
+	ownVersion uint64
 }
 
 func newRequests() *requests { return &requests{records: map[uint64]*crashRecord{}} }
@@ -111,9 +115,21 @@
 		return false
 	}
 	c.crashes = 0
+	if c.own {
+		c.own = false
+		r.ownVersion++
+	}
 	return true
 }
 
+// keep makes this router keep the request for later processes if it is refused.
+func (r *requests) keep(fp uint64) {
+	if c := r.records[fp]; c != nil && c.crashes >= routerCrashThreshold {
+		c.own = true
+		r.ownVersion++
+	}
+}
+
 func (r *requests) isRefused(now time.Time, fp uint64) bool {
 	c := r.records[fp]
 	return c != nil && c.isRefused(now)
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,3 +135,16 @@
 	}
 	return time.Time{}
 }
+
+// runsOf returns the number of runs of all requests whose path ends with suffix.
+func (c *checker) runsOf(suffix string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := 0
+	for _, s := range c.requests {
+		if strings.HasSuffix(s.target, suffix) {
+			runs += s.runs
+		}
+	}
+	return runs
+}
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -49,6 +49,13 @@
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
+	// Guards against a request that crashes upstreams and is let through again by routers that have forgotten it.
+	It("runs a request that crashes upstreams six times at most, although all processes lose power meanwhile", func() {
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 13 * time.Second, RepeatCrashingRequest: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	})
+
 	for _, s := range seeds {
 		It(fmt.Sprintf("keeps every guarantee with seed %d (%s)", s.seed, s.cause), func() {
 			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: 19, FaultPeriod: 6 * time.Second})
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -46,6 +46,9 @@
 	KillEntries bool
 	// RemoveEngines removes one engine after the other at short notice, in place of the random faults.
 	RemoveEngines bool
+	// RepeatCrashingRequest sends a request that crashes runners again and again while all processes lose power several
+	// times, in place of the random faults.
+	RepeatCrashingRequest bool
 }
 
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
