Let the spec on answered requests fail without its cause

It passed when an answer before the end of the upstream changed nothing, since the next answer cleared the crash. It now asks for no report at all, and fails without that step (tried on a scratch copy).

--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -109,7 +109,7 @@
 			routers[0].RecordRequestAnswered(now.Add(10*time.Millisecond), fp)
 			routers[0].RecordUpstreamEnd(now.Add(500*time.Millisecond), fmt.Sprint("u", i))
 		}
-		Expect(routers[0].IsQuarantined(at.Add(5*time.Second), fp)).To(BeFalse())
+		Expect(routers[0].ReportsAfter(at.Add(5*time.Second), 0)).To(BeEmpty())
 	})
 
 	// Guards against memory that grows with the requests that were running during crashes, and against the loss of what is
