List again after changes that cannot be read

Cause: the changes since the known revision have 4.7 MB, a response is read up to 4 MB, and a watch that failed was repeated from the same revision, so the same response failed again until the store had dropped its history. Change: a response that has begun but cannot be read is an error of its own, after which the router lists. A listing has the newest version only, which is why it works. Watches that fail before a response still continue from their revision.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -124,7 +124,8 @@
 	}
 	if err != nil {
 		f.handleFailure(ctx, err)
-		return since, true
+		// A watch from the same revision returns the same changes; a listing has the newest state only.
+		return since, !errors.Is(err, store.ErrUnreadable)
 	}
 	f.handleSuccess()
 	f.compactions = 0
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -156,6 +156,13 @@
 		Expect(s.calls[2]).To(Equal("watch 3"))
 	})
 
+	// Guards against asking again and again for changes that cannot be read, such as many versions of a large configuration:
+	// a router used an old version for up to 16 s.
+	It("lists again after changes that cannot be read", func() {
+		s := &source{answers: []answer{{revision: 3}, {err: fmt.Errorf("watch: %w", store.ErrUnreadable)}, {objects: oneObject("a"), revision: 9}}}
+		Expect(runFollower(s)).To(Equal([]string{"listed", "listed a"}))
+	})
+
 	// Guards against waiting for ever on an open connection that stops responding, which only a timeout detects.
 	It("cancels a watch that gets no reply and watches again", func() {
 		s := &source{answers: []answer{{revision: 3}, {hangs: true}, {objects: oneObject("a"), revision: 4}}}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -20,6 +20,9 @@
 	ErrUnavailable = errors.New("object API unavailable")
 	// ErrCompacted is returned when the revision of a watch is too old; the caller lists again.
 	ErrCompacted = errors.New("watch revision compacted")
+	// ErrUnreadable is returned when a response has begun but cannot be read: it is too large, ends early or is malformed.
+	// The same watch may return the same response again; the caller lists instead.
+	ErrUnreadable = errors.New("response not readable")
 )
 
 // Object is a stored object. Version is the revision of its last write; revisions ascend with every write to any key.
