Receive signals before the libraries are initialized

Cause: SIGHUP ends a Go program until it calls signal.Notify, which the daemon did some 6 ms after its start, behind the initialization of all libraries.

--- a/cmd/hibiscuscrossd/platform.go
+++ b/cmd/hibiscuscrossd/platform.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"syscall"
@@ -17,6 +16,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
+	"github.com/hibiscuscross/hibiscuscross/pkg/signals"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -72,13 +72,11 @@
 // again and logs whether it is valid; changed settings become active at the next start.
 func addSignals(g *run.Group, f *platformFlags, log *eventlog.Log) {
 	addContext(g, func(ctx context.Context) error {
-		ch := make(chan os.Signal, 4)
-		signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 		for {
 			select {
 			case <-ctx.Done():
 				return nil
-			case sig := <-ch:
+			case sig := <-signals.Received():
 				if sig != syscall.SIGHUP {
 					log.State("stopping", "signal", sig.String())
 					return nil
