Forget the ended upstreams of a request with its evidence

A bound on the upstreams that are remembered for one request made a common one unsuspected for good after 64 of them, however long ago. They are now dropped when the evidence expires; no relay sends their reports by then. The new spec fails without it.

--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -88,11 +88,12 @@
 		c = &crashRecord{runs: map[uint64]run{}}
 		r.records[x.Fingerprint] = c
 	}
-	if _, known := c.runs[x.Upstream]; known || len(c.runs) >= maxCrashesPerRequest {
-		return
-	}
 	if c.isExpired(now) {
 		c.crashes = 0
+		clear(c.runs) // no relay sends their reports any more
+	}
+	if _, known := c.runs[x.Upstream]; known || len(c.runs) >= maxCrashesPerRequest {
+		return
 	}
 	reported := run{sentUnixMS: x.SentUnixMS, endedUnixMS: x.UnixMS}
 	together := false
--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -112,6 +112,20 @@
 		Expect(routers[0].ReportsAfter(at.Add(5*time.Second), 0)).To(BeEmpty())
 	})
 
+	// Guards against a bound on the crashes of one request that makes a common one unsuspected for good.
+	It("is refused although many upstreams ended beside it long before", func() {
+		for i := range 100 {
+			now := at.Add(time.Duration(i) * time.Minute)
+			crash(0, now, fp)
+			routers[0].RecordRequestAnswered(now.Add(time.Second), fp)
+		}
+		later := at.Add(5 * time.Hour)
+		for i := range 3 {
+			crash(0, later.Add(time.Duration(i)*time.Second), fp)
+		}
+		Expect(routers[0].IsQuarantined(later.Add(4*time.Second), fp)).To(BeTrue())
+	})
+
 	// Guards against memory that grows with the requests that were running during crashes, and against the loss of what is
 	// known of those that are refused.
 	It("is remembered while many other requests run beside one crash each", func() {
