Notice the end of an outage of the store sooner

Cause: a router keeps entries that vanish until two seconds after its first call with a reply. The watch that was open when the outage ended lasted for its long poll and margin, 3.3 s, and the retry delay followed. Change: while calls fail, a watch polls for one second only, and the retry delay counts from the start of the failed call. The rate of calls stays bounded by the retry delay.

Two specs in pkg/follow.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -22,6 +22,9 @@
 	// watchMargin is how long after the end of its long poll a watch may reply. It allows for some round trips between
 	// regions and a loaded store. A watch without a reply after that is cancelled.
 	watchMargin = 700 * time.Millisecond
+	// outageLongPollDuration bounds the long poll of a watch while calls fail. A watch that has no reply when an outage ends
+	// delays everything that counts from its end.
+	outageLongPollDuration = time.Second
 	// listTimeout bounds one listing.
 	listTimeout = 2500 * time.Millisecond
 	// minOutage is how long calls must fail to count as an outage of the store.
@@ -93,11 +96,12 @@
 }
 
 func (f *Follower) list(ctx context.Context) (uint64, bool) {
+	startedAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	objects, revision, err := f.readListing(callCtx)
 	if err != nil {
-		f.handleFailure(ctx, err)
+		f.handleFailure(ctx, startedAt, err)
 		return 0, false
 	}
 	f.handleSuccess()
@@ -109,9 +113,14 @@
 // watch makes one watch call and returns the revision for the next one. It returns false if the kind must be listed
 // again.
 func (f *Follower) watch(ctx context.Context, since uint64) (uint64, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, f.opt.LongPollDuration+watchMargin)
+	startedAt := time.Now()
+	longPoll := f.opt.LongPollDuration
+	if !f.failingSince.IsZero() {
+		longPoll = min(longPoll, outageLongPollDuration)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, longPoll+watchMargin)
 	defer cancel()
-	objects, revision, err := f.src.Watch(callCtx, f.kind, since, f.opt.LongPollDuration)
+	objects, revision, err := f.src.Watch(callCtx, f.kind, since, longPoll)
 	if errors.Is(err, store.ErrCompacted) {
 		f.compactions++
 		f.log.State("watch history compacted, listing again", "kind", f.kind, "revision", since, "in_a_row", f.compactions)
@@ -123,7 +132,7 @@
 		return 0, false
 	}
 	if err != nil {
-		f.handleFailure(ctx, err)
+		f.handleFailure(ctx, startedAt, err)
 		// A watch from the same revision returns the same changes; a listing has the newest state only.
 		return since, !errors.Is(err, store.ErrUnreadable)
 	}
@@ -136,9 +145,10 @@
 	return max(revision, since), true
 }
 
-// handleFailure logs the first of consecutive failures and waits for the retry delay. It ignores errors caused by the
-// end of ctx.
-func (f *Follower) handleFailure(ctx context.Context, err error) {
+// handleFailure logs the first of consecutive failures and waits until the retry delay since the start of the call has
+// passed. A call without a reply has taken longer than that, so the next one follows at once: an outage that ends
+// meanwhile is noticed no later than by the timeout of one call. It ignores errors caused by the end of ctx.
+func (f *Follower) handleFailure(ctx context.Context, startedAt time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -148,7 +158,7 @@
 	}
 	f.failures++
 	delay := f.opt.backoff(f.failures, f.listed)
-	sleep(ctx, delay/2+rand.N(delay))
+	sleep(ctx, delay/2+rand.N(delay)-time.Since(startedAt))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -37,11 +37,13 @@
 	mu      sync.Mutex
 	answers []answer
 	calls   []string
+	times   []time.Time     // of the calls
+	polls   []time.Duration // long polls of the watches
 }
 
 func (s *source) next(ctx context.Context, call string) ([]platform.Object, uint64, error) {
 	s.mu.Lock()
-	s.calls = append(s.calls, call)
+	s.calls, s.times = append(s.calls, call), append(s.times, time.Now())
 	if len(s.answers) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -66,12 +68,18 @@
 	return s.next(ctx, "list")
 }
 
-func (s *source) Watch(ctx context.Context, _ string, since uint64, _ time.Duration) ([]platform.Object, uint64, error) {
+func (s *source) Watch(ctx context.Context, _ string, since uint64, longPoll time.Duration) ([]platform.Object, uint64, error) {
+	s.mu.Lock()
+	s.polls = append(s.polls, longPoll)
+	s.mu.Unlock()
 	return s.next(ctx, "watch "+string(rune('0'+since)))
 }
 
 // runFollower runs a follower until the source's answers are used up and returns the calls to its handler.
-func runFollower(s *source) []string {
+func runFollower(s *source) []string { return runFollowerWith(s, 50*time.Millisecond) }
+
+// runFollowerWith is runFollower with another long poll.
+func runFollowerWith(s *source, longPoll time.Duration) []string {
 	var mu sync.Mutex
 	var got []string
 	record := func(what string) func([]platform.Object) {
@@ -90,7 +98,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		follow.New(s, "k", follow.Options{LongPollDuration: 50 * time.Millisecond}, h, eventlog.New(io.Discard, "r", "vm")).Run(ctx)
+		follow.New(s, "k", follow.Options{LongPollDuration: longPoll}, h, eventlog.New(io.Discard, "r", "vm")).Run(ctx)
 	}()
 	Eventually(func() int {
 		s.mu.Lock()
@@ -169,6 +177,28 @@
 		Expect(runFollower(s)).To(Equal([]string{"listed", "changed a"}))
 	})
 
+	// Guards against a retry delay on top of the timeout of a call without a reply: a router then noticed the end of an
+	// outage too late to drain an upstream in time.
+	It("calls again at once after a call without a reply that took longer than the retry delay", func() {
+		hangs := answer{hangs: true}
+		s := &source{answers: []answer{{revision: 3}, hangs, hangs, hangs, hangs, hangs, hangs, {objects: oneObject("a"), revision: 4}}}
+		Expect(runFollower(s)).To(Equal([]string{"listed", "recovered", "changed a"}))
+		least := time.Minute // of the intervals after a mean retry delay of 0.4 s, since other load may extend them
+		for i := 5; i <= 7; i++ {
+			least = min(least, s.times[i].Sub(s.times[i-1]))
+		}
+		const callTimeout = 750 * time.Millisecond // of the long poll and its margin
+		Expect(least).To(BeNumerically("<", callTimeout+150*time.Millisecond))
+	})
+
+	// Guards against a long poll that began in an outage and ends by its timeout seconds after it.
+	It("shortens the long poll until a call succeeds", func() {
+		failed := answer{err: errors.New("down")}
+		s := &source{answers: []answer{{revision: 3}, failed, failed, {objects: oneObject("a"), revision: 4}, {objects: oneObject("b"), revision: 5}}}
+		Expect(runFollowerWith(s, 3*time.Second)).To(Equal([]string{"listed", "changed a", "changed b"}))
+		Expect(s.polls[:4]).To(Equal([]time.Duration{3 * time.Second, time.Second, time.Second, 3 * time.Second}))
+	})
+
 	It("reports the recovery of the store after an outage before the objects read", func() {
 		failed := answer{err: errors.New("down")}
 		s := &source{answers: []answer{{revision: 3}, failed, failed, failed, failed, failed, failed, {objects: oneObject("a"), revision: 4}}}
