--- a/pkg/sidecar/unanswered_test.go
+++ b/pkg/sidecar/unanswered_test.go
@@ -63,7 +63,7 @@
 		engine, engineAddress := serveUnansweredOnce(func(w http.ResponseWriter, r *http.Request) {
 			switch r.URL.Path {
 			case standin.ReportPath:
-				_, _ = io.WriteString(w, `{"stage":"both","models":[],"seq":0,"born":6,"atHand":{"onDisk":["a"]}}`)
+				_, _ = io.WriteString(w, standin.ReportBody(6, "a"))
 			case "/healthz":
 				standin.SetInstance(w.Header(), "i-2")
 			default:
