--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -44,7 +44,9 @@
 	// Priority is the rank of the route's requests; 0 is the most urgent.
 	Priority  int
 	Resumable bool
-	Backends  []Backend
+	// Public reports whether requests need no key even if the configuration has tenants.
+	Public   bool
+	Backends []Backend
 }
 
 // Retryable reports whether a request of the route may be retried after an attempt with an unknown outcome.
@@ -128,6 +130,9 @@
 	Services map[string]Service
 	Limits   Limits
 	routes   map[string][]*Route // by host, longest prefix first
+	// tenants are empty if requests need no key.
+	tenants     []Tenant
+	tenantByKey map[string]*Tenant
 }
 
 // NewConfig returns a configuration with the routes indexed by host.
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -13,9 +13,11 @@
 
 // Request is a caller's request at the router.
 type Request struct {
-	ID             string
-	Route          *catalog.Route
-	Service        string
+	ID      string
+	Route   *catalog.Route
+	Service string
+	// Tenant is the name of the caller's tenant; empty if the configuration has no tenants.
+	Tenant         string
 	Model, Adapter string
 	Parts          []prompt.Part
 	Chain          []uint64
