Pass the start of each successful store call to followers' handlers

The age of a router's keys is proven by the start of the call whose answer contains them. follow.Handler.Proved gets it after the objects are applied; a watch of a store that was restored to an earlier revision proves nothing and is followed by a listing. Options.Pace lets the watch be made of short calls at an interval. Both are nil for all present users.

A request has its tenant's priority, if set, instead of its route's.

--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -17,7 +17,9 @@
 	Route   *catalog.Route
 	Service string
 	// Tenant is the name of the caller's tenant; empty if the configuration has no tenants.
-	Tenant         string
+	Tenant string
+	// TenantPriority replaces the route's priority; nil leaves it.
+	TenantPriority *int
 	Model, Adapter string
 	Parts          []prompt.Part
 	Chain          []uint64
@@ -49,8 +51,17 @@
 	return remaining
 }
 
+// Priority returns the configured priority of the request: that of its tenant, if it has one, or else that of its route.
+// 0 is the most urgent.
+func (r *Request) Priority() int {
+	if r.TenantPriority != nil {
+		return max(0, *r.TenantPriority)
+	}
+	return r.Route.Priority
+}
+
 // priority returns the priority that is passed to the engine; 0 is the most urgent.
-func (r *Request) priority() int { return min(max(r.Route.Priority, 0), priorities-1) }
+func (r *Request) priority() int { return min(max(r.Priority(), 0), priorities-1) }
 
 // PossibleRuns returns the number of attempts in which the request may have run.
 func (r *Request) PossibleRuns() int { return r.possibleRuns }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -44,6 +46,9 @@
 	// Recovered is called when a call succeeds after an outage of the store, before Listed or Changed with its result.
 	// It may be nil.
 	Recovered func()
+	// Proved is called after Listed or Changed with the start of the call: what the handler has received is the state of
+	// the store at that instant or later, if the source's reads are linearizable. It may be nil.
+	Proved func(startedAt boottime.Instant)
 }
 
 // Options define how often the store is called.
@@ -56,6 +61,16 @@
 	// MaxRetryDelay bounds the mean delay after a failed call once the kind has been listed; it is at least 400 ms. A
 	// larger value reduces the calls to a store that is overloaded or refuses them.
 	MaxRetryDelay time.Duration
+	// Pace returns the long poll of the next watch, instead of LongPollDuration, and the least time from its start to that
+	// of the following one. It may be nil.
+	Pace func() (longPoll, interval time.Duration)
+}
+
+func (o Options) pace() (longPoll, interval time.Duration) {
+	if o.Pace == nil {
+		return o.LongPollDuration, 0
+	}
+	return o.Pace()
 }
 
 // backoff returns the mean delay after a number of consecutive failed calls.
@@ -99,22 +114,29 @@
 	startedAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, revision, err := f.readListing(callCtx)
-	if err != nil {
-		f.handleFailure(ctx, startedAt, err)
+	l := f.readListing(callCtx)
+	if l.err != nil {
+		f.handleFailure(ctx, startedAt, l.err)
 		return 0, false
 	}
 	f.handleSuccess()
 	f.listed = true
-	f.h.Listed(objects)
-	return revision, true
+	f.h.Listed(l.objects)
+	f.prove(l.startedAt)
+	return l.revision, true
+}
+
+func (f *Follower) prove(startedAt boottime.Instant) {
+	if f.h.Proved != nil {
+		f.h.Proved(startedAt)
+	}
 }
 
 // watch makes one watch call and returns the revision for the next one. It returns false if the kind must be listed
 // again.
 func (f *Follower) watch(ctx context.Context, since uint64) (uint64, bool) {
-	startedAt := time.Now()
-	longPoll := f.opt.LongPollDuration
+	startedAt, provenAt := time.Now(), boottime.Now()
+	longPoll, interval := f.opt.pace()
 	if !f.failingSince.IsZero() {
 		longPoll = min(longPoll, outageLongPollDuration)
 	}
@@ -136,12 +158,20 @@
 		// A watch from the same revision returns the same changes; a listing has the newest state only.
 		return since, !errors.Is(err, store.ErrUnreadable)
 	}
+	if f.h.Proved != nil && revision != 0 && revision < since {
+		// The store was restored to an earlier state. A watch from since does not report the changes made after that.
+		f.handleFailure(ctx, startedAt, fault.Newf(fault.StepStore, f.kind, "store is at revision %d, before %d", revision, since))
+		return 0, false
+	}
 	f.handleSuccess()
 	f.compactions = 0
+	delay := time.Duration(0)
 	if len(objects) > 0 {
 		f.h.Changed(objects)
-		sleep(ctx, f.opt.ChangeDelay)
+		delay = f.opt.ChangeDelay
 	}
+	f.prove(provenAt)
+	sleep(ctx, max(delay, interval-time.Since(startedAt)))
 	return max(revision, since), true
 }
 
--- a/pkg/follow/hedge.go
+++ b/pkg/follow/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -18,25 +19,23 @@
 
 // listing is the result of a list call.
 type listing struct {
-	objects  []platform.Object
-	revision uint64
-	err      error
+	objects   []platform.Object
+	revision  uint64
+	err       error
+	startedAt boottime.Instant
 }
 
 // readListing lists the kind. The first listing is hedged: while calls have no result, further ones are started
 // concurrently, and the first success counts. A store that is slow replies to the first call; one that was unresponsive
 // may reply only to a call that was started after its recovery.
-func (f *Follower) readListing(ctx context.Context) ([]platform.Object, uint64, error) {
+func (f *Follower) readListing(ctx context.Context) listing {
 	if f.listed {
-		return f.src.List(ctx, f.kind)
+		return f.callList(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan listing, maxParallelCalls)
-	call := func() {
-		objects, revision, err := f.src.List(ctx, f.kind)
-		results <- listing{objects: objects, revision: revision, err: err}
-	}
+	call := func() { results <- f.callList(ctx) }
 	go call()
 	hedgeDelay := firstHedgeDelay
 	timer := time.NewTimer(hedgeDelay)
@@ -45,7 +44,7 @@
 		select {
 		case result := <-results:
 			if pending--; result.err == nil || pending == 0 {
-				return result.objects, result.revision, result.err
+				return result
 			}
 		case <-timer.C:
 			if calls == maxParallelCalls {
@@ -58,3 +57,9 @@
 		}
 	}
 }
+
+func (f *Follower) callList(ctx context.Context) listing {
+	l := listing{startedAt: boottime.Now()}
+	l.objects, l.revision, l.err = f.src.List(ctx, f.kind)
+	return l
+}
