Check callers' keys at routers

The gateway checks the key before it reads the body, after each wait or failure and right before each send. A router whose view of the configuration is too old answers 503, closes the connection, becomes unready and goes on with public routes. A request that may have run gets 502, a started stream is aborted. The tenant's name and priority go to the upstream, the key does not. Readiness now has independent causes: the end of a partition no longer makes a router ready that is unready for another reason.

Without tenants nothing changes.

The existing spec of the request line's times passes the priority as an argument, since it may be the tenant's.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/telemetry"
@@ -80,12 +81,9 @@
 	store := platform.NewStore(set.StoreAddress)
 	location := gateway.Location{Router: set.NodeName, Zone: set.Zone, ZoneRegion: set.ZoneRegion}
 	peers := gateway.NewPeers(core, socket, log, gd, location, set.PeerPort, func(reachable bool) {
-		if reachable {
-			health.SetReady()
-			return
-		}
-		health.SetUnready("no upstream is within reach")
+		health.SetCause("no upstream is within reach", !reachable)
 	})
+	core.SetRevokeDelay(set.RevokeDelay)
 
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
@@ -99,7 +97,8 @@
 	}
 	c.addMetrics(&g, set.IP, health, log)
 	addContext(&g, gd.Duty("configuration", func(ctx context.Context) error {
-		follow.New(store, platform.KindConfig, follow.Options{LongPollDuration: watchHold(set), MaxRetryDelay: routerMaxRetryDelay}, sync.Config(), log).Run(ctx)
+		opt := follow.Options{LongPollDuration: watchHold(set), MaxRetryDelay: routerMaxRetryDelay, Pace: configPace(set, core)}
+		follow.New(store, platform.KindConfig, opt, sync.Config(), log).Run(ctx)
 		return nil
 	}))
 	addContext(&g, gd.Duty("list of upstreams", func(ctx context.Context) error {
@@ -111,6 +110,11 @@
 		gateway.NewRefusals(core, store, set.NodeName, log).Run(ctx)
 		return nil
 	}))
+	if set.RevokeDelay > 0 {
+		addContext(&g, gateway.NewKeyWatch(core, log, scope, func(usable bool) {
+			health.SetCause("view of the API keys is too old", !usable)
+		}).Run)
+	}
 	addContext(&g, peers.Run)
 	addContext(&g, func(ctx context.Context) error { sweepIdleConns(ctx, pool); return nil })
 	err = g.Run()
@@ -118,6 +122,17 @@
 	return err
 }
 
+// configPace returns how often the router reads the configuration. Where keys must be withdrawn in time, the reads also
+// prove the age of the view.
+func configPace(set platform.Settings, core *gateway.Core) func() (longPoll, interval time.Duration) {
+	return func() (longPoll, interval time.Duration) {
+		if !core.HasTenants() {
+			return watchHold(set), 0
+		}
+		return keyview.Pace(set.RevokeDelay, watchHold(set))
+	}
+}
+
 // readinessHandler returns the handler of the balancer's readiness check.
 func readinessHandler(health *ops.Server) http.Handler {
 	e := echo.New()
--- a/pkg/gateway/core.go
+++ b/pkg/gateway/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 )
 
 // Core serializes access to the dispatch state, which is not safe for concurrent use, and notifies waiting requests of
@@ -18,6 +19,8 @@
 	changed         chan struct{} // closed and replaced at each change of the fleet
 	loadRequests    chan dispatch.LoadRequest
 	upstreamsListed chan struct{} // signals that the list of upstreams has been read
+	// keys is the proven age of the configuration.
+	keys keyview.View
 	// attempts contains the hooks that abort retryable attempts, by upstream.
 	attempts map[string]map[*abortHook]struct{}
 }
@@ -81,6 +84,9 @@
 	c.wake()
 }
 
+// wakeAll wakes the waiting requests.
+func (c *Core) wakeAll() { c.Update(func(*dispatch.State) {}) }
+
 // wake wakes the waiting requests. The caller holds the lock.
 func (c *Core) wake() {
 	close(c.changed)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -88,6 +89,14 @@
 	// attempted reports whether an attempt has started.
 	attempted bool
 	timing    timing
+	// tenant is the tenant of the request's key; nil if there is none.
+	tenant *catalog.Tenant
+	// public reports whether the request needs no key, and removeKey whether its Authorization header is not forwarded.
+	public, removeKey bool
+	// unauthorized is why the last attempt was not sent, if that was because of the key.
+	unauthorized keyview.Refusal
+	// viewAge is the age of the view that the key was last checked with; negative if it was not proven.
+	viewAge time.Duration
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
 }
@@ -102,7 +111,8 @@
 	default:
 	}
 	cfg := g.core.config()
-	if !c.readBody(cfg) {
+	route, matched := c.match(cfg)
+	if !c.admit(route) || !c.readBody(cfg) {
 		return
 	}
 	defer func() { g.bodyMemory.release(c.reservedBytes) }()
@@ -111,9 +121,7 @@
 		return
 	}
 	c.config = cfg.Version
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, ok := cfg.Match(r.Host, path)
-	if !ok {
+	if !matched {
 		c.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
@@ -129,6 +137,15 @@
 	c.run()
 }
 
+// match returns the request's route.
+func (c *callerRequest) match(cfg *catalog.Config) (*catalog.Route, bool) {
+	if cfg == nil {
+		return nil, false
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	return cfg.Match(c.r.Host, path)
+}
+
 // startRetryAfter returns the Retry-After while no configuration is available: at most a third of the caller's
 // remaining time, which is as long as callers wait before a retry.
 func (c *callerRequest) startRetryAfter() time.Duration {
@@ -210,6 +227,7 @@
 		c.req.EventTarget = c.start.Add(route.Target)
 	}
 	c.lastEventID = c.meta.LastEvent
+	c.setTenant()
 }
 
 func (c *callerRequest) fingerprint() uint64 {
@@ -222,7 +240,7 @@
 
 // run executes decisions and attempts until the request has its final answer.
 func (c *callerRequest) run() {
-	for {
+	for c.readmit() {
 		d, changed := c.g.core.decide(c.req)
 		c.decision = d
 		switch d.Action {
@@ -239,6 +257,10 @@
 				c.deliver(answer)
 				return
 			}
+			if c.unauthorized != keyview.Accepted {
+				c.finishUnauthorized(c.unauthorized)
+				return
+			}
 			var retry dispatch.RetryDecision
 			c.g.core.Do(func(s *dispatch.State) { retry = s.DecideRetry(time.Now(), c.req, outcome) })
 			c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
@@ -346,13 +368,14 @@
 	c.g.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_total").Inc(1)
 	c.g.scope.Timer("request_seconds").Record(took)
 	fields := []any{"id", c.meta.ID, "outcome", outcome, "status", status, "took_ms", took.Milliseconds()}
+	fields = append(fields, c.tenantFields()...)
 	if c.req != nil {
 		fields = append(fields, "route", c.req.Route.Name, "service", c.req.Service, "model", c.meta.Model, "adapter", c.meta.Adapter,
 			"config", c.config, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", c.decision.Cost.Milliseconds(), "report_age_ms", c.decision.AgeMS())
 		if c.decision.Upstream != nil {
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
-		fields = append(fields, c.timing.fields(c.start, c.req.Route)...)
+		fields = append(fields, c.timing.fields(c.start, c.req.Route, c.req.Priority())...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -87,6 +87,12 @@
 		})
 		defer unregister()
 	}
+	if !c.authorizeSend() {
+		c.cause = c.unauthorized.Reason()
+		_ = conn.Close()
+		_ = cancelled()
+		return dispatch.Expired, nil
+	}
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
@@ -158,7 +164,7 @@
 }
 
 func (c *callerRequest) upstreamRequest(instance string) *h1.Request {
-	priority := c.req.Route.Priority
+	priority := c.req.Priority()
 	if c.req.Route.Kind != catalog.Streaming {
 		priority = -1
 	}
@@ -166,6 +172,7 @@
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body,
 		Header: platform.UpstreamHeader(c.r.Header, platform.Attempt{
 			Instance: instance, Timeout: time.Until(c.req.Deadline), Priority: priority, LastEvent: c.lastEventID,
+			Tenant: c.tenantName(), RemoveKey: c.removeKey,
 		}),
 	}
 }
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -26,13 +26,17 @@
 
 // Config returns the handler for the operator's configuration.
 func (s *Sync) Config() follow.Handler {
-	return follow.Configs(s.log, func(c *catalog.Config, revision uint64) {
+	h := follow.Configs(s.log, func(c *catalog.Config, revision uint64) {
 		applied := false
 		s.core.Update(func(st *dispatch.State) { applied = st.SetConfig(c) })
 		s.log.State("configuration read", "version", c.Version, "revision", revision, "routes", c.RouteCount(), "in_force", applied)
 		s.hasConfig = s.hasConfig || applied
 		s.checkReady()
 	})
+	if s.core.hasRevokeDelay() {
+		h.Proved = s.core.RecordConfigProof
+	}
+	return h
 }
 
 // Upstreams returns the handler for the list of upstreams.
--- a/pkg/gateway/timing.go
+++ b/pkg/gateway/timing.go
@@ -41,7 +41,7 @@
 
 // fields returns the log fields of the request's times, in milliseconds since its start. A time that does not apply
 // is -1.
-func (t *timing) fields(start time.Time, route *catalog.Route) []any {
+func (t *timing) fields(start time.Time, route *catalog.Route, priority int) []any {
 	since := func(at time.Time) int64 {
 		if at.IsZero() {
 			return -1
@@ -49,7 +49,7 @@
 		return at.Sub(start).Milliseconds()
 	}
 	return []any{
-		"priority", route.Priority, "target_ms", route.Target.Milliseconds(), "gap_ms", route.MaxEventGap.Milliseconds(),
+		"priority", priority, "target_ms", route.Target.Milliseconds(), "gap_ms", route.MaxEventGap.Milliseconds(),
 		"reports_ms", t.waited[dispatch.WaitReports].Milliseconds(), "model_ms", t.waited[dispatch.WaitModel].Milliseconds(),
 		"adapter_ms", t.waited[dispatch.WaitAdapter].Milliseconds(), "prefill_ms", t.waited[dispatch.WaitPrefill].Milliseconds(),
 		"backoff_ms", t.waited[dispatch.WaitBackoff].Milliseconds(), "sent_ms", since(t.sentAt), "uncached", t.uncached, "first_ms", since(t.firstAt), "pause_ms", t.longestPause.Milliseconds(), "pause_at_ms", since(t.pauseAt),
--- a/pkg/gateway/timing_test.go
+++ b/pkg/gateway/timing_test.go
@@ -24,7 +24,7 @@
 			t.recordEvent(at(ms))
 		}
 		t.recordSend(at(720), 90) // a resumed stream keeps the times of its first attempt
-		Expect(t.fields(start, &catalog.Route{Priority: 2, Target: 500 * time.Millisecond, MaxEventGap: 150 * time.Millisecond})).To(Equal([]any{
+		Expect(t.fields(start, &catalog.Route{Target: 500 * time.Millisecond, MaxEventGap: 150 * time.Millisecond}, 2)).To(Equal([]any{
 			"priority", 2, "target_ms", int64(500), "gap_ms", int64(150), "reports_ms", int64(0), "model_ms", int64(400), "adapter_ms", int64(0), "prefill_ms", int64(0), "backoff_ms", int64(0),
 			"sent_ms", int64(420), "uncached", 700, "first_ms", int64(500), "pause_ms", int64(180), "pause_at_ms", int64(700),
 		}))
@@ -32,7 +32,7 @@
 
 	It("are -1 where they do not apply", func() {
 		var t timing
-		Expect(t.fields(time.Unix(1000, 0), &catalog.Route{})).To(ContainElements("first_ms", int64(-1), "sent_ms"))
+		Expect(t.fields(time.Unix(1000, 0), &catalog.Route{}, 0)).To(ContainElements("first_ms", int64(-1), "sent_ms"))
 	})
 })
 
--- a/pkg/keyview/keyview.go
+++ b/pkg/keyview/keyview.go
@@ -42,9 +42,12 @@
 	if revokeDelay <= 0 {
 		return View{}
 	}
-	return View{maxAge: max(revokeDelay-margin, 0)}
+	return View{maxAge: max(revokeDelay-margin, 1)}
 }
 
+// MustBeProven reports whether keys are usable only with a proof.
+func (v *View) MustBeProven() bool { return v.maxAge > 0 }
+
 // RecordProof records that the store answered a call that started at the instant. The configuration in the answer must
 // have been applied before. An answer that arrives after the one to a later call has no effect.
 func (v *View) RecordProof(startedAt boottime.Instant) {
--- a/pkg/ops/ops.go
+++ b/pkg/ops/ops.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"slices"
+	"strings"
 	"sync"
 )
 
@@ -24,6 +26,8 @@
 	mux    *http.ServeMux
 	mu     sync.Mutex
 	reason string // reason why the process is unready; empty if it is ready
+	// causes are further reasons why the process is unready, in the order in which they began.
+	causes []string
 }
 
 // New returns a server that is unready because the process is starting.
@@ -59,6 +63,17 @@
 // SetUnready marks the process as unready for a reason. It has no effect after SetStopping.
 func (s *Server) SetUnready(reason string) { s.set(reason) }
 
+// SetCause adds a reason why the process is unready, or removes it. It is independent of SetReady and SetUnready: the
+// process is ready only if none of its reasons is left.
+func (s *Server) SetCause(reason string, active bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.causes = slices.DeleteFunc(s.causes, func(cause string) bool { return cause == reason })
+	if active {
+		s.causes = append(s.causes, reason)
+	}
+}
+
 const stopping = "stopping"
 
 // SetStopping marks the process as unready for the rest of its life.
@@ -72,11 +87,14 @@
 	}
 }
 
-// UnreadyReason returns the reason why the process is unready, or "" if it is ready.
+// UnreadyReason returns the reasons why the process is unready, or "" if it is ready.
 func (s *Server) UnreadyReason() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reason
+	if s.reason != "" {
+		return s.reason
+	}
+	return strings.Join(s.causes, "; ")
 }
 
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/ops/ops_test.go
+++ b/pkg/ops/ops_test.go
@@ -40,6 +40,26 @@
 		}
 	})
 
+	// Guards against a router that returns to the balancer's rotation because one of two causes has ended, or because a cause
+	// ends before the router has started.
+	It("is ready only if no cause is left", func() {
+		s := ops.New(ops.Options{})
+		s.SetCause("partitioned", true)
+		s.SetCause("partitioned", false)
+		Expect(s.UnreadyReason()).To(Equal("starting"))
+		s.SetReady()
+		s.SetCause("partitioned", true)
+		s.SetCause("old view", true)
+		s.SetCause("partitioned", true)
+		Expect(s.UnreadyReason()).To(Equal("old view; partitioned"))
+		s.SetCause("partitioned", false)
+		code, body := get(s, "/readyz")
+		Expect(code).To(Equal(503))
+		Expect(body).To(ContainSubstring("old view"))
+		s.SetCause("old view", false)
+		Expect(s.UnreadyReason()).To(BeEmpty())
+	})
+
 	// Guards against metrics that are not served, and against endpoints that are served although they are disabled.
 	It("serves the metrics, status and profiles that are enabled", func() {
 		reporter, handler := telemetry.NewReporter(func(err error) { Fail(err.Error()) })
