--- a/pkg/gateway/tenants_test.go
+++ b/pkg/gateway/tenants_test.go
@@ -1,10 +1,12 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,7 +20,10 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
@@ -290,6 +295,34 @@
 		Expect(k.runs.Load()).To(BeZero())
 	})
 
+	// Guards against a key in the logs or metrics, and against refusals and tenants that operators cannot see.
+	It("logs the tenant and counts refusals by cause, without the keys", func() {
+		k := newKeyRig("s3cret-1")
+		var out bytes.Buffer
+		log, scope := eventlog.New(&out, "entry", "vm"), tally.NewTestScope("", nil)
+		k.gw = gateway.New(k.core, h1.NewPool(), log, guard.New(log), scope, noop.NewTracerProvider().Tracer(""))
+		k.front = httptest.NewServer(k.gw)
+		for _, key := range []string{"s3cret-1", "s3cret-2", ""} {
+			k.get("/get/x", key)
+		}
+		k.expire()
+		k.get("/get/x", "s3cret-1")
+		k.front.Close() // waits for the requests' log lines
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		log.Run(ctx)
+		Expect(out.String()).NotTo(ContainSubstring("s3cret"))
+		Expect(out.String()).To(MatchRegexp(`outcome=done.* tenant=a key_view_age_ms=\d`))
+		Expect(out.String()).To(MatchRegexp(`status=503.* key_view_age_ms=5\d{3} .*reason="the view of the API keys is too old"`))
+		counts := map[string]int64{}
+		for _, c := range scope.Snapshot().Counters() {
+			if c.Name() == "key_refusals_total" {
+				counts[c.Tags()["cause"]] = c.Value()
+			}
+		}
+		Expect(counts).To(Equal(map[string]int64{"no_key": 1, "unknown_key": 1, "view_too_old": 1}))
+	})
+
 	// Guards against waiting requests and a balancer that learn of unusable keys too late, and against readiness that
 	// depends on keys where there are none.
 	It("reports whether keys are usable", func() {
--- a/pkg/keyview/keyview.go
+++ b/pkg/keyview/keyview.go
@@ -20,9 +20,9 @@
 	// callReserve is the part of the period between two proofs for the duration of a call. It allows for a store that takes
 	// about 100 ms, of which 28 ms are the round trip between regions and the store's usual time.
 	callReserve = 100 * time.Millisecond
-	// shortPoll is the long poll of calls that are made only to prove the view. It is not 0, which a store could take for
-	// its default.
-	shortPoll = 100 * time.Millisecond
+	// shortPoll is the long poll of calls that are made to prove the view. It is not 0, which a store could take for its
+	// default.
+	shortPoll = 10 * time.Millisecond
 	// minInterval bounds the rate of the calls for revoke delays that are too short for outageReserve.
 	minInterval = 500 * time.Millisecond
 )
--- a/pkg/keyview/keyview_test.go
+++ b/pkg/keyview/keyview_test.go
@@ -41,13 +41,13 @@
 // TestWithdrawnKeyNeverRuns guards against any order of a withdrawal, the store's calls and their answers in which a
 // request that was sent later than the revoke delay after the acknowledgement is accepted.
 func TestWithdrawnKeyNeverRuns(t *testing.T) {
-	const revoke, step = 5 * time.Second, 100 * time.Millisecond
+	const revoke, step, resolution = 5 * time.Second, 100 * time.Millisecond, 10 * time.Millisecond
 	longPoll, interval := keyview.Pace(revoke, 2700*time.Millisecond)
 	with, without := config("k"), config("other")
 	for acknowledged := time.Duration(0); acknowledged < 2*time.Second; acknowledged += step {
 		for lostAfter := time.Duration(0); lostAfter < 6*time.Second; lostAfter += step {
 			v, cfg := keyview.New(revoke), with
-			for now, called := time.Duration(0), time.Duration(0); now < 15*time.Second; now += step {
+			for now, called := time.Duration(0), time.Duration(0); now < 15*time.Second; now += resolution {
 				if now == called+longPoll && now < lostAfter { // the answer to the call in progress
 					if called >= acknowledged {
 						cfg = without
