Withdraw keys in the soak

It checks that no request runs that was sent later than the delay, that no key or forged tenant reaches a runner, and that a valid key is never answered 401.

--- a/pkg/gateway/tenants_test.go
+++ b/pkg/gateway/tenants_test.go
@@ -124,7 +124,7 @@
 		model = "m"
 	}
 	standin.SetRequestHeader(req.Header, "r1", 0, model, "")
-	standin.SetTenant(req.Header, "forged")
+	standin.SetTenant(req.Header, standin.ForgedTenant)
 	if key != "" {
 		standin.SetKey(req.Header, key)
 	}
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -106,6 +106,7 @@
 	}
 	standin.SetRequestHeader(req.Header, id, timeout, model, parts)
 	c.world.check.recordSent(id, kind, path, body)
+	c.setKey(req.Header, id)
 	start := time.Now()
 	resp, err := c.clients[entry].Do(req)
 	if err != nil {
@@ -130,6 +131,8 @@
 		c.checkBody(kind, id, path, body, resp, answer)
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
 		check.recordRefusal(id)
+	case resp.StatusCode == http.StatusUnauthorized:
+		c.checkUnauthorized(kind, id)
 	case resp.StatusCode == http.StatusNotFound:
 		proc := c.world.processes[entry]
 		if kind != "new" {
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -18,7 +18,9 @@
 	bodyHash     uint64
 	runs         int
 	runners      map[string]int
-	refused      bool // the answer was a refusal: the request has not run and never will
+	key          string
+	sentAt       time.Time // set with the key
+	refused      bool      // the answer was a refusal: the request has not run and never will
 }
 
 // checker collects the observations of callers and runners and detects violations of the system's guarantees.
@@ -30,6 +32,7 @@
 	requestTimes, repeatTimes map[string][]time.Time
 	violations                []string
 	outcomes                  map[string]int
+	keys                      *keyring // nil if the configuration has no tenants
 }
 
 // arrival is the arrival of a request at a runner.
@@ -113,6 +116,8 @@
 	s.runs++
 	s.runners[runner]++
 	switch {
+	case c.keys != nil && !c.keys.mayRun(s.key, s.sentAt):
+		c.recordViolationLocked("revoked", fmt.Sprintf("%s %s ran with key %q, which had been withdrawn", s.kind, id, s.key))
 	case s.target != target || s.bodyHash != body:
 		c.recordViolationLocked("unasked", fmt.Sprintf("%s ran %s with target %s or another body", runner, id, target))
 	case s.refused && !retryable(s.kind):
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -64,6 +64,8 @@
 		res.Events = w.killEntries()
 	case opt.RemoveEngines:
 		res.Events = w.removeEngines()
+	case opt.WithdrawKeys:
+		res.Events = w.withdrawKeys()
 	case opt.RepeatCrashingRequest:
 		res.Events = w.repeatCrashingRequest()
 	default:
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -49,6 +49,14 @@
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
+	// Guards against a router that runs requests with a withdrawn key while it is partitioned from the store or after it was
+	// paused, forwards keys, or denies a key that is valid.
+	It("runs no request with a withdrawn key", func() {
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 15 * time.Second, WithdrawKeys: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	})
+
 	// Guards against a request that crashes upstreams and is let through again by routers that have forgotten it.
 	It("runs a request that crashes upstreams six times at most, although all processes lose power meanwhile", func() {
 		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 13 * time.Second, RepeatCrashingRequest: true})
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -49,6 +49,9 @@
 	// RepeatCrashingRequest sends a request that crashes runners again and again while all processes lose power several
 	// times, in place of the random faults.
 	RepeatCrashingRequest bool
+	// WithdrawKeys configures a tenant and withdraws its keys while routers are partitioned from the store, in place of
+	// the random faults.
+	WithdrawKeys bool
 }
 
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
@@ -60,6 +63,7 @@
 	processes    []*process // entries first
 	storeProxies []*Proxy   // to the store, by index of the process
 	check        *checker
+	keys         *keyring
 	servers      []*http.Server
 
 	mu                   sync.Mutex
@@ -93,7 +97,13 @@
 	srv := &http.Server{Handler: w.store}
 	w.servers = append(w.servers, srv)
 	go func() { _ = srv.Serve(ln) }()
-	w.writeConfig()
+	if opt.WithdrawKeys {
+		w.keys = &keyring{withdrawnAt: map[string]time.Time{}}
+		w.check.keys = w.keys
+		w.keys.rotate(w.writeKeys)
+	} else {
+		w.writeConfig()
+	}
 	for i := range numEngines + numPlainServices {
 		if err := w.addRunner(i); err != nil {
 			return w, err
@@ -158,23 +168,33 @@
 var modelSizes = map[string]float64{"m0": 70, "m1": 70, "m2": 60, "m3": 60, "m4": 50, "m5": 50}
 
 // writeConfig writes the next version of the configuration, in which the prefix of route "new" names the version.
-func (w *world) writeConfig() {
+func (w *world) writeConfig() { w.writeKeys() }
+
+// writeKeys is writeConfig with a tenant that has the keys. Without keys there is no tenant.
+func (w *world) writeKeys(keys ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
 	w.versionWritten = time.Now()
-	w.store.Put("config", "main", standin.Config(w.version, []standin.Route{
+	config := standin.Config(w.version, []standin.Route{
 		{Name: "report", Prefix: "/report/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, MaxAttempts: 2, Resumable: true},
 		{Name: "chat", Prefix: "/chat/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, MaxAttempts: 1},
 		{Name: "loan", Prefix: "/loan/", Kind: standin.NonIdempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
 		{Name: "lookup", Prefix: "/lookup/", Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
 		{Name: "new", Prefix: fmt.Sprintf("/v%d/", w.version), Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
-	}, modelSizes))
+	}, modelSizes)
+	if len(keys) > 0 {
+		config = standin.WithTenants(config, standin.TenantKeys{Name: tenantName, Keys: keys})
+	}
+	w.store.Put("config", "main", config)
 }
 
 // processSettings returns the settings of process i of a role.
 func (w *world) processSettings(name, ip string, i int, store string, sidecar bool) standin.Settings {
 	s := standin.Settings{Name: name, IP: ip, Zone: zone(i), PeerPort: peerPort, Front: hostPort(ip, frontPort), Ready: hostPort(ip, readyPort), Store: store}
+	if w.options.WithdrawKeys {
+		s.RevokeDelay = revokeDelay
+	}
 	if sidecar {
 		s.Upstream = hostPort(ip, runnerPort)
 	}
