Ask the engine before its silent sidecar counts as its VM's end

From the second unanswered probe on, the router now also queries the engine for its report on a new connection. An upstream counts as unresponsive if neither has answered three probes, as early as before; its attempts are aborted 0.3 s later, at most 0.9 s after the last heartbeat, unless a reply has come. An engine whose sidecar is silent keeps its requests and gets new ones for what it holds, but no load requests.

The fake of the spec on resumed streams hangs on the query too, as a frozen machine does; it took every request for a stream.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -93,7 +93,7 @@
 	confirmed := s.confirmed(now, members)
 	var serving []*fleet.Member
 	for _, m := range confirmed {
-		if m.Serves(r.Model) {
+		if m.Serves(r.Model) && s.canServeAdapter(now, m, r) {
 			serving = append(serving, m)
 		}
 	}
@@ -106,6 +106,11 @@
 	return s.awaitModel(now, r, confirmed)
 }
 
+// canServeAdapter reports whether the upstream has the request's adapter loaded or an agent that can order its load.
+func (s *State) canServeAdapter(now time.Time, m *fleet.Member, r *Request) bool {
+	return r.Adapter == "" || !m.IsAgentSilent() || m.HoldsAdapter(r.Model, r.Adapter) || s.isReporting(now, m)
+}
+
 // candidates returns the upstreams that may get the request. Those that have requested backoff may not. Upstreams
 // blocked after failures are included only if no other upstream can serve the request.
 func (s *State) candidates(now time.Time, r *Request) []*fleet.Member {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -75,7 +75,7 @@
 func (s *State) loadInProgress(now time.Time, r *Request) *fleet.Member {
 	var first *fleet.Member
 	for _, m := range s.Fleet.Members(now, r.Service) {
-		if loading(m, r.Model) && !m.IsUnresponsive(now) && (first == nil || m.OrderUntil.Before(first.OrderUntil)) {
+		if loading(m, r.Model) && !m.IsUnresponsive(now) && !m.IsAgentSilent() && (first == nil || m.OrderUntil.Before(first.OrderUntil)) {
 			first = m
 		}
 	}
@@ -143,10 +143,8 @@
 // isReporting reports whether the agent beside the upstream can be sent a load request. If no agent of the service
 // reports, every upstream qualifies.
 func (s *State) isReporting(now time.Time, m *fleet.Member) bool {
-	if m.Fresh(now) && !m.IsUnresponsive(now) {
-		return true
-	}
-	return !slices.ContainsFunc(s.Fleet.Members(now, m.Service), func(o *fleet.Member) bool { return o.Fresh(now) && !o.IsUnresponsive(now) })
+	reporting := func(o *fleet.Member) bool { return o.Fresh(now) && !o.IsUnresponsive(now) && !o.IsAgentSilent() }
+	return reporting(m) || !slices.ContainsFunc(s.Fleet.Members(now, m.Service), reporting)
 }
 
 // unloadTime returns the time to free enough memory for a model of the given size.
--- a/pkg/dispatch/reachability.go
+++ b/pkg/dispatch/reachability.go
@@ -14,10 +14,22 @@
 // MembersToProbe returns the upstreams whose agents are to be probed for a heartbeat: those that requests depend on,
 // and all of a service of which one is unresponsive, since the router itself may be partitioned.
 func (s *State) MembersToProbe(now time.Time) []*fleet.Member {
+	return s.watchedMembers(now, func(m *fleet.Member) bool { return m.NeedsProbe(now) })
+}
+
+// MembersToQuery returns the upstreams among them whose engines are to be queried too, after RecordProbe was called for
+// those to probe.
+func (s *State) MembersToQuery(now time.Time) []*fleet.Member {
+	return s.watchedMembers(now, func(m *fleet.Member) bool { return m.NeedsQuery(now) })
+}
+
+// watchedMembers returns the upstreams that requests depend on, and all of a service of which one is unresponsive, as far
+// as include returns true for them.
+func (s *State) watchedMembers(now time.Time, include func(*fleet.Member) bool) []*fleet.Member {
 	var out []*fleet.Member
 	seen := map[string]bool{}
 	add := func(m *fleet.Member) {
-		if m != nil && !seen[m.ID] && m.NeedsProbe(now) {
+		if m != nil && !seen[m.ID] && include(m) {
 			out, seen[m.ID] = append(out, m), true
 		}
 	}
--- a/pkg/dispatch/reachability_test.go
+++ b/pkg/dispatch/reachability_test.go
@@ -88,4 +88,21 @@
 		Expect(s.MembersToProbe(later)).To(HaveLen(2), "the unresponsive one is probed once a second")
 		Expect(s.MembersToProbe(later.Add(time.Second))).To(HaveLen(3))
 	})
+
+	// Guards against an engine that gets nothing while its agent restarts, and against load requests that nobody can turn
+	// into orders.
+	It("are distinguished from those whose agent alone is silent: these serve what they hold and load nothing", func() {
+		makeUnresponsive("u1")
+		makeUnresponsive("u2")
+		add(s, upstream{id: "u3", onDisk: []string{"b"}, free: 50})
+		s.Fleet.RecordHeartbeat(later, "u1")
+		s.Fleet.RecordHeartbeat(later, "u2")
+		Expect(s.Decide(later, request(&chatRoute, "llm", "a")).Upstream.ID).To(Equal("u1"))
+		adapter := request(&chatRoute, "llm", "a")
+		adapter.Adapter = "x"
+		Expect(s.Decide(later, adapter).LoadRequest.Upstream).To(Equal("u3"))
+		Expect(s.Relays(later)).To(Equal([]string{"u3:1"}))
+		s.RecordStart("u1", request(&chatRoute, "llm", "a"))
+		Expect(s.MembersToProbe(later.Add(time.Second))).To(HaveLen(1), "the router is not partitioned")
+	})
 })
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -160,7 +160,7 @@
 	if first {
 		s.updateSuperseded(m.Address)
 	}
-	m.liveness.recordHeartbeat(now)
+	m.liveness.recordReport(now)
 	m.crashesNext, m.crashesAcked = r.CrashesNext, r.CrashesAcked
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, AvailableMemory: r.AvailableMemory,
--- a/pkg/fleet/liveness_test.go
+++ b/pkg/fleet/liveness_test.go
@@ -73,4 +73,56 @@
 		s.Put(start, upstreamWith("u2", "m"))
 		Expect(s.Get("u2").NeedsProbe(at(5000))).To(BeFalse())
 	})
+
+	// Guards against a restart of the agent that aborts the streams of an engine that works on them (review case 3).
+	It("is not unresponsive while its engine replies to queries and only its agent is silent", func() {
+		m := s.Get("u1")
+		for _, ms := range []int{301, 401, 501} {
+			Expect(m.NeedsQuery(at(ms))).To(BeFalse(), "the first probe alone is usually answered")
+			s.RecordProbe(at(ms), "u1")
+			if ms == 401 {
+				Expect(m.NeedsQuery(at(ms))).To(BeTrue())
+				Expect(s.RecordHeartbeat(at(405), "u1")).To(BeFalse())
+			}
+		}
+		Expect(m.IsAgentSilent()).To(BeTrue(), "the engine's replies are not the agent's")
+		Expect(m.IsUnresponsive(at(600))).To(BeFalse())
+		Expect(s.TakeConfirmedUnresponsive(at(900))).To(BeEmpty())
+		Expect(m.NeedsQuery(at(600))).To(BeFalse())
+		s.RecordProbe(at(706), "u1")
+		Expect(m.NeedsQuery(at(706))).To(BeTrue(), "the engine of a silent agent is queried with each probe")
+		s.ApplyReport(at(1000), reportHolding("u1", "m"))
+		Expect(m.IsAgentSilent()).To(BeFalse())
+	})
+
+	// Guards against a machine that freezes while its agent is silent already, and against streams that stall there for
+	// more than about a second.
+	It("has its attempts aborted once, within 0.9 s of its last heartbeat, if neither agent nor engine replies", func() {
+		var aborted []string
+		for _, start := range []int{0, 5000} { // the agent is silent at the second freeze
+			s.RecordHeartbeat(at(start), "u1")
+			for ms := start + 50; ms <= start+900; ms += 100 { // the router's ticks
+				if s.Get("u1").NeedsProbe(at(ms)) {
+					s.RecordProbe(at(ms), "u1")
+				}
+				if s.Get("u1").IsUnresponsive(at(ms)) && len(aborted) == 0 {
+					Expect(s.Get("u1").NeedsQuery(at(ms))).To(BeTrue(), "one lost reply must not abort attempts")
+				}
+				aborted = append(aborted, s.TakeConfirmedUnresponsive(at(ms))...)
+			}
+			Expect(s.Get("u1").IsUnresponsive(at(start + 900))).To(BeTrue())
+		}
+		Expect(aborted).To(Equal([]string{"u1", "u1"}))
+	})
+
+	// Guards against an abort after a reply that was late: the requests go elsewhere until it comes, the attempts stay.
+	It("keeps its attempts if the engine replies shortly after it became unresponsive", func() {
+		for _, ms := range []int{301, 401, 501} {
+			s.RecordProbe(at(ms), "u1")
+		}
+		Expect(s.Get("u1").IsUnresponsive(at(501))).To(BeTrue())
+		Expect(s.TakeConfirmedUnresponsive(at(800))).To(BeEmpty())
+		Expect(s.RecordHeartbeat(at(800), "u1")).To(BeTrue())
+		Expect(s.TakeConfirmedUnresponsive(at(900))).To(BeEmpty())
+	})
 })
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
@@ -37,7 +38,8 @@
 	location    Location
 	port        uint16 // of all agents
 	onReachable func(bool)
-	partitioned bool // reports whether onReachable was last called with false
+	partitioned bool     // reports whether onReachable was last called with false
+	queryPool   *h1.Pool // only dials: queries use new connections and close them
 	// sentCrashSeq is the number of this router's last crash report that was sent to the relays.
 	sentCrashSeq uint64
 }
@@ -46,7 +48,8 @@
 // onReachable is called with false when the router becomes partitioned from the upstreams, and with true when it
 // reaches them again.
 func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, g *guard.Guard, location Location, port int, onReachable func(bool)) *Peers {
-	return &Peers{core: core, socket: socket, log: log, guard: g, location: location, port: uint16(port), onReachable: onReachable}
+	return &Peers{core: core, socket: socket, log: log, guard: g, location: location, port: uint16(port), onReachable: onReachable,
+		queryPool: h1.NewPool()}
 }
 
 // Run exchanges messages until ctx ends. The socket is closed after the last message, which announces that the router
@@ -113,7 +116,7 @@
 			p.runStep(func() { p.sendAll(true, true) })
 			return
 		case <-probe.C:
-			p.runStep(p.sendProbes)
+			p.runStep(func() { p.sendProbes(ctx) })
 		case <-tick.C:
 			p.runStep(func() { p.sendAll(n%otherRegionTicks == 0, false) })
 			n++
@@ -140,13 +143,16 @@
 }
 
 // sendProbes probes the agents of upstreams that have open requests but sent no recent heartbeat and, after a start,
-// all agents that have not reported yet. It also sends new crash reports to the relays.
-func (p *Peers) sendProbes() {
+// all agents that have not reported yet. It queries the engines whose agents do not answer, and aborts the attempts at
+// upstreams where neither has. It also sends new crash reports to the relays.
+func (p *Peers) sendProbes(ctx context.Context) {
 	now := time.Now()
 	var unresponsive []string
 	var verdicts []quarantine.Verdict
 	addresses := map[string]bool{}
 	partitioned := false
+	var silent []string
+	var queries []*dispatch.UpstreamRef
 	p.core.Do(func(s *dispatch.State) {
 		partitioned = s.IsPartitioned(now)
 		verdicts = s.Crashes.TakeVerdicts(now)
@@ -162,9 +168,13 @@
 		for _, m := range s.MembersToProbe(now) {
 			addresses[m.Address] = true
 			if s.Fleet.RecordProbe(now, m.ID) {
-				unresponsive = append(unresponsive, m.ID)
+				silent = append(silent, m.ID)
 			}
 		}
+		for _, m := range s.MembersToQuery(now) {
+			queries = append(queries, &dispatch.UpstreamRef{ID: m.ID, Address: m.Address, Zone: m.Zone, StartedUnixMS: m.StartedUnixMS})
+		}
+		unresponsive = s.Fleet.TakeConfirmedUnresponsive(now)
 	})
 	if partitioned != p.partitioned {
 		p.partitioned = partitioned
@@ -179,10 +189,16 @@
 		d.Probe = true
 		p.send(address, d)
 	}
-	if len(unresponsive) > 0 {
+	for _, u := range queries {
+		p.queryEngine(ctx, u)
+	}
+	if len(silent) > 0 {
 		p.core.Update(func(*dispatch.State) {})
+		p.log.State("upstreams are silent", "upstreams", silent)
+	}
+	if len(unresponsive) > 0 {
 		p.core.abortAttempts(unresponsive)
-		p.log.State("upstreams are silent", "upstreams", unresponsive)
+		p.log.State("attempts at silent upstreams aborted", "upstreams", unresponsive)
 	}
 }
 
--- /dev/null
+++ b/pkg/gateway/query.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+// engineQueryTimeout bounds a query for an engine's heartbeat. A reply that comes later than the upstream's attempts are
+// aborted is of no use to them, but ends the upstream's time without requests.
+const engineQueryTimeout = 600 * time.Millisecond
+
+// queryEngine asks the engine for its report, on a new connection and beside the loop of messages, and records the reply
+// as a heartbeat. The report takes no slot of the engine, and only a running process answers it: the kernel of a VM
+// acknowledges segments and accepts connections for a process that is stopped or has hung. An open connection cannot be
+// asked instead, since nothing may be sent on it while its request runs; the kernel's keep-alive probes check it.
+func (p *Peers) queryEngine(ctx context.Context, u *dispatch.UpstreamRef) {
+	go p.guard.Try("query for an engine's heartbeat", func() {
+		ctx, cancel := context.WithTimeout(ctx, engineQueryTimeout)
+		defer cancel()
+		q := platform.NewInstanceQuery(u.ID, "")
+		q.Header.Set("Connection", "close") // an engine has a limited number of connections
+		replied, err := instanceReplies(ctx, p.queryPool, u, q)
+		if !replied {
+			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
+			return
+		}
+		recovered := false
+		p.core.Do(func(s *dispatch.State) { recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID) })
+		if recovered {
+			p.core.Update(func(*dispatch.State) {})
+			p.log.State("upstream is no longer silent", "upstream", u.ID, "heartbeat", "engine")
+		}
+	})
+}
--- a/pkg/gateway/reach_test.go
+++ b/pkg/gateway/reach_test.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
 var _ = Describe("reach", func() {
@@ -89,6 +90,13 @@
 		receivedBy := make(chan string, 2)
 		addUpstream := func(id string) {
 			up := r.upstream(id, "llm", residentM, func(w http.ResponseWriter, q *http.Request) {
+				if q.URL.Path == standin.ReportPath { // a frozen machine does not answer the query for its heartbeat either
+					select {
+					case <-hang:
+					case <-q.Context().Done():
+					}
+					return
+				}
 				sign(w, q)
 				receivedBy <- id
 				if q.Header.Get("Last-Event-Id") == "" {
@@ -127,6 +135,48 @@
 		Expect(<-receivedBy).NotTo(Equal(<-receivedBy))
 	})
 
+	// Guards against a restart of the agent that counts as the end of its engine: the stream was sent to another engine
+	// while the first one, whose connection was open, still worked on it (review case 3).
+	It("leaves a stream at its upstream while the engine replies and only the agent is unresponsive", func() {
+		r := newRig()
+		r.configure()
+		socket, err := peer.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var streams, queries atomic.Int32
+		for _, id := range []string{"u1", "u2"} {
+			up := r.upstream(id, "llm", residentM, func(w http.ResponseWriter, q *http.Request) {
+				if q.URL.Path == standin.ReportPath {
+					queries.Add(1)
+					_, _ = io.WriteString(w, standin.ReportBody(5))
+					return
+				}
+				streams.Add(1)
+				sign(w, q)
+				_, _ = io.WriteString(w, event(1))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(1500 * time.Millisecond) // a long prompt
+				_, _ = io.WriteString(w, event(2))
+			})
+			r.core.Do(func(s *dispatch.State) {
+				s.RecordListing(time.Now().Add(-time.Second))
+				report := &peer.Report{}
+				report.SetUpstream(catalog.Upstream{ID: id, Service: "llm", Address: up.Listener.Addr().String(), StartedUnixMS: 5, Models: residentM}, 1)
+				s.Fleet.ApplyReport(time.Now(), report)
+			})
+		}
+		peers := gateway.NewPeers(r.core, socket, discard, guard.New(discard), gateway.Location{Router: "edge-1"}, 9, func(bool) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = peers.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+
+		_, body, err := r.call("POST", "/stream/a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(event(1) + event(2)))
+		Expect(streams.Load()).To(Equal(int32(1)))
+		Expect(queries.Load()).To(BeNumerically("<", 15), "one query and reply in each 0.3 s are enough")
+	})
+
 	// Guards against agents that start after the router's first message, as half of them do after a power failure,
 	// being probed only half a second later (decals-grown, trouble-2).
 	It("probes agents that have not reported soon after a start", func() {
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -57,12 +57,16 @@
 // instanceRuns reports whether the instance of the upstream replies on a new connection. A connection that is only
 // accepted shows nothing: the kernel or a device on the path accepts it for a process that has ended or is back.
 func (g *Gateway) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
-	conn, err := g.pool.Get(ctx, u.Address, 0)
+	return instanceReplies(ctx, g.pool, u, platform.NewInstanceQuery(u.ID, checkPath))
+}
+
+// instanceReplies reports whether the instance of the upstream replies to the query on a new connection of the pool.
+func instanceReplies(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery) (bool, error) {
+	conn, err := pool.Get(ctx, u.Address, 0)
 	if err != nil {
 		return false, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	q := platform.NewInstanceQuery(u.ID, checkPath)
 	conn.Send(&h1.Request{Method: http.MethodGet, Target: q.Target, Host: u.Address, Header: q.Header})
 	resp, err := conn.ReadHead(http.MethodGet)
 	var body []byte
