Keep room for orders that may still be carried out after a restart

The sidecar now takes a fencing token for each instance of its engine, and records the orders without an answer for 13 s. placement.View.Reserved keeps their memory and adapter slots free as far as they could be carried out after the next order: not those for the present count or a lower one, and not those with a lower token if the engine checks tokens (bounds.fencingRequired). Nothing is evicted for a reservation. A sidecar that starts beside an engine that ignores tokens assumes one load of the largest model for 13 s, unless the fence record of its predecessor names the instance that still runs.

Existing specs: the fixture of pkg/sidecar and the spec on the list have engines that check tokens, since an agent that ignores them reserves memory after its start; the stand-in's settings say fencingRequired, since its runners check.

--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -44,6 +44,7 @@
 	}
 	agent := sidecar.New(sidecar.Settings{
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
+		ChecksTokens: set.FencingRequired,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
 	store := platform.NewStore(set.StoreAddress)
 	watches := follow.Options{LongPollDuration: sidecarWatchHold, ChangeDelay: sidecarChangeDelay, MaxRetryDelay: sidecarMaxRetryDelay}
@@ -54,7 +55,6 @@
 	c.addMetrics(&g, set.IP, ops.New(ops.Options{Metrics: metrics}), log)
 	addContext(&g, func(ctx context.Context) error {
 		agent.AcquireToken(ctx, store)
-		<-ctx.Done()
 		return nil
 	})
 	addContext(&g, gd.Duty("configuration", func(ctx context.Context) error {
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -27,8 +27,15 @@
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
 		}
-		recovered := false
-		p.core.Do(func(s *dispatch.State) { recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID) })
+		recovered, agentSilent := false, false
+		p.core.Do(func(s *dispatch.State) {
+			recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID)
+			m := s.Fleet.Get(u.ID)
+			agentSilent = m != nil && m.IsAgentSilent()
+		})
+		if agentSilent {
+			p.log.Request("engine replies, its agent does not", "upstream", u.ID)
+		}
 		if recovered {
 			p.core.Update(func(*dispatch.State) {})
 			p.log.State("upstream is no longer silent", "upstream", u.ID, "heartbeat", "engine")
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -74,6 +74,14 @@
 	FetchAllowed bool
 	// FetchConcurrency is the number of loads that the weight store serves at full speed.
 	FetchConcurrency int
+	// Reserved is kept free for orders of earlier that the engine may still carry out.
+	Reserved Reserved
+}
+
+// Reserved is memory and adapter slots that no order may use.
+type Reserved struct {
+	MemoryMB     float64
+	AdapterSlots int
 }
 
 // replicasAtUnknownUse is the number of replicas of a model that a preload leaves loaded while the model's use is
@@ -113,10 +121,14 @@
 		if len(v.LoadingAdapters) >= maxLoadingAdapters {
 			return Order{}, "", false
 		}
-		full := v.adapterCount()+len(v.LoadingAdapters) >= v.Engine.AdapterSlots
-		if !full && v.freeMB() >= v.Engine.Models[a.Model].AdapterMB {
+		used, sizeMB := v.adapterCount()+len(v.LoadingAdapters), v.Engine.Models[a.Model].AdapterMB
+		full := used+v.Reserved.AdapterSlots >= v.Engine.AdapterSlots
+		if !full && v.freeMB() >= sizeMB {
 			return Order{Model: a.Model, Adapter: a.Name}, ReasonWaiting, true
 		}
+		if used < v.Engine.AdapterSlots && v.freeMB()+v.Reserved.MemoryMB >= sizeMB {
+			return Order{}, "", false // the reservation ends within seconds; nothing is evicted for it
+		}
 		if victim, ok := v.idleAdapter(); ok {
 			return Order{Unload: true, Model: victim.Model, Adapter: victim.Name}, ReasonEviction, true
 		}
@@ -161,9 +173,9 @@
 	return best, found
 }
 
-// freeMB returns the memory that is not occupied by models and adapters, including those being loaded.
+// freeMB returns the memory that is neither reserved nor occupied by models and adapters, including those being loaded.
 func (v *View) freeMB() float64 {
-	free := v.Engine.MemoryMB
+	free := v.Engine.MemoryMB - v.Reserved.MemoryMB
 	for _, m := range v.Self.Models {
 		spec := v.Engine.Models[m.Model]
 		free -= spec.SizeMB + float64(len(m.Adapters))*spec.AdapterMB
@@ -202,6 +214,9 @@
 		}
 		return Order{Model: name}, reason, true
 	}
+	if v.freeMB()+v.Reserved.MemoryMB >= spec.SizeMB {
+		return Order{}, "", false // the reservation ends within seconds; nothing is evicted for it
+	}
 	victim, ok := v.leastUsed(v.idleModels(preload))
 	if !ok && !preload {
 		victim, ok = v.leastUsed(v.busyModels())
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -47,6 +47,8 @@
 	LoadFactor float64
 	// FetchConcurrency is the number of loads that the weight store serves at full speed.
 	FetchConcurrency int
+	// ChecksTokens reports whether the engine refuses orders with a lower fencing token than it has accepted.
+	ChecksTokens bool
 }
 
 // routerMessage is a router's demand and the address that it came from.
@@ -65,10 +67,15 @@
 	guard    *guard.Guard
 	demands  chan routerMessage
 
-	mu     sync.Mutex // guards config, list and token
-	config *catalog.Config
-	list   upstreamList
-	token  uint64
+	mu      sync.Mutex // guards the fields down to recordClean
+	config  *catalog.Config
+	list    upstreamList
+	token   uint64
+	pending pendingOrders
+	// fences holds the start of the running instance of the engine until the fence record for it is written, and
+	// recordClean reports whether the record last written is clean.
+	fences      chan int64
+	recordClean bool
 
 	routers         *routers
 	fetches         *fetchLimiter
@@ -78,6 +85,9 @@
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
+	fenced          bool   // a fence record has been requested, the last one for fencedInstance
+	fencedInstance  int64
+	reserved        placement.Reserved // reservation last logged
 	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
 	endedID        string
 	endNoticesSent int
@@ -99,9 +109,11 @@
 
 // New returns an agent.
 func New(settings Settings, engine Engine, socket *peer.Socket, log *eventlog.Log, g *guard.Guard) *Agent {
+	now := time.Now()
 	return &Agent{
+		pending: pendingOrders{unknownUntil: now.Add(orderLifetime)}, fences: make(chan int64, 1),
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
-		holdingsVersion: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
+		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
 	}
 }
@@ -215,6 +227,7 @@
 	a.engineReporting = true
 	a.identify(ctx, &r.Upstream)
 	a.report = r
+	a.requestToken()
 	if a.order != nil && !r.Busy {
 		a.order = nil
 	}
@@ -228,6 +241,10 @@
 	if !ok {
 		return false
 	}
+	if view.Reserved != a.reserved {
+		a.reserved = view.Reserved
+		a.log.State("reserved for unanswered orders", "memory_mb", view.Reserved.MemoryMB, "adapter_slots", view.Reserved.AdapterSlots)
+	}
 	o, reason, ok := placement.Plan(view)
 	if !ok {
 		return false
@@ -236,7 +253,9 @@
 	if !o.Unload && o.Adapter == "" && tier == catalog.TierStore {
 		a.fetches.recordStart(now)
 	}
+	number := a.addPending(now, o, token)
 	result, err := a.engine.Order(ctx, o, a.report.Upstream.ID, a.report.Upstream.Orders, a.settings.Node, token)
+	a.endPending(number, result != platform.OrderUnknown || errors.Is(err, syscall.ECONNREFUSED)) // a refused connection carried nothing
 	a.log.State("order", "upstream", a.report.Upstream.ID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "reason", string(reason),
 		"seen", a.report.Upstream.Orders, "tier", int(tier), "token", token, "result", result.String(), "err", err)
 	if result != platform.OrderAccepted {
@@ -269,5 +288,6 @@
 		Self: a.report.Upstream, Busy: a.report.Busy, LoadingAdapters: a.report.LoadingAdapters, Engine: *engine, Upstreams: all,
 		Stable: a.list.stable(now, a.report.Upstream.ID), Demand: a.routers.demand(now),
 		FetchAllowed: listRead && a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), FetchConcurrency: a.settings.FetchConcurrency,
+		Reserved: a.pending.reserved(now, engine, &a.report.Upstream, a.token, a.settings.ChecksTokens),
 	}, a.token, true
 }
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -39,6 +39,9 @@
 	self        catalog.Upstream
 	orders      []placement.Order
 	tokens      []uint64
+	holdLoad    string                                // the next order to load this model is held back without a reply
+	held        func() platform.OrderResult           // carries out the order that was held back
+	checksToken bool                                  // orders with a lower token than accepted are refused
 	loseReplies int                                   // number of replies to orders to lose after executing the order
 	reportErr   error                                 // returned for each report unless nil
 	reverse     bool                                  // each report lists the loaded models in reverse order
@@ -71,7 +74,33 @@
 func (e *engine) Order(_ context.Context, o placement.Order, _ string, acceptedOrders uint64, _ string, token uint64) (platform.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if acceptedOrders != e.self.Orders {
+	if !o.Unload && o.Model == e.holdLoad {
+		e.holdLoad = ""
+		e.held = func() platform.OrderResult {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			result, _ := e.carryOut(o, acceptedOrders, token)
+			return result
+		}
+		return platform.OrderUnknown, errors.New("no answer")
+	}
+	return e.carryOut(o, acceptedOrders, token)
+}
+
+// restart makes the engine start again, empty and under the same id.
+func (e *engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.self.Models, e.self.Orders, e.orders, e.tokens = nil, 0, nil, nil
+	e.self.StartedUnixMS++
+}
+
+// carryOut carries out an order. The caller holds the lock.
+func (e *engine) carryOut(o placement.Order, acceptedOrders, token uint64) (platform.OrderResult, error) {
+	switch {
+	case e.checksToken && len(e.tokens) > 0 && token < e.tokens[len(e.tokens)-1]:
+		return platform.OrderFenced, nil
+	case acceptedOrders != e.self.Orders:
 		return platform.OrderConflict, nil
 	}
 	e.orders, e.tokens = append(e.orders, o), append(e.tokens, token)
@@ -111,20 +140,31 @@
 	router    *peer.Socket
 	agentAddr netip.AddrPort
 	reports   chan peer.Report
+	stop      func()
 }
 
-func newFixture(models ...string) *fixture {
-	f := &fixture{engine: &engine{self: catalog.Upstream{Address: address, StartedUnixMS: 5, OnDisk: []string{"a", "b"}}}, reports: make(chan peer.Report, 100)}
+// newFixture returns a fixture whose engine checks tokens, so that the agent does not reserve memory for orders of a
+// predecessor after its start.
+func newFixture(models ...string) *fixture { return startFixture(newEngine(models...), true) }
+
+func newEngine(models ...string) *engine {
+	e := &engine{self: catalog.Upstream{Address: address, StartedUnixMS: 5, OnDisk: []string{"a", "b"}}}
 	for _, m := range models {
-		f.engine.self.Models = append(f.engine.self.Models, catalog.Resident{Model: m})
+		e.self.Models = append(e.self.Models, catalog.Resident{Model: m})
 	}
+	return e
+}
+
+func startFixture(e *engine, checksTokens bool) *fixture {
+	e.checksToken = checksTokens
+	f := &fixture{engine: e, reports: make(chan peer.Report, 100)}
 	socket, err := peer.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.router, err = peer.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.agentAddr = socket.Address()
 	log := eventlog.New(io.Discard, "sidecar", "side-1")
-	f.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4},
+	f.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4, ChecksTokens: checksTokens},
 		f.engine, socket, log, guard.New(log))
 	f.agent.Configure(testConfig(), 1)
 	f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: 5}})
@@ -137,7 +177,8 @@
 		defer wg.Done()
 		_ = f.router.Receive(ctx, func(_ netip.AddrPort, m peer.Message) { f.reports <- *m.Report }, func(netip.AddrPort, error) {})
 	}()
-	DeferCleanup(func() { cancel(); wg.Wait() })
+	f.stop = func() { cancel(); wg.Wait() }
+	DeferCleanup(f.stop)
 	return f
 }
 
--- a/pkg/sidecar/sync.go
+++ b/pkg/sidecar/sync.go
@@ -1,12 +1,10 @@
 package sidecar
 
 import (
-	"context"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
-	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
 // Configure applies a version of the configuration, unless the agent already has the same or a newer one.
@@ -45,26 +43,3 @@
 		},
 	})
 }
-
-// tokenRetryInterval is the time between two attempts to get a fencing token.
-const tokenRetryInterval = 500 * time.Millisecond
-
-// AcquireToken gets a fencing token from the store and sets it. The token is the revision of a write, which increases
-// across processes and VMs. It retries until it succeeds or ctx ends.
-func (a *Agent) AcquireToken(ctx context.Context, store *platform.Store) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		token, err := store.Write(callCtx, platform.KindFences, a.settings.Node, map[string]int64{"startedMs": time.Now().UnixNano()})
-		cancel()
-		if err == nil {
-			a.SetToken(token)
-			a.log.State("fencing token acquired", "token", token)
-			return
-		}
-		a.log.State("acquiring the fencing token failed, retrying", "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(tokenRetryInterval):
-		}
-	}
-}
--- a/pkg/sidecar/upstreams_test.go
+++ b/pkg/sidecar/upstreams_test.go
@@ -73,7 +73,7 @@
 	It("keeps an agent from fetching a model until the list has been read", func() {
 		engine := &catalog.Engine{Models: map[string]catalog.Model{"a": {Name: "a", SizeMB: 60}}, MemoryMB: 100, LoadsPerSecond: 2}
 		log := eventlog.New(GinkgoWriter, "sidecar", "side-1")
-		agent := New(Settings{LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 2}, nil, nil, log, guard.New(log))
+		agent := New(Settings{LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 2, ChecksTokens: true}, nil, nil, log, guard.New(log))
 		agent.Configure(catalog.NewConfig(1, nil, []catalog.Service{{Name: "llm", Engine: engine}}, catalog.Limits{}), 1)
 		agent.SetToken(41)
 		agent.report = platform.Report{Upstream: self}
