--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -108,7 +108,7 @@
 
 // canServeAdapter reports whether the upstream has the request's adapter loaded or an agent that can order its load.
 func (s *State) canServeAdapter(now time.Time, m *fleet.Member, r *Request) bool {
-	return r.Adapter == "" || !m.IsAgentSilent() || m.HoldsAdapter(r.Model, r.Adapter) || s.isReporting(now, m)
+	return r.Adapter == "" || !m.IsAgentUnresponsive() || m.HoldsAdapter(r.Model, r.Adapter) || s.isReporting(now, m)
 }
 
 // candidates returns the upstreams that may get the request. Those that have requested backoff may not. Upstreams
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -75,7 +75,7 @@
 func (s *State) loadInProgress(now time.Time, r *Request) *fleet.Member {
 	var first *fleet.Member
 	for _, m := range s.Fleet.Members(now, r.Service) {
-		if loading(m, r.Model) && !m.IsUnresponsive(now) && !m.IsAgentSilent() && (first == nil || m.OrderUntil.Before(first.OrderUntil)) {
+		if loading(m, r.Model) && !m.IsUnresponsive(now) && !m.IsAgentUnresponsive() && (first == nil || m.OrderUntil.Before(first.OrderUntil)) {
 			first = m
 		}
 	}
@@ -143,7 +143,7 @@
 // isReporting reports whether the agent beside the upstream can be sent a load request. If no agent of the service
 // reports, every upstream qualifies.
 func (s *State) isReporting(now time.Time, m *fleet.Member) bool {
-	reporting := func(o *fleet.Member) bool { return o.Fresh(now) && !o.IsUnresponsive(now) && !o.IsAgentSilent() }
+	reporting := func(o *fleet.Member) bool { return o.Fresh(now) && !o.IsUnresponsive(now) && !o.IsAgentUnresponsive() }
 	return reporting(m) || !slices.ContainsFunc(s.Fleet.Members(now, m.Service), reporting)
 }
 
--- a/pkg/dispatch/reachability_test.go
+++ b/pkg/dispatch/reachability_test.go
@@ -91,7 +91,7 @@
 
 	// Guards against an engine that gets nothing while its agent restarts, and against load requests that nobody can turn
 	// into orders.
-	It("are distinguished from those whose agent alone is silent: these serve what they hold and load nothing", func() {
+	It("are distinguished from those whose agent alone is unresponsive: these serve what they hold and load nothing", func() {
 		makeUnresponsive("u1")
 		makeUnresponsive("u2")
 		add(s, upstream{id: "u3", onDisk: []string{"b"}, free: 50})
--- a/pkg/dispatch/relay.go
+++ b/pkg/dispatch/relay.go
@@ -18,7 +18,7 @@
 	var out []string
 	for service := range s.services() {
 		for _, m := range s.Fleet.Members(now, service) {
-			if !m.IsUnresponsive(now) && !m.IsAgentSilent() {
+			if !m.IsUnresponsive(now) && !m.IsAgentUnresponsive() {
 				out = append(out, m.Address)
 			}
 		}
--- a/pkg/fleet/liveness.go
+++ b/pkg/fleet/liveness.go
@@ -67,7 +67,7 @@
 }
 
 // NeedsQuery reports whether the engine is to be queried in addition to the probe of its agent. The first probe alone is
-// usually answered; every further one is accompanied by a query, so that an engine whose agent is silent can show that
+// usually answered; every further one is accompanied by a query, so that an engine whose agent is gone can show that
 // it runs before the upstream counts as unresponsive. Until its attempts are aborted an engine gets a query with each
 // tick, since a single one can be lost.
 func (m *Member) NeedsQuery(now time.Time) bool {
@@ -78,7 +78,7 @@
 	case m.IsUnresponsive(now) && !l.abortPending:
 		return l.probedAt.Equal(now)
 	}
-	return l.unanswered >= 2 || l.unanswered == 1 && m.IsAgentSilent()
+	return l.unanswered >= 2 || l.unanswered == 1 && m.IsAgentUnresponsive()
 }
 
 // RecordProbe records a probe of the agent beside the upstream. It reports whether this makes the upstream
@@ -90,8 +90,8 @@
 	}
 	l := &m.liveness
 	l.probedAt = now
-	if !m.IsAgentSilent() {
-		if l.agentUnanswered++; m.IsAgentSilent() {
+	if !m.IsAgentUnresponsive() {
+		if l.agentUnanswered++; m.IsAgentUnresponsive() {
 			s.version++
 		}
 	}
@@ -130,6 +130,6 @@
 	return m.liveness.unanswered >= maxUnansweredProbes && now.Sub(m.liveness.unresponsiveAt) <= unresponsiveRetention
 }
 
-// IsAgentSilent reports whether the agent beside the upstream has not answered the last probes. If the upstream is not
+// IsAgentUnresponsive reports whether the agent beside the upstream has not answered the last probes. If the upstream is not
 // unresponsive, its engine serves what it has loaded, but nobody orders it to load anything.
-func (m *Member) IsAgentSilent() bool { return m.liveness.agentUnanswered >= maxUnansweredProbes }
+func (m *Member) IsAgentUnresponsive() bool { return m.liveness.agentUnanswered >= maxUnansweredProbes }
--- a/pkg/fleet/liveness_test.go
+++ b/pkg/fleet/liveness_test.go
@@ -75,7 +75,7 @@
 	})
 
 	// Guards against a restart of the agent that aborts the streams of an engine that works on them (review case 3).
-	It("is not unresponsive while its engine replies to queries and only its agent is silent", func() {
+	It("is not unresponsive while its engine replies to queries and only its agent is unresponsive", func() {
 		m := s.Get("u1")
 		for _, ms := range []int{301, 401, 501} {
 			Expect(m.NeedsQuery(at(ms))).To(BeFalse(), "the first probe alone is usually answered")
@@ -85,21 +85,21 @@
 				Expect(s.RecordHeartbeat(at(405), "u1")).To(BeFalse())
 			}
 		}
-		Expect(m.IsAgentSilent()).To(BeTrue(), "the engine's replies are not the agent's")
+		Expect(m.IsAgentUnresponsive()).To(BeTrue(), "the engine's replies are not the agent's")
 		Expect(m.IsUnresponsive(at(600))).To(BeFalse())
 		Expect(s.TakeConfirmedUnresponsive(at(900))).To(BeEmpty())
 		Expect(m.NeedsQuery(at(600))).To(BeFalse())
 		s.RecordProbe(at(706), "u1")
-		Expect(m.NeedsQuery(at(706))).To(BeTrue(), "the engine of a silent agent is queried with each probe")
+		Expect(m.NeedsQuery(at(706))).To(BeTrue(), "the engine of an unresponsive agent is queried with each probe")
 		s.ApplyReport(at(1000), reportHolding("u1", "m"))
-		Expect(m.IsAgentSilent()).To(BeFalse())
+		Expect(m.IsAgentUnresponsive()).To(BeFalse())
 	})
 
-	// Guards against a machine that freezes while its agent is silent already, and against streams that stall there for
+	// Guards against a machine that freezes while its agent is unresponsive already, and against streams that stall there for
 	// more than about a second.
 	It("has its attempts aborted once, within 0.9 s of its last heartbeat, if neither agent nor engine replies", func() {
 		var aborted []string
-		for _, start := range []int{0, 5000} { // the agent is silent at the second freeze
+		for _, start := range []int{0, 5000} { // the agent is unresponsive at the second freeze
 			s.RecordHeartbeat(at(start), "u1")
 			for ms := start + 50; ms <= start+900; ms += 100 { // the router's ticks
 				if s.Get("u1").NeedsProbe(at(ms)) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -151,7 +151,7 @@
 	var verdicts []quarantine.Verdict
 	addresses := map[string]bool{}
 	partitioned := false
-	var silent []string
+	var confirmed []string // unresponsive upstreams whose attempts are aborted
 	var queries []*dispatch.UpstreamRef
 	p.core.Do(func(s *dispatch.State) {
 		partitioned = s.IsPartitioned(now)
@@ -168,13 +168,13 @@
 		for _, m := range s.MembersToProbe(now) {
 			addresses[m.Address] = true
 			if s.Fleet.RecordProbe(now, m.ID) {
-				silent = append(silent, m.ID)
+				unresponsive = append(unresponsive, m.ID)
 			}
 		}
 		for _, m := range s.MembersToQuery(now) {
 			queries = append(queries, &dispatch.UpstreamRef{ID: m.ID, Address: m.Address, Zone: m.Zone, StartedUnixMS: m.StartedUnixMS})
 		}
-		unresponsive = s.Fleet.TakeConfirmedUnresponsive(now)
+		confirmed = s.Fleet.TakeConfirmedUnresponsive(now)
 	})
 	if partitioned != p.partitioned {
 		p.partitioned = partitioned
@@ -192,13 +192,13 @@
 	for _, u := range queries {
 		p.queryEngine(ctx, u)
 	}
-	if len(silent) > 0 {
+	if len(unresponsive) > 0 {
 		p.core.Update(func(*dispatch.State) {})
-		p.log.State("upstreams are silent", "upstreams", silent)
+		p.log.State("upstreams are silent", "upstreams", unresponsive)
 	}
-	if len(unresponsive) > 0 {
-		p.core.abortAttempts(unresponsive)
-		p.log.State("attempts at silent upstreams aborted", "upstreams", unresponsive)
+	if len(confirmed) > 0 {
+		p.core.abortAttempts(confirmed)
+		p.log.State("attempts at unresponsive upstreams aborted", "upstreams", confirmed)
 	}
 }
 
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -27,13 +27,13 @@
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
 		}
-		recovered, agentSilent := false, false
+		recovered, agentUnresponsive := false, false
 		p.core.Do(func(s *dispatch.State) {
 			recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID)
 			m := s.Fleet.Get(u.ID)
-			agentSilent = m != nil && m.IsAgentSilent()
+			agentUnresponsive = m != nil && m.IsAgentUnresponsive()
 		})
-		if agentSilent {
+		if agentUnresponsive {
 			p.log.Request("engine replies, its agent does not", "upstream", u.ID)
 		}
 		if recovered {
