--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -18,7 +18,8 @@
 
 type sidecarCmd struct {
 	platformFlags
-	LoadParallel int `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
+	LoadParallel int  `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
+	AdmitPrompts bool `help:"Admit prompts to the engine where the configuration's longest pause calls for it." default:"true" negatable:"" env:"HIBISCUSCROSS_ADMIT_PROMPTS"`
 }
 
 // Run runs a sidecar beside a model engine of the users' platform until it receives a stop signal.
@@ -35,7 +36,7 @@
 	gd := guard.New(log)
 	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress, "upstream", set.UpstreamAddress)
 	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
-	_, closer := telemetry.NewScope("sidecar", reporter)
+	scope, closer := telemetry.NewScope("sidecar", reporter)
 	defer func() { _ = closer.Close() }()
 
 	socket, err := peer.Listen(net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)))
@@ -44,7 +45,9 @@
 	}
 	agent := sidecar.New(sidecar.Settings{
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
+		AdmitPrompts: c.AdmitPrompts,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
+	agent.SetMetrics(scope)
 	store := platform.NewStore(set.StoreAddress)
 	watches := follow.Options{LongPollDuration: sidecarWatchHold, ChangeDelay: sidecarChangeDelay, MaxRetryDelay: sidecarMaxRetryDelay}
 
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -158,6 +158,10 @@
 
 // pick returns the decision to use the candidate with the least expected time to the first byte.
 func (s *State) pick(now time.Time, r *Request, members []*fleet.Member) Decision {
+	members, rejected, ok := s.accepting(now, r, members)
+	if !ok {
+		return rejected
+	}
 	best, bestCost, mustWait := s.choose(now, r, members)
 	d := Decision{Cost: bestCost, Age: -time.Second}
 	if !best.ReportedAt.IsZero() {
@@ -180,6 +184,7 @@
 	}
 	d.Action, d.Reason = Send, "least expected time"
 	d.Upstream = &UpstreamRef{ID: best.ID, Address: best.Address, Zone: best.Zone, StartedUnixMS: best.StartedUnixMS}
+	d.Prompt = s.promptAsk(now, r, best)
 	if r.Model != "" && bestCost > scaleOutCost && s.engine(r.Service) != nil {
 		s.scaleOut(now, r)
 	}
@@ -225,10 +230,8 @@
 	}
 	tokens := s.uncached(stats, r)
 	tokensAhead := tokens
-	for _, n := range stats.prefill[:r.priority()+1] {
-		tokensAhead += n
-	}
-	cost += time.Duration(float64(tokensAhead) / prefillTokensPerMS * float64(time.Millisecond))
+	tokensAhead += s.promptTokensAhead(now, r, m, stats)
+	cost += s.prefillTime(m, tokensAhead)
 	running := stats.outstanding
 	if m.Fresh(now) {
 		running = max(running, m.Load.Running)
--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -30,7 +30,7 @@
 		if best == nil || c < cost {
 			best, cost = m, c
 		}
-		if s.hasPrefillRoom(r, m) && (open == nil || c < openCost) {
+		if s.hasPrefillRoom(now, r, m) && (open == nil || c < openCost) {
 			open, openCost = m, c
 		}
 	}
@@ -45,9 +45,10 @@
 
 // hasPrefillRoom reports whether the engine can process the request's prompt without delaying the events of its streams
 // too long. The bound of the request's own route stands for those of the running streams, which are not known by route.
-// More urgent prompts that wait take precedence. A prompt is never held back if the router has no other one there.
-func (s *State) hasPrefillRoom(r *Request, m *fleet.Member) bool {
-	if r.Model == "" || r.Route.MaxEventGap == 0 || r.attempts > 0 {
+// More urgent prompts that wait take precedence. A prompt is never held back if the router has no other one there, or if
+// the engine's sidecar admits prompts.
+func (s *State) hasPrefillRoom(now time.Time, r *Request, m *fleet.Member) bool {
+	if r.Model == "" || r.Route.MaxEventGap == 0 || r.attempts > 0 || admitsPrompts(now, m) {
 		return true
 	}
 	stats := s.upstreamStats(m.ID)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -31,13 +31,14 @@
 	// Fingerprint is the same whenever the same caller sends the same request again.
 	Fingerprint uint64
 
-	tried        map[string]bool // upstreams excluded from further attempts
-	possibleRuns int             // attempts that may have run
-	attempts     int             // attempts that reached an upstream
-	pending      int             // prompt tokens counted as waiting for room at an engine
-	sentAt       time.Time       // time of the decision for the current attempt
-	progressed   bool            // whether the current attempt's answer has gone on beyond its beginning
-	sharedParts  []uint64        // keys of the prompt parts that requests share; see partKeys
+	tried        map[string]bool      // upstreams excluded from further attempts
+	possibleRuns int                  // attempts that may have run
+	attempts     int                  // attempts that reached an upstream
+	pending      int                  // prompt tokens counted as waiting for room at an engine
+	sentAt       time.Time            // time of the decision for the current attempt
+	progressed   bool                 // whether the current attempt's answer has gone on beyond its beginning
+	sharedParts  []uint64             // keys of the prompt parts that requests share; see partKeys
+	rejectedBy   map[string]time.Time // upstreams whose sidecars rejected the prompt, and until when
 }
 
 // waitLimit returns how much longer the request may wait for its first event.
@@ -103,6 +104,8 @@
 	// WaitCause applies if Action is Wait.
 	WaitCause WaitCause
 	Upstream  *UpstreamRef
+	// Prompt is set if the prompt needs an admission by the upstream's sidecar before it is sent.
+	Prompt *PromptAsk
 	// LoadRequest is the load to request from the upstream's agent; nil if there is none.
 	LoadRequest *LoadRequest
 	// Until is when Decide is called again for a waiting request even if nothing has changed.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -27,6 +27,8 @@
 type Load struct {
 	Queued, Running, KVUsed, KVTotal int
 	placement.AvailableMemory
+	// PromptTokens, PromptTokensWaiting and AskAbove are those of the report.
+	PromptTokens, PromptTokensWaiting, AskAbove int
 }
 
 // Member is an upstream in the fleet.
@@ -164,6 +166,7 @@
 	m.crashesNext, m.crashesAcked = r.CrashesNext, r.CrashesAcked
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, AvailableMemory: r.AvailableMemory,
+		PromptTokens: r.PromptTokens, PromptTokensWaiting: r.PromptTokensWaiting, AskAbove: r.AskAbove,
 	}
 	if h := r.Holdings; h != nil {
 		changed = changed || !catalog.SameResidents(m.Models, h.Models)
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -25,9 +25,11 @@
 	var c checker
 	if d := m.Demand; d != nil {
 		c.demand(d)
-	} else {
-		c.report(m.Report)
 	}
+	if r := m.Report; r != nil {
+		c.report(r)
+	}
+	c.prompts(m)
 	if c.field == "" {
 		return nil
 	}
@@ -97,6 +99,7 @@
 	c.name("upstream", r.ID, r.Address)
 	c.require(r.StartedUnixMS >= 0, "born")
 	c.count("load", r.Queued, r.Running, r.KVUsed, r.KVTotal, r.Routers)
+	c.count("prompts", r.PromptTokens, r.PromptTokensWaiting, r.AskAbove)
 	c.amount("room", r.AvailableMemory.FreeMB, r.AvailableMemory.IdleMB, r.AvailableMemory.BusyMB)
 	c.require(r.OrderRemainingMS >= 0 && r.OrderRemainingMS <= maxOrderMS, "order")
 	if r.Order != nil {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -110,6 +110,12 @@
 	// Address is the upstream's address (IP:port). A router that does not have the id yet uses it to find the previous
 	// instance.
 	Address string `cbor:"16,keyasint,omitempty"`
+	// PromptTokens are the prompt tokens in progress at the upstream and PromptTokensWaiting those that wait for an
+	// admission, of all routers.
+	PromptTokens        int `cbor:"24,keyasint,omitempty"`
+	PromptTokensWaiting int `cbor:"25,keyasint,omitempty"`
+	// AskAbove is the number of uncached tokens above which a prompt needs an admission; 0 if the agent admits none.
+	AskAbove int `cbor:"26,keyasint,omitempty"`
 	// HoldingsVersion is the version of the upstream's holdings.
 	HoldingsVersion uint32 `cbor:"14,keyasint,omitempty"`
 	// Holdings is nil if the receiver has confirmed HoldingsVersion.
@@ -126,6 +132,10 @@
 type Message struct {
 	Demand *Demand `cbor:"1,keyasint,omitempty"`
 	Report *Report `cbor:"2,keyasint,omitempty"`
+	// PromptAsk and PromptEnd are sent by routers, PromptAnswer by agents.
+	PromptAsk    *PromptAsk    `cbor:"5,keyasint,omitempty"`
+	PromptAnswer *PromptAnswer `cbor:"6,keyasint,omitempty"`
+	PromptEnd    *PromptEnd    `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode encodes a message.
@@ -146,8 +156,8 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return Message{}, fault.Wrap(err, fault.StepTransport, "", "decode message")
 	}
-	if (m.Demand == nil) == (m.Report == nil) {
-		return Message{}, fault.New(fault.StepTransport, "", "message has neither a demand nor a report, or both")
+	if m.kinds() != 1 {
+		return Message{}, fault.New(fault.StepTransport, "", "message has no content or several")
 	}
 	if err := m.check(); err != nil {
 		return Message{}, err
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -97,6 +97,7 @@
 	if view, _, ok := a.view(now); ok {
 		report.AvailableMemory = view.AvailableMemory()
 	}
+	a.prompts.setReport(report)
 	return report
 }
 
@@ -109,7 +110,7 @@
 	}
 	changed = report.HoldingsVersion != last.HoldingsVersion || report.ID != last.ID || report.Draining != last.Draining ||
 		!reflect.DeepEqual(report.Order, last.Order)
-	return changed, report.Queued != last.Queued || report.Running != last.Running || report.AvailableMemory.IdleMB != last.AvailableMemory.IdleMB
+	return changed, report.Queued != last.Queued || report.PromptTokens != last.PromptTokens || report.PromptTokensWaiting != last.PromptTokensWaiting || report.Running != last.Running || report.AvailableMemory.IdleMB != last.AvailableMemory.IdleMB
 }
 
 // position returns the index that the first upstream would have if all were sorted by id.
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -47,6 +47,8 @@
 	LoadFactor float64
 	// FetchConcurrency is the number of loads that the weight store serves at full speed.
 	FetchConcurrency int
+	// AdmitPrompts allows the sidecar to admit prompts where the configuration calls for it.
+	AdmitPrompts bool
 }
 
 // routerMessage is a router's demand and the address that it came from.
@@ -70,6 +72,7 @@
 	list   upstreamList
 	token  uint64
 
+	prompts         *promptAdmission // has its own lock
 	routers         *routers
 	fetches         *fetchLimiter
 	report          platform.Report
@@ -99,11 +102,13 @@
 
 // New returns an agent.
 func New(settings Settings, engine Engine, socket *peer.Socket, log *eventlog.Log, g *guard.Guard) *Agent {
-	return &Agent{
+	a := &Agent{
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
 	}
+	a.prompts = newPromptAdmission(a)
+	return a
 }
 
 // SetToken sets the fencing token. The sidecar sends no orders before the token is set.
@@ -115,8 +120,12 @@
 
 // Receive queues the routers' messages until ctx ends.
 func (a *Agent) Receive(ctx context.Context) error {
+	promptsCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); a.prompts.run(promptsCtx) }()
+	defer func() { stop(); <-done }()
 	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
-		if m.Demand == nil {
+		if a.prompts.handle(from, m) || m.Demand == nil {
 			return
 		}
 		select {
@@ -215,6 +224,7 @@
 	a.engineReporting = true
 	a.identify(ctx, &r.Upstream)
 	a.report = r
+	a.prompts.applyReport(time.Now(), r)
 	if a.order != nil && !r.Busy {
 		a.order = nil
 	}
