Ask the engine's sidecar for the admission of long prompts

A router that has chosen an engine asks its sidecar before it sends a prompt with many uncached tokens, waits at most for the time that the request has to spare, and tells it the first event or the end.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -87,6 +87,7 @@
 	earliest := time.Time{}
 	open := slices.DeleteFunc(slices.Clone(members), func(m *fleet.Member) bool {
 		until, rejected := r.rejectedBy[m.ID]
+		rejected = rejected && now.Before(until)
 		if rejected && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
--- a/pkg/gateway/core.go
+++ b/pkg/gateway/core.go
@@ -20,6 +20,7 @@
 	upstreamsListed chan struct{} // signals that the list of upstreams has been read
 	// attempts contains the hooks that abort retryable attempts, by upstream.
 	attempts map[string]map[*abortHook]struct{}
+	prompts  *promptAsks // has its own lock
 }
 
 // abortHook aborts one attempt.
@@ -32,7 +33,7 @@
 // NewCore returns a core that guards the state.
 func NewCore(state *dispatch.State) *Core {
 	return &Core{state: state, changed: make(chan struct{}), loadRequests: make(chan dispatch.LoadRequest, maxPendingLoadRequests), upstreamsListed: make(chan struct{}, 1),
-		attempts: map[string]map[*abortHook]struct{}{}}
+		attempts: map[string]map[*abortHook]struct{}{}, prompts: newPromptAsks()}
 }
 
 // Do runs f with exclusive access to the state.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -88,6 +88,9 @@
 	// attempted reports whether an attempt has started.
 	attempted bool
 	timing    timing
+	// prompt is the request for an admission of the current attempt; nil if there is none.
+	prompt      *promptAsk
+	promptStats promptStats
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
 }
@@ -222,6 +225,7 @@
 
 // run executes decisions and attempts until the request has its final answer.
 func (c *callerRequest) run() {
+	defer c.endPrompt(dispatch.Expired) // of a request that ends between the admission and the attempt
 	for {
 		d, changed := c.g.core.decide(c.req)
 		c.decision = d
@@ -234,6 +238,12 @@
 				return
 			}
 		case dispatch.Send:
+			switch c.admitPrompt(d, changed) {
+			case promptDecideAgain:
+				continue
+			case promptRequestEnded:
+				return
+			}
 			outcome, answer := c.attempt(d)
 			if outcome == dispatch.Done {
 				c.deliver(answer)
@@ -353,6 +363,7 @@
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
 		fields = append(fields, c.timing.fields(c.start, c.req.Route)...)
+		fields = append(fields, c.promptStats.fields()...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -46,7 +46,9 @@
 // onReachable is called with false when the router becomes partitioned from the upstreams, and with true when it
 // reaches them again.
 func NewPeers(core *Core, socket *peer.Socket, log *eventlog.Log, g *guard.Guard, location Location, port int, onReachable func(bool)) *Peers {
-	return &Peers{core: core, socket: socket, log: log, guard: g, location: location, port: uint16(port), onReachable: onReachable}
+	p := &Peers{core: core, socket: socket, log: log, guard: g, location: location, port: uint16(port), onReachable: onReachable}
+	core.prompts.start(location.Router, p.sendMessage)
+	return p
 }
 
 // Run exchanges messages until ctx ends. The socket is closed after the last message, which announces that the router
@@ -68,7 +70,10 @@
 
 // receive applies the agents' reports until ctx ends.
 func (p *Peers) receive(ctx context.Context) error {
-	return p.socket.Receive(ctx, func(_ netip.AddrPort, m peer.Message) {
+	return p.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
+		if m.PromptAnswer != nil {
+			p.guard.Try("agent's answer", func() { p.applyPromptAnswer(from, m.PromptAnswer) })
+		}
 		if m.Report != nil {
 			p.guard.Try("agent's report", func() { p.applyReport(m.Report) })
 		}
@@ -227,13 +232,16 @@
 	return d
 }
 
-func (p *Peers) send(address string, d *peer.Demand) {
+func (p *Peers) send(address string, d *peer.Demand) { p.sendMessage(address, peer.Message{Demand: d}) }
+
+// sendMessage sends a message to the agent beside the upstream at the address.
+func (p *Peers) sendMessage(address string, m peer.Message) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		p.log.Request("upstream address is malformed", "address", address, "err", err)
 		return
 	}
-	if err := p.socket.Send(netip.AddrPortFrom(ap.Addr(), p.port), peer.Message{Demand: d}); err != nil {
+	if err := p.socket.Send(netip.AddrPortFrom(ap.Addr(), p.port), m); err != nil {
 		p.log.Request("message not sent", "err", err)
 	}
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -57,6 +57,7 @@
 	outcome := dispatch.Interrupted // applies if the exchange panics
 	defer func() {
 		recordFirst()
+		c.endPrompt(outcome)
 		span.SetAttributes(attribute.String("outcome", outcome.String()))
 		c.g.core.Do(func(s *dispatch.State) { s.RecordEnd(time.Now(), id, c.req, outcome) })
 	}()
@@ -65,7 +66,7 @@
 }
 
 func (c *callerRequest) exchange(d dispatch.Decision, recordFirst func()) (dispatch.Outcome, *answer) {
-	conn, err := c.g.pool.Get(c.ctx, d.Upstream.Address, c.maxIdle())
+	conn, err := c.connect(d)
 	if err != nil {
 		c.cause = err.Error()
 		if c.ctx.Err() != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -40,6 +40,9 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
+		if received == 0 {
+			c.recordPromptProcessed()
+		}
 		if received++; received == provenEvents {
 			c.g.core.Do(func(s *dispatch.State) { s.RecordProgress(time.Now(), c.req) })
 		}
--- a/pkg/peer/prompts.go
+++ b/pkg/peer/prompts.go
@@ -44,6 +44,14 @@
 	maxPriority = 9
 )
 
+// Clamp limits the values to those that receivers accept. Callers state the sizes, and a message that is refused would
+// make the agent seem unresponsive.
+func (a *PromptAsk) Clamp() {
+	a.Tokens, a.Output = min(max(a.Tokens, 0), maxPromptTokens), min(max(a.Output, 0), maxPromptTokens)
+	a.SpareMS, a.DueMS = min(max(a.SpareMS, 0), maxPromptMS), min(max(a.DueMS, -maxPromptMS), maxPromptMS)
+	a.Tenant = a.Tenant[:min(len(a.Tenant), maxNameBytes)]
+}
+
 // kinds returns the number of fields that are set.
 func (m *Message) kinds() int {
 	n := 0
--- a/pkg/promptqueue/ask.go
+++ b/pkg/promptqueue/ask.go
@@ -56,7 +56,8 @@
 	return &Ask{Seq: seq, roundTrip: roundTrip, spareEnd: now.Add(spare), repeatAt: now}
 }
 
-// Next returns the next step and, for StepWait, the time until Next is to be called again.
+// Next returns the next step. The duration is the time until Next is to be called again for StepWait, and the expected
+// wait for StepRejected.
 func (a *Ask) Next(now boottime.Instant) (Step, time.Duration) {
 	switch {
 	case a.Valid(now):
@@ -64,7 +65,7 @@
 	case a.answer.Verdict == Admitted:
 		return StepExpired, 0
 	case a.answer.Verdict == Rejected:
-		return StepRejected, 0
+		return StepRejected, a.answer.Wait
 	case now >= a.spareEnd:
 		return StepOutOfTime, 0
 	case now < a.repeatAt:
@@ -91,6 +92,3 @@
 func (a *Ask) Valid(now boottime.Instant) bool {
 	return a.answer.Verdict == Admitted && now.Sub(a.answeredAt) < Validity
 }
-
-// Wait returns the expected wait according to the last answer.
-func (a *Ask) Wait() time.Duration { return a.answer.Wait }
--- a/pkg/promptqueue/queue.go
+++ b/pkg/promptqueue/queue.go
@@ -21,6 +21,8 @@
 	transit = 50 * time.Millisecond
 	// minLimit is the shortest time after which an admitted prompt counts as processed without a report.
 	minLimit = 200 * time.Millisecond
+	// maxLimit bounds that time, since callers state the size of their prompts. First events are due within 5 s.
+	maxLimit = 10 * time.Second
 	// loadFreshness is the age up to which the engine's report is used. Reports are read every 150 ms.
 	loadFreshness = time.Second
 	// endedRetention is how long ended prompts are remembered, so that repeated or reordered messages do not admit them
@@ -284,7 +286,7 @@
 		}
 	}
 	end = end.Add(q.limits.prefill(p.Tokens))
-	q.admitted[p.ID] = &admittedPrompt{Prompt: p, admitted: now, expectedEnd: end, limit: now.Add(max(minLimit, 2*end.Sub(now)))}
+	q.admitted[p.ID] = &admittedPrompt{Prompt: p, admitted: now, expectedEnd: end, limit: now.Add(min(maxLimit, max(minLimit, 2*end.Sub(now))))}
 	q.burst += p.Tokens
 	q.share(now, p.Tenant).tokens += float64(p.Tokens)
 }
