--- a/pkg/promptqueue/order.go
+++ b/pkg/promptqueue/order.go
@@ -62,13 +62,23 @@
 	return out
 }
 
-// expectedWait returns the expected time until the prompt, which may not be in the queue yet, is admitted. It plays the
-// admissions of the prompts before it, with prompts that are processed at the engine's speed.
+// expectedWait returns the expected time until the prompt, which may not be in the queue yet, is admitted.
 func (q *Queue) expectedWait(now time.Time, p *waitingPrompt) time.Duration {
-	prompts := q.waiting
+	prompts, wait := q.waiting, time.Duration(0)
 	if !slices.Contains(prompts, p) {
 		prompts = append(slices.Clip(prompts), p)
 	}
+	q.play(now, prompts, func(w *waitingPrompt, d time.Duration) {
+		if w == p {
+			wait = d
+		}
+	})
+	return wait
+}
+
+// play plays the admissions of the prompts, which are processed at the engine's speed, and calls visit with the expected
+// wait of each. Prompts that are not admitted in time delay no others.
+func (q *Queue) play(now time.Time, prompts []*waitingPrompt, visit func(*waitingPrompt, time.Duration)) {
 	at, busyUntil, burst := now, q.idleSince, q.burst
 	for _, a := range q.admitted {
 		if end := latest(a.expectedEnd, now); end.After(busyUntil) {
@@ -77,17 +87,18 @@
 	}
 	queued := q.load.queuedTokens(len(q.admitted))
 	for _, w := range q.order(now, prompts) {
+		nextAt, nextBusy, nextBurst, nextQueued := at, busyUntil, burst, queued
 		if burst > 0 && (burst+queued+w.Tokens > q.limits.budget() || !q.fitsMemory(w.Prompt) && at.Equal(now)) {
-			at, burst, queued = latest(at, busyUntil.Add(eventTime)), 0, 0
-			busyUntil = at
+			nextAt, nextBurst, nextQueued = latest(at, busyUntil.Add(eventTime)), 0, 0
+			nextBusy = nextAt.Add(transit)
 		}
-		if w == p {
-			break
+		visit(w, max(0, nextAt.Sub(now)))
+		if nextAt.After(w.expires()) {
+			continue
 		}
-		burst += w.Tokens
-		busyUntil = latest(busyUntil, at).Add(q.limits.prefill(w.Tokens))
+		at, burst, queued = nextAt, nextBurst+w.Tokens, nextQueued
+		busyUntil = latest(nextBusy, at).Add(q.limits.prefill(w.Tokens))
 	}
-	return max(0, at.Sub(now))
 }
 
 func latest(a, b time.Time) time.Time {
--- a/pkg/promptqueue/queue.go
+++ b/pkg/promptqueue/queue.go
@@ -224,6 +224,27 @@
 	}
 }
 
+// Rejection is a waiting prompt that is rejected, with the expected wait.
+type Rejection struct {
+	Prompt
+	Wait time.Duration
+}
+
+// Reject removes and returns the waiting prompts that are not expected to be admitted in time any more because more
+// urgent prompts have arrived or others took longer than expected. It is called after Admit.
+func (q *Queue) Reject(now time.Time) []Rejection {
+	var out []Rejection
+	q.play(now, q.waiting, func(w *waitingPrompt, wait time.Duration) {
+		if now.Add(wait).After(w.expires()) {
+			out = append(out, Rejection{w.Prompt, wait})
+		}
+	})
+	for _, r := range out {
+		q.remove(r.ID) // a repeated request is decided anew, since the rejection may be lost
+	}
+	return out
+}
+
 // Next returns when Admit is to be called again if nothing else happens; zero if there is no reason.
 func (q *Queue) Next() time.Time {
 	var next time.Time
--- a/pkg/sidecar/prompts.go
+++ b/pkg/sidecar/prompts.go
@@ -124,15 +124,12 @@
 	if answer.Verdict == promptqueue.Waiting {
 		p.routers[prompt.ID] = from
 	}
-	if admitted := p.admit(now); admitted[prompt.ID] || answer.Verdict == promptqueue.None {
+	if answered := p.admit(now); answered[prompt.ID] || answer.Verdict == promptqueue.None {
 		return
 	}
 	switch answer.Verdict {
 	case promptqueue.Rejected:
-		p.counts.rejected++
-		p.scope.Tagged(map[string]string{"result": "rejected"}).Counter("prompts_total").Inc(1)
-		p.agent.log.Request("prompt rejected", "router", m.Router, "seq", m.Seq, "tokens", m.Tokens, "priority", m.Priority, "tenant", m.Tenant,
-			"spare_ms", m.SpareMS, "wait_ms", answer.Wait.Milliseconds())
+		p.recordRejection(prompt, answer.Wait)
 	case promptqueue.Waiting:
 		if !repeated {
 			p.counts.delayed++
@@ -153,11 +150,19 @@
 	p.admit(now)
 }
 
-// admit admits the prompts for which there is room and tells their routers. The caller holds mu.
+func (p *promptAdmission) recordRejection(prompt promptqueue.Prompt, wait time.Duration) {
+	p.counts.rejected++
+	p.scope.Tagged(map[string]string{"result": "rejected"}).Counter("prompts_total").Inc(1)
+	p.agent.log.Request("prompt rejected", "router", prompt.ID.Router, "seq", prompt.ID.Seq, "tokens", prompt.Tokens, "priority", prompt.Priority, "tenant", prompt.Tenant,
+		"spare_ms", prompt.Spare.Milliseconds(), "wait_ms", wait.Milliseconds())
+}
+
+// admit admits the prompts for which there is room, rejects those that would be late and tells their routers. It returns
+// the prompts that have been answered. The caller holds mu.
 func (p *promptAdmission) admit(now time.Time) map[promptqueue.ID]bool {
-	admitted := map[promptqueue.ID]bool{}
+	answered := map[promptqueue.ID]bool{}
 	for _, prompt := range p.queue.Admit(now) {
-		admitted[prompt.ID] = true
+		answered[prompt.ID] = true
 		p.counts.admitted++
 		p.scope.Tagged(map[string]string{"result": "admitted"}).Counter("prompts_total").Inc(1)
 		if to, ok := p.routers[prompt.ID]; ok {
@@ -165,6 +170,14 @@
 			p.send(to, prompt.ID, promptqueue.Answer{Verdict: promptqueue.Admitted})
 		}
 	}
+	for _, r := range p.queue.Reject(now) {
+		answered[r.ID] = true
+		p.recordRejection(r.Prompt, r.Wait)
+		if to, ok := p.routers[r.ID]; ok {
+			delete(p.routers, r.ID)
+			p.send(to, r.ID, promptqueue.Answer{Verdict: promptqueue.Rejected, Wait: r.Wait})
+		}
+	}
 	inProgress, waiting := p.queue.Tokens()
 	p.counts.maxTokens = max(p.counts.maxTokens, inProgress)
 	p.scope.Gauge("prompt_tokens_in_progress").Update(float64(inProgress))
@@ -176,7 +189,7 @@
 	case p.wake <- struct{}{}:
 	default:
 	}
-	return admitted
+	return answered
 }
 
 func (p *promptAdmission) send(to netip.AddrPort, id promptqueue.ID, a promptqueue.Answer) {
