--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -26,8 +26,10 @@
 // are admitted together with the request's own.
 const sendReserve = 50 * time.Millisecond
 
-// admitsPrompts reports whether the sidecar beside the upstream admits prompts.
-func admitsPrompts(now time.Time, m *fleet.Member) bool { return m.Load.AskAbove > 0 && m.Fresh(now) }
+// admitsPrompts reports whether the sidecar beside the upstream admits prompts and is not known to be unresponsive.
+func admitsPrompts(now time.Time, m *fleet.Member) bool {
+	return m.Load.AskAbove > 0 && m.Fresh(now) && !m.IsUnresponsive(now)
+}
 
 // prefillTime returns the time in which the upstream processes the number of prompt tokens.
 func (s *State) prefillTime(_ *fleet.Member, tokens int) time.Duration {
@@ -70,6 +72,10 @@
 	return ask
 }
 
+// AddPromptWait adds delta to the number of requests that wait for an admission by the upstream's sidecar, which is
+// probed meanwhile.
+func (s *State) AddPromptWait(id string, delta int) { s.upstreamStats(id).promptWaits += delta }
+
 // RecordPromptRejected records that the sidecar beside the upstream expects to admit the prompt only after the wait.
 func (s *State) RecordPromptRejected(now time.Time, id string, r *Request, wait time.Duration) {
 	if r.rejectedBy == nil {
--- a/pkg/dispatch/reachability.go
+++ b/pkg/dispatch/reachability.go
@@ -22,7 +22,7 @@
 		}
 	}
 	for id, stats := range s.stats {
-		if stats.outstanding > 0 {
+		if stats.outstanding > 0 || stats.promptWaits > 0 {
 			add(s.Fleet.Get(id))
 		}
 	}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -42,6 +42,7 @@
 	outstanding  int
 	running      map[placement.Adapter]int // outstanding requests by model and adapter; Name is empty for none
 	prefill      perPriority[int]          // prompt tokens of the requests whose first event has not arrived
+	promptWaits  int                       // requests that wait for the sidecar's admission of their prompts
 	failures     int                       // consecutive failed attempts
 	blockedUntil time.Time
 	failureRate  float64
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -44,6 +44,10 @@
 	It("with valid values are accepted", func() {
 		Expect(decode(report(func(*peer.Report) {}))).To(Succeed())
 		Expect(decode(demand(func(*peer.Demand) {}))).To(Succeed())
+		ask := &peer.PromptAsk{Router: "edge-1", Tokens: math.MaxInt, Output: -3, SpareMS: -1, DueMS: math.MinInt64, Tenant: longName}
+		ask.Clamp() // callers state the sizes
+		Expect(decode(peer.Message{PromptAsk: ask})).To(Succeed())
+		Expect(decode(peer.Message{PromptAsk: ask, Demand: &peer.Demand{Router: "edge-1"}})).NotTo(Succeed())
 	})
 
 	DescribeTable("with values out of range are rejected",
@@ -60,6 +64,14 @@
 		Entry("a negative number of requests", demand(func(d *peer.Demand) { d.Here[0].Waiting = -5 })),
 		Entry("an infinite rate", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", Rate: float32(math.Inf(1))}} })),
 		Entry("a negative rank", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", HigherRanked: -1}} })),
+		Entry("negative prompt tokens", report(func(s *peer.Report) { s.PromptTokens = -1 })),
+		Entry("a prompt of no router", peer.Message{PromptAsk: &peer.PromptAsk{Tokens: 1}}),
+		Entry("a prompt of negative size", peer.Message{PromptAsk: &peer.PromptAsk{Router: "r", Tokens: -1}}),
+		Entry("a priority that engines do not have", peer.Message{PromptAsk: &peer.PromptAsk{Router: "r", Priority: 10}}),
+		Entry("a prompt that waits for hours", peer.Message{PromptAsk: &peer.PromptAsk{Router: "r", SpareMS: 3_600_000}}),
+		Entry("an unknown verdict", peer.Message{PromptAnswer: &peer.PromptAnswer{Verdict: 4}}),
+		Entry("a negative wait", peer.Message{PromptAnswer: &peer.PromptAnswer{Verdict: 1, WaitMS: -1}}),
+		Entry("an unknown end", peer.Message{PromptEnd: &peer.PromptEnd{Router: "r", Kind: 9}}),
 		Entry("a negative number of loads", demand(func(d *peer.Demand) { d.FetchConcurrency = -1 })),
 	)
 })
