Close gaps in the tests of the admission of prompts

A prompt whose time to spare is below the round trip plus 10 ms is only counted: no answer would arrive in time.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -26,6 +26,10 @@
 // are admitted together with the request's own.
 const sendReserve = 50 * time.Millisecond
 
+// minAskSpare is the least time to spare, beyond the round trip, with which a sidecar is asked: it answers within some
+// milliseconds.
+const minAskSpare = 10 * time.Millisecond
+
 // admitsPrompts reports whether the sidecar beside the upstream admits prompts and is not known to be unresponsive.
 func admitsPrompts(now time.Time, m *fleet.Member) bool {
 	return m.Load.AskAbove > 0 && m.Fresh(now) && !m.IsUnresponsive(now)
@@ -67,7 +71,9 @@
 	ask.Due = r.EventTarget.Sub(now)
 	if r.attempts == 0 {
 		spare := ask.Due - s.prefillTime(m, tokens) - ask.RoundTrip - sendReserve
-		ask.Spare = max(0, min(spare, r.waitLimit(now)-answerReserve))
+		if spare = min(spare, r.waitLimit(now)-answerReserve); spare >= ask.RoundTrip+minAskSpare {
+			ask.Spare = spare
+		}
 	}
 	return ask
 }
--- a/pkg/dispatch/admission_test.go
+++ b/pkg/dispatch/admission_test.go
@@ -66,6 +66,15 @@
 		Expect(s.Decide(now.Add(300*time.Millisecond), promptOf(&route, now, "p2", 9000)).Cost).To(BeNumerically("<=", near))
 	})
 
+	// Guards against a router that sends all prompts of a burst to one engine before its next report.
+	It("is avoided for the router's own prompts that it has not reported", func() {
+		first := promptOf(&route, now, "p1", 9000)
+		chosen := s.Decide(now, first).Upstream.ID
+		s.RecordStart(chosen, first)
+		report(map[string]string{"u1": "u2", "u2": "u1"}[chosen], 2000, 0, 1200)
+		Expect(s.Decide(now, promptOf(&route, now, "p2", 9000)).Upstream.ID).NotTo(Equal(chosen))
+	})
+
 	It("is avoided after it has rejected a prompt, which is refused if all have", func() {
 		r := promptOf(&route, now, "p1", 9000)
 		first := s.Decide(now, r).Upstream.ID
--- a/pkg/gateway/promptqueue_test.go
+++ b/pkg/gateway/promptqueue_test.go
@@ -146,7 +146,9 @@
 		Eventually(p.asks).Should(Receive(HaveField("Sent", false)))
 		Eventually(p.asks).Should(Receive(HaveField("Sent", true)))
 		Eventually(p.request(ctx, "other:9000"), "1s").Should(Receive(Equal(200)))
-		Eventually(p.asks).Should(Receive(HaveField("Sent", true)))
+		var next peer.PromptAsk
+		Eventually(p.asks).Should(Receive(&next))
+		Expect(next.Sent).To(BeTrue())
 	})
 
 	It("is admitted by the answer to a repeated request", func() {
--- a/pkg/promptqueue/queue_test.go
+++ b/pkg/promptqueue/queue_test.go
@@ -141,8 +141,13 @@
 		load := promptqueue.Load{At: at(0), Running: 5, KVUsed: 5000, KVTotal: 12_100}
 		q.SetLoad(at(0), load)
 		Expect(ask(0, 1, 2000)).To(Equal(promptqueue.Admitted))
-		Expect(ask(0, 2, 5000)).To(Equal(promptqueue.Waiting))
-		load.KVUsed = 4900
+		Expect(ask(0, 2, 4901)).To(Equal(promptqueue.Waiting)) // beside 2,100 tokens and with 100 of output
+		q.End(at(0), id(2), promptqueue.Returned)
+		Expect(ask(0, 3, 4900)).To(Equal(promptqueue.Admitted))
+		q.End(at(0), id(3), promptqueue.Returned)
+		q.End(at(0), id(1), promptqueue.FirstEvent)
+		Expect(ask(0, 4, 6901)).To(Equal(promptqueue.Waiting)) // beside the output of the first
+		load.KVUsed = 4999
 		q.SetLoad(at(ms), load)
 		Expect(q.Admit(at(ms))).To(HaveLen(1))
 	})
@@ -152,6 +157,8 @@
 		q.SetLoad(at(0), promptqueue.Load{At: at(0), Queued: 20})
 		Expect(ask(0, 1, 2000)).To(Equal(promptqueue.Admitted))
 		Expect(ask(0, 2, 2000)).To(Equal(promptqueue.Waiting))
+		Expect(ask(1001*ms, 3, 2000)).To(Equal(promptqueue.Admitted)) // the report is old
+		Expect(ask(1001*ms, 4, 2000)).To(Equal(promptqueue.Admitted))
 	})
 
 	// Guards against a repeated or late datagram that occupies the engine a second time.
@@ -167,6 +174,36 @@
 		Expect([]int{inProgress, waiting}).To(Equal([]int{0, 9000}))
 	})
 
+	// Guards against a long prompt that shorter ones pass until it is late, and less urgent ones that take its room.
+	It("lets short prompts pass a longer one of their priority only for half of its time to spare", func() {
+		put := func(now time.Duration, seq, tokens, priority int, spare time.Duration) []promptqueue.Prompt {
+			q.Ask(at(now), promptqueue.Prompt{ID: id(seq), Tokens: tokens, Priority: priority, Spare: spare, Due: time.Second - time.Duration(seq)*200*ms})
+			return q.Admit(at(now))
+		}
+		Expect(put(0, 1, 9000, 1, ms)).To(HaveLen(1))
+		Expect(put(0, 2, 12_000, 1, 400*ms)).To(BeEmpty())
+		Expect(put(100*ms, 3, 2000, 2, 2*time.Second)).To(BeEmpty())
+		Expect(put(100*ms, 4, 2000, 1, 2*time.Second)).To(HaveLen(1))
+		Expect(put(210*ms, 5, 2000, 1, 2*time.Second)).To(BeEmpty())
+	})
+
+	// Guards against waits that end late and against the rejection of prompts that can still be in time.
+	It("expects waits by the engine's speed and rejects only the prompts that would be late", func() {
+		put := func(seq, priority int, spare time.Duration) promptqueue.Answer {
+			return q.Ask(at(0), promptqueue.Prompt{ID: id(seq), Tokens: 9000, Priority: priority, Spare: spare, Due: time.Second})
+		}
+		put(1, 1, ms)
+		Expect(q.Admit(at(0))).To(HaveLen(1))
+		Expect(put(2, 1, 400*ms)).To(Equal(promptqueue.Answer{Verdict: promptqueue.Waiting, Wait: 335 * ms}))
+		Expect(put(3, 1, 669*ms)).To(Equal(promptqueue.Answer{Verdict: promptqueue.Rejected, Wait: 670 * ms}))
+		Expect(put(4, 1, 670*ms).Verdict).To(Equal(promptqueue.Waiting))
+		Expect(q.Reject(at(0))).To(BeEmpty())
+		Expect(put(5, 0, 400*ms).Wait).To(Equal(335 * ms))
+		rejected := q.Reject(at(0))
+		Expect(rejected).To(HaveLen(1))
+		Expect([]any{rejected[0].ID, rejected[0].Wait}).To(Equal([]any{id(2), 670 * ms}))
+	})
+
 	It("gives the room of a returned prompt to the next one", func() {
 		Expect(ask(0, 1, 9000)).To(Equal(promptqueue.Admitted))
 		Expect(ask(0, 2, 9000)).To(Equal(promptqueue.Waiting))
