--- a/pkg/gateway/promptqueue_test.go
+++ b/pkg/gateway/promptqueue_test.go
@@ -31,13 +31,19 @@
 	answer   func(promptqueue.Verdict)
 }
 
-func newPromptRig(verdicts ...promptqueue.Verdict) *promptRig {
-	p := &promptRig{rig: newRig(), asks: make(chan peer.PromptAsk, 20), ends: make(chan peer.PromptEnd, 20), received: make(chan string, 20)}
+// configurePrompts applies a configuration that calls for admissions.
+func configurePrompts(r *rig) *catalog.Config {
 	route := catalog.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, Timeout: 5 * time.Second, MaxAttempts: 2,
 		Target: 2 * time.Second, MaxEventGap: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "llm", Weight: 1}}}
 	models := map[string]catalog.Model{"m": {Name: "m", SizeMB: 10}}
 	cfg := catalog.NewConfig(1, []catalog.Route{route}, []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Models: models, MemoryMB: 100, Slots: 8}}}, catalog.Limits{})
-	p.core.Update(func(s *dispatch.State) { s.SetConfig(cfg) })
+	r.core.Update(func(s *dispatch.State) { s.SetConfig(cfg) })
+	return cfg
+}
+
+func newPromptRig(verdicts ...promptqueue.Verdict) *promptRig {
+	p := &promptRig{rig: newRig(), asks: make(chan peer.PromptAsk, 20), ends: make(chan peer.PromptEnd, 20), received: make(chan string, 20)}
+	configurePrompts(p.rig)
 	engine := p.rig.upstream("u1", "llm", residentM, func(w http.ResponseWriter, q *http.Request) {
 		sign(w, q)
 		p.received <- standin.RequestID(q.Header)
@@ -91,7 +97,7 @@
 }
 
 // request sends a request with a prompt and returns the status of the answer; 0 for none.
-func (p *promptRig) request(ctx context.Context, parts string) <-chan int {
+func (p *rig) request(ctx context.Context, parts string) <-chan int {
 	status := make(chan int, 1)
 	q, err := http.NewRequestWithContext(ctx, "POST", p.front.URL+"/stream/a", nil)
 	Expect(err).NotTo(HaveOccurred())
--- a/pkg/promptqueue/queue_test.go
+++ b/pkg/promptqueue/queue_test.go
@@ -87,6 +87,28 @@
 		}
 	})
 
+	// Guards against prompts that are lost with the state of a sidecar, and against delays by one that is silent.
+	It("are sent in time although the sidecar is restarted or silent", func() {
+		for _, silent := range []bool{false, true} {
+			w := newWorld(fastSpeed, true)
+			for i := range 6 {
+				w.add(500*ms+time.Duration(i)*10*ms, simulated{Prompt: promptqueue.Prompt{Tokens: 9190}})
+			}
+			w.after(700*ms, func() { w.queue = promptqueue.New(promptqueue.Limits{TokensPerMS: fastSpeed, MaxPause: 500 * ms}) })
+			if silent {
+				w.loss = 1
+			}
+			w.run(8 * time.Second)
+			for _, p := range w.prompts {
+				Expect(p.rejected).To(BeFalse())
+				Expect(p.first - p.arrival).To(And(BeNumerically(">", 0), BeNumerically("<=", target)))
+				if silent {
+					Expect(p.sent - p.arrival).To(Equal(128 * ms)) // two requests, each 40 ms and the round trip
+				}
+			}
+		}
+	})
+
 	// Guards against a tenant that displaces the others, urgent prompts behind less urgent ones, and long prompts that are
 	// passed by short ones until they are late.
 	It("are served by priority and fairly to tenants and long prompts", func() {
--- a/pkg/promptqueue/simulation_test.go
+++ b/pkg/promptqueue/simulation_test.go
@@ -73,7 +73,7 @@
 	if w.random.Float64() >= w.loss {
 		w.after(oneWay, f)
 	}
-	if w.random.Float64() < w.loss {
+	if w.loss < 1 && w.random.Float64() < w.loss {
 		w.after(oneWay+30*time.Millisecond, f)
 	}
 }
