--- a/pkg/account/account_test.go
+++ b/pkg/account/account_test.go
@@ -52,6 +52,9 @@
 		Entry("a queue", stream(func(r *account.Record) {
 			r.Outcome, r.Status, r.Reason = "refused", 503, "first event is expected too late"
 		}), account.RefusedQueue),
+		Entry("prompts that the sidecars rejected", stream(func(r *account.Record) {
+			r.Outcome, r.Status, r.Reason = "refused", 503, "engines are processing other prompts"
+		}), account.RefusedQueue),
 		Entry("a possible run", stream(func(r *account.Record) { r.Outcome, r.Status = "refused", 502 }), account.Unknown),
 		Entry("a caller", stream(func(r *account.Record) { r.Outcome = "caller_left" }), account.CallerLeft),
 	)
--- a/pkg/account/cause.go
+++ b/pkg/account/cause.go
@@ -59,7 +59,7 @@
 		return Unknown
 	case strings.HasSuffix(r.Reason, "model cannot be loaded in time"), strings.HasSuffix(r.Reason, "model is not loaded"):
 		return RefusedModel
-	case strings.HasSuffix(r.Reason, "first event is expected too late"):
+	case strings.HasSuffix(r.Reason, "first event is expected too late"), strings.HasSuffix(r.Reason, "engines are processing other prompts"):
 		return RefusedQueue
 	}
 	return RefusedOther
--- a/pkg/promptqueue/queue_test.go
+++ b/pkg/promptqueue/queue_test.go
@@ -28,8 +28,9 @@
 
 var _ = Describe("prompts from many routers that meet at one engine", func() {
 	// The load of deployment C: prompts of 9,190 uncached tokens, 208 ms of prefill, or 416 ms at a slow engine.
-	burst := func(speed float64, n int, admission bool) *world {
+	burst := func(speed float64, n int, oneWay time.Duration, admission bool) *world {
 		w := newWorld(speed, admission)
+		w.oneWay = oneWay
 		for i := range n {
 			w.add(500*ms+time.Duration(i)*7*ms, simulated{Prompt: promptqueue.Prompt{Tokens: 9190, Output: 200}})
 		}
@@ -38,21 +39,22 @@
 	}
 
 	It("delay the events of its streams too long without the admission", func() {
-		Expect(burst(fastSpeed, 8, false).pause).To(BeNumerically(">", 500*ms))
+		Expect(burst(fastSpeed, 8, ms, false).pause).To(BeNumerically(">", 500*ms))
 	})
 
 	// Guards against streams that pause beyond the bound, and against admissions that make prompts late.
-	DescribeTable("are admitted so that no event is too late", func(speed float64, n int) {
-		w := burst(speed, n, true)
+	DescribeTable("are admitted so that no event is too late", func(speed float64, n int, oneWay time.Duration) {
+		w := burst(speed, n, oneWay, true)
 		Expect(w.pause).To(BeNumerically("<=", 500*ms))
 		for _, p := range w.prompts {
 			Expect(p.rejected).To(BeFalse())
 			Expect(p.first - p.arrival).To(And(BeNumerically(">", 0), BeNumerically("<=", target)))
 		}
-	}, Entry("at a fast engine", fastSpeed, 8), Entry("at a slow engine", slowSpeed, 5))
+	}, Entry("from other regions at a fast engine", fastSpeed, 8, 12*ms), Entry("from other regions at a slow engine", slowSpeed, 5, 12*ms),
+		Entry("from the same zone at a fast engine", fastSpeed, 8, ms), Entry("from the same zone at a slow engine", slowSpeed, 5, ms))
 
 	It("are rejected at once if they cannot be admitted in time", func() {
-		w := burst(slowSpeed, 12, true)
+		w := burst(slowSpeed, 12, 12*ms, true)
 		Expect(w.pause).To(BeNumerically("<=", 500*ms))
 		rejected := 0
 		for _, p := range w.prompts {
--- a/pkg/promptqueue/simulation_test.go
+++ b/pkg/promptqueue/simulation_test.go
@@ -9,10 +9,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/promptqueue"
 )
 
-const (
-	oneWay = 12 * time.Millisecond // between regions
-	target = 3 * time.Second       // of the first event
-)
+const target = 3 * time.Second // of the first event
 
 var start = time.Unix(1_000_000, 0)
 
@@ -40,6 +37,7 @@
 	steps   int
 	lastAt  time.Duration
 	pause   time.Duration // longest time between two events of the stream
+	oneWay  time.Duration // latency between a router and the engine's VM
 	loss    float64       // share of the datagrams that are lost, and of those that arrive twice
 	random  *rand.Rand
 	prompts []*simulated
@@ -57,7 +55,7 @@
 }
 
 func newWorld(speed float64, admission bool) *world {
-	w := &world{speed: speed, random: rand.New(rand.NewPCG(1, 2)), asks: map[uint64]*simulated{}}
+	w := &world{speed: speed, oneWay: 12 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)), asks: map[uint64]*simulated{}}
 	if admission {
 		w.queue = promptqueue.New(promptqueue.Limits{TokensPerMS: speed, MaxPause: 500 * time.Millisecond})
 	}
@@ -71,10 +69,10 @@
 // datagram delivers a message, unless it is lost.
 func (w *world) datagram(f func()) {
 	if w.random.Float64() >= w.loss {
-		w.after(oneWay, f)
+		w.after(w.oneWay, f)
 	}
 	if w.loss < 1 && w.random.Float64() < w.loss {
-		w.after(oneWay+30*time.Millisecond, f)
+		w.after(w.oneWay+30*time.Millisecond, f)
 	}
 }
 
@@ -97,7 +95,7 @@
 		for _, p := range prompts {
 			p.first = w.now
 			if w.queue != nil && !p.routerEnds {
-				w.after(oneWay, func() {
+				w.after(w.oneWay, func() {
 					w.datagram(func() { w.queue.End(w.time(), p.ID, promptqueue.FirstEvent); w.admit() })
 				})
 			}
@@ -122,7 +120,7 @@
 			w.send(s)
 			return
 		}
-		s.ask = promptqueue.NewAsk(boottime.Instant(w.now), s.ID.Seq, 2*oneWay, s.Spare)
+		s.ask = promptqueue.NewAsk(boottime.Instant(w.now), s.ID.Seq, 2*w.oneWay, s.Spare)
 		w.poll(s)
 	})
 	return s
@@ -130,7 +128,7 @@
 
 func (w *world) send(s *simulated) {
 	s.done, s.sent = true, w.now
-	w.after(oneWay, func() { w.arrived = append(w.arrived, s) })
+	w.after(w.oneWay, func() { w.arrived = append(w.arrived, s) })
 }
 
 // poll takes the next step of a prompt's request for an admission.
