Send a prompt that all engines would admit soon, but too late

A request with little time to spare, such as one that waited for its model, was refused because of one burst of prompts.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -30,6 +30,11 @@
 // milliseconds.
 const minAskSpare = 10 * time.Millisecond
 
+// overloadWait is the expected wait for an admission above which a request that all engines reject is refused. One
+// burst of admitted prompts takes at most about 0.4 s: a request that has less time to spare, for example after the load
+// of its model, does not show that the engines are overloaded.
+const overloadWait = 500 * time.Millisecond
+
 // admitsPrompts reports whether the sidecar beside the upstream admits prompts and is not known to be unresponsive.
 func admitsPrompts(now time.Time, m *fleet.Member) bool {
 	return m.Load.AskAbove > 0 && m.Fresh(now) && !m.IsUnresponsive(now)
@@ -69,7 +74,7 @@
 		return ask
 	}
 	ask.Due = r.EventTarget.Sub(now)
-	if r.attempts == 0 {
+	if r.attempts == 0 && !r.unadmitted {
 		spare := ask.Due - s.prefillTime(m, tokens) - ask.RoundTrip - sendReserve
 		if spare = min(spare, r.waitLimit(now)-answerReserve); spare >= ask.RoundTrip+minAskSpare {
 			ask.Spare = spare
@@ -91,23 +96,28 @@
 }
 
 // accepting returns the members whose sidecars have not rejected the prompt. If all have, it returns the refusal: no
-// engine can process the prompt in time, and to send it would delay the streams there.
+// engine can process the prompt in time, and to send it would delay the streams there. If the shortest wait is no sign of
+// overload, it returns the member with that wait, and the prompt is sent there without an admission.
 func (s *State) accepting(now time.Time, r *Request, members []*fleet.Member) ([]*fleet.Member, Decision, bool) {
 	if len(r.rejectedBy) == 0 || r.attempts > 0 {
 		return members, Decision{}, true
 	}
-	earliest := time.Time{}
+	earliest, soonest := time.Time{}, (*fleet.Member)(nil)
 	open := slices.DeleteFunc(slices.Clone(members), func(m *fleet.Member) bool {
 		until, rejected := r.rejectedBy[m.ID]
 		rejected = rejected && now.Before(until)
 		if rejected && (earliest.IsZero() || until.Before(earliest)) {
-			earliest = until
+			earliest, soonest = until, m
 		}
 		return rejected
 	})
 	if len(open) > 0 || len(members) == 0 {
 		return open, Decision{}, true
 	}
+	if earliest.Sub(now) < overloadWait {
+		r.unadmitted = true
+		return []*fleet.Member{soonest}, Decision{}, true
+	}
 	s.scaleOut(now, r)
 	s.recordRefusal(now, r.Model)
 	return nil, Decision{Action: Refuse, Reason: "engines are processing other prompts", RetryAfter: s.retryAfter(now, r, max(0, earliest.Sub(now))), Age: -time.Second}, false
--- a/pkg/dispatch/admission_test.go
+++ b/pkg/dispatch/admission_test.go
@@ -87,6 +87,15 @@
 		Expect(d.RetryAfter).To(BeNumerically(">=", 3*time.Second))
 	})
 
+	// Guards against refusals of requests that have little time to spare, although no engine is overloaded.
+	It("gets a prompt without an admission if all would admit it soon, but too late", func() {
+		r := promptOf(&route, now, "p1", 9000)
+		s.RecordPromptRejected(now, "u1", r, 450*time.Millisecond)
+		s.RecordPromptRejected(now, "u2", r, 300*time.Millisecond)
+		d := s.Decide(now, r)
+		Expect([]any{d.Action, d.Upstream.ID, d.Prompt.Spare}).To(Equal([]any{dispatch.Send, "u2", time.Duration(0)}))
+	})
+
 	// Guards against a request that is sent after its wait to an engine that drains or has unloaded the model.
 	It("is checked again after the wait", func() {
 		r := promptOf(&route, now, "p1", 9000)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -38,6 +38,7 @@
 	sentAt       time.Time            // time of the decision for the current attempt
 	progressed   bool                 // whether the current attempt's answer has gone on beyond its beginning
 	sharedParts  []uint64             // keys of the prompt parts that requests share; see partKeys
+	unadmitted   bool                 // the prompt is sent without an admission
 	rejectedBy   map[string]time.Time // upstreams whose sidecars rejected the prompt, and until when
 }
 
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -80,6 +80,7 @@
 func FuzzDecode(f *testing.F) {
 	for _, m := range []peer.Message{
 		{Report: &peer.Report{ID: "i-1", Order: &placement.Order{Model: "a"}, OrderRemainingMS: 5, Holdings: &peer.Holdings{OnDisk: []string{"a"}}}},
+		{PromptAsk: &peer.PromptAsk{Router: "edge-1", Epoch: 1, Seq: 2, Tokens: 9000, Tenant: "t", SpareMS: 5, DueMS: -5}},
 		{Demand: &peer.Demand{Router: "edge-1", ModelUsage: []peer.ModelUsage{{Model: "a", Rate: 1, Adapters: map[string]int{"x": 1}}}}},
 	} {
 		raw, err := peer.Encode(m)
--- a/pkg/promptqueue/queue.go
+++ b/pkg/promptqueue/queue.go
@@ -28,8 +28,9 @@
 	// endedRetention is how long ended prompts are remembered, so that repeated or reordered messages do not admit them
 	// again.
 	endedRetention = 2 * time.Second
-	// maxPrompts bounds the prompts of each state that are stored. It is far above what an engine can process in time.
-	maxPrompts = 1024
+	// maxPrompts bounds the prompts of each state that are stored. An engine runs 64 requests, and processes fewer long
+	// prompts in the longest target of 5 s.
+	maxPrompts = 256
 	// shareHalfLife is the time after which the tokens counted for a tenant have halved.
 	shareHalfLife = 2 * time.Second
 )
@@ -265,6 +266,9 @@
 	return next
 }
 
+// IsWaiting reports whether the prompt waits in the queue.
+func (q *Queue) IsWaiting(id ID) bool { return q.find(id) >= 0 }
+
 // Tokens returns the prompt tokens in progress at the engine and those that wait for an admission.
 func (q *Queue) Tokens() (inProgress, waiting int) {
 	for _, a := range q.admitted {
--- a/pkg/sidecar/prompts.go
+++ b/pkg/sidecar/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -182,9 +183,8 @@
 	p.counts.maxTokens = max(p.counts.maxTokens, inProgress)
 	p.scope.Gauge("prompt_tokens_in_progress").Update(float64(inProgress))
 	p.scope.Gauge("prompt_tokens_waiting").Update(float64(waiting))
-	if waiting == 0 {
-		clear(p.routers) // of prompts that were dropped at the end of their time to spare
-	}
+	// Prompts are dropped at the end of their time to spare.
+	maps.DeleteFunc(p.routers, func(id promptqueue.ID, _ netip.AddrPort) bool { return !p.queue.IsWaiting(id) })
 	select {
 	case p.wake <- struct{}{}:
 	default:
