Check that a drained engine ends the wait for an admission at once

The spec passed without the check on changes of the fleet, since the wait also ends when the sidecar does not answer. The specs on long prompts pass 10 times in a row with -race.

--- a/pkg/gateway/promptqueue_test.go
+++ b/pkg/gateway/promptqueue_test.go
@@ -200,13 +200,13 @@
 	// Guards against requests that outlive their callers or the process while they wait, or are sent to an upstream that
 	// has begun to drain meanwhile.
 	DescribeTable("ends its wait and is returned", func(status int, end func(p *promptRig, leave func())) {
-		p := newPromptRig(promptqueue.Waiting)
+		p := newPromptRig(slices.Repeat([]promptqueue.Verdict{promptqueue.Waiting}, 10)...)
 		callerCtx, leave := context.WithCancel(ctx)
 		defer leave()
 		got := p.request(callerCtx, long)
 		Eventually(p.asks).Should(Receive())
 		end(p, leave)
-		Eventually(got).Should(Receive(Equal(status)))
+		Eventually(got, "500ms").Should(Receive(Equal(status))) // before the upstream counts as unresponsive
 		Eventually(p.ends).Should(endOf(promptqueue.Returned))
 		Expect(p.received).To(BeEmpty())
 	},
