Merge the admission of prompts at the sidecar

Cause: prompts of several routers meet at one engine and delay the events of all its streams. Change: sidecars admit long prompts, where the routes' shortest event gap is 450 ms or more.

--- a/pkg/dispatch/reachability.go
+++ b/pkg/dispatch/reachability.go
@@ -34,7 +34,7 @@
 		}
 	}
 	for id, stats := range s.stats {
-		if stats.outstanding > 0 {
+		if stats.outstanding > 0 || stats.promptWaits > 0 {
 			add(s.Fleet.Get(id))
 		}
 	}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -97,6 +97,9 @@
 	unauthorized keyview.Refusal
 	// viewAge is the age of the view that the key was last checked with; negative if it was not proven.
 	viewAge time.Duration
+	// prompt is the request for an admission of the current attempt; nil if there is none.
+	prompt      *promptAsk
+	promptStats promptStats
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
 }
@@ -240,6 +243,7 @@
 
 // run executes decisions and attempts until the request has its final answer.
 func (c *callerRequest) run() {
+	defer c.endPrompt(dispatch.Expired) // of a request that ends between the admission and the attempt
 	for c.readmit() {
 		d, changed := c.g.core.decide(c.req)
 		c.decision = d
@@ -252,6 +256,12 @@
 				return
 			}
 		case dispatch.Send:
+			switch c.admitPrompt(d, changed) {
+			case promptDecideAgain:
+				continue
+			case promptRequestEnded:
+				return
+			}
 			outcome, answer := c.attempt(d)
 			if outcome == dispatch.Done {
 				c.deliver(answer)
@@ -376,6 +386,7 @@
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
 		fields = append(fields, c.timing.fields(c.start, c.req.Route, c.req.Priority())...)
+		fields = append(fields, c.promptStats.fields()...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -49,6 +49,8 @@
 	FetchConcurrency int
 	// ChecksTokens reports whether the engine refuses orders with a lower fencing token than it has accepted.
 	ChecksTokens bool
+	// AdmitPrompts allows the sidecar to admit prompts where the configuration calls for it.
+	AdmitPrompts bool
 }
 
 // routerMessage is a router's demand and the address that it came from.
@@ -77,6 +79,7 @@
 	fences      chan int64
 	recordClean bool
 
+	prompts         *promptAdmission // has its own lock
 	routers         *routers
 	fetches         *fetchLimiter
 	report          platform.Report
@@ -110,12 +113,14 @@
 // New returns an agent.
 func New(settings Settings, engine Engine, socket *peer.Socket, log *eventlog.Log, g *guard.Guard) *Agent {
 	now := time.Now()
-	return &Agent{
+	a := &Agent{
 		pending: pendingOrders{unknownUntil: now.Add(orderLifetime)}, fences: make(chan int64, 1),
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
 	}
+	a.prompts = newPromptAdmission(a)
+	return a
 }
 
 // SetToken sets the fencing token. The sidecar sends no orders before the token is set.
@@ -127,8 +132,12 @@
 
 // Receive queues the routers' messages until ctx ends.
 func (a *Agent) Receive(ctx context.Context) error {
+	promptsCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); a.prompts.run(promptsCtx) }()
+	defer func() { stop(); <-done }()
 	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
-		if m.Demand == nil {
+		if a.prompts.handle(from, m) || m.Demand == nil {
 			return
 		}
 		select {
@@ -228,6 +237,7 @@
 	a.identify(ctx, &r.Upstream)
 	a.report = r
 	a.requestToken()
+	a.prompts.applyReport(time.Now(), r)
 	if a.order != nil && !r.Busy {
 		a.order = nil
 	}
