Ask a coordinating sidecar for turns at the weight store

Change: pkg/fetchturn with the coordinator's queue, the requesting side and the estimate of the store's concurrency; messages between sidecars; expected load times for routers.

--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -18,7 +18,8 @@
 
 type sidecarCmd struct {
 	platformFlags
-	LoadParallel int `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
+	LoadParallel int  `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
+	FetchTurns   bool `help:"Ask the coordinator for a turn before each load from the weight store." default:"true" negatable:"" env:"HIBISCUSCROSS_FETCH_TURNS"`
 }
 
 // Run runs a sidecar beside a model engine of the users' platform until it receives a stop signal.
@@ -35,7 +36,7 @@
 	gd := guard.New(log)
 	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress, "upstream", set.UpstreamAddress)
 	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
-	_, closer := telemetry.NewScope("sidecar", reporter)
+	scope, closer := telemetry.NewScope("sidecar", reporter)
 	defer func() { _ = closer.Close() }()
 
 	socket, err := peer.Listen(net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)))
@@ -44,6 +45,7 @@
 	}
 	agent := sidecar.New(sidecar.Settings{
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
+		PeerPort: c.turnsPort(set), Scope: scope,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
 	store := platform.NewStore(set.StoreAddress)
 	watches := follow.Options{LongPollDuration: sidecarWatchHold, ChangeDelay: sidecarChangeDelay, MaxRetryDelay: sidecarMaxRetryDelay}
@@ -71,3 +73,11 @@
 	log.State("stopped", "err", err)
 	return err
 }
+
+// turnsPort returns the port at which the other sidecars are asked for turns; 0 if each decides alone.
+func (c *sidecarCmd) turnsPort(set platform.Settings) int {
+	if !c.FetchTurns {
+		return 0
+	}
+	return set.PeerPort
+}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -52,11 +52,7 @@
 	if !ok {
 		return assignment{}, false
 	}
-	ahead := slices.Index(fetchQueue, r.Model) + s.fetchEstimator.inProgress()
-	wait = spec.FetchTime + time.Duration(ahead/s.fetchConcurrencyOrDefault(now))*spec.FetchTime
-	if m := s.Fleet.Get(assigned.Upstream); m != nil {
-		wait += orderRemaining(now, m)
-	}
+	wait = s.fetchWait(now, assigned.Upstream, spec, fetchQueue)
 	return assignment{upstream: assigned.Upstream, wait: wait, fetch: true}, true
 }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fetchturn"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
@@ -64,7 +65,9 @@
 	refused map[string]*rate
 	// pendingPrefill is the number of prompt tokens of the requests that wait for room at an engine, by model.
 	pendingPrefill map[string]*perPriority[int]
-	fetchEstimator fetchEstimator
+	fetchEstimator fetchturn.Estimator
+	expectedLoads  expectedLoads
+	coordinators   coordinators
 	rates          map[string]*modelRate
 	// used is the set of adapters that requests sent to each upstream have used since TakeUsedAdapters was called.
 	used map[string]map[placement.Adapter]bool
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -213,6 +213,7 @@
 			}
 		}
 		d.Fetching, d.FetchConcurrency = s.Fetching(now), s.FetchConcurrency(now)
+		d.ModelDemand = s.FetchDemand(now, address)
 		for _, id := range s.Fleet.IDsAt(address) {
 			nextReport, ackedSeq := s.Fleet.CrashReports(id)
 			d.CrashesFrom = max(d.CrashesFrom, nextReport)
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -23,10 +23,15 @@
 // that may corrupt or forge them.
 func (m *Message) check() error {
 	var c checker
-	if d := m.Demand; d != nil {
-		c.demand(d)
-	} else {
+	switch {
+	case m.Demand != nil:
+		c.demand(m.Demand)
+	case m.Report != nil:
 		c.report(m.Report)
+	case m.TurnRequest != nil:
+		c.turnRequest(m.TurnRequest)
+	case m.TurnAnswer != nil:
+		c.turnAnswer(m.TurnAnswer)
 	}
 	if c.field == "" {
 		return nil
@@ -82,6 +87,7 @@
 	c.adapters("used", d.UsedAdapters...)
 	c.name("fetching", d.Fetching...)
 	c.count("parallel", d.FetchConcurrency)
+	c.modelDemand(d.ModelDemand)
 	for _, usage := range d.ModelUsage {
 		c.name("held", usage.Model)
 		c.count("held", usage.HigherRanked, usage.Running)
@@ -99,6 +105,7 @@
 	c.count("load", r.Queued, r.Running, r.KVUsed, r.KVTotal, r.Routers)
 	c.amount("room", r.AvailableMemory.FreeMB, r.AvailableMemory.IdleMB, r.AvailableMemory.BusyMB)
 	c.require(r.OrderRemainingMS >= 0 && r.OrderRemainingMS <= maxOrderMS, "order")
+	c.expectedLoads(r.ExpectedLoads, r.StoreConcurrency)
 	if r.Order != nil {
 		c.name("order", r.Order.Model, r.Order.Adapter)
 	}
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fetchturn"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 )
@@ -38,6 +39,16 @@
 	Adapters map[string]int `cbor:"6,keyasint,omitempty"`
 }
 
+// ModelDemand is a router's demand for a model, for the order of the fetches from the weight store.
+type ModelDemand struct {
+	Model string `cbor:"1,keyasint"`
+	// Weight is the number of requests that wait for the model or were refused within the last seconds because it was not
+	// loaded, weighted by priority.
+	Weight float32 `cbor:"2,keyasint,omitempty"`
+	// SingleCopyRate is the number of requests per second if the model's only copy is loaded at one upstream, otherwise 0.
+	SingleCopyRate float32 `cbor:"3,keyasint,omitempty"`
+}
+
 // Demand is the message from a router to an agent.
 type Demand struct {
 	Router string `cbor:"1,keyasint"`
@@ -63,6 +74,9 @@
 	FetchConcurrency int `cbor:"13,keyasint,omitempty"`
 	// HoldingsVersion is the version of the holdings that the router has received.
 	HoldingsVersion uint32 `cbor:"9,keyasint,omitempty"`
+	// ModelDemand is the router's demand for models that are to be fetched from the weight store or lost easily. It is
+	// sent to the coordinators of the fetches only.
+	ModelDemand []ModelDemand `cbor:"24,keyasint,omitempty"`
 	// Probe requests a report at once. It is set if the router depends on the upstream and has not received a report
 	// for a while.
 	Probe bool `cbor:"10,keyasint,omitempty"`
@@ -114,6 +128,10 @@
 	HoldingsVersion uint32 `cbor:"14,keyasint,omitempty"`
 	// Holdings is nil if the receiver has confirmed HoldingsVersion.
 	Holdings *Holdings `cbor:"15,keyasint,omitempty"`
+	// ExpectedLoads and StoreConcurrency are set by the coordinator of the fetches from the weight store: when the fetched
+	// models are expected to be loaded, and how many fetches the store serves at full speed; 0 if unknown.
+	ExpectedLoads    []fetchturn.Expectation `cbor:"28,keyasint,omitempty"`
+	StoreConcurrency int                     `cbor:"29,keyasint,omitempty"`
 }
 
 // SetUpstream sets the fields that describe the upstream, including its holdings and their version.
@@ -126,6 +144,20 @@
 type Message struct {
 	Demand *Demand `cbor:"1,keyasint,omitempty"`
 	Report *Report `cbor:"2,keyasint,omitempty"`
+	// TurnRequest and TurnAnswer are exchanged by sidecars.
+	TurnRequest *fetchturn.Request `cbor:"8,keyasint,omitempty"`
+	TurnAnswer  *fetchturn.Answer  `cbor:"9,keyasint,omitempty"`
+}
+
+// fields returns the number of fields that are set.
+func (m *Message) fields() int {
+	n := 0
+	for _, set := range []bool{m.Demand != nil, m.Report != nil, m.TurnRequest != nil, m.TurnAnswer != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
 
 // Encode encodes a message.
@@ -146,8 +178,8 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return Message{}, fault.Wrap(err, fault.StepTransport, "", "decode message")
 	}
-	if (m.Demand == nil) == (m.Report == nil) {
-		return Message{}, fault.New(fault.StepTransport, "", "message has neither a demand nor a report, or both")
+	if m.fields() != 1 {
+		return Message{}, fault.New(fault.StepTransport, "", "message does not have exactly one content")
 	}
 	if err := m.check(); err != nil {
 		return Message{}, err
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -74,6 +74,8 @@
 	FetchAllowed bool
 	// FetchConcurrency is the number of loads that the weight store serves at full speed.
 	FetchConcurrency int
+	// Turns is what the coordinator of the fetches has granted; nil if the upstream decides alone.
+	Turns *Turns
 }
 
 // replicasAtUnknownUse is the number of replicas of a model that a preload leaves loaded while the model's use is
@@ -191,10 +193,15 @@
 // planModel returns the next order towards loading the model: the load itself, or the unload of another model to free
 // memory.
 func (v *View) planModel(name string, preload bool) (Order, Reason, bool) {
-	spec := v.Engine.Models[name]
 	if v.Self.Tier(name) == catalog.TierStore && !v.mayFetch(name) {
 		return Order{}, "", false
 	}
+	return v.planLoad(name, preload)
+}
+
+// planLoad is planModel without regard to the weight store.
+func (v *View) planLoad(name string, preload bool) (Order, Reason, bool) {
+	spec := v.Engine.Models[name]
 	if v.freeMB() >= spec.SizeMB {
 		reason := ReasonWaiting
 		if preload {
@@ -211,8 +218,11 @@
 
 // mayFetch reports whether a load of the model from the weight store may begin: the limit allows it, and the store
 // serves it at full speed besides the loads in progress and those ahead of it in the queue. With more concurrent
-// loads, all of them take longer.
+// loads, all of them take longer. A coordinator's turn replaces the upstream's own view of the queue.
 func (v *View) mayFetch(name string) bool {
+	if v.Turns != nil {
+		return v.FetchAllowed && v.Turns.Model == name
+	}
 	if !v.FetchAllowed || slices.Contains(v.Demand.Fetching, name) {
 		return false
 	}
@@ -341,6 +351,9 @@
 // many concurrently as the store serves at full speed. A model that has been fetched once loads from that upstream's
 // disk in under a second.
 func (v *View) planPreload() (Order, Reason, bool) {
+	if v.Turns != nil {
+		return v.planTurn()
+	}
 	assignments, missing := Assign(v.Engine.Models, v.Upstreams, v.Demand.Urgent)
 	for i, name := range v.fetchQueue(missing) {
 		if len(v.Demand.Fetching)+i >= v.fetchConcurrency() {
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -134,3 +134,23 @@
 	}
 	return out
 }
+
+// modelDemand returns the weighted demand for each model over all live routers, and the request rates of the models with
+// a single copy. Routers that take another sidecar for the coordinator send no weights; their requests count fully.
+func (r *routers) modelDemand(now time.Time) (weights, rates map[string]float64) {
+	weights, rates = map[string]float64{}, map[string]float64{}
+	for _, name := range r.liveNames(now) {
+		reported := r.byName[name].demand
+		for _, d := range reported.ModelDemand {
+			weights[d.Model] += float64(d.Weight)
+			rates[d.Model] += float64(d.SingleCopyRate)
+		}
+		if len(reported.ModelDemand) > 0 {
+			continue
+		}
+		for _, loadReq := range reported.Anywhere {
+			weights[loadReq.Model] += float64(loadReq.Waiting)
+		}
+	}
+	return weights, rates
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -10,6 +10,9 @@
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
@@ -47,6 +50,10 @@
 	LoadFactor float64
 	// FetchConcurrency is the number of loads that the weight store serves at full speed.
 	FetchConcurrency int
+	// PeerPort is the port at which the other sidecars receive messages; 0 if this one decides alone on its fetches.
+	PeerPort int
+	// Scope receives the metrics; nil for none.
+	Scope tally.Scope
 }
 
 // routerMessage is a router's demand and the address that it came from.
@@ -81,6 +88,7 @@
 	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
 	endedID        string
 	endNoticesSent int
+	turns          *turns
 }
 
 // orderInProgress is an order that the engine is executing.
@@ -103,6 +111,7 @@
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
+		turns:    newTurns(time.Now(), settings),
 	}
 }
 
@@ -117,6 +126,7 @@
 func (a *Agent) Receive(ctx context.Context) error {
 	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
 		if m.Demand == nil {
+			a.queueTurnMessage(from, m)
 			return
 		}
 		select {
@@ -141,12 +151,17 @@
 			a.applyMessage(r)
 		case r := <-a.instance.replies:
 			a.applyInstanceReply(r)
+		case m := <-a.turns.messages:
+			if !a.applyTurnMessage(m) {
+				continue
+			}
 		case <-timer.C:
 		}
 		a.applyQueuedMessages()
 		pollInterval := idlePollInterval
 		a.guard.Do("round", func() {
 			a.round(ctx)
+			a.stepTurns()
 			pollInterval = a.pollInterval()
 		})
 		timer.Reset(pollInterval)
@@ -174,6 +189,8 @@
 		return adapterPollInterval
 	case a.report.Busy || a.order != nil:
 		return busyPollInterval
+	case a.turns.requester.Turn(boottime.Now()) != "": // got from the own queue after the round
+		return adapterPollInterval
 	}
 	return idlePollInterval
 }
@@ -215,6 +232,7 @@
 	a.engineReporting = true
 	a.identify(ctx, &r.Upstream)
 	a.report = r
+	a.trackFetch()
 	if a.order != nil && !r.Busy {
 		a.order = nil
 	}
@@ -233,12 +251,17 @@
 		return false
 	}
 	tier := a.report.Upstream.Tier(o.Model)
-	if !o.Unload && o.Adapter == "" && tier == catalog.TierStore {
+	fetch := !o.Unload && o.Adapter == "" && tier == catalog.TierStore
+	if fetch {
+		if !a.beginFetch(view, o.Model) {
+			return false
+		}
 		a.fetches.recordStart(now)
 	}
 	result, err := a.engine.Order(ctx, o, a.report.Upstream.ID, a.report.Upstream.Orders, a.settings.Node, token)
 	a.log.State("order", "upstream", a.report.Upstream.ID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "reason", string(reason),
 		"seen", a.report.Upstream.Orders, "tier", int(tier), "token", token, "result", result.String(), "err", err)
+	a.recordOrder(o, fetch, result)
 	if result != platform.OrderAccepted {
 		return false
 	}
@@ -269,5 +292,6 @@
 		Self: a.report.Upstream, Busy: a.report.Busy, LoadingAdapters: a.report.LoadingAdapters, Engine: *engine, Upstreams: all,
 		Stable: a.list.stable(now, a.report.Upstream.ID), Demand: a.routers.demand(now),
 		FetchAllowed: listRead && a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), FetchConcurrency: a.settings.FetchConcurrency,
+		Turns: a.turnsGranted(),
 	}, a.token, true
 }
