--- a/pkg/fetchturn/messages.go
+++ b/pkg/fetchturn/messages.go
@@ -5,7 +5,6 @@
 package fetchturn
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -104,15 +103,21 @@
 // Ranks returns the addresses of the first two upstreams of the service by rendezvous hashing: the coordinator and the
 // one that replaces it. The address is hashed, not the id, so that a restart of an engine does not move the coordinator.
 func Ranks(service string, upstreams []catalog.Upstream) []string {
-	var addresses []string
+	key := "fetch turns of " + service
+	var addresses [2]string
+	var weights [2]uint64
 	for i := range upstreams {
-		if u := &upstreams[i]; !u.Draining && u.Address != "" && !slices.Contains(addresses, u.Address) {
-			addresses = append(addresses, u.Address)
+		u := &upstreams[i]
+		if u.Draining || u.Address == "" || u.Address == addresses[0] || u.Address == addresses[1] {
+			continue
+		}
+		switch weight := placement.Rank(key, u.Address); {
+		case addresses[0] == "" || weight > weights[0]:
+			addresses[1], weights[1] = addresses[0], weights[0]
+			addresses[0], weights[0] = u.Address, weight
+		case addresses[1] == "" || weight > weights[1]:
+			addresses[1], weights[1] = u.Address, weight
 		}
 	}
-	key := "fetch turns of " + service
-	slices.SortFunc(addresses, func(a, b string) int {
-		return cmp.Or(cmp.Compare(placement.Rank(key, b), placement.Rank(key, a)), cmp.Compare(a, b))
-	})
-	return addresses[:min(2, len(addresses))]
+	return slices.DeleteFunc(addresses[:], func(a string) bool { return a == "" })
 }
--- a/pkg/fetchturn/outlook.go
+++ b/pkg/fetchturn/outlook.go
@@ -68,36 +68,27 @@
 	return s
 }
 
-// Offer returns an upstream and the model of which it should want a second copy. It addresses the loss of the only copy
-// of a model that is requested often, after which its requests are refused until it has been fetched again. The store
-// must be idle, and the upstream decides whether it has room.
+// Offer returns an upstream and a model that it should want to fetch although no request waits for the model there. The
+// upstream decides whether it has room and asks for a turn. Offers are made for two loads: a model that many requests wait
+// for and that no upstream asks for, because the one that routers have chosen is busy or has no room; and a model that is
+// requested often and has one copy, after whose loss its requests would be refused until it has been fetched.
 func (q *Queue) Offer(now time.Time, in Inputs) (upstream, model string, ok bool) {
 	q.expire(now)
-	if now.Before(q.notBefore) || len(q.running)+len(q.turns)+len(q.asks) > 0 {
+	if now.Before(q.notBefore) || len(q.running)+len(q.turns) >= q.limit(now) {
 		return "", "", false
 	}
-	best := 0.0
-	for _, name := range slices.Sorted(maps.Keys(in.Rates)) {
-		if _, known := in.Models[name]; !known || in.Rates[name] <= max(minSecondCopyRate, best) {
-			continue
-		}
-		if _, recent := q.endedAt[name]; !recent {
-			best, model = in.Rates[name], name
-		}
-	}
-	if model == "" {
-		return "", "", false
+	if model = q.unasked(now, in); model == "" {
+		model = q.singleCopy(in)
 	}
 	o := q.offers[model]
 	if o == nil {
 		o = &offer{}
 		q.offers = map[string]*offer{model: o} // only the latest is needed
 	}
-	if now.Sub(o.at) < offerInterval {
-		return "", "", false
-	}
-	targets := slices.DeleteFunc(slices.Clone(in.Upstreams), func(u catalog.Upstream) bool { return u.Draining || u.Tier(model) != catalog.TierStore })
-	if len(targets) == 0 {
+	targets := slices.DeleteFunc(slices.Clone(in.Upstreams), func(u catalog.Upstream) bool {
+		return u.Draining || u.Tier(model) != catalog.TierStore || q.running[u.ID] != nil || q.turns[u.ID] != nil
+	})
+	if model == "" || len(targets) == 0 || now.Sub(o.at) < offerInterval {
 		return "", "", false
 	}
 	slices.SortFunc(targets, func(a, b catalog.Upstream) int {
@@ -107,3 +98,60 @@
 	o.at, o.number = now, o.number+1
 	return target.ID, model, true
 }
+
+// unasked returns the model with the most demand that has no copy outside the weight store and that no upstream has asked
+// for for a while; "" if there is none.
+func (q *Queue) unasked(now time.Time, in Inputs) string {
+	best := ""
+	for _, name := range slices.Sorted(maps.Keys(in.Demand)) {
+		if in.Demand[name] < urgentDemand || q.asked(name) || hasCopy(name, in) {
+			delete(q.unaskedSince, name)
+			continue
+		}
+		since, known := q.unaskedSince[name]
+		if !known {
+			q.unaskedSince[name] = now
+			continue
+		}
+		if now.Sub(since) >= unaskedDelay && (best == "" || in.Demand[name] > in.Demand[best]) {
+			best = name
+		}
+	}
+	maps.DeleteFunc(q.unaskedSince, func(name string, _ time.Time) bool { return in.Demand[name] == 0 })
+	return best
+}
+
+// asked reports whether an upstream wants to fetch the model, fetches it or has fetched it lately.
+func (q *Queue) asked(model string) bool {
+	if _, recent := q.endedAt[model]; recent || q.fetchedElsewhere(model, "") {
+		return true
+	}
+	for _, a := range q.asks {
+		if slices.ContainsFunc(a.wants, func(w placement.Want) bool { return w.Model == model }) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasCopy(model string, in Inputs) bool {
+	_, known := in.Models[model]
+	return !known || slices.ContainsFunc(in.Upstreams, func(u catalog.Upstream) bool { return !u.Draining && u.Tier(model) != catalog.TierStore })
+}
+
+// singleCopy returns the most requested model with a single copy; "" if there is none or the store is not idle.
+func (q *Queue) singleCopy(in Inputs) (model string) {
+	if len(q.running)+len(q.turns)+len(q.asks) > 0 {
+		return ""
+	}
+	best := 0.0
+	for _, name := range slices.Sorted(maps.Keys(in.Rates)) {
+		if _, known := in.Models[name]; !known || in.Rates[name] <= max(minSecondCopyRate, best) {
+			continue
+		}
+		if _, recent := q.endedAt[name]; !recent {
+			best, model = in.Rates[name], name
+		}
+	}
+	return model
+}
--- a/pkg/fetchturn/queue.go
+++ b/pkg/fetchturn/queue.go
@@ -40,6 +40,9 @@
 	offerInterval = 1500 * time.Millisecond
 	// heardRetention is how long the number of an upstream's last message is remembered.
 	heardRetention = time.Minute
+	// unaskedDelay is the time after which a model that requests wait for and no upstream asks for is offered: the list of
+	// upstreams, which names the copies, may be as old.
+	unaskedDelay = 3 * time.Second
 	// copyKnownAfter is the time after a fetch within which the routers know the new copy.
 	copyKnownAfter = 5 * time.Second
 )
@@ -59,6 +62,7 @@
 	endedAt       map[string]time.Time // last end of a fetch by model
 	offers        map[string]*offer    // by model
 	heard         map[string]heard     // last message by upstream
+	unaskedSince  map[string]time.Time // by model
 }
 
 type heard struct {
@@ -108,7 +112,7 @@
 func NewQueue(now time.Time, unprovenLimit int) *Queue {
 	return &Queue{
 		unprovenLimit: max(1, unprovenLimit), notBefore: now.Add(startDelay), asks: map[string]*ask{}, turns: map[string]*turn{}, running: map[string]*active{},
-		pausedUntil: map[string]time.Time{}, endedAt: map[string]time.Time{}, offers: map[string]*offer{}, heard: map[string]heard{},
+		pausedUntil: map[string]time.Time{}, endedAt: map[string]time.Time{}, offers: map[string]*offer{}, heard: map[string]heard{}, unaskedSince: map[string]time.Time{},
 	}
 }
 
--- a/pkg/fetchturn/requester.go
+++ b/pkg/fetchturn/requester.go
@@ -11,9 +11,9 @@
 const (
 	// answerTimeout is how long a sidecar waits for an answer before it asks the next rank, or decides alone.
 	answerTimeout = 400 * time.Millisecond
-	// unansweredInterval is the time between two requests while the first has no answer, so that one lost datagram does
-	// not exceed answerTimeout. requestInterval is the time between two requests otherwise, and between two announcements.
-	unansweredInterval = 190 * time.Millisecond
+	// unansweredInterval is the time between two requests while the first has no answer. Four fit into answerTimeout: with
+	// two, sidecars decided alone on a link that loses a fifth of the datagrams. requestInterval is the time between two requests otherwise, and between two announcements.
+	unansweredInterval = 95 * time.Millisecond
 	requestInterval    = 500 * time.Millisecond
 	// forgetUnanswered is the time without wants after which unanswered requests are forgotten.
 	forgetUnanswered = 3 * time.Second
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fetchturn"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 )
@@ -39,11 +40,30 @@
 		change(d)
 		return peer.Message{Demand: d}
 	}
+	request := func(change func(*fetchturn.Request)) peer.Message {
+		r := &fetchturn.Request{Upstream: "i-1", Seq: 3, Wants: []placement.Want{{Model: "a"}}, Fetch: &fetchturn.Fetch{Model: "a"}, Ended: &fetchturn.Ended{Model: "b"}}
+		change(r)
+		return peer.Message{TurnRequest: r}
+	}
+	answer := func(change func(*fetchturn.Answer)) peer.Message {
+		a := &fetchturn.Answer{Coordinator: "10.0.0.1:80", Upstream: "i-1", Seq: 3, Turn: "a"}
+		change(a)
+		return peer.Message{TurnAnswer: a}
+	}
 	longName := strings.Repeat("x", 257)
 
+	It("with several contents or none are rejected", func() {
+		m := request(func(*fetchturn.Request) {})
+		m.Demand = &peer.Demand{Router: "edge-1"}
+		Expect(decode(m)).To(MatchError(ContainSubstring("exactly one")))
+		Expect(decode(peer.Message{})).To(MatchError(ContainSubstring("exactly one")))
+	})
+
 	It("with valid values are accepted", func() {
 		Expect(decode(report(func(*peer.Report) {}))).To(Succeed())
 		Expect(decode(demand(func(*peer.Demand) {}))).To(Succeed())
+		Expect(decode(request(func(*fetchturn.Request) {}))).To(Succeed())
+		Expect(decode(answer(func(*fetchturn.Answer) {}))).To(Succeed())
 	})
 
 	DescribeTable("with values out of range are rejected",
@@ -61,6 +81,19 @@
 		Entry("an infinite rate", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", Rate: float32(math.Inf(1))}} })),
 		Entry("a negative rank", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", HigherRanked: -1}} })),
 		Entry("a negative number of loads", demand(func(d *peer.Demand) { d.FetchConcurrency = -1 })),
+		Entry("an infinite weight", demand(func(d *peer.Demand) { d.ModelDemand = []peer.ModelDemand{{Model: "a", Weight: float32(math.Inf(1))}} })),
+		Entry("a negative single-copy rate", demand(func(d *peer.Demand) { d.ModelDemand = []peer.ModelDemand{{Model: "a", SingleCopyRate: -1}} })),
+		Entry("demand for too many models", demand(func(d *peer.Demand) { d.ModelDemand = make([]peer.ModelDemand, 1025) })),
+		Entry("a load that is never expected", report(func(s *peer.Report) { s.ExpectedLoads = []fetchturn.Expectation{{Model: "a", MS: math.MaxInt64}} })),
+		Entry("too many expected loads", report(func(s *peer.Report) { s.ExpectedLoads = make([]fetchturn.Expectation, 65) })),
+		Entry("a negative concurrency of the store", report(func(s *peer.Report) { s.StoreConcurrency = -1 })),
+		Entry("a request without an upstream", request(func(r *fetchturn.Request) { r.Upstream = "" })),
+		Entry("a request for too many models", request(func(r *fetchturn.Request) { r.Wants = make([]placement.Want, 9) })),
+		Entry("a request for a long name", request(func(r *fetchturn.Request) { r.Wants[0].Model = longName })),
+		Entry("a fetch with a negative age", request(func(r *fetchturn.Request) { r.Fetch.AgeMS = -1 })),
+		Entry("a fetch of centuries", request(func(r *fetchturn.Request) { r.Ended.DurationMS = math.MaxInt64 })),
+		Entry("an answer without a coordinator", answer(func(a *fetchturn.Answer) { a.Coordinator = "" })),
+		Entry("a turn for a long name", answer(func(a *fetchturn.Answer) { a.Turn = longName })),
 	)
 })
 
@@ -68,6 +101,8 @@
 func FuzzDecode(f *testing.F) {
 	for _, m := range []peer.Message{
 		{Report: &peer.Report{ID: "i-1", Order: &placement.Order{Model: "a"}, OrderRemainingMS: 5, Holdings: &peer.Holdings{OnDisk: []string{"a"}}}},
+		{TurnRequest: &fetchturn.Request{Upstream: "i-1", Wants: []placement.Want{{Model: "a"}}, Fetch: &fetchturn.Fetch{Model: "a", AgeMS: 5}}},
+		{TurnAnswer: &fetchturn.Answer{Coordinator: "c", Upstream: "i-1", Turn: "a"}},
 		{Demand: &peer.Demand{Router: "edge-1", ModelUsage: []peer.ModelUsage{{Model: "a", Rate: 1, Adapters: map[string]int{"x": 1}}}}},
 	} {
 		raw, err := peer.Encode(m)
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -49,6 +49,9 @@
 	inputs  fetchturn.Inputs
 	wants   []placement.Want
 	readAt  time.Time // time of inputs and wants
+	// expected is what was last reported to the routers, computed from the inputs of expectedAt.
+	expected   []fetchturn.Expectation
+	expectedAt time.Time
 
 	logged   fetchturn.Status
 	loggedAt time.Time
@@ -308,7 +311,10 @@
 	if a.settings.PeerPort == 0 || len(t.ranks) < 2 || t.ranks[0] != a.settings.Address {
 		return nil, 0
 	}
-	return t.queue.Expected(now, t.inputs), t.queue.Estimator.Limit(now)
+	if !t.expectedAt.Equal(t.readAt) {
+		t.expected, t.expectedAt = t.queue.Expected(now, t.inputs), t.readAt
+	}
+	return t.expected, t.queue.Estimator.Limit(now)
 }
 
 // logAnswer logs each turn given and the changes of the reason why an upstream gets none.
