Keep a suspended or unconfigured coordinator from stopping fetches

Cause: a coordinator that went on after a freeze of 7 s started a third fetch from its old view, and one without a configuration would answer without ever giving a turn. Slow engines were taken for a slow store.

--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 
@@ -28,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if c.LoadParallel < 1 {
+		return fmt.Errorf("--load-parallel=%d: allowed is 1 or more", c.LoadParallel)
+	}
 	if set.UpstreamAddress == "" {
 		return missingField("app", "sidecar")
 	}
--- a/pkg/dispatch/fetch.go
+++ b/pkg/dispatch/fetch.go
@@ -49,9 +49,9 @@
 func (s *State) FetchConcurrency(now time.Time) int { return s.fetchEstimator.Limit(now) }
 
 // fetchConcurrencyOrDefault prefers the estimate of the coordinator of the fetches, which is told of each fetch.
-func (s *State) fetchConcurrencyOrDefault(now time.Time) int {
-	if n := s.expectedLoads.concurrency; n > 0 && now.Sub(s.expectedLoads.at) <= expectedLoadsLifetime {
-		return n
+func (s *State) fetchConcurrencyOrDefault(now time.Time, service string) int {
+	if e := s.expectedLoads[service]; e.concurrency > 0 && now.Sub(e.at) <= expectedLoadsLifetime {
+		return e.concurrency
 	}
 	if n := s.FetchConcurrency(now); n > 0 {
 		return n
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return assignment{}, false
 	}
-	wait = s.fetchWait(now, assigned.Upstream, spec, fetchQueue)
+	wait = s.fetchWait(now, r.Service, assigned.Upstream, spec, fetchQueue)
 	return assignment{upstream: assigned.Upstream, wait: wait, fetch: true}, true
 }
 
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -66,7 +66,7 @@
 	// pendingPrefill is the number of prompt tokens of the requests that wait for room at an engine, by model.
 	pendingPrefill map[string]*perPriority[int]
 	fetchEstimator fetchturn.Estimator
-	expectedLoads  expectedLoads
+	expectedLoads  map[string]expectedLoads // by service
 	coordinators   coordinators
 	rates          map[string]*modelRate
 	// used is the set of adapters that requests sent to each upstream have used since TakeUsedAdapters was called.
@@ -92,7 +92,7 @@
 		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*retrylimit.Quota{},
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit),
-		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
+		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{}, expectedLoads: map[string]expectedLoads{},
 	}
 }
 
--- a/pkg/dispatch/turns.go
+++ b/pkg/dispatch/turns.go
@@ -21,7 +21,7 @@
 	maxSingleCopies = 8
 )
 
-// expectedLoads are the expected load times that a coordinator of the fetches has reported.
+// expectedLoads are the expected load times that a coordinator of a service's fetches has reported.
 type expectedLoads struct {
 	from        string // id of the coordinator's upstream
 	at          time.Time
@@ -136,10 +136,10 @@
 // recordExpectedLoads keeps the expected load times of the first coordinator, or of another one while the first reports
 // none.
 func (s *State) recordExpectedLoads(now time.Time, m *fleet.Member, r *peer.Report) {
-	e := &s.expectedLoads
+	e := s.expectedLoads[m.Service]
 	if len(r.ExpectedLoads) == 0 && r.StoreConcurrency == 0 {
 		if e.from == m.ID {
-			*e = expectedLoads{}
+			delete(s.expectedLoads, m.Service)
 		}
 		return
 	}
@@ -148,17 +148,19 @@
 	if e.from != m.ID && !first && now.Sub(e.at) <= expectedLoadsLifetime {
 		return
 	}
-	*e = expectedLoads{from: m.ID, at: now, byModel: map[string]time.Duration{}, concurrency: r.StoreConcurrency}
+	e = expectedLoads{from: m.ID, at: now, byModel: map[string]time.Duration{}, concurrency: r.StoreConcurrency}
 	for _, expected := range r.ExpectedLoads {
 		e.byModel[expected.Model] = time.Duration(expected.MS) * time.Millisecond
 	}
+	s.expectedLoads[m.Service] = e
 }
 
 // expectedLoad returns the time until the model is expected to be loaded from the weight store according to the
 // coordinator of the fetches; false if the model is not in its queue.
-func (s *State) expectedLoad(now time.Time, model string) (time.Duration, bool) {
-	wait, known := s.expectedLoads.byModel[model]
-	age := now.Sub(s.expectedLoads.at)
+func (s *State) expectedLoad(now time.Time, service, model string) (time.Duration, bool) {
+	e := s.expectedLoads[service]
+	wait, known := e.byModel[model]
+	age := now.Sub(e.at)
 	if !known || age > expectedLoadsLifetime {
 		return 0, false
 	}
@@ -166,12 +168,12 @@
 }
 
 // fetchWait returns the time until the upstream has fetched the model.
-func (s *State) fetchWait(now time.Time, upstream string, spec catalog.Model, fetchQueue []string) time.Duration {
-	if wait, ok := s.expectedLoad(now, spec.Name); ok {
+func (s *State) fetchWait(now time.Time, service, upstream string, spec catalog.Model, fetchQueue []string) time.Duration {
+	if wait, ok := s.expectedLoad(now, service, spec.Name); ok {
 		return wait
 	}
 	ahead := slices.Index(fetchQueue, spec.Name) + len(s.fetchEstimator.InProgress())
-	wait := spec.FetchTime + time.Duration(ahead/s.fetchConcurrencyOrDefault(now))*spec.FetchTime
+	wait := spec.FetchTime + time.Duration(ahead/s.fetchConcurrencyOrDefault(now, service))*spec.FetchTime
 	if m := s.Fleet.Get(upstream); m != nil {
 		wait += orderRemaining(now, m)
 	}
--- a/pkg/fetchturn/estimator.go
+++ b/pkg/fetchturn/estimator.go
@@ -139,9 +139,16 @@
 			best = i
 		}
 	}
-	if loaded[best] < aloneShare*elapsed { // else the fetch was slow for another reason than the store's concurrency
-		e.proven, e.limit = observation{best + 1, now}, observation{best + 1, now}
+	if loaded[best] >= aloneShare*elapsed || e.contradicted(f, best+1) {
+		return // the fetch was slow for another reason than the store's concurrency
 	}
+	e.proven, e.limit = observation{best + 1, now}, observation{best + 1, now}
+}
+
+// contradicted reports whether more than k fetches were observed at full speed during the fetch. The fetch is then slow
+// because of its engine: a quarter of the engines of one deployment work at half speed, and VMs can be suspended.
+func (e *Estimator) contradicted(f *observed, k int) bool {
+	return e.proven.n > k && e.proven.at.After(f.start)
 }
 
 // loaded returns how many seconds of its full-speed time the fetch has loaded until the given time, for stores that
@@ -188,7 +195,7 @@
 		for k < maxConcurrency && loaded[k] <= longest {
 			k++
 		}
-		if limit == 0 || k < limit {
+		if (limit == 0 || k < limit) && !e.contradicted(f, k) {
 			limit = k
 		}
 	}
--- a/pkg/fetchturn/fetchturn_test.go
+++ b/pkg/fetchturn/fetchturn_test.go
@@ -174,6 +174,20 @@
 		Expect(c.ask(now.Add(14*time.Second), "u2", "a")["u2"].Turn).To(Equal("a"))
 	})
 
+	// Guards against turns by a view from before a suspend.
+	It("gives no turns after a suspend until it has received announcements", func() {
+		c := newCoordinator("a", "b")
+		c.in.Demand = map[string]float64{"a": 9, "b": 9}
+		c.fetch(now, now, "u1", "a", false)
+		c.Round(now)
+		at := now.Add(7 * time.Second)
+		c.Round(at)
+		Expect(c.ask(at, "u2", "b")["u2"].Reason).To(Equal(fetchturn.ReasonStarting))
+		Expect(c.Status(at, c.in).InProgress).To(Equal(1))
+		c.Round(at.Add(time.Second))
+		Expect(c.ask(at.Add(time.Second), "u2", "b")["u2"].Turn).To(Equal("b"))
+	})
+
 	It("ignores repeated and overtaken messages", func() {
 		c := newCoordinator("a")
 		old := &fetchturn.Request{Upstream: "u1", Seq: 4}
--- a/pkg/fetchturn/queue.go
+++ b/pkg/fetchturn/queue.go
@@ -24,6 +24,9 @@
 	announcementTimeout = 3500 * time.Millisecond
 	// startDelay is the time after which a new coordinator has received an announcement of each fetch in progress.
 	startDelay = 700 * time.Millisecond
+	// maxRoundGap is the time between two rounds of a coordinator after which it has been suspended. A round beside an
+	// engine that does not answer takes 0.8 s.
+	maxRoundGap = 1500 * time.Millisecond
 	// maxPreloads bounds the fetches in progress of models that no request waits for.
 	maxPreloads = 2
 	// urgentDemand is the weighted number of requests above which a model may be fetched although the store may not have
@@ -55,6 +58,7 @@
 	// unprovenLimit bounds the fetches at a time while no fetch has shown the store's concurrency.
 	unprovenLimit int
 	notBefore     time.Time
+	calledAt      time.Time
 	asks          map[string]*ask    // by upstream
 	turns         map[string]*turn   // by upstream
 	running       map[string]*active // by upstream
@@ -119,6 +123,19 @@
 // Delay keeps the queue from giving turns until a sidecar that has become the coordinator has received announcements.
 func (q *Queue) Delay(now time.Time) { q.notBefore = now.Add(startDelay) }
 
+// Round detects a suspend of the coordinator. The caller calls it in each round and before it applies a message. After a
+// suspend the queue keeps the fetches in progress and gives no turns until it has received announcements. Without this, a
+// coordinator that went on after 7 s started a third fetch.
+func (q *Queue) Round(now time.Time) {
+	if !q.calledAt.IsZero() && now.Sub(q.calledAt) > maxRoundGap {
+		q.Delay(now)
+		for _, f := range q.running {
+			f.announcedAt = now
+		}
+	}
+	q.calledAt = now
+}
+
 // Receive records a sidecar's request and reports whether it is newer than the ones before it.
 func (q *Queue) Receive(now time.Time, in Inputs, r *Request) bool {
 	if r.Seq <= q.heard[r.Upstream].seq {
--- a/pkg/fetchturn/replay_test.go
+++ b/pkg/fetchturn/replay_test.go
@@ -61,10 +61,16 @@
 	model     string
 	wants     []placement.Want
 	inbox     []datagram // while frozen
-	// frozen stops the sidecar, ended ends it, cutOff cuts it off from the others, and ranks replaces its view of the ranks.
-	frozen, ended, cutOff bool
-	thawAt                time.Duration // end of the freeze; 0 if it does not end
-	ranks                 []string
+	// The sidecar ends at endAt, is frozen from freezeAt to thawAt, and is cut off from the others from cutAt on; 0 is
+	// never. ranks replaces its view of the ranks.
+	endAt, freezeAt, thawAt, cutAt time.Duration
+	ranks                          []string
+}
+
+func (n *node) ended(at time.Duration) bool  { return n.endAt > 0 && at >= n.endAt }
+func (n *node) cutOff(at time.Duration) bool { return n.cutAt > 0 && at >= n.cutAt }
+func (n *node) frozen(at time.Duration) bool {
+	return n.freezeAt > 0 && at >= n.freezeAt && (n.thawAt == 0 || at < n.thawAt)
 }
 
 type datagram struct {
@@ -111,7 +117,7 @@
 	d.due = r.at + tick
 	if d.to == d.from.up.Address {
 		d.due = r.at
-	} else if p < r.loss || d.from.cutOff {
+	} else if p < r.loss || d.from.cutOff(r.at) {
 		return
 	} else if p < r.loss+r.late {
 		d.due = r.at + 1200*time.Millisecond
@@ -134,6 +140,7 @@
 		n.requester.Receive(r.boot(), *d.answer)
 		return
 	}
+	n.queue.Round(r.time())
 	if n.queue.Receive(r.time(), r.inputs(n), d.request) && len(d.request.Wants) > 0 {
 		r.answer(n, n.queue.Grant(r.time(), r.inputs(n), d.request.Upstream))
 	}
@@ -184,10 +191,10 @@
 			continue
 		}
 		for _, n := range r.nodes {
-			if n.up.Address != d.to || n.ended || n.cutOff && n != d.from {
+			if n.up.Address != d.to || n.ended(r.at) || n.cutOff(r.at) && n != d.from {
 				continue
 			}
-			if n.frozen {
+			if n.frozen(r.at) {
 				n.inbox = append(n.inbox, d)
 				continue
 			}
@@ -195,10 +202,10 @@
 		}
 	}
 	for i, n := range r.nodes {
-		n.frozen = n.frozen && (n.thawAt == 0 || r.at < n.thawAt)
-		if n.ended || n.frozen {
+		if n.ended(r.at) || n.frozen(r.at) {
 			continue
 		}
+		n.queue.Round(r.time())
 		for _, d := range n.inbox {
 			r.deliver(n, d)
 		}
@@ -333,11 +340,11 @@
 				Expect(r.twice).To(BeEmpty())
 			}
 		},
-		Entry("a coordinator that has ended", func(r *replay) { r.rank(0).ended = true }, 30*time.Second, false),
-		Entry("two coordinators that have ended", func(r *replay) { r.rank(0).ended, r.rank(1).ended = true, true }, 70*time.Second, true),
-		Entry("a frozen coordinator", func(r *replay) { r.rank(0).frozen = true }, 30*time.Second, false),
-		Entry("a coordinator that goes on after a freeze", func(r *replay) { r.rank(0).frozen, r.rank(0).thawAt = true, 7*time.Second }, 30*time.Second, false),
-		Entry("a coordinator that is cut off", func(r *replay) { r.rank(0).cutOff = true }, 45*time.Second, true),
+		Entry("a coordinator that has ended", func(r *replay) { r.rank(0).endAt = 3 * time.Second }, 30*time.Second, false),
+		Entry("two coordinators that have ended", func(r *replay) { r.rank(0).endAt, r.rank(1).endAt = 3*time.Second, 3*time.Second }, 70*time.Second, true),
+		Entry("a frozen coordinator", func(r *replay) { r.rank(0).freezeAt = 3 * time.Second }, 30*time.Second, false),
+		Entry("a coordinator that goes on after a freeze", func(r *replay) { r.rank(0).freezeAt, r.rank(0).thawAt = 3*time.Second, 10*time.Second }, 30*time.Second, false),
+		Entry("a coordinator that is cut off", func(r *replay) { r.rank(0).cutAt = 3 * time.Second }, 45*time.Second, true),
 		Entry("two coordinators at a time", func(r *replay) {
 			swapped := fetchturn.Ranks("llm", r.upstreams())
 			slices.Reverse(swapped)
--- a/pkg/fetchturn/requester.go
+++ b/pkg/fetchturn/requester.go
@@ -17,8 +17,8 @@
 	requestInterval    = 500 * time.Millisecond
 	// forgetUnanswered is the time without wants after which unanswered requests are forgotten.
 	forgetUnanswered = 3 * time.Second
-	// maxPause is the time between two calls of Next after which the sidecar has been suspended: answers may still lie
-	// unread in its socket.
+	// maxPause is the time between two calls after which the sidecar has been suspended: messages may still lie unread in
+	// its socket.
 	maxPause = time.Second
 	// rememberedRequests bounds the requests whose answers are accepted.
 	rememberedRequests = 32
--- a/pkg/fetchturn/requester_test.go
+++ b/pkg/fetchturn/requester_test.go
@@ -68,6 +68,21 @@
 		Expect(e.Limit(now.Add(13 * time.Second))).To(Equal(1))
 	})
 
+	// Guards against a limit that is learned from a VM that was suspended, or from an engine at half speed.
+	It("ignores a slow fetch beside others at full speed", func() {
+		var e fetchturn.Estimator
+		for _, id := range []string{"u1", "u2", "u3"} {
+			e.Begin(now, id, id, fullSpeed, 0)
+		}
+		e.End(now.Add(fullSpeed), "u1", true)
+		e.End(now.Add(fullSpeed), "u2", true)
+		Expect(e.Proven(now.Add(fullSpeed))).To(Equal(3))
+		Expect(e.Limit(now.Add(15 * time.Second))).To(BeZero())
+		e.End(now.Add(2*fullSpeed), "u3", true)
+		Expect(e.Limit(now.Add(2 * fullSpeed))).To(BeZero())
+		Expect(e.Proven(now.Add(2 * fullSpeed))).To(Equal(3))
+	})
+
 	// Guards against a limit of one that is learned from an engine that loads slowly by itself.
 	It("ignores a slow fetch without others, and one that was known late", func() {
 		var e fetchturn.Estimator
@@ -145,6 +160,12 @@
 		Expect(q.Rank(at(20_010))).To(Equal(0))
 	})
 
+	It("keeps an offer for a while", func() {
+		q.Receive(at(0), fetchturn.Answer{Offer: "b"})
+		Expect(q.Offer(at(1999))).To(Equal("b"))
+		Expect(q.Offer(at(2000))).To(BeEmpty())
+	})
+
 	It("announces a fetch to both ranks at once and every 0.5 s, and its end", func() {
 		fetching := fetchturn.Request{Upstream: "u1", Fetch: &fetchturn.Fetch{Model: "a"}}
 		out, _ := next(0, 900, fetching)
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -91,7 +91,7 @@
 		a.holdingsVersion++
 		report.HoldingsVersion = a.holdingsVersion
 	}
-	report.ExpectedLoads, report.StoreConcurrency = a.expectedLoads(now)
+	report.ExpectedLoads, report.StoreConcurrency = a.expectedLoads()
 	if a.order != nil {
 		report.Order, report.OrderRemainingMS = &a.order.order, a.order.remaining(now).Milliseconds()
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -111,7 +111,7 @@
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(time.Now().UnixMilli()), routers: newRouters(time.Now()), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
-		turns:    newTurns(time.Now(), settings),
+		turns:    newTurns(settings),
 	}
 }
 
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -58,14 +58,18 @@
 	refused  map[string]fetchturn.Reason // last logged reason by upstream
 }
 
-func newTurns(now time.Time, settings Settings) *turns {
+// bootClock returns the time for the queue and the tracker. It continues during a suspend, unlike the monotonic clock, so
+// that a coordinator notices that its view is old.
+func bootClock() time.Time { return time.Unix(0, int64(boottime.Now())) }
+
+func newTurns(settings Settings) *turns {
 	scope := settings.Scope
 	if scope == nil {
 		scope = tally.NoopScope
 	}
 	return &turns{
-		messages: make(chan turnMessage, turnQueueSize), requester: fetchturn.NewRequester(uint64(now.UnixMicro())),
-		queue: fetchturn.NewQueue(now, settings.FetchConcurrency), scope: scope, senders: map[string]netip.AddrPort{}, refused: map[string]fetchturn.Reason{},
+		messages: make(chan turnMessage, turnQueueSize), requester: fetchturn.NewRequester(uint64(time.Now().UnixMicro())),
+		queue: fetchturn.NewQueue(bootClock(), settings.FetchConcurrency), scope: scope, senders: map[string]netip.AddrPort{}, refused: map[string]fetchturn.Reason{},
 	}
 }
 
@@ -108,10 +112,14 @@
 
 // applyRequest applies a request to the own queue and sends the answers.
 func (a *Agent) applyRequest(r *fetchturn.Request) {
-	t, now := a.turns, time.Now()
+	t, now := a.turns, bootClock()
+	t.queue.Round(now)
 	if r.Service != a.service() || !t.queue.Receive(now, t.inputs, r) {
 		return
 	}
+	if t.inputs.Models == nil || t.inputs.Upstreams == nil {
+		return // without an answer the sender asks the next rank: the store may be down for long
+	}
 	requester := ""
 	if len(r.Wants) > 0 {
 		requester = r.Upstream
@@ -185,7 +193,7 @@
 		ranked = ranked || address == a.settings.Address
 	}
 	if ranked && !t.ranked {
-		t.queue.Delay(now)
+		t.queue.Delay(bootClock())
 	}
 	t.ranked = ranked
 	t.wants = nil
@@ -215,7 +223,7 @@
 	if view.Turns != nil && t.requester.Turn(boottime.Now()) != model {
 		return false
 	}
-	t.tracker.Order(time.Now(), model, a.report.Upstream.ID, a.report.Upstream.Orders)
+	t.tracker.Order(bootClock(), model, a.report.Upstream.ID, a.report.Upstream.Orders)
 	t.requester.Use()
 	t.wants = nil
 	a.sendRequests()
@@ -227,9 +235,9 @@
 	t := a.turns
 	switch {
 	case result == platform.OrderAccepted && fetch:
-		t.tracker.Accepted(time.Now(), o.Model, a.report.Upstream.Orders)
+		t.tracker.Accepted(bootClock(), o.Model, a.report.Upstream.Orders)
 	case result == platform.OrderAccepted:
-		t.tracker.Accepted(time.Now(), "", a.report.Upstream.Orders)
+		t.tracker.Accepted(bootClock(), "", a.report.Upstream.Orders)
 	case !fetch:
 	case result == platform.OrderUnknown:
 		t.tracker.Unanswered()
@@ -241,22 +249,23 @@
 // trackFetch passes the engine's report to the tracker.
 func (a *Agent) trackFetch() {
 	if u := &a.report.Upstream; u.ID != "" {
-		a.turns.tracker.Report(time.Now(), u.ID, u.Orders, a.report.Busy, u.Holds)
+		a.turns.tracker.Report(bootClock(), u.ID, u.Orders, a.report.Busy, u.Holds)
 	}
 }
 
 // stepTurns asks for turns, announces the own fetch and, at a coordinator, gives turns and offers.
 func (a *Agent) stepTurns() {
-	now := time.Now()
 	if a.settings.PeerPort == 0 {
 		return
 	}
-	a.readTurnInputs(now)
+	a.turns.queue.Round(bootClock())
+	a.readTurnInputs(time.Now())
 	a.sendRequests()
 	t := a.turns
 	if !t.ranked {
 		return
 	}
+	now := bootClock()
 	a.sendAnswers(t.queue.Grant(now, t.inputs, ""))
 	if t.ranks[0] != a.settings.Address {
 		return
@@ -274,7 +283,7 @@
 		return
 	}
 	request := fetchturn.Request{Upstream: a.report.Upstream.ID, Service: a.service(), Wants: t.wants}
-	request.Fetch, request.Ended = t.tracker.State(time.Now())
+	request.Fetch, request.Ended = t.tracker.State(bootClock())
 	request.Busy = request.Fetch == nil && a.report.Busy && a.order == nil
 	for _, send := range t.requester.Next(boottime.Now(), request, t.ranks) {
 		if send.Address == a.settings.Address {
@@ -306,11 +315,12 @@
 }
 
 // expectedLoads returns what the coordinator reports to the routers; nothing if the sidecar is not the coordinator.
-func (a *Agent) expectedLoads(now time.Time) ([]fetchturn.Expectation, int) {
+func (a *Agent) expectedLoads() ([]fetchturn.Expectation, int) {
 	t := a.turns
 	if a.settings.PeerPort == 0 || len(t.ranks) < 2 || t.ranks[0] != a.settings.Address {
 		return nil, 0
 	}
+	now := bootClock()
 	if !t.expectedAt.Equal(t.readAt) {
 		t.expected, t.expectedAt = t.queue.Expected(now, t.inputs), t.readAt
 	}
--- a/pkg/sidecar/turns_test.go
+++ b/pkg/sidecar/turns_test.go
@@ -55,7 +55,9 @@
 	reports   chan peer.Report
 }
 
-func newGroup() *group {
+// newGroup starts the sidecars; the engine of the last one has the models loaded. The first coordinator has no
+// configuration unless configured is set.
+func newGroup(configured bool, models ...string) *group {
 	g := &group{engines: map[string]*fetchingEngine{}, sockets: map[string]*peer.Socket{}, stop: map[string]context.CancelFunc{}, reports: make(chan peer.Report, 1000)}
 	var listed []catalog.Upstream
 	port := 0
@@ -65,8 +67,13 @@
 		Expect(err).NotTo(HaveOccurred())
 		port = int(socket.Address().Port())
 		u := catalog.Upstream{ID: "i-" + ip, Service: "llm", Address: ip + ":65000", StartedUnixMS: 5}
+		if i == 2 {
+			for _, m := range models {
+				u.Models = append(u.Models, catalog.Resident{Model: m})
+			}
+		}
 		listed, g.addresses, g.sockets[u.Address] = append(listed, u), append(g.addresses, u.Address), socket
-		g.engines[u.Address] = &fetchingEngine{engine: engine{self: catalog.Upstream{Address: u.Address, StartedUnixMS: 5}}}
+		g.engines[u.Address] = &fetchingEngine{engine: engine{self: catalog.Upstream{Address: u.Address, StartedUnixMS: 5, Models: u.Models}}}
 	}
 	var wg sync.WaitGroup
 	all, cancelAll := context.WithCancel(context.Background())
@@ -76,7 +83,9 @@
 		agent := sidecar.New(sidecar.Settings{
 			Node: address, Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4, PeerPort: port,
 		}, g.engines[address], g.sockets[address], log, guard.New(log))
-		agent.Configure(testConfig(), 1)
+		if configured || address != fetchturn.Ranks("llm", listed)[0] {
+			agent.Configure(testConfig(), 1)
+		}
 		agent.SetUpstreams(listed)
 		agent.SetToken(41)
 		ctx, cancel := context.WithCancel(all)
@@ -123,7 +132,7 @@
 
 	// Guards against a model that is fetched at two engines which start within milliseconds of each other.
 	It("fetch a model that routers request at all of them at one engine, and report when it is expected", func() {
-		g := newGroup()
+		g := newGroup(true)
 		first := coordinators(g)[0]
 		Eventually(func() []placement.Order { g.requestLoad("a", g.addresses...); return g.orders(g.addresses...) }, "5s", "100ms").ShouldNot(BeEmpty())
 		Consistently(func() []placement.Order { g.requestLoad("a", g.addresses...); return g.orders(g.addresses...) }, "1s", "100ms").Should(Equal([]placement.Order{{Model: "a"}}))
@@ -132,9 +141,27 @@
 		})))
 	})
 
+	// Guards against fetches that stop while the store is down, because a restarted coordinator has no configuration.
+	It("fetch by the second rank's turns while the first has no configuration", func() {
+		g := newGroup(false)
+		Eventually(func() []placement.Order { g.requestLoad("a", g.addresses...); return g.orders(g.addresses...) }, "5s", "100ms").Should(Equal([]placement.Order{{Model: "a"}}))
+	})
+
+	// Guards against the loss of the only copy of a model that is requested often.
+	It("fetch a second copy of a model that is requested often", func() {
+		g := newGroup(true, "a")
+		demand := peer.Demand{Router: "edge-1", ModelDemand: []peer.ModelDemand{{Model: "a", SingleCopyRate: 5}}}
+		Eventually(func() []placement.Order {
+			for _, address := range g.addresses {
+				_ = g.router.Send(g.sockets[address].Address(), peer.Message{Demand: &demand})
+			}
+			return g.orders(g.addresses[:2]...)
+		}, "15s", "300ms").Should(ContainElement(placement.Order{Model: "a"}))
+	})
+
 	// Guards against models that are not fetched because the coordinator has ended.
 	It("fetch by the second rank's turns, and alone without both", func() {
-		g := newGroup()
+		g := newGroup(true)
 		ranks := coordinators(g)
 		var last string
 		for _, a := range g.addresses {
