--- a/pkg/fetchturn/queue.go
+++ b/pkg/fetchturn/queue.go
@@ -226,13 +226,14 @@
 // candidate is a fetch that is wanted and not in progress.
 type candidate struct {
 	model, upstream string
-	want            placement.Want
-	demand          float64
+	preload         bool
+	rank            uint64  // of the upstream for the model
+	demand, score   float64 // score is the demand for each second of fetch time
 }
 
 // candidates returns the wanted fetches in the order of their turns: by demand for each second of fetch time, and models
-// that no request waits for last. Of the upstreams that want a model, the one that need not spare loaded models comes
-// first, then the highest-ranked one.
+// that no request waits for last. Of the upstreams that want a model, those at which requests wait for it come first, then
+// the highest-ranked one.
 func (q *Queue) candidates(now time.Time, in Inputs) []candidate {
 	best := map[string]candidate{}
 	for _, upstream := range slices.Sorted(maps.Keys(q.asks)) {
@@ -240,29 +241,34 @@
 			continue
 		}
 		for _, w := range q.asks[upstream].wants {
-			if _, known := in.Models[w.Model]; !known || q.fetchedElsewhere(w.Model, upstream) {
+			spec, known := in.Models[w.Model]
+			if !known || q.fetchedElsewhere(w.Model, upstream) {
 				continue
 			}
 			if f := q.running[upstream]; f != nil && f.model != w.Model {
 				continue
 			}
-			c, known := best[w.Model]
-			if !known || better(upstream, w, c) {
-				best[w.Model] = candidate{model: w.Model, upstream: upstream, want: w, demand: in.Demand[w.Model]}
+			c := candidate{model: w.Model, upstream: upstream, preload: w.Preload, rank: placement.Rank(w.Model, upstream), demand: in.Demand[w.Model]}
+			c.score = c.demand / max(0.1, spec.FetchTime.Seconds())
+			if other, known := best[w.Model]; !known || c.better(other) {
+				best[w.Model] = c
 			}
 		}
 	}
-	score := func(c candidate) float64 { return c.demand / max(0.1, in.Models[c.model].FetchTime.Seconds()) }
 	return slices.SortedFunc(maps.Values(best), func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(placement.Rank(a.model, ""), placement.Rank(b.model, "")))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(placement.Rank(a.model, ""), placement.Rank(b.model, ""))
 	})
 }
 
-func better(upstream string, w placement.Want, c candidate) bool {
-	if w.Preload != c.want.Preload {
-		return !w.Preload
+// better reports whether c's upstream suits the fetch better than that of another candidate for the model.
+func (c candidate) better(other candidate) bool {
+	if c.preload != other.preload {
+		return !c.preload
 	}
-	return placement.Rank(w.Model, upstream) > placement.Rank(w.Model, c.upstream)
+	return c.rank > other.rank
 }
 
 // fetchedElsewhere reports whether another upstream fetches the model or has a turn for it.
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -1,6 +1,7 @@
 // Package peer defines the datagrams between routers and agents. Routers send the models and adapters that their
 // requests wait for; agents report the holdings and load of their upstream. Holdings are repeated until the router has
 // confirmed their version; everything else is complete in each message, so the next message makes up for a lost one.
+// Agents exchange the messages of package fetchturn.
 package peer
 
 import (
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -49,6 +49,8 @@
 	inputs  fetchturn.Inputs
 	wants   []placement.Want
 	readAt  time.Time // time of inputs and wants
+	// steppedAt is when the queue was last asked for turns and offers without a message.
+	steppedAt time.Time
 	// expected is what was last reported to the routers, computed from the inputs of expectedAt.
 	expected   []fetchturn.Expectation
 	expectedAt time.Time
@@ -266,6 +268,10 @@
 		return
 	}
 	now := bootClock()
+	if now.Sub(t.steppedAt) < turnInputsInterval { // a turn that a message makes free is given with the message
+		return
+	}
+	t.steppedAt = now
 	a.sendAnswers(t.queue.Grant(now, t.inputs, ""))
 	if t.ranks[0] != a.settings.Address {
 		return
