Keep sidecars from fetching before they have asked for a turn

Cause: between the first read of the list and the first request, a sidecar took itself for one without coordinators. Change: a sidecar decides alone only if the list names no other upstream or after 0.8 s without answers.

--- a/pkg/fetchturn/requester.go
+++ b/pkg/fetchturn/requester.go
@@ -141,8 +141,11 @@
 }
 
 // Rank returns the rank of the coordinator to ask: 0, 1 if the first does not answer, and 2 if neither does and the
-// sidecar decides alone.
+// sidecar decides alone. It does not decide alone before it has asked.
 func (q *Requester) Rank(now boottime.Instant) int {
+	if q.ranks[0].address == "" {
+		return 0
+	}
 	for i, rank := range q.ranks {
 		if rank.address != "" && (rank.unanswered == 0 || now.Sub(rank.unanswered) < answerTimeout) {
 			return i
--- a/pkg/fetchturn/requester_test.go
+++ b/pkg/fetchturn/requester_test.go
@@ -116,6 +116,7 @@
 
 	// Guards against a failover because of one lost datagram, and against a sidecar that waits for a coordinator that is gone.
 	It("repeats a request, asks the second rank after 0.4 s and decides alone after 0.4 s more", func() {
+		Expect(q.Rank(at(0))).To(Equal(0), "it has not asked yet")
 		out, _ := next(0, 390, want)
 		Expect(out).To(Equal([]string{"r0", "r0", "r0", "r0"}))
 		Expect(q.Rank(at(390))).To(Equal(0))
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -204,9 +204,12 @@
 	}
 }
 
-// alone reports whether the sidecar decides on its fetches without a coordinator.
+// alone reports whether the sidecar decides on its fetches without a coordinator. Before the list has been read it does
+// not: after a loss of power all sidecars would fetch in the moment in which they read it.
 func (a *Agent) alone(now boottime.Instant) bool {
-	return a.settings.PeerPort == 0 || len(a.turns.ranks) < 2 || a.turns.requester.Rank(now) >= 2
+	t := a.turns
+	single := t.inputs.Upstreams != nil && len(t.ranks) < 2
+	return a.settings.PeerPort == 0 || single || t.requester.Rank(now) >= 2
 }
 
 // turnsGranted returns what the coordinator has granted; nil if the sidecar decides alone.
--- a/pkg/sidecar/upstreams_test.go
+++ b/pkg/sidecar/upstreams_test.go
@@ -88,4 +88,18 @@
 		Expect(plan(time.Now())).To(BeFalse())
 		Expect(plan(time.Now().Add(stableAfter))).To(BeTrue())
 	})
+
+	// Guards against fetches without turns by all sidecars in the moment in which they read the list after a loss of power.
+	It("keeps an agent from deciding alone before it has asked for a turn", func() {
+		agent := New(Settings{LoadWindow: 5 * time.Second, FetchConcurrency: 2, PeerPort: 7380}, nil, nil, nil, nil)
+		Expect(agent.turnsGranted()).To(Equal(&placement.Turns{}))
+		agent.report = platform.Report{Upstream: self}
+		agent.SetUpstreams([]catalog.Upstream{self, {ID: "i-2", Service: "llm", Address: "127.0.0.1:1"}})
+		agent.settings.Address = "127.0.0.2:1"
+		agent.readTurnInputs(time.Now())
+		Expect(agent.turnsGranted()).To(Equal(&placement.Turns{}))
+		agent.SetUpstreams([]catalog.Upstream{self})
+		agent.readTurnInputs(time.Now().Add(time.Second))
+		Expect(agent.turnsGranted()).To(BeNil(), "there is nobody to ask")
+	})
 })
