--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 
@@ -20,6 +21,7 @@
 	platformFlags
 	LoadParallel int  `help:"Loads that the weight store serves at a time at full speed." default:"4" env:"HIBISCUSCROSS_LOAD_PARALLEL"`
 	AdmitPrompts bool `help:"Admit prompts to the engine where the configuration's longest pause calls for it." default:"true" negatable:"" env:"HIBISCUSCROSS_ADMIT_PROMPTS"`
+	FetchTurns   bool `help:"Ask the coordinator for a turn before each load from the weight store." default:"true" negatable:"" env:"HIBISCUSCROSS_FETCH_TURNS"`
 }
 
 // Run runs a sidecar beside a model engine of the users' platform until it receives a stop signal.
@@ -28,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if c.LoadParallel < 1 {
+		return fmt.Errorf("--load-parallel=%d: allowed is 1 or more", c.LoadParallel)
+	}
 	if set.UpstreamAddress == "" {
 		return missingField("app", "sidecar")
 	}
@@ -47,6 +52,7 @@
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
 		ChecksTokens: set.FencingRequired,
 		AdmitPrompts: c.AdmitPrompts,
+		PeerPort:     c.turnsPort(set), Scope: scope,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
 	agent.SetMetrics(scope)
 	store := platform.NewStore(set.StoreAddress)
@@ -74,3 +80,11 @@
 	log.State("stopped", "err", err)
 	return err
 }
+
+// turnsPort returns the port at which the other sidecars are asked for turns; 0 if each decides alone.
+func (c *sidecarCmd) turnsPort(set platform.Settings) int {
+	if !c.FetchTurns {
+		return 0
+	}
+	return set.PeerPort
+}
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -30,6 +30,12 @@
 		c.report(r)
 	}
 	c.prompts(m)
+	if r := m.TurnRequest; r != nil {
+		c.turnRequest(r)
+	}
+	if a := m.TurnAnswer; a != nil {
+		c.turnAnswer(a)
+	}
 	if c.field == "" {
 		return nil
 	}
@@ -84,6 +90,7 @@
 	c.adapters("used", d.UsedAdapters...)
 	c.name("fetching", d.Fetching...)
 	c.count("parallel", d.FetchConcurrency)
+	c.modelDemand(d.ModelDemand)
 	for _, usage := range d.ModelUsage {
 		c.name("held", usage.Model)
 		c.count("held", usage.HigherRanked, usage.Running)
@@ -102,6 +109,7 @@
 	c.count("prompts", r.PromptTokens, r.PromptTokensWaiting, r.AskAbove)
 	c.amount("room", r.AvailableMemory.FreeMB, r.AvailableMemory.IdleMB, r.AvailableMemory.BusyMB)
 	c.require(r.OrderRemainingMS >= 0 && r.OrderRemainingMS <= maxOrderMS, "order")
+	c.expectedLoads(r.ExpectedLoads, r.StoreConcurrency)
 	if r.Order != nil {
 		c.name("order", r.Order.Model, r.Order.Adapter)
 	}
--- a/pkg/peer/prompts.go
+++ b/pkg/peer/prompts.go
@@ -55,7 +55,8 @@
 // kinds returns the number of fields that are set.
 func (m *Message) kinds() int {
 	n := 0
-	for _, set := range []bool{m.Demand != nil, m.Report != nil, m.PromptAsk != nil, m.PromptAnswer != nil, m.PromptEnd != nil} {
+	for _, set := range []bool{m.Demand != nil, m.Report != nil, m.PromptAsk != nil, m.PromptAnswer != nil, m.PromptEnd != nil,
+		m.TurnRequest != nil, m.TurnAnswer != nil} {
 		if set {
 			n++
 		}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -10,6 +10,9 @@
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
@@ -51,6 +54,10 @@
 	ChecksTokens bool
 	// AdmitPrompts allows the sidecar to admit prompts where the configuration calls for it.
 	AdmitPrompts bool
+	// PeerPort is the port at which the other sidecars receive messages; 0 if this one decides alone on its fetches.
+	PeerPort int
+	// Scope receives the metrics; nil for none.
+	Scope tally.Scope
 }
 
 // routerMessage is a router's demand and the address that it came from.
@@ -94,6 +101,7 @@
 	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
 	endedID        string
 	endNoticesSent int
+	turns          *turns
 }
 
 // orderInProgress is an order that the engine is executing.
@@ -118,6 +126,7 @@
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
+		turns:    newTurns(settings),
 	}
 	a.prompts = newPromptAdmission(a)
 	return a
@@ -137,7 +146,11 @@
 	go func() { defer close(done); a.prompts.run(promptsCtx) }()
 	defer func() { stop(); <-done }()
 	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
-		if a.prompts.handle(from, m) || m.Demand == nil {
+		if a.prompts.handle(from, m) {
+			return
+		}
+		if m.Demand == nil {
+			a.queueTurnMessage(from, m)
 			return
 		}
 		select {
@@ -162,12 +175,17 @@
 			a.applyMessage(r)
 		case r := <-a.instance.replies:
 			a.applyInstanceReply(r)
+		case m := <-a.turns.messages:
+			if !a.applyTurnMessage(m) {
+				continue
+			}
 		case <-timer.C:
 		}
 		a.applyQueuedMessages()
 		pollInterval := idlePollInterval
 		a.guard.Do("round", func() {
 			a.round(ctx)
+			a.stepTurns()
 			pollInterval = a.pollInterval()
 		})
 		timer.Reset(pollInterval)
@@ -195,6 +213,8 @@
 		return adapterPollInterval
 	case a.report.Busy || a.order != nil:
 		return busyPollInterval
+	case a.turns.requester.Turn(boottime.Now()) != "": // got from the own queue after the round
+		return adapterPollInterval
 	}
 	return idlePollInterval
 }
@@ -238,6 +258,7 @@
 	a.report = r
 	a.requestToken()
 	a.prompts.applyReport(time.Now(), r)
+	a.trackFetch()
 	if a.order != nil && !r.Busy {
 		a.order = nil
 	}
@@ -260,7 +281,11 @@
 		return false
 	}
 	tier := a.report.Upstream.Tier(o.Model)
-	if !o.Unload && o.Adapter == "" && tier == catalog.TierStore {
+	fetch := !o.Unload && o.Adapter == "" && tier == catalog.TierStore
+	if fetch {
+		if !a.beginFetch(view, o.Model) {
+			return false
+		}
 		a.fetches.recordStart(now)
 	}
 	number := a.addPending(now, o, token)
@@ -268,6 +293,7 @@
 	a.endPending(number, result != platform.OrderUnknown || errors.Is(err, syscall.ECONNREFUSED)) // a refused connection carried nothing
 	a.log.State("order", "upstream", a.report.Upstream.ID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "reason", string(reason),
 		"seen", a.report.Upstream.Orders, "tier", int(tier), "token", token, "result", result.String(), "err", err)
+	a.recordOrder(o, fetch, result)
 	if result != platform.OrderAccepted {
 		return false
 	}
@@ -299,5 +325,6 @@
 		Stable: a.list.stable(now, a.report.Upstream.ID), Demand: a.routers.demand(now),
 		FetchAllowed: listRead && a.fetches.allowed(now, engine.LoadsPerSecond, position(all), len(all)), FetchConcurrency: a.settings.FetchConcurrency,
 		Reserved: a.pending.reserved(now, engine, &a.report.Upstream, a.token, a.settings.ChecksTokens),
+		Turns:    a.turnsGranted(),
 	}, a.token, true
 }
