--- /dev/null
+++ b/pkg/quota/tenant.go
@@ -0,0 +1,198 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
+)
+
+// tenant is the quota of one tenant at the holder.
+type tenant struct {
+	limit   Limit
+	version uint64 // of the configuration from which limit is
+	granted window
+	// total is the amount granted by this holder, and confirmedTotal that of the last confirmed write of the lease. Their
+	// difference stays within cap.
+	total, confirmedTotal, cap float64
+	// wantedCap is the largest amount that a request needs at once.
+	wantedCap float64
+	pending   map[pendingKey]*pending
+	// demand is the amount needed per second by priority, granted or not, averaged over demandTime.
+	demand     [priorities]float64
+	backlog    float64 // refused amounts that were told to come back later
+	advancedAt boottime.Instant
+
+	returned                float64
+	grants, waits, refusals uint64
+}
+
+// pendingKey identifies a need.
+type pendingKey struct {
+	router  string
+	process uint64
+	id      uint64
+}
+
+// pending is a need that waits for tokens.
+type pending struct {
+	amount          float64
+	priority        int
+	firstAt, seenAt boottime.Instant
+}
+
+// setLimit replaces the limit. What may be granted before the next confirmed write of the lease stays as it is.
+func (t *tenant) setLimit(l Limit) { t.limit = l }
+
+// nextCap returns what may be granted after the next write. It never shrinks: a write without an answer may have been
+// stored, and what was granted since the last confirmed one must stay within the amount stored with either.
+func (t *tenant) nextCap() float64 {
+	return max(t.cap, capShare*t.limit.Max(), min(t.wantedCap, t.limit.Max()))
+}
+
+// advance drops what has left the window, and the pending needs that their routers no longer name.
+func (t *tenant) advance(now boottime.Instant) {
+	t.granted.advance(now)
+	elapsed := now.Sub(t.advancedAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	t.advancedAt = now
+	decay := math.Exp(-elapsed / demandTime.Seconds())
+	for i := range t.demand {
+		t.demand[i] *= decay
+	}
+	t.backlog = max(0, t.backlog-elapsed*t.limit.Rate)
+	for key, p := range t.pending {
+		if now.Sub(p.seenAt) > pendingTimeout {
+			delete(t.pending, key)
+		}
+	}
+}
+
+// available returns what may be granted now.
+func (t *tenant) available() float64 {
+	return min(t.limit.Max()-t.granted.sum, t.cap-(t.total-t.confirmedTotal))
+}
+
+func (t *tenant) remove(key pendingKey) { delete(t.pending, key) }
+
+func (t *tenant) grant(now boottime.Instant, amount float64) {
+	t.granted.add(now, amount)
+	t.total += amount
+}
+
+// decide answers a need. It addresses a tenant that sends many times its limit: requests are admitted with the same
+// probability whatever their size, the more urgent ones first, so that many short requests do not use up the quota
+// before a long one finds enough of it. Those admitted are served in order.
+func (t *tenant) decide(now boottime.Instant, key pendingKey, n Need) Answer {
+	p := t.pending[key]
+	if p == nil {
+		priority := min(max(n.Priority, 0), priorities-1)
+		t.demand[priority] += n.Amount / demandTime.Seconds()
+		t.wantedCap = max(t.wantedCap, n.Amount)
+		if n.Amount > t.limit.Max() || key.share() >= t.admitted(priority) {
+			return t.refuse(now, key, n)
+		}
+		p = &pending{amount: n.Amount, priority: priority, firstAt: now}
+		t.pending[key] = p
+	}
+	p.seenAt = now
+	needed := t.ahead(key, p) + n.Amount
+	if needed <= t.available() {
+		delete(t.pending, key)
+		t.grant(now, n.Amount)
+		t.grants++
+		return Answer{ID: n.ID, Granted: true}
+	}
+	wait := t.timeUntil(now, needed)
+	if wait > time.Duration(n.MaxWaitMS)*time.Millisecond {
+		return t.refuse(now, key, n)
+	}
+	t.waits++
+	return Answer{ID: n.ID, WaitMS: max(1, wait.Milliseconds())}
+}
+
+// admitted returns the share of the needs of a priority that the quota suffices for. It is 1 unless the tenant's demand
+// exceeds its rate and little of the quota is left. The reserve lets a long request find what it needs.
+func (t *tenant) admitted(priority int) float64 {
+	reserve := min(t.limit.Rate*reserveTime.Seconds(), t.limit.Max()/4)
+	rate := t.limit.Rate + (t.limit.Max()-t.granted.sum-t.waitingAmount()-reserve)/levelTime.Seconds()
+	for _, d := range t.demand[:priority] {
+		rate -= d
+	}
+	if t.demand[priority] <= 0 || rate >= t.demand[priority] {
+		return 1
+	}
+	return max(0, rate/t.demand[priority])
+}
+
+func (t *tenant) waitingAmount() float64 {
+	sum := 0.0
+	for _, p := range t.pending {
+		sum += p.amount
+	}
+	return sum
+}
+
+// ahead returns the amounts that are granted before a need: those of more urgent ones, and of earlier ones of the same
+// priority.
+func (t *tenant) ahead(key pendingKey, p *pending) float64 {
+	sum := 0.0
+	for k, other := range t.pending {
+		if k == key || other.priority > p.priority {
+			continue
+		}
+		if other.priority < p.priority || other.firstAt < p.firstAt || other.firstAt == p.firstAt && k.less(key) {
+			sum += other.amount
+		}
+	}
+	return sum
+}
+
+func (k pendingKey) less(o pendingKey) bool {
+	if k.router != o.router {
+		return k.router < o.router
+	}
+	return k.id < o.id
+}
+
+// timeUntil returns the time until an amount is available.
+func (t *tenant) timeUntil(now boottime.Instant, amount float64) time.Duration {
+	wait := time.Duration(0)
+	if amount > t.cap-(t.total-t.confirmedTotal) {
+		wait = nextWrite
+	}
+	return max(wait, t.granted.timeUntil(now, t.limit.Max()-amount))
+}
+
+// refuse refuses a need. Refused callers are told to come back one after the other, at the rate of the tenant, so that
+// they do not all come back at once.
+func (t *tenant) refuse(now boottime.Instant, key pendingKey, n Need) Answer {
+	delete(t.pending, key)
+	t.refusals++
+	longest := maxBacklogTime.Seconds()
+	queued := time.Duration(longest * float64(time.Second))
+	if t.limit.Rate > 0 {
+		queued = time.Duration(min(longest, t.backlog/t.limit.Rate) * float64(time.Second))
+	}
+	t.backlog = min(t.backlog+n.Amount, longest*t.limit.Rate)
+	wait := max(queued, t.timeUntil(now, min(t.waitingAmount()+n.Amount, t.limit.Max())))
+	wait += time.Duration(key.spread() * float64(wait) / 2)
+	return Answer{ID: n.ID, RetryMS: max(1, wait.Milliseconds())}
+}
+
+// spread returns a number from 0 to 1 that is independent of share.
+func (k pendingKey) spread() float64 {
+	_, fraction := math.Modf(k.share() * 7919)
+	return fraction
+}
+
+// grantAhead grants an amount for small requests, unless requests wait or less than a quarter of the quota is left.
+func (t *tenant) grantAhead(now boottime.Instant, amount float64) float64 {
+	if amount <= 0 || len(t.pending) > 0 || amount > t.available() || t.granted.sum+amount > t.limit.Max()*3/4 {
+		return 0
+	}
+	t.grant(now, amount)
+	return amount
+}
