Observe the tenants' quotas in routers and sidecars

Sidecars hold the shards of the quotas: a candidate reads the lease objects with cheap stale reads and takes a lease with a conditional write; the holder renews it, answers the routers' requests and names itself in its reports. A router gets the tokens of a request before the decision on its upstream, checks them again immediately before the send, and returns those of a request that was not sent.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -87,6 +87,10 @@
 		health.SetUnready("no upstream is within reach")
 	})
 
+	quotas := gateway.NewQuotas(set.NodeName, socket, log, scope)
+	gw.SetQuotas(quotas)
+	peers.SetQuotas(quotas)
+
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
 	addContext(&g, gd.Watch)
@@ -111,6 +115,7 @@
 		gateway.NewRefusals(core, store, set.NodeName, log).Run(ctx)
 		return nil
 	}))
+	addContext(&g, quotas.Run)
 	addContext(&g, peers.Run)
 	addContext(&g, func(ctx context.Context) error { sweepIdleConns(ctx, pool); return nil })
 	err = g.Run()
--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -35,7 +35,7 @@
 	gd := guard.New(log)
 	log.State("starting", "version", version, "zone", set.Zone, "store", set.StoreAddress, "upstream", set.UpstreamAddress)
 	reporter, metrics := telemetry.NewReporter(func(err error) { log.State("metric not registered", "err", err) })
-	_, closer := telemetry.NewScope("sidecar", reporter)
+	scope, closer := telemetry.NewScope("sidecar", reporter)
 	defer func() { _ = closer.Close() }()
 
 	socket, err := peer.Listen(net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)))
@@ -46,6 +46,7 @@
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
 	store := platform.NewStore(set.StoreAddress)
+	agent.EnableQuotas(store.WithStaleReads(), store, set.QuotaWindow, scope)
 	watches := follow.Options{LongPollDuration: sidecarWatchHold, ChangeDelay: sidecarChangeDelay, MaxRetryDelay: sidecarMaxRetryDelay}
 
 	var g run.Group
@@ -65,6 +66,7 @@
 		follow.New(store.WithStaleReads(), platform.KindUpstreams, watches, agent.Upstreams(), log).Run(ctx)
 		return nil
 	}))
+	addContext(&g, func(ctx context.Context) error { agent.RunQuotas(ctx); return nil })
 	addContext(&g, agent.Receive)
 	addContext(&g, func(ctx context.Context) error { agent.Run(ctx); return nil })
 	err = g.Run()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -50,6 +50,7 @@
 	endRequests context.CancelFunc
 	bodyMemory  memoryBudget
 	started     time.Time
+	quotas      *Quotas // nil if quotas are not observed
 }
 
 // New returns a gateway that sends requests over the connections of pool.
@@ -90,6 +91,9 @@
 	timing    timing
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
+	// tenant is the caller's tenant; nil if the request needs no key.
+	tenant *catalog.Tenant
+	quota  requestQuota
 }
 
 // ServeHTTP serves one request.
@@ -222,7 +226,11 @@
 
 // run executes decisions and attempts until the request has its final answer.
 func (c *callerRequest) run() {
+	defer c.refundQuota()
 	for {
+		if !c.awaitQuota() {
+			return
+		}
 		d, changed := c.g.core.decide(c.req)
 		c.decision = d
 		switch d.Action {
@@ -230,11 +238,18 @@
 			c.finishRefused(d)
 			return
 		case dispatch.Wait:
+			c.parkQuota(d)
 			if !c.wait(d, changed) {
 				return
 			}
 		case dispatch.Send:
+			if !c.quotaHeld() {
+				continue
+			}
 			outcome, answer := c.attempt(d)
+			if c.settleQuota(outcome) {
+				continue
+			}
 			if outcome == dispatch.Done {
 				c.deliver(answer)
 				return
@@ -353,6 +368,7 @@
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
 		fields = append(fields, c.timing.fields(c.start, c.req.Route)...)
+		fields = append(fields, c.quotaFields()...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -40,6 +40,7 @@
 	partitioned bool // reports whether onReachable was last called with false
 	// sentCrashSeq is the number of this router's last crash report that was sent to the relays.
 	sentCrashSeq uint64
+	quotas       *Quotas // nil if quotas are not observed
 }
 
 // NewPeers returns the message exchange of the router with the agents, which listen on port beside their upstreams.
@@ -68,9 +69,13 @@
 
 // receive applies the agents' reports until ctx ends.
 func (p *Peers) receive(ctx context.Context) error {
-	return p.socket.Receive(ctx, func(_ netip.AddrPort, m peer.Message) {
-		if m.Report != nil {
+	return p.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
+		switch {
+		case m.Report != nil:
 			p.guard.Try("agent's report", func() { p.applyReport(m.Report) })
+			p.guard.Try("quota holders", func() { p.quotas.applyAnnouncements(from, m.Report.Quotas) })
+		case m.QuotaGrant != nil:
+			p.guard.Try("quota grant", func() { p.quotas.applyGrant(from, m.QuotaGrant) })
 		}
 	}, func(from netip.AddrPort, err error) {
 		p.log.Request("message not received", "from", from.String(), "err", err)
@@ -78,6 +83,9 @@
 }
 
 func (p *Peers) applyReport(report *peer.Report) {
+	if report.ID == "" {
+		return // announces a quota holder only
+	}
 	if report.Ended {
 		p.core.Do(func(s *dispatch.State) { s.RecordUpstreamEnded(time.Now(), report.ID) })
 		return
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -87,6 +87,11 @@
 		})
 		defer unregister()
 	}
+	if !c.markQuotaSent() {
+		stop()
+		_ = conn.Close()
+		return dispatch.Expired, nil
+	}
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 )
 
 const (
@@ -13,6 +14,10 @@
 	// maxOrderMS bounds the expected remaining time of an order in ms: one hour. In a corrupted datagram the time was
 	// 10^8 years.
 	maxOrderMS = 3_600_000
+	// maxWaitMS bounds times of quotas in ms: one hour.
+	maxWaitMS = 3_600_000
+	// maxAmount bounds rates and amounts of quotas. Beyond it, sums of amounts would not be exact.
+	maxAmount = 1e12
 	// maxMB bounds amounts of memory in MB.
 	maxMB = 1e9
 	// maxNameBytes bounds the length of the names of models, adapters, routers and upstreams.
@@ -23,10 +28,15 @@
 // that may corrupt or forge them.
 func (m *Message) check() error {
 	var c checker
-	if d := m.Demand; d != nil {
-		c.demand(d)
-	} else {
+	switch {
+	case m.Demand != nil:
+		c.demand(m.Demand)
+	case m.Report != nil:
 		c.report(m.Report)
+	case m.QuotaRequest != nil:
+		c.quotaRequest(m.QuotaRequest)
+	case m.QuotaGrant != nil:
+		c.quotaGrant(m.QuotaGrant)
 	}
 	if c.field == "" {
 		return nil
@@ -99,6 +109,10 @@
 	c.count("load", r.Queued, r.Running, r.KVUsed, r.KVTotal, r.Routers)
 	c.amount("room", r.AvailableMemory.FreeMB, r.AvailableMemory.IdleMB, r.AvailableMemory.BusyMB)
 	c.require(r.OrderRemainingMS >= 0 && r.OrderRemainingMS <= maxOrderMS, "order")
+	for _, q := range r.Quotas {
+		c.shard("quotas", q.Shard)
+		c.duration("quotas", q.RemainingMS)
+	}
 	if r.Order != nil {
 		c.name("order", r.Order.Model, r.Order.Adapter)
 	}
@@ -111,3 +125,50 @@
 		c.name("holdings", h.OnDisk...)
 	}
 }
+
+func (c *checker) shard(field string, shard int) {
+	c.require(shard >= 0 && shard < quota.Shards, field)
+}
+
+func (c *checker) duration(field string, values ...int64) {
+	for _, ms := range values {
+		c.require(ms >= 0 && ms <= maxWaitMS, field)
+	}
+}
+
+// quantity checks amounts and rates of quotas.
+func (c *checker) quantity(field string, values ...float64) {
+	for _, v := range values {
+		c.require(v >= 0 && v <= maxAmount, field) // NaN fails both
+	}
+}
+
+func (c *checker) quotaRequest(r *quota.Request) {
+	c.require(r.Router != "", "router")
+	c.name("router", r.Router)
+	c.shard("shard", r.Shard)
+	for _, t := range r.Tenants {
+		c.name("tenant", t.Tenant)
+		c.quantity("limit", t.Rate, t.Burst)
+		c.quantity("ahead", t.Ahead)
+		for _, n := range t.Needs {
+			c.quantity("need", n.Amount)
+			c.count("need", n.Priority)
+			c.duration("need", n.MaxWaitMS)
+		}
+		for _, ret := range t.Returned {
+			c.quantity("returned", ret.Amount)
+		}
+	}
+}
+
+func (c *checker) quotaGrant(g *quota.Grant) {
+	c.shard("shard", g.Shard)
+	for _, t := range g.Tenants {
+		c.name("tenant", t.Tenant)
+		c.quantity("ahead", t.Ahead)
+		for _, a := range t.Needs {
+			c.duration("answer", a.WaitMS, a.RetryMS)
+		}
+	}
+}
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 )
 
 func TestPeer(t *testing.T) {
@@ -39,11 +40,18 @@
 		change(d)
 		return peer.Message{Demand: d}
 	}
+	quotaRequest := func(change func(*quota.Request)) peer.Message {
+		r := &quota.Request{Router: "edge-1", Tenants: []quota.TenantRequest{{Tenant: "t", Rate: 1, Needs: []quota.Need{{ID: 1, Amount: 1}}}}}
+		change(r)
+		return peer.Message{QuotaRequest: r}
+	}
 	longName := strings.Repeat("x", 257)
 
 	It("with valid values are accepted", func() {
 		Expect(decode(report(func(*peer.Report) {}))).To(Succeed())
 		Expect(decode(demand(func(*peer.Demand) {}))).To(Succeed())
+		Expect(decode(quotaRequest(func(*quota.Request) {}))).To(Succeed())
+		Expect(decode(peer.Message{QuotaGrant: &quota.Grant{Shard: 1}})).To(Succeed())
 	})
 
 	DescribeTable("with values out of range are rejected",
@@ -60,6 +68,18 @@
 		Entry("a negative number of requests", demand(func(d *peer.Demand) { d.Here[0].Waiting = -5 })),
 		Entry("an infinite rate", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", Rate: float32(math.Inf(1))}} })),
 		Entry("a negative rank", demand(func(d *peer.Demand) { d.ModelUsage = []peer.ModelUsage{{Model: "a", HigherRanked: -1}} })),
+		Entry("a shard that does not exist", report(func(s *peer.Report) { s.Quotas = []quota.Announcement{{Shard: quota.Shards}} })),
+		Entry("a lease that never ends", report(func(s *peer.Report) { s.Quotas = []quota.Announcement{{RemainingMS: math.MaxInt64}} })),
+		Entry("a quota request without a router", quotaRequest(func(r *quota.Request) { r.Router = "" })),
+		Entry("a negative shard", quotaRequest(func(r *quota.Request) { r.Shard = -1 })),
+		Entry("a limit that is not a number", quotaRequest(func(r *quota.Request) { r.Tenants[0].Rate = math.NaN() })),
+		Entry("a negative need", quotaRequest(func(r *quota.Request) { r.Tenants[0].Needs[0].Amount = -1 })),
+		Entry("a negative priority", quotaRequest(func(r *quota.Request) { r.Tenants[0].Needs[0].Priority = -1 })),
+		Entry("an infinite amount ahead", quotaRequest(func(r *quota.Request) { r.Tenants[0].Ahead = math.Inf(1) })),
+		Entry("a negative return", quotaRequest(func(r *quota.Request) { r.Tenants[0].Returned = []quota.Return{{Amount: -1}} })),
+		Entry("a grant of another shard", peer.Message{QuotaGrant: &quota.Grant{Shard: quota.Shards}}),
+		Entry("a grant of less than nothing", peer.Message{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Ahead: -1}}}}),
+		Entry("a wait of years", peer.Message{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Needs: []quota.Answer{{WaitMS: 1 << 40}}}}}}),
 		Entry("a negative number of loads", demand(func(d *peer.Demand) { d.FetchConcurrency = -1 })),
 	)
 })
@@ -69,6 +89,8 @@
 	for _, m := range []peer.Message{
 		{Report: &peer.Report{ID: "i-1", Order: &placement.Order{Model: "a"}, OrderRemainingMS: 5, Holdings: &peer.Holdings{OnDisk: []string{"a"}}}},
 		{Demand: &peer.Demand{Router: "edge-1", ModelUsage: []peer.ModelUsage{{Model: "a", Rate: 1, Adapters: map[string]int{"x": 1}}}}},
+		{QuotaRequest: &quota.Request{Router: "edge-1", Tenants: []quota.TenantRequest{{Tenant: "t", Needs: []quota.Need{{ID: 1, Amount: 5}}}}}},
+		{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Tenant: "t", Needs: []quota.Answer{{ID: 1, Granted: true}}}}}},
 	} {
 		raw, err := peer.Encode(m)
 		if err != nil {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 )
 
 // MaxDatagram is the maximum size of an encoded message in bytes.
@@ -114,6 +115,8 @@
 	HoldingsVersion uint32 `cbor:"14,keyasint,omitempty"`
 	// Holdings is nil if the receiver has confirmed HoldingsVersion.
 	Holdings *Holdings `cbor:"15,keyasint,omitempty"`
+	// Quotas lists the shards of the tenants' quotas that the agent holds. A report without an id contains nothing else.
+	Quotas []quota.Announcement `cbor:"20,keyasint,omitempty"`
 }
 
 // SetUpstream sets the fields that describe the upstream, including its holdings and their version.
@@ -124,8 +127,21 @@
 
 // Message is one datagram; exactly one field is set.
 type Message struct {
-	Demand *Demand `cbor:"1,keyasint,omitempty"`
-	Report *Report `cbor:"2,keyasint,omitempty"`
+	Demand       *Demand        `cbor:"1,keyasint,omitempty"`
+	Report       *Report        `cbor:"2,keyasint,omitempty"`
+	QuotaRequest *quota.Request `cbor:"3,keyasint,omitempty"`
+	QuotaGrant   *quota.Grant   `cbor:"4,keyasint,omitempty"`
+}
+
+// parts returns the number of fields that are set.
+func (m *Message) parts() int {
+	n := 0
+	for _, set := range []bool{m.Demand != nil, m.Report != nil, m.QuotaRequest != nil, m.QuotaGrant != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
 
 // Encode encodes a message.
@@ -146,8 +162,8 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return Message{}, fault.Wrap(err, fault.StepTransport, "", "decode message")
 	}
-	if (m.Demand == nil) == (m.Report == nil) {
-		return Message{}, fault.New(fault.StepTransport, "", "message has neither a demand nor a report, or both")
+	if n := m.parts(); n != 1 {
+		return Message{}, fault.Newf(fault.StepTransport, "", "message has %d parts, want one", n)
 	}
 	if err := m.check(); err != nil {
 		return Message{}, err
--- a/pkg/quota/balance.go
+++ b/pkg/quota/balance.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -23,8 +22,9 @@
 	// returnAfter is how long refunded tokens are kept for other requests before they are returned to the holder, and
 	// minReturn the validity that they must have left.
 	returnAfter, minReturn = 30 * time.Millisecond, 100 * time.Millisecond
-	// needsPerMessage and returnsPerMessage keep a message within the size of a datagram.
-	needsPerMessage, returnsPerMessage = 64, 32
+	// These bounds keep a message within the size of a datagram. Needs are counted over the message, returns and
+	// cancelled needs by tenant.
+	tenantsPerMessage, needsPerMessage, returnsPerMessage, cancelsPerMessage = 16, 64, 8, 16
 	// maxInFlight bounds the unanswered requests to a holder. Under a flood, or without an answer, needs share requests.
 	maxInFlight = 8
 	// smallFactor is the size up to which a request is served from prefetched tokens, in units of Tenant.Small.
@@ -132,14 +132,6 @@
 	repeatAt boottime.Instant
 }
 
-// Stats are counters of a balance.
-type Stats struct {
-	// Sent and Repeated count messages. Expired is the amount of tokens that expired unused, Returned that of tokens
-	// returned to the holder, by tenant.
-	Sent, Repeated    uint64
-	Expired, Returned map[string]float64
-}
-
 // NewBalance returns an empty balance of a router's process.
 func NewBalance(router string, process uint64) *Balance {
 	return &Balance{router: router, process: process, tenants: map[string]*account{}, waiting: map[uint64]*waiter{}, sent: map[uint64]*sentRequest{},
@@ -393,9 +385,3 @@
 	}
 	return 0
 }
-
-// Stats returns the counters.
-func (b *Balance) Stats() Stats { return b.stats }
-
-// NewProcess returns a random number for a process.
-func NewProcess() uint64 { return rand.Uint64() }
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -22,7 +22,7 @@
 	maxTenants = 4096
 	// nextWrite is the assumed time until the next write of the lease, which allows further grants after the share of
 	// the limit for one interval has been granted.
-	nextWrite = 300 * time.Millisecond
+	nextWrite = 100 * time.Millisecond
 )
 
 // Holder grants the tokens of the tenants of one shard while its process holds the lease. It addresses uneven load: a
@@ -227,11 +227,15 @@
 
 // Usage is the state of a tenant's quota, for metrics.
 type Usage struct {
-	Tenant              string
-	Max, Granted        float64
-	Returned            float64
-	Waiting             int
-	Grants, Waits, Refs uint64
+	Tenant string
+	// Max is what may run within the window, and Granted what has been granted within it.
+	Max, Granted float64
+	// Waiting is the number of needs that wait for tokens.
+	Waiting int
+	// These count needs granted, told to wait and refused, and all decisions, since the lease was acquired.
+	Grants, Waits, Refusals, Decided uint64
+	// Returned is the amount that routers have returned unused.
+	Returned float64
 }
 
 // Usages returns the state of the quotas.
@@ -240,8 +244,8 @@
 	for name, t := range h.tenants {
 		t.advance(now)
 		if t.limit.Rate > 0 {
-			out = append(out, Usage{Tenant: name, Max: t.limit.Max(), Granted: t.granted.sum, Returned: t.returned, Waiting: len(t.pending),
-				Grants: t.grants, Waits: t.waits, Refs: t.refusals})
+			out = append(out, Usage{Tenant: name, Max: t.limit.Max(), Granted: t.granted.sum, Waiting: len(t.pending), Returned: t.returned,
+				Grants: t.grants, Waits: t.waits, Refusals: t.refusals, Decided: t.grants + t.waits + t.refusals})
 		}
 	}
 	return out
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -12,8 +12,9 @@
 	LeaseTime = 2 * time.Second
 	// renewInterval is the time between two renewals: 67 writes per minute for each shard.
 	renewInterval = 900 * time.Millisecond
-	// earlyRenewInterval is that time while a tenant has used much of what may be granted between two renewals.
-	earlyRenewInterval = 300 * time.Millisecond
+	// earlyRenewInterval is that time while a tenant has used much of what may be granted between two renewals. A burst of
+	// a whole limit takes six early renewals.
+	earlyRenewInterval = 100 * time.Millisecond
 	// retryInterval is the time after a failed write until the next one.
 	retryInterval = 100 * time.Millisecond
 	// takeOverDelay is how long an object must not have changed before another process takes over. The margin covers
@@ -115,6 +116,9 @@
 	l.record(now, s)
 }
 
+// ReadFailed records that a read has failed.
+func (l *Lease) ReadFailed(now boottime.Instant) { l.readAt = now }
+
 func (l *Lease) record(at boottime.Instant, s Stored) {
 	l.read, l.stored, l.sinceAt = true, s, at
 }
--- a/pkg/quota/messages.go
+++ b/pkg/quota/messages.go
@@ -47,6 +47,9 @@
 	left := needsPerMessage
 	due := b.due(now, shard)
 	for _, name := range b.names(shard) {
+		if len(r.Tenants) == tenantsPerMessage {
+			break
+		}
 		a := b.tenants[name]
 		b.expire(now, a)
 		req := TenantRequest{Tenant: name, Rate: a.Rate, Burst: a.Burst, Config: a.Config, Returned: b.returns(now, shard, a)}
@@ -64,7 +67,7 @@
 		if req.Ahead = a.ahead(now); req.Ahead > 0 {
 			a.aheadUntil = now.Add(giveUpAfter)
 		}
-		req.Cancelled = a.cancelled[:min(len(a.cancelled), needsPerMessage)]
+		req.Cancelled = a.cancelled[:min(len(a.cancelled), cancelsPerMessage)]
 		if len(req.Needs)+len(req.Returned)+len(req.Cancelled) == 0 && req.Ahead == 0 {
 			continue
 		}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 	log      *eventlog.Log
 	guard    *guard.Guard
 	demands  chan routerMessage
+	quotas   *quotas // nil unless EnableQuotas has been called
 
 	mu     sync.Mutex // guards config, list and token
 	config *catalog.Config
@@ -116,9 +117,13 @@
 // Receive queues the routers' messages until ctx ends.
 func (a *Agent) Receive(ctx context.Context) error {
 	return a.socket.Receive(ctx, func(from netip.AddrPort, m peer.Message) {
+		if m.QuotaRequest != nil {
+			a.guard.Try("quota request", func() { a.quotas.handle(from, m.QuotaRequest) })
+		}
 		if m.Demand == nil {
 			return
 		}
+		a.quotas.recordRouter(from, m.Demand)
 		select {
 		case a.demands <- routerMessage{from: from, demand: m.Demand}:
 		default:
