--- a/pkg/quota/balance.go
+++ b/pkg/quota/balance.go
@@ -253,6 +253,7 @@
 	}
 	a.decay(now)
 	wanted := float64(int(a.smallRate*Validity.Seconds()/a.Small)) * a.Small
+	a.wantsAhead = wanted > 0
 	for _, l := range a.lots {
 		if l.until.Sub(now) >= giveUpAfter {
 			wanted -= l.amount
--- a/pkg/quota/messages.go
+++ b/pkg/quota/messages.go
@@ -46,7 +46,7 @@
 	r := &Request{Router: b.router, Process: b.process, Shard: shard, Number: b.number + 1}
 	left := needsPerMessage
 	due := b.due(now, shard)
-	for _, name := range b.names(shard) {
+	for _, name := range b.active(shard) {
 		if len(r.Tenants) == tenantsPerMessage {
 			break
 		}
@@ -93,10 +93,15 @@
 	return out
 }
 
-func (b *Balance) names(shard int) []string {
+// active returns the tenants of a shard that a request may have to name, sorted.
+func (b *Balance) active(shard int) []string {
+	waiting := map[*account]bool{}
+	for _, w := range b.waiting {
+		waiting[w.account] = true
+	}
 	var out []string
 	for name, a := range b.tenants {
-		if a.shard == shard {
+		if a.shard == shard && (waiting[a] || a.wantsAhead || len(a.lots)+len(a.cancelled) > 0) {
 			out = append(out, name)
 		}
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -21,7 +21,10 @@
 	patience                     time.Duration
 	from                         time.Duration // results of earlier requests are not counted
 	arrivals                     *world        // as if all requests had run
-	belowSent, belowBad          int           // requests below the limit, and those of them that were refused or slow
+	// belowSent counts requests below the limit, belowBad those of them that were refused or slow, and belowLost those that
+	// did not run.
+	belowSent, belowBad, belowLost int
+	admit                          func(p *proc, t Tenant, amount float64) bool // decides in place of the balance
 }
 
 func newTraffic(w *world, tenants []Tenant, load float64) *traffic {
@@ -59,13 +62,16 @@
 		below := c.arrivals.arrive(c.w.now, t, amount)
 		counted, live := c.w.now >= c.from, !p.dead && !p.cut && p.frozenUntil <= c.w.now
 		if live {
-			p.request(c.tenants[i], amount, priority, c.patience, func(ran bool, delay time.Duration, over bool) {
+			result := func(ran bool, delay time.Duration, over bool) {
 				if !counted {
 					return
 				}
 				c.sent[i]++
 				if below {
 					c.belowSent++
+					if !ran {
+						c.belowLost++
+					}
 					if over || delay > 100*time.Millisecond {
 						c.belowBad++
 					}
@@ -83,7 +89,13 @@
 				count(amount == long && ran, c.longRan)
 				count(priority == 0, c.urgentSent)
 				count(priority == 0 && ran, c.urgentRan)
-			})
+			}
+			if c.admit != nil {
+				ran := c.admit(p, c.tenants[i], amount)
+				result(ran, 0, !ran)
+			} else {
+				p.request(c.tenants[i], amount, priority, c.patience, result)
+			}
 		}
 		c.next(i)
 	})
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -18,6 +18,7 @@
 	rand   *rand.Rand
 	events eventQueue
 	seq    int
+	unsent int     // one of so many requests is not sent after it has got its tokens; 0 for none
 	loss   float64 // share of datagrams lost; as many are duplicated, and as many are late by up to 3 s
 	// storeDown rejects all calls of the store, storeLoses executes writes without an answer.
 	storeDown, storeLoses bool
@@ -49,6 +50,7 @@
 	balance     *Balance
 	done        map[uint64]func(Result)
 	timer       time.Duration // next flush
+	ranks       map[int]int   // by shard; computed at the first use, when all processes exist
 }
 
 type event struct {
@@ -73,7 +75,7 @@
 }
 
 func newWorld(seed uint64, routers, sidecars int) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), used: map[string][]use{}}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), unsent: 50, used: map[string][]use{}}
 	for i := range routers + sidecars {
 		p := &proc{w: w, name: fmt.Sprint("p", i), region: i % 3, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7),
 			offset: time.Duration(w.rand.IntN(1_000_000)) * time.Millisecond}
@@ -83,6 +85,8 @@
 		} else {
 			w.sidecars = append(w.sidecars, p)
 		}
+	}
+	for _, p := range w.procs {
 		p.start()
 	}
 	return w
@@ -170,17 +174,19 @@
 }
 
 func (p *proc) rank(shard int) int {
-	rank, own := 0, rankOf(shard, p.name)
-	for _, o := range p.w.sidecars {
-		if rankOf(shard, o.name) > own {
-			rank++
+	if p.ranks == nil {
+		p.ranks = map[int]int{}
+		for shard := range Shards {
+			var names []string
+			for _, o := range p.w.sidecars {
+				names = append(names, o.name)
+			}
+			p.ranks[shard] = Rank(shard, p.name, names)
 		}
 	}
-	return rank
+	return p.ranks[shard]
 }
 
-func rankOf(shard int, name string) uint64 { return rank(shard, name) }
-
 func (p *proc) write(shard int, l *Lease, wr LeaseWrite) {
 	w := p.w
 	w.writes++
@@ -277,7 +283,7 @@
 			if p.balance != balance {
 				return // the process has been restarted
 			}
-			if !h.Valid(p.clock()) || w.rand.IntN(50) == 0 { // expired, or no upstream takes it
+			if !h.Valid(p.clock()) || w.unsent > 0 && w.rand.IntN(w.unsent) == 0 { // expired, or no upstream takes it
 				p.balance.Refund(p.clock(), h)
 				p.flush()
 				done(false, w.now-start, false)
