--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -25,7 +25,7 @@
 	// maxQuotaAmount bounds the amount of a request, since the number of tokens comes from the caller.
 	maxQuotaAmount = 1e9
 	// minQuotaReserve is the least time before a request's deadline at which a wait for a quota holder ends, so that the
-	// caller still gets the refusal; the wait takes at most three quarters of the remaining time.
+	// caller still gets the refusal; the wait takes half to three quarters of the remaining time.
 	minQuotaReserve = 150 * time.Millisecond
 	// quotaRetryAfter is the mean Retry-After while no quota holder answers: a take-over takes about 2 s.
 	quotaRetryAfter = time.Second
@@ -252,7 +252,7 @@
 // awaitGrant waits for the result of a wait for tokens.
 func (c *callerRequest) awaitGrant(start time.Time, id uint64, result <-chan quota.Result) (quota.Result, bool) {
 	left := c.quotaLimit().Sub(start)
-	timer := time.NewTimer(left - max(left/4, minQuotaReserve))
+	timer := time.NewTimer(max(left/2, left-max(left/4, minQuotaReserve)))
 	defer timer.Stop()
 	select {
 	case r := <-result:
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
@@ -21,6 +22,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 	"github.com/hibiscuscross/hibiscuscross/pkg/retrylimit"
 	"github.com/hibiscuscross/hibiscuscross/pkg/sidecar"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -48,6 +50,7 @@
 type quotaRig struct {
 	t         *testing.T
 	gw        *Gateway
+	core      *Core
 	store     *platform.Store
 	calls     atomic.Int64 // of the store
 	agentPort int
@@ -71,6 +74,7 @@
 	r.config.SetTenants([]catalog.Tenant{tenant})
 	state := dispatch.New(dispatch.Settings{Zone: "z1", RetryLimit: retrylimit.Limit{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}})
 	core := NewCore(state)
+	r.core = core
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.ran.Add(1)
 		standin.Sign(w.Header(), standin.RequestID(q.Header), "stamp")
@@ -129,6 +133,15 @@
 
 // request serves a request of the tenant that has passed the check of its key.
 func (r *quotaRig) request(meta platform.Request) *httptest.ResponseRecorder {
+	c, w := r.prepare(meta)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.req.Deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.run()
+	return w
+}
+
+func (r *quotaRig) prepare(meta platform.Request) (*callerRequest, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
 	q := httptest.NewRequest(http.MethodPost, "/x", nil)
 	q.Host = "h"
@@ -137,11 +150,7 @@
 	route, _ := r.config.Match("h", "/x")
 	c := &callerRequest{g: r.gw, w: w, r: q, meta: meta, start: time.Now(), tenant: &r.config.Tenants()[0], config: r.config.Version}
 	c.prepare(route)
-	ctx, cancel := context.WithDeadline(q.Context(), c.req.Deadline)
-	defer cancel()
-	c.ctx = ctx
-	c.run()
-	return w
+	return c, w
 }
 
 // Guards against requests of a tenant beyond its limit that run, and those below it that do not, with the messages, the
@@ -175,6 +184,35 @@
 	if w.Code != http.StatusTooManyRequests || err != nil || after <= 0 || r.ran.Load() != ran {
 		t.Fatalf("over the limit: %d, Retry-After %q, %d ran", w.Code, w.Header().Get("Retry-After"), r.ran.Load()-ran)
 	}
+	r.core.Update(func(s *dispatch.State) { s.Fleet.Remove(time.Now(), "u1") })
+	if w := r.request(platform.Request{TokensIn: 123}); w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("without an upstream: %d", w.Code)
+	}
+	returned := func() float64 {
+		r.gw.quotas.mu.Lock()
+		defer r.gw.quotas.mu.Unlock()
+		return r.gw.quotas.balance.Stats().Returned["t"]
+	}
+	for deadline := time.Now().Add(2 * time.Second); returned() != 123; {
+		if time.Sleep(10 * time.Millisecond); time.Now().After(deadline) {
+			t.Fatalf("%.0f tokens of a request that was not sent were returned, want 123", returned())
+		}
+	}
+}
+
+// Guards against a request that is sent with tokens that have expired since the decision, as in a process that was frozen.
+func TestExpiredTokensAreNotSent(t *testing.T) {
+	r := newQuotaRig(t, catalog.Tenant{Name: "t", Rate: 100, Burst: 100})
+	c, _ := r.prepare(platform.Request{})
+	c.ctx = context.Background()
+	d, _ := r.core.decide(c.req)
+	if d.Action != dispatch.Send {
+		t.Fatalf("decision %+v", d)
+	}
+	c.quota = requestQuota{hold: &quota.Hold{Until: boottime.Now()}, admitted: true}
+	if o, _ := c.attempt(d); o != dispatch.Expired || r.ran.Load() != 0 || !c.settleQuota(o) || !c.quota.needed {
+		t.Fatalf("outcome %s, %d ran, %+v", o, r.ran.Load(), c.quota)
+	}
 }
 
 // Guards against a 429, which blames the caller, and against a request that is held until its deadline, while no process
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -16,8 +16,10 @@
 	// earlyRenewInterval is that time while a tenant has used much of what may be granted between two renewals. A burst of
 	// a whole limit takes six early renewals.
 	earlyRenewInterval = 100 * time.Millisecond
-	// retryInterval is the time after a failed write until the next one.
-	retryInterval = 100 * time.Millisecond
+	// retryInterval is the time after a failed write until the next one; each further failure doubles it up to
+	// maxRetryInterval. failedReadInterval is the least time after a failed read until the next one.
+	retryInterval, maxRetryInterval = 100 * time.Millisecond, 1600 * time.Millisecond
+	failedReadInterval              = time.Second
 	// takeOverDelay is how long an object must not have changed before another process takes over. The margin covers
 	// clocks that run at different rates.
 	takeOverDelay = LeaseTime + LeaseTime/50
@@ -81,6 +83,7 @@
 	until   boottime.Instant // end of the lease
 	writing bool
 	nextAt  boottime.Instant // earliest time of the next write
+	retryIn time.Duration    // delay after the next failed write; 0 for the least
 	wroteAt boottime.Instant // start of the last confirmed write
 	// unresolved are the writes whose outcome is not known, by their number.
 	unresolved map[uint64]LeaseWrite
@@ -137,7 +140,10 @@
 	case rank >= Candidates:
 		interval = reserveInterval
 	}
-	return max(l.readAt, l.failedAt).Add(interval)
+	if l.failedAt > l.readAt {
+		return l.failedAt.Add(max(interval, failedReadInterval))
+	}
+	return l.readAt.Add(interval)
 }
 
 // Write returns the write to start now, if there is one. rank is the place of the process among the candidates for the
@@ -200,7 +206,7 @@
 // Written records that the write has succeeded and that the object has the revision now. It reports whether the process
 // has become the holder.
 func (l *Lease) Written(now boottime.Instant, w LeaseWrite, revision uint64) bool {
-	l.writing = false
+	l.writing, l.retryIn = false, 0
 	return l.confirm(now, w, revision)
 }
 
@@ -245,5 +251,7 @@
 // Failed records that the outcome of the write is not known.
 func (l *Lease) Failed(now boottime.Instant) {
 	l.writing = false
-	l.nextAt = now.Add(retryInterval)
+	l.retryIn = min(max(l.retryIn, retryInterval), maxRetryInterval)
+	l.nextAt = now.Add(l.retryIn)
+	l.retryIn *= 2
 }
--- a/pkg/quota/rules_test.go
+++ b/pkg/quota/rules_test.go
@@ -125,3 +125,24 @@
 		t.Fatal("writes before the other's lease can have ended")
 	}
 }
+
+// Guards against a write of the lease every 100 ms for a request that exceeds the whole limit, and against as many calls
+// to a store that is down.
+func TestFewWrites(t *testing.T) {
+	h := testHolder(State{})
+	h.Handle(second, oneNeed(1, 1, 100, 1e9))
+	if h.NeedsWrite() {
+		t.Error("writes early for a request that can never be granted")
+	}
+	l, writes := NewLease(0, "a", 1, 0), 0
+	l.Read(second, Stored{Revision: 5, Spec: LeaseSpec{Node: "a"}})
+	for now := second; now < 61*second; now = now.Add(50 * time.Millisecond) {
+		if _, ok := l.Write(now, 0); ok {
+			writes++
+			l.Failed(now)
+		}
+	}
+	if writes > 60 {
+		t.Errorf("%d writes in a minute while the store is down", writes)
+	}
+}
--- a/pkg/quota/stats.go
+++ b/pkg/quota/stats.go
@@ -13,5 +13,5 @@
 // Stats returns the counters.
 func (b *Balance) Stats() Stats { return b.stats }
 
-// NewProcess returns a random number for a process.
-func NewProcess() uint64 { return rand.Uint64() }
+// NewProcess returns a random number for a process. It is exact in JSON, where a store may keep numbers as floats.
+func NewProcess() uint64 { return rand.Uint64() >> 11 }
--- a/pkg/quota/tenant.go
+++ b/pkg/quota/tenant.go
@@ -47,7 +47,7 @@
 // nextCap returns what may be granted after the next write. It never shrinks: a write without an answer may have been
 // stored, and what was granted since the last confirmed one must stay within the amount stored with either.
 func (t *tenant) nextCap() float64 {
-	return max(t.cap, capShare*t.limit.Max(), min(t.wantedCap, t.limit.Max()))
+	return max(t.cap, capShare*t.limit.Max(), t.wantedCap)
 }
 
 // advance drops what has left the window, and the pending needs that their routers no longer name.
@@ -90,7 +90,9 @@
 	if p == nil {
 		priority := min(max(n.Priority, 0), priorities-1)
 		t.demand[priority] += n.Amount / demandTime.Seconds()
-		t.wantedCap = max(t.wantedCap, n.Amount)
+		if n.Amount <= t.limit.Max() {
+			t.wantedCap = max(t.wantedCap, n.Amount)
+		}
 		if n.Amount > t.limit.Max() || key.share() >= t.admitted(priority) {
 			return t.refuse(now, key, n)
 		}
