--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -161,7 +161,7 @@
 					}
 				}
 			}
-			switch w.rand.IntN(6) {
+			switch w.rand.IntN(7) {
 			case 0:
 				p.dead = true
 			case 1:
@@ -171,13 +171,15 @@
 			case 3, 4:
 				p.dead = true
 				w.at(nil, time.Duration(w.rand.IntN(500))*time.Millisecond, p.start)
+			case 5, 6:
+				p.noStore = true
 			}
 			w.storeDown, w.storeLoses = w.rand.IntN(10) == 0, w.rand.IntN(10) == 0
 			for _, p := range w.procs {
 				if p.dead && w.rand.IntN(5) == 0 {
 					p.start()
 				}
-				p.cut = p.cut && w.rand.IntN(4) > 0
+				p.cut, p.noStore = p.cut && w.rand.IntN(4) > 0, p.noStore && w.rand.IntN(4) > 0
 			}
 		}
 		for i, tenant := range testTenants(8) {
--- a/pkg/quota/rules_test.go
+++ b/pkg/quota/rules_test.go
@@ -121,9 +121,13 @@
 	if l.Holder(3*second) != nil {
 		t.Fatal("holds the lease after another's write")
 	}
-	if _, ok := l.Write(3*second+second, 0); ok {
+	l.Read(5*second, Stored{Revision: 12})
+	if _, ok := l.Write(5*second, 0); ok {
 		t.Fatal("writes before the other's lease can have ended")
 	}
+	if _, ok := l.Write((5 * second).Add(50*time.Millisecond), 0); !ok {
+		t.Fatal("does not take over")
+	}
 }
 
 // Guards against a write of the lease every 100 ms for a request that exceeds the whole limit, and against as many calls
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -46,6 +46,7 @@
 	dead        bool
 	frozenUntil time.Duration
 	cut         bool // no datagrams and no store
+	noStore     bool
 	leases      [Shards]*Lease
 	balance     *Balance
 	done        map[uint64]func(Result)
@@ -161,7 +162,7 @@
 		}
 		read = read || rank < Candidates+Reserves && p.clock() >= l.NextRead(p.clock(), rank)
 	}
-	if read && !p.w.storeDown && !p.cut {
+	if read && !p.w.storeDown && !p.cut && !p.noStore {
 		p.w.reads++
 		objects := p.w.objects
 		p.w.at(p, 4*time.Millisecond, func() {
@@ -190,7 +191,7 @@
 func (p *proc) write(shard int, l *Lease, wr LeaseWrite) {
 	w := p.w
 	w.writes++
-	if w.storeDown || p.cut {
+	if w.storeDown || p.cut || p.noStore {
 		w.at(p, WriteTimeout, func() { l.Failed(p.clock()) })
 		return
 	}
