--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -227,6 +227,7 @@
 		return true
 	}
 	c.quota.needed = false
+	c.refundQuota() // too little of its validity is left
 	amount, small := c.quotaAmount()
 	start, q := time.Now(), c.g.quotas
 	maxWait := c.quotaMaxWait(start)
