--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -85,6 +85,10 @@
 	})
 	core.SetRevokeDelay(set.RevokeDelay)
 
+	quotas := gateway.NewQuotas(set.NodeName, socket, log, scope)
+	gw.SetQuotas(quotas)
+	peers.SetQuotas(quotas)
+
 	var g run.Group
 	addSignals(&g, &c.platformFlags, log)
 	addContext(&g, gd.Watch)
@@ -115,6 +119,7 @@
 			health.SetCause("view of the API keys is too old", !usable)
 		}).Run)
 	}
+	addContext(&g, quotas.Run)
 	addContext(&g, peers.Run)
 	addContext(&g, func(ctx context.Context) error { sweepIdleConns(ctx, pool); return nil })
 	err = g.Run()
--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -56,6 +56,7 @@
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
 	agent.SetMetrics(scope)
 	store := platform.NewStore(set.StoreAddress)
+	agent.EnableQuotas(store.WithStaleReads(), store, set.QuotaWindow, scope)
 	watches := follow.Options{LongPollDuration: sidecarWatchHold, ChangeDelay: sidecarChangeDelay, MaxRetryDelay: sidecarMaxRetryDelay}
 
 	var g run.Group
@@ -74,6 +75,7 @@
 		follow.New(store.WithStaleReads(), platform.KindUpstreams, watches, agent.Upstreams(), log).Run(ctx)
 		return nil
 	}))
+	addContext(&g, func(ctx context.Context) error { agent.RunQuotas(ctx); return nil })
 	addContext(&g, agent.Receive)
 	addContext(&g, func(ctx context.Context) error { agent.Run(ctx); return nil })
 	err = g.Run()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -51,6 +51,7 @@
 	endRequests context.CancelFunc
 	bodyMemory  memoryBudget
 	started     time.Time
+	quotas      *Quotas // nil if quotas are not observed
 }
 
 // New returns a gateway that sends requests over the connections of pool.
@@ -102,6 +103,7 @@
 	promptStats promptStats
 	// reservedBytes is the memory reserved for the bodies of answers.
 	reservedBytes int64
+	quota         requestQuota
 }
 
 // ServeHTTP serves one request.
@@ -132,7 +134,6 @@
 	ctx, cancel := context.WithDeadline(c.baseContext(), c.req.Deadline)
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
-	g.core.Do(func(s *dispatch.State) { s.RecordArrival(c.start, c.req) })
 	ctx, span := g.trace.Start(ctx, "request", trace.WithAttributes(
 		attribute.String("id", c.meta.ID), attribute.String("route", route.Name), attribute.String("model", c.meta.Model)))
 	defer span.End()
@@ -244,7 +245,15 @@
 // run executes decisions and attempts until the request has its final answer.
 func (c *callerRequest) run() {
 	defer c.endPrompt(dispatch.Expired) // of a request that ends between the admission and the attempt
+	defer c.refundQuota()
+	if !c.awaitQuota() {
+		return
+	}
+	c.g.core.Do(func(s *dispatch.State) { s.RecordArrival(c.start, c.req) }) // not those beyond the quota, however many
 	for c.readmit() {
+		if !c.awaitQuota() {
+			return
+		}
 		d, changed := c.g.core.decide(c.req)
 		c.decision = d
 		switch d.Action {
@@ -252,6 +261,7 @@
 			c.finishRefused(d)
 			return
 		case dispatch.Wait:
+			c.parkQuota(d)
 			if !c.wait(d, changed) {
 				return
 			}
@@ -262,7 +272,13 @@
 			case promptRequestEnded:
 				return
 			}
+			if !c.quotaHeld() && !c.awaitQuota() { // the wait for the admission can outlast the tokens
+				return
+			}
 			outcome, answer := c.attempt(d)
+			if c.settleQuota(outcome) {
+				continue
+			}
 			if outcome == dispatch.Done {
 				c.deliver(answer)
 				return
@@ -387,6 +403,7 @@
 		}
 		fields = append(fields, c.timing.fields(c.start, c.req.Route, c.req.Priority())...)
 		fields = append(fields, c.promptStats.fields()...)
+		fields = append(fields, c.quotaFields()...)
 	}
 	c.g.log.Request("request", append(fields, kv...)...)
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -94,6 +94,11 @@
 		_ = cancelled()
 		return dispatch.Expired, nil
 	}
+	if !c.markQuotaSent() {
+		stop()
+		_ = conn.Close()
+		return dispatch.Expired, nil
+	}
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/fetchturn"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 )
 
 func TestPeer(t *testing.T) {
@@ -50,6 +51,11 @@
 		change(a)
 		return peer.Message{TurnAnswer: a}
 	}
+	quotaRequest := func(change func(*quota.Request)) peer.Message {
+		r := &quota.Request{Router: "edge-1", Tenants: []quota.TenantRequest{{Tenant: "t", Rate: 1, Needs: []quota.Need{{ID: 1, Amount: 1}}}}}
+		change(r)
+		return peer.Message{QuotaRequest: r}
+	}
 	longName := strings.Repeat("x", 257)
 
 	It("with several contents or none are rejected", func() {
@@ -68,6 +74,8 @@
 		Expect(decode(peer.Message{PromptAsk: ask, Demand: &peer.Demand{Router: "edge-1"}})).NotTo(Succeed())
 		Expect(decode(request(func(*fetchturn.Request) {}))).To(Succeed())
 		Expect(decode(answer(func(*fetchturn.Answer) {}))).To(Succeed())
+		Expect(decode(quotaRequest(func(*quota.Request) {}))).To(Succeed())
+		Expect(decode(peer.Message{QuotaGrant: &quota.Grant{Shard: 1}})).To(Succeed())
 	})
 
 	DescribeTable("with values out of range are rejected",
@@ -92,6 +100,18 @@
 		Entry("an unknown verdict", peer.Message{PromptAnswer: &peer.PromptAnswer{Verdict: 4}}),
 		Entry("a negative wait", peer.Message{PromptAnswer: &peer.PromptAnswer{Verdict: 1, WaitMS: -1}}),
 		Entry("an unknown end", peer.Message{PromptEnd: &peer.PromptEnd{Router: "r", Kind: 9}}),
+		Entry("a shard that does not exist", report(func(s *peer.Report) { s.Quotas = []quota.Announcement{{Shard: quota.Shards}} })),
+		Entry("a lease that never ends", report(func(s *peer.Report) { s.Quotas = []quota.Announcement{{RemainingMS: math.MaxInt64}} })),
+		Entry("a quota request without a router", quotaRequest(func(r *quota.Request) { r.Router = "" })),
+		Entry("a negative shard", quotaRequest(func(r *quota.Request) { r.Shard = -1 })),
+		Entry("a limit that is not a number", quotaRequest(func(r *quota.Request) { r.Tenants[0].Rate = math.NaN() })),
+		Entry("a negative need", quotaRequest(func(r *quota.Request) { r.Tenants[0].Needs[0].Amount = -1 })),
+		Entry("a negative priority", quotaRequest(func(r *quota.Request) { r.Tenants[0].Needs[0].Priority = -1 })),
+		Entry("an infinite amount ahead", quotaRequest(func(r *quota.Request) { r.Tenants[0].Ahead = math.Inf(1) })),
+		Entry("a negative return", quotaRequest(func(r *quota.Request) { r.Tenants[0].Returned = []quota.Return{{Amount: -1}} })),
+		Entry("a grant of another shard", peer.Message{QuotaGrant: &quota.Grant{Shard: quota.Shards}}),
+		Entry("a grant of less than nothing", peer.Message{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Ahead: -1}}}}),
+		Entry("a wait of years", peer.Message{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Needs: []quota.Answer{{WaitMS: 1 << 40}}}}}}),
 		Entry("a negative number of loads", demand(func(d *peer.Demand) { d.FetchConcurrency = -1 })),
 		Entry("an infinite weight", demand(func(d *peer.Demand) { d.ModelDemand = []peer.ModelDemand{{Model: "a", Weight: float32(math.Inf(1))}} })),
 		Entry("a negative single-copy rate", demand(func(d *peer.Demand) { d.ModelDemand = []peer.ModelDemand{{Model: "a", SingleCopyRate: -1}} })),
@@ -117,6 +137,8 @@
 		{TurnRequest: &fetchturn.Request{Upstream: "i-1", Wants: []placement.Want{{Model: "a"}}, Fetch: &fetchturn.Fetch{Model: "a", AgeMS: 5}}},
 		{TurnAnswer: &fetchturn.Answer{Coordinator: "c", Upstream: "i-1", Turn: "a"}},
 		{Demand: &peer.Demand{Router: "edge-1", ModelUsage: []peer.ModelUsage{{Model: "a", Rate: 1, Adapters: map[string]int{"x": 1}}}}},
+		{QuotaRequest: &quota.Request{Router: "edge-1", Tenants: []quota.TenantRequest{{Tenant: "t", Needs: []quota.Need{{ID: 1, Amount: 5}}}}}},
+		{QuotaGrant: &quota.Grant{Tenants: []quota.TenantGrant{{Tenant: "t", Needs: []quota.Answer{{ID: 1, Granted: true}}}}}},
 	} {
 		raw, err := peer.Encode(m)
 		if err != nil {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/fetchturn"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/quota"
 )
 
 // MaxDatagram is the maximum size of an encoded message in bytes.
@@ -139,6 +140,8 @@
 	// models are expected to be loaded, and how many fetches the store serves at full speed; 0 if unknown.
 	ExpectedLoads    []fetchturn.Expectation `cbor:"28,keyasint,omitempty"`
 	StoreConcurrency int                     `cbor:"29,keyasint,omitempty"`
+	// Quotas lists the shards of the tenants' quotas that the agent holds. A report without an id contains nothing else.
+	Quotas []quota.Announcement `cbor:"20,keyasint,omitempty"`
 }
 
 // SetUpstream sets the fields that describe the upstream, including its holdings and their version.
@@ -158,6 +161,9 @@
 	// TurnRequest and TurnAnswer are exchanged by sidecars.
 	TurnRequest *fetchturn.Request `cbor:"8,keyasint,omitempty"`
 	TurnAnswer  *fetchturn.Answer  `cbor:"9,keyasint,omitempty"`
+	// QuotaRequest is sent by routers, QuotaGrant by the sidecars that hold quotas.
+	QuotaRequest *quota.Request `cbor:"3,keyasint,omitempty"`
+	QuotaGrant   *quota.Grant   `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode encodes a message.
--- a/pkg/peer/prompts.go
+++ b/pkg/peer/prompts.go
@@ -56,7 +56,7 @@
 func (m *Message) kinds() int {
 	n := 0
 	for _, set := range []bool{m.Demand != nil, m.Report != nil, m.PromptAsk != nil, m.PromptAnswer != nil, m.PromptEnd != nil,
-		m.TurnRequest != nil, m.TurnAnswer != nil} {
+		m.TurnRequest != nil, m.TurnAnswer != nil, m.QuotaRequest != nil, m.QuotaGrant != nil} {
 		if set {
 			n++
 		}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -75,6 +75,7 @@
 	log      *eventlog.Log
 	guard    *guard.Guard
 	demands  chan routerMessage
+	quotas   *quotas // nil unless EnableQuotas has been called
 
 	mu      sync.Mutex // guards the fields down to recordClean
 	config  *catalog.Config
@@ -149,10 +150,14 @@
 		if a.prompts.handle(from, m) {
 			return
 		}
+		if m.QuotaRequest != nil {
+			a.guard.Try("quota request", func() { a.quotas.handle(from, m.QuotaRequest) })
+		}
 		if m.Demand == nil {
 			a.queueTurnMessage(from, m)
 			return
 		}
+		a.quotas.recordRouter(from, m.Demand)
 		select {
 		case a.demands <- routerMessage{from: from, demand: m.Demand}:
 		default:
--- a/pkg/sidecar/turns_test.go
+++ b/pkg/sidecar/turns_test.go
@@ -80,7 +80,7 @@
 	start := func(duty func()) { wg.Add(1); go func() { defer wg.Done(); duty() }() }
 	for _, address := range g.addresses {
 		log := eventlog.New(io.Discard, "sidecar", address)
-		agent := sidecar.New(sidecar.Settings{
+		agent := sidecar.New(sidecar.Settings{ChecksTokens: true,
 			Node: address, Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4, PeerPort: port,
 		}, g.engines[address], g.sockets[address], log, guard.New(log))
 		if configured || address != fetchturn.Ranks("llm", listed)[0] {
