--- a/pkg/processtest/process.go
+++ b/pkg/processtest/process.go
@@ -90,6 +90,9 @@
 	return nil
 }
 
+// PID returns the id of the started process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Ended returns a channel that is closed when the process has ended.
 func (p *Process) Ended() <-chan struct{} { return p.done }
 
