Account for the memory held for clients and bound every listener of entry and sidecar

Cause: bodies were read whole before anything was weighed, connections and heads had no bounds, slow readers had no write deadline, and forged messages made a sidecar store any number of routers and adapters.

Change: pkg/membudget keeps one account with a guaranteed part for requests of common size; memory is reserved before a piece is read and stalled transfers are ended when others need theirs. pkg/inbound bounds connections, heads, bodies and the kernel's buffers. Requests are sent to upstreams without a copy of the body. The sidecar bounds what messages make it store.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -21,12 +21,8 @@
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
-const (
-	// sweepInterval is the time between two sweeps that close connections which have been idle too long.
-	sweepInterval = time.Second
-	// bodyMemoryShare is the share of the process's memory limit for bodies that are buffered until they are complete.
-	bodyMemoryShare = 0.125
-)
+// sweepInterval is the time between two sweeps that close connections which have been idle too long.
+const sweepInterval = time.Second
 
 type entryCmd struct {
 	platformFlags
@@ -54,16 +50,18 @@
 	core := gateway.NewCore(dispatch.New(dispatch.Settings{
 		Name: set.NodeName, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryLimit: set.RetryLimit,
 	}))
+	b := newBounds(set.MemoryMB, set.MaxFDs)
 	pool := h1.NewPool()
+	pool.SetLimits(b.upstreamConns, b.idleUpstreamConns)
 	tracer, flushSpans, err := telemetry.NewTracer(context.Background(), telemetry.Exporter(c.TraceExporter), c.TraceURL, "entry")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = flushSpans(context.Background()) }()
 	gw := gateway.New(core, pool, log, gd, scope, tracer)
-	if set.MemoryMB > 0 {
-		gw.SetBodyMemoryLimit(int64(bodyMemoryShare * float64(set.MemoryMB) * (1 << 20)))
-	}
+	gw.SetMemory(b.account)
+	gw.SetMaxConnections(b.callerConns)
+	log.State("limits", b.fields()...)
 	server, err := gateway.NewServer(set.CallerAddress, gw, log, set.ShutdownGrace)
 	if err != nil {
 		return err
@@ -94,7 +92,7 @@
 		health.SetStopping()
 		server.Shutdown()
 	})
-	if err := addHTTP(&g, set.ReadyAddress, readinessHandler(health)); err != nil {
+	if err := addHTTP(&g, set.ReadyAddress, readinessHandler(health), log); err != nil {
 		return err
 	}
 	c.addMetrics(&g, set.IP, health, log)
--- a/cmd/hibiscuscrossd/platform.go
+++ b/cmd/hibiscuscrossd/platform.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/pkg/ops"
 	"github.com/hibiscuscross/hibiscuscross/pkg/signals"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -28,8 +29,10 @@
 }
 
 const (
-	// memoryShare is the share of the process's memory limit that is set as the limit of the Go runtime. The rest is for
-	// memory that the runtime does not count, such as socket buffers.
+	// memoryShare is the share of the process's memory limit that is set as the limit of the Go runtime. The account of
+	// what is held for others takes half of the memory, about an eighth of it in the kernel's buffers. The rest of the
+	// runtime's share is for the program's own state and for garbage, and what is beyond it for the program's text (15 MB)
+	// and the kernel's buffers.
 	memoryShare = 0.7
 	// watchReserve is the difference between StableWindow, the time for which a process may lag behind the store after its
 	// connection has become unresponsive, and the duration of a watch's long poll. It covers the margin for the reply, a
@@ -88,15 +91,20 @@
 	})
 }
 
-// addHTTP adds an HTTP server.
-func addHTTP(g *run.Group, address string, h http.Handler) error {
-	ln, err := net.Listen("tcp4", address)
+// addHTTP adds an HTTP server for operators or the balancer.
+func addHTTP(g *run.Group, address string, h http.Handler, log *eventlog.Log) error {
+	ln, err := inbound.ListenOps(address)
 	if err != nil {
-		return fault.Wrap(err, fault.StepSettings, address, "listen")
+		return err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := inbound.NewOpsServer(h)
 	g.Add(func() error {
-		if err := srv.Serve(ln); err != nil && err != http.ErrServerClosed {
+		report := func(closed map[string]int, open int) {
+			for cause, n := range closed {
+				log.Request("connections closed", "address", address, "cause", cause, "count", n, "open", open)
+			}
+		}
+		if err := inbound.Serve(srv, ln, report); err != nil && err != http.ErrServerClosed {
 			return fault.Wrap(err, fault.StepSettings, address, "serve")
 		}
 		return nil
@@ -108,7 +116,7 @@
 	if f.MetricsPort == 0 {
 		return
 	}
-	if err := addHTTP(g, net.JoinHostPort(ip, strconv.Itoa(f.MetricsPort)), o); err != nil {
+	if err := addHTTP(g, net.JoinHostPort(ip, strconv.Itoa(f.MetricsPort)), o, log); err != nil {
 		log.State("metrics are not served", "err", err)
 	}
 }
--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -3,84 +3,47 @@
 import (
 	"errors"
 	"io"
-	"sync"
+	"net/http"
+	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membudget"
 )
 
 const (
 	// maxAnswerBytes bounds an answer that is buffered until it is complete.
 	maxAnswerBytes = 8 << 20
-	// defaultBodyMemory bounds the memory of all buffered bodies in bytes if the process has no memory limit.
-	defaultBodyMemory = 64 << 20
+	// defaultMemory is assumed in bytes if the settings have no memory limit.
+	defaultMemory = 512 << 20
+	// defaultConnections bounds callers' connections if the settings have no limit on descriptors.
+	defaultConnections = 4096
 	// firstSegment and nextSegment are the sizes in bytes of the pieces in which a body is read. Most answers fit into
 	// the first.
 	firstSegment = 2 << 10
 	nextSegment  = 32 << 10
+	// answerMemoryWait bounds the wait of an answer for memory. It covers the end of a stalled transfer. With 1 s, endless
+	// answers that waited for each other held their memory until their deadlines.
+	answerMemoryWait = 100 * time.Millisecond
+	// writeDeadlineInterval is the least time between two changes of the write deadline of a stream.
+	writeDeadlineInterval = time.Second
 )
 
-// Errors for bodies that exceed a bound.
-var (
-	errAnswerTooLong = errors.New("answer exceeds the limit")
-	errMemoryUsedUp  = errors.New("memory for bodies is used up")
-)
-
-// memoryBudget bounds the memory of all buffered bodies. A body may reserve at most as much as is free, so endless
-// bodies leave memory for those of common size: n of them reserve n/(n+1) of the memory.
-type memoryBudget struct {
-	mu          sync.Mutex
-	limit, used int64
-}
-
-// reserve reserves n bytes for a body that has reserved some already. It returns false if they exceed the body's share.
-func (b *memoryBudget) reserve(reserved, n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if reserved+n > b.limit-b.used {
-		return false
-	}
-	b.used += n
-	return true
-}
-
-func (b *memoryBudget) release(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-}
+var errAnswerTooLong = errors.New("answer exceeds the limit")
 
-// segments is a body, split into the pieces in which it was read.
-type segments [][]byte
+// past is a deadline that ends pending reads and writes.
+var past = time.Unix(1, 0)
 
-func (s segments) len() int64 {
-	n := int64(0)
-	for _, part := range s {
-		n += int64(len(part))
-	}
-	return n
-}
-
-// writeTo writes the body in order.
-func (s segments) writeTo(w io.Writer) error {
-	for _, part := range s {
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// readAnswerBody buffers an answer's body of at most maxAnswerBytes within the memory budget. The reserved memory is
-// released when the request ends.
-func (c *callerRequest) readAnswerBody(body io.Reader) (segments, error) {
-	var out segments
-	read, reserved := int64(0), int64(0)
+// readAnswerBody buffers an answer's body of at most maxAnswerBytes. Memory for each piece is reserved before it is read
+// and released when the answer has been written or dropped.
+func (c *callerRequest) readAnswerBody(body io.Reader) (inbound.Segments, error) {
+	var out inbound.Segments
+	read := int64(0)
 	for size := int64(firstSegment); ; size = nextSegment {
-		if !c.g.bodyMemory.reserve(reserved, size) {
-			return nil, fault.Wrap(errMemoryUsedUp, fault.StepDispatch, "", "read body")
+		if err := c.g.memory.Reserve(c.holder, size, answerMemoryWait); err != nil {
+			c.dropAnswer(out)
+			return nil, fault.Wrap(err, fault.StepDispatch, "", "read body")
 		}
-		c.reservedBytes += size
-		reserved += size
 		part, err := fill(body, make([]byte, size))
 		read += int64(len(part))
 		out = append(out, part)
@@ -88,13 +51,73 @@
 		case errors.Is(err, io.EOF):
 			return out, nil
 		case err != nil:
+			c.dropAnswer(out)
 			return nil, fault.Wrap(err, fault.StepDispatch, "", "read body")
 		case read > maxAnswerBytes:
+			c.dropAnswer(out)
 			return nil, fault.Wrap(errAnswerTooLong, fault.StepDispatch, "", "read body")
 		}
 	}
 }
 
+// dropAnswer releases the memory of an answer that is not delivered, which a further attempt may need.
+func (c *callerRequest) dropAnswer(body inbound.Segments) {
+	n := int64(0)
+	for _, part := range body {
+		n += int64(cap(part))
+	}
+	c.g.memory.Release(c.holder, n)
+}
+
+// writeAnswerBody writes a buffered answer and releases the memory of what is written. A caller that does not read loses
+// its connection when others need the memory, and at the latest after the idle timeout.
+func (c *callerRequest) writeAnswerBody(body inbound.Segments) error {
+	rc := http.NewResponseController(c.w)
+	pace := membudget.NewPace(time.Now(), c.writeTimeout())
+	_ = rc.SetWriteDeadline(pace.End)
+	if len(body) > 1 { // a single segment stays in the buffers of the connection
+		c.g.memory.StartTransfer(c.holder, func() { _ = rc.SetWriteDeadline(past) })
+		defer c.g.memory.EndTransfer(c.holder)
+	}
+	for i, part := range body {
+		if _, err := c.w.Write(part); err != nil {
+			return err
+		}
+		n := int64(cap(part))
+		body[i] = nil
+		c.g.memory.Release(c.holder, n)
+		if len(body) == 1 {
+			return nil
+		}
+		pace.Advance(time.Now(), n)
+		_ = rc.SetWriteDeadline(pace.End)
+		if c.g.memory.Advance(c.holder, n) { // the new deadline may have replaced that of Reclaim
+			_ = rc.SetWriteDeadline(past)
+			return membudget.ErrFull
+		}
+	}
+	return nil
+}
+
+// writeTimeout bounds the time in which a caller takes nothing of an answer: the time for which it may keep a connection
+// without a request.
+func (c *callerRequest) writeTimeout() time.Duration {
+	if cfg := c.g.core.config(); cfg != nil && cfg.Limits.IdleTimeout > 0 {
+		return cfg.Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
+// extendWriteDeadline allows the caller the write timeout from now on to take what is written next.
+func (c *callerRequest) extendWriteDeadline() {
+	now := time.Now()
+	if now.Sub(c.writeDeadlineSet) < writeDeadlineInterval {
+		return
+	}
+	c.writeDeadlineSet = now
+	_ = http.NewResponseController(c.w).SetWriteDeadline(now.Add(c.writeTimeout()))
+}
+
 // fill reads until the buffer is full or the reader fails. In contrast to io.ReadFull it returns the reader's own
 // error, so a truncated body is not mistaken for a complete one.
 func fill(r io.Reader, buf []byte) ([]byte, error) {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -19,6 +17,8 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membudget"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -26,13 +26,9 @@
 const (
 	// defaultTimeout bounds a request for which neither the caller nor the route sets a time.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the reading of a request's body.
-	bodyTimeout = 10 * time.Second
 	// minStartRetryAfter is the least Retry-After of a process that has no configuration yet: it normally has one
 	// within about 100 ms. If the store does not answer, Retry-After grows to the time since the start of the process.
 	minStartRetryAfter = 250 * time.Millisecond
-	// defaultBodyBytes bounds a body if the configuration does not.
-	defaultBodyBytes = 4 << 20
 )
 
 // Gateway serves callers. It is an http.Handler.
@@ -48,19 +44,29 @@
 	// requestsCtx is cancelled shortly before the process exits; open requests then get their final answer.
 	requestsCtx context.Context
 	endRequests context.CancelFunc
-	bodyMemory  memoryBudget
-	started     time.Time
+	memory      *membudget.Account
+	// maxConnections bounds the callers' connections.
+	maxConnections int
+	started        time.Time
 }
 
 // New returns a gateway that sends requests over the connections of pool.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, draining: make(chan struct{}), requestsCtx: ctx, endRequests: cancel,
-		bodyMemory: memoryBudget{limit: defaultBodyMemory}, started: time.Now()}
+		memory: membudget.NewAccount(membudget.ForMemory(defaultMemory)), maxConnections: defaultConnections, started: time.Now()}
 }
 
 // SetBodyMemoryLimit bounds the memory of all buffered bodies, in bytes. It must be called before the first request.
-func (g *Gateway) SetBodyMemoryLimit(bytes int64) { g.bodyMemory.limit = bytes }
+func (g *Gateway) SetBodyMemoryLimit(bytes int64) {
+	g.SetMemory(membudget.NewAccount(membudget.ForHeld(bytes)))
+}
+
+// SetMemory sets the account of the process's memory. It must be called before the first request.
+func (g *Gateway) SetMemory(account *membudget.Account) { g.memory = account }
+
+// SetMaxConnections bounds the callers' connections. It must be called before NewServer.
+func (g *Gateway) SetMaxConnections(n int) { g.maxConnections = n }
 
 // StartDraining makes all further answers ask callers to close their connections.
 func (g *Gateway) StartDraining() { close(g.draining) }
@@ -74,7 +80,7 @@
 	w           http.ResponseWriter
 	r           *http.Request
 	meta        platform.Request
-	body        []byte
+	body        inbound.Segments
 	req         *dispatch.Request
 	start       time.Time
 	ctx         context.Context // ends at the deadline, and when the caller disconnects if the request may then be cancelled
@@ -88,8 +94,10 @@
 	// attempted reports whether an attempt has started.
 	attempted bool
 	timing    timing
-	// reservedBytes is the memory reserved for the bodies of answers.
-	reservedBytes int64
+	// holder has what is reserved for the request in the account of the process's memory.
+	holder *membudget.Holder
+	// writeDeadlineSet is when the write deadline was last set.
+	writeDeadlineSet time.Time
 }
 
 // ServeHTTP serves one request.
@@ -105,7 +113,7 @@
 	if !c.readBody(cfg) {
 		return
 	}
-	defer func() { g.bodyMemory.release(c.reservedBytes) }()
+	defer c.releaseMemory()
 	if cfg == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration is known", c.startRetryAfter())
 		return
@@ -168,28 +176,6 @@
 	return c.r.Context()
 }
 
-func (c *callerRequest) readBody(cfg *catalog.Config) bool {
-	limit := int64(defaultBodyBytes)
-	if cfg != nil && cfg.Limits.BodyBytes > 0 {
-		limit = int64(cfg.Limits.BodyBytes)
-	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // without support for deadlines the read is bounded by the server
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.refuse(http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
-		return false
-	case err != nil:
-		c.finish("caller_left", 0, "reason", "body was not received", "err", err)
-		panic(http.ErrAbortHandler)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	c.body = body
-	return true
-}
-
 func (c *callerRequest) prepare(route *catalog.Route) {
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
@@ -216,7 +202,7 @@
 	d := xxhash.New()
 	caller, _, _ := strings.Cut(c.r.RemoteAddr, ":")
 	_, _ = d.WriteString(caller + "\x00" + c.r.Host + c.r.RequestURI + "\x00")
-	_, _ = d.Write(c.body)
+	_, _ = c.body.WriteTo(d)
 	return d.Sum64()
 }
 
@@ -331,6 +317,7 @@
 // refuse answers with an error of the gateway itself.
 func (c *callerRequest) refuse(status int, reason string, after time.Duration) {
 	platform.SetRefusalHeader(c.w.Header(), c.meta.ID, after)
+	c.extendWriteDeadline()
 	http.Error(c.w, reason, status)
 	c.finish("refused", status, "reason", reason, "retry_after_ms", after.Milliseconds())
 }
--- a/pkg/gateway/idle.go
+++ b/pkg/gateway/idle.go
@@ -1,74 +1,54 @@
 package gateway
 
 import (
-	"net"
-	"net/http"
-	"sync"
 	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 )
 
 const (
 	// defaultIdleTimeout bounds the time between two requests on a caller's connection if the configuration sets none.
 	defaultIdleTimeout = 60 * time.Second
-	// idleSweepInterval is the time between two searches for connections past the idle timeout.
-	idleSweepInterval = 250 * time.Millisecond
+	// maxHeaderBytes bounds the head of a request if the configuration sets no lower limit.
+	maxHeaderBytes = 64 << 10
 )
 
-// idleConns records since when callers' connections have been idle. The idle timeout is part of the configuration and
-// can change while the server runs, which the timeouts of net/http do not support.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func newIdleConns() *idleConns { return &idleConns{since: map[net.Conn]time.Time{}} }
-
-// recordState records a change of a connection's state. It is the ConnState hook of the server.
-func (i *idleConns) recordState(conn net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[conn] = time.Now()
-		return
-	}
-	delete(i.since, conn)
-}
-
-// closeAfter closes the connections that have been idle for at least limit and returns their number.
-func (i *idleConns) closeAfter(timeout time.Duration) int {
-	if timeout <= 0 {
-		timeout = defaultIdleTimeout
+// connLimits returns the limits on callers' connections without a request. They are part of the configuration and can
+// change while the server runs, which the limits of net/http do not support.
+func (g *Gateway) connLimits() inbound.Limits {
+	l := inbound.Limits{IdleTimeout: defaultIdleTimeout}
+	cfg := g.core.config()
+	if cfg == nil {
+		return l
 	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	closed := 0
-	for conn, since := range i.since {
-		if time.Since(since) >= timeout {
-			_ = conn.Close() // an error means that it is closed already
-			delete(i.since, conn)
-			closed++
-		}
+	l.HeaderBytes, l.HeaderTimeout = cfg.Limits.HeaderBytes, cfg.Limits.HeaderTimeout
+	if cfg.Limits.IdleTimeout > 0 {
+		l.IdleTimeout = cfg.Limits.IdleTimeout
 	}
-	return closed
+	return l
 }
 
-// sweepIdle closes idle connections by the configured timeout until stop is closed.
-func (s *Server) sweepIdle(stop <-chan struct{}) {
-	tick := time.NewTicker(idleSweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-		}
-		timeout := time.Duration(0)
-		if cfg := s.gw.core.config(); cfg != nil {
-			timeout = cfg.Limits.IdleTimeout
-		}
-		if n := s.idle.closeAfter(timeout); n > 0 {
-			s.gw.scope.Counter("idle_connections_closed_total").Inc(int64(n))
-			s.log.Request("idle connections closed", "count", n, "limit_ms", timeout.Milliseconds())
+// reportConns counts and logs the connections that the listener has closed, and the state of the account.
+func (s *Server) reportConns(closed map[string]int, open int) {
+	scope := s.gw.scope
+	for cause, n := range closed {
+		if cause == inbound.CauseIdle {
+			scope.Counter("idle_connections_closed_total").Inc(int64(n))
+		} else {
+			scope.Tagged(map[string]string{"cause": cause}).Counter("closed_connections_total").Inc(int64(n))
 		}
+		s.log.Request("connections closed", "cause", cause, "count", n, "open", open)
+	}
+	scope.Gauge("caller_connections").Update(float64(open))
+	usage, counts := s.gw.memory.Usage()
+	for part, bytes := range map[string]int64{"connections": usage.Connections, "requests": usage.Held, "large": usage.Large} {
+		scope.Tagged(map[string]string{"part": part}).Gauge("memory_held_bytes").Update(float64(bytes))
+	}
+	reclaimed, refused := counts.Reclaimed-s.lastCounts.Reclaimed, counts.Refused-s.lastCounts.Refused
+	s.lastCounts = counts
+	scope.Counter("stalled_transfers_ended_total").Inc(reclaimed)
+	scope.Counter("memory_refusals_total").Inc(refused)
+	if reclaimed > 0 || refused > 0 {
+		s.log.Request("memory for requests is short", "ended_transfers", reclaimed, "refused", refused, "held", usage.Held, "large", usage.Large, "connections", usage.Connections)
 	}
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -31,7 +32,7 @@
 type answer struct {
 	status   int
 	header   http.Header
-	body     segments
+	body     inbound.Segments
 	streamed bool
 }
 
@@ -189,6 +190,9 @@
 		return dispatch.Interrupted, nil, err
 	}
 	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if head.NotRun || head.WrongInstance || impliesNotRun(resp.StatusCode) {
+		c.dropAnswer(body)
+	}
 	switch {
 	case head.WrongInstance:
 		c.cause = "wrong instance or model not loaded"
@@ -219,9 +223,9 @@
 	}
 	c.headWritten = true
 	platform.CopyAnswerHeader(c.w.Header(), a.header)
-	c.w.Header().Set("Content-Length", strconv.FormatInt(a.body.len(), 10))
+	c.w.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	c.w.WriteHeader(a.status)
-	if err := a.body.writeTo(c.w); err != nil {
+	if err := c.writeAnswerBody(a.body); err != nil {
 		c.finish("caller_left", a.status, "err", err)
 		return
 	}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membudget"
 )
 
 const (
-	// headerTimeout bounds the time to read a request's header.
+	// headerTimeout bounds the time to read a request's header, if the configuration sets no shorter one.
 	headerTimeout = 5 * time.Second
 	// balancerDelay is the time until the load balancer has noticed that the process is not ready: two checks one
 	// second apart and their answers.
@@ -26,23 +27,22 @@
 // Server accepts callers' connections.
 type Server struct {
 	http  *http.Server
-	idle  *idleConns
-	ln    net.Listener
+	ln    *inbound.Listener
 	gw    *Gateway
 	log   *eventlog.Log
 	grace time.Duration
+	// lastCounts are the account's counts at the last report.
+	lastCounts membudget.Counts
 }
 
 // NewServer returns a server that listens for callers at the address.
 func NewServer(address string, gw *Gateway, log *eventlog.Log, grace time.Duration) (*Server, error) {
-	ln, err := net.Listen("tcp4", address)
+	ln, err := inbound.Listen(address, inbound.Options{Connections: gw.maxConnections, Account: gw.memory, Limits: gw.connLimits})
 	if err != nil {
-		return nil, fault.Wrap(err, fault.StepSettings, address, "listen for callers")
+		return nil, err
 	}
-	idle := newIdleConns()
 	return &Server{
-		http:  &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, ConnState: idle.recordState, MaxHeaderBytes: 64 << 10},
-		idle:  idle,
+		http:  &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: inbound.DiscardLog},
 		ln:    ln,
 		gw:    gw,
 		log:   log,
@@ -52,10 +52,7 @@
 
 // Run serves callers until Shutdown is called.
 func (s *Server) Run() error {
-	stop := make(chan struct{})
-	defer close(stop)
-	go s.sweepIdle(stop)
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := inbound.Serve(s.http, s.ln, s.reportConns); !errors.Is(err, http.ErrServerClosed) {
 		return fault.Wrap(err, fault.StepAdmit, s.ln.Addr().String(), "serve callers")
 	}
 	return nil
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,6 +50,7 @@
 		if c.headWritten && c.alreadyForwarded(e.ID) {
 			continue
 		}
+		c.extendWriteDeadline()
 		c.writeHead(resp)
 		_, err = c.w.Write(e.Raw)
 		if err == nil {
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,10 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
+	// receiveBuffer is the kernel's receive buffer in bytes; the kernel doubles it for its own structures. Received bytes
+	// that the process has not read, because the caller of a stream reads slowly, count toward its memory. An answer of
+	// 100 kB from another region (24 ms) takes two more round trips than with a large buffer.
+	receiveBuffer = 32 << 10
 	// defaultIdleTimeout is the idle timeout of a connection if the upstream announces none.
 	defaultIdleTimeout = 2 * time.Second
 	// writeGrace bounds the wait for the writing goroutine to report its result, which the answer can overtake.
@@ -48,20 +53,26 @@
 type Request struct {
 	Method, Target, Host string
 	Header               http.Header
-	Body                 []byte
+	// Body is the body in pieces, which are written in order and not changed.
+	Body [][]byte
 }
 
-func (r *Request) encode() []byte {
+// encode returns the head and the pieces of the body, which are not copied.
+func (r *Request) encode() net.Buffers {
+	length := 0
+	for _, part := range r.Body {
+		length += len(part)
+	}
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer does not fail
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	out := make(net.Buffers, 0, 1+len(r.Body))
+	return append(append(out, b.Bytes()), r.Body...)
 }
 
 // Conn is a connection to an upstream that carries one request at a time.
@@ -74,10 +85,19 @@
 	idleRead    chan error // result of the read that watches the idle connection
 	idleSince   time.Time
 	idleTimeout time.Duration
+	closed      atomic.Bool
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
 }
 
+// Close closes the connection.
+func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.release()
+	}
+	return c.Conn.Close()
+}
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
@@ -85,7 +105,8 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var serr error
 			err := raw.Control(func(fd uintptr) {
-				serr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+				serr = errors.Join(unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds())),
+					unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer))
 			})
 			return errors.Join(err, serr)
 		},
@@ -102,7 +123,7 @@
 	c.writeDone = make(chan error, 1)
 	raw := r.encode()
 	go func(done chan<- error) {
-		_, err := c.Write(raw)
+		_, err := raw.WriteTo(c.Conn)
 		done <- err
 	}(c.writeDone)
 }
--- a/pkg/h1/h1_test.go
+++ b/pkg/h1/h1_test.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return "", err
 	}
-	c.Send(&h1.Request{Method: "POST", Target: "/a//b%2f..?x", Host: "h", Header: http.Header{}, Body: []byte("hi")})
+	c.Send(&h1.Request{Method: "POST", Target: "/a//b%2f..?x", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("hi")}})
 	resp, err := c.ReadHead("POST")
 	if err != nil {
 		_ = c.Close()
@@ -211,7 +211,7 @@
 			c, err := pool.Get(context.Background(), ln.Addr().String(), time.Second)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(c.Reused).To(BeFalse(), "connection %d", i)
-			c.Send(&h1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: bytes.Repeat([]byte("x"), 32<<20)})
+			c.Send(&h1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{bytes.Repeat([]byte("x"), 32<<20)}})
 			resp, err := c.ReadHead("POST")
 			Expect(err).NotTo(HaveOccurred())
 			_, _ = io.ReadAll(resp.Body)
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -126,6 +126,8 @@
 type Message struct {
 	Demand *Demand `cbor:"1,keyasint,omitempty"`
 	Report *Report `cbor:"2,keyasint,omitempty"`
+	// Size is the encoded size of a received message in bytes.
+	Size int `cbor:"-"`
 }
 
 // Encode encodes a message.
@@ -152,5 +154,6 @@
 	if err := m.check(); err != nil {
 		return Message{}, err
 	}
+	m.Size = len(raw)
 	return m, nil
 }
--- a/pkg/quarantine/relay.go
+++ b/pkg/quarantine/relay.go
@@ -10,6 +10,9 @@
 	maxRelayed = 4096
 	// maxReportsPerMessage bounds the reports in one message of a relay: some 8 KB, half of a datagram's limit.
 	maxReportsPerMessage = 200
+	// maxReporters bounds the routers whose last sequence number is kept, twice the routers of the design size. Messages
+	// may be forged.
+	maxReporters = 1024
 )
 
 // Relay distributes the crash reports of each router to all routers. It numbers the reports, so that a router can
@@ -35,6 +38,9 @@
 // Add adds new reports and drops expired ones.
 func (r *Relay) Add(now time.Time, reports []Report) {
 	for _, x := range reports {
+		if _, known := r.lastSeq[x.Reporter]; !known && len(r.lastSeq) >= maxReporters {
+			continue
+		}
 		r.lastSeq[x.Reporter] = x.Seq
 		if !r.stored[x] {
 			r.stored[x] = true
--- a/pkg/sidecar/limits_test.go
+++ b/pkg/sidecar/limits_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -84,9 +85,9 @@
 	It("adds up the demand of the live routers", func() {
 		r := newRouters(time.Now())
 		r.applyMessage(now, from, &peer.Demand{Router: "a", Here: []peer.LoadRequest{{Model: "m", Waiting: 2}},
-			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 2, Running: 1, Rate: 1, Adapters: map[string]int{"x": 1}}}})
+			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 2, Running: 1, Rate: 1, Adapters: map[string]int{"x": 1}}}}, 1)
 		r.applyMessage(now, from, &peer.Demand{Router: "b", Here: []peer.LoadRequest{{Model: "m", Waiting: 1}, {Model: "m", Adapter: "x", Waiting: 1}},
-			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 1, Running: 3, Rate: 2, Adapters: map[string]int{"x": 2, "y": 1}}}})
+			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 1, Running: 3, Rate: 2, Adapters: map[string]int{"x": 2, "y": 1}}}}, 1)
 		d := r.demand(now)
 		Expect(d.Models).To(Equal(map[string]int{"m": 3}))
 		Expect(d.Adapters).To(Equal(map[placement.Adapter]int{{Model: "m", Name: "x"}: 1}))
@@ -97,10 +98,38 @@
 
 	It("removes routers that are unresponsive or leave", func() {
 		r := newRouters(time.Now())
-		r.applyMessage(now, from, &peer.Demand{Router: "a"})
-		r.applyMessage(now, from, &peer.Demand{Router: "b"})
-		r.applyMessage(now, from, &peer.Demand{Router: "b", Leaving: true})
+		r.applyMessage(now, from, &peer.Demand{Router: "a"}, 1)
+		r.applyMessage(now, from, &peer.Demand{Router: "b"}, 1)
+		r.applyMessage(now, from, &peer.Demand{Router: "b", Leaving: true}, 1)
 		Expect(r.liveNames(now)).To(Equal([]string{"a"}))
 		Expect(r.liveNames(now.Add(5 * time.Second))).To(BeEmpty())
 	})
+
+	// Guards against forged messages that exhaust memory, and against one sender that takes the places of all routers.
+	It("bounds what messages make it store, and has room again when routers are gone", func() {
+		r := newRouters(time.Now())
+		apply := func(name, ip string, size int) bool {
+			d := &peer.Demand{Router: name}
+			from := netip.AddrPortFrom(netip.MustParseAddr(ip), 7)
+			ok := r.admit(from, d, size)
+			if ok {
+				r.applyMessage(now, from, d, size)
+			}
+			return ok
+		}
+		for i := range maxRoutersPerAddress {
+			Expect(apply(fmt.Sprint("a", i), "10.0.0.1", 1)).To(BeTrue())
+		}
+		Expect(apply("a", "10.0.0.1", 1)).To(BeFalse())
+		Expect(apply("a0", "10.0.0.1", 1)).To(BeTrue())
+		Expect(apply("b", "10.0.0.2", 1)).To(BeTrue())
+		Expect(apply("b", "10.0.0.2", maxDemandBytes)).To(BeFalse())
+		Expect(r.liveNames(now.Add(5 * time.Second))).To(BeEmpty())
+		Expect(apply("b", "10.0.0.2", maxDemandBytes)).To(BeTrue())
+		for i := range maxAdapterUses + 1 {
+			r.recordAdapterUse(now.Add(time.Duration(i)), placement.Adapter{Model: "m", Name: fmt.Sprint(i)})
+		}
+		Expect(len(r.adapterUsedAt)).To(BeNumerically("<", maxAdapterUses))
+		Expect(r.adapterUsedAt).To(HaveKey(placement.Adapter{Model: "m", Name: fmt.Sprint(maxAdapterUses)}))
+	})
 })
--- a/pkg/sidecar/routers.go
+++ b/pkg/sidecar/routers.go
@@ -19,6 +19,7 @@
 	address     netip.AddrPort
 	receivedAt  time.Time
 	demand      *peer.Demand
+	size        int       // encoded size of demand in bytes
 	sentAt      time.Time // time of the last report sent to it
 	crashesSent uint32    // number of the next crash report to send to it; lost ones are resent at the regular interval
 }
@@ -28,35 +29,34 @@
 	byName        map[string]*router
 	adapterUsedAt map[placement.Adapter]time.Time
 	crashes       *quarantine.Relay
+	// perAddress counts the stored routers by IP address, demandBytes is the encoded size of their messages.
+	perAddress  map[netip.Addr]int
+	demandBytes int
 }
 
 func newRouters(now time.Time) *routers {
 	return &routers{
 		byName: map[string]*router{}, adapterUsedAt: map[placement.Adapter]time.Time{}, crashes: quarantine.NewRelay(uint32(now.UnixMilli())),
+		perAddress: map[netip.Addr]int{},
 	}
 }
 
-func (r *routers) applyMessage(now time.Time, from netip.AddrPort, d *peer.Demand) {
+func (r *routers) applyMessage(now time.Time, from netip.AddrPort, d *peer.Demand, size int) {
 	if d.Leaving {
-		delete(r.byName, d.Router)
+		r.forget(d.Router)
 		return
 	}
-	rt := r.byName[d.Router]
-	if rt == nil {
-		rt = &router{}
-		r.byName[d.Router] = rt
-	}
-	rt.address, rt.receivedAt, rt.demand = from, now, d
+	rt := r.store(now, from, d, size)
 	r.crashes.Add(now, d.Crashes)
 	if d.Probe {
 		rt.sentAt = time.Time{} // makes a report due at once
 	}
 	for _, a := range d.UsedAdapters {
-		r.adapterUsedAt[a] = now
+		r.recordAdapterUse(now, a)
 	}
 	for _, loadReq := range d.Here {
 		if loadReq.Adapter != "" {
-			r.adapterUsedAt[placement.Adapter{Model: loadReq.Model, Name: loadReq.Adapter}] = now
+			r.recordAdapterUse(now, placement.Adapter{Model: loadReq.Model, Name: loadReq.Adapter})
 		}
 	}
 }
@@ -65,7 +65,7 @@
 	var names []string
 	for name, rt := range r.byName {
 		if now.Sub(rt.receivedAt) > routerTimeout {
-			delete(r.byName, name)
+			r.forget(name)
 			continue
 		}
 		names = append(names, name)
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 type routerMessage struct {
 	from   netip.AddrPort
 	demand *peer.Demand
+	size   int // encoded size in bytes
 }
 
 // Agent is the state of a sidecar process. Only the goroutine of Run changes the fields below token; other goroutines
@@ -120,7 +121,7 @@
 			return
 		}
 		select {
-		case a.demands <- routerMessage{from: from, demand: m.Demand}:
+		case a.demands <- routerMessage{from: from, demand: m.Demand, size: m.Size}:
 		default:
 			a.log.Request("message dropped: queue is full", "from", from.String())
 		}
@@ -154,7 +155,13 @@
 }
 
 func (a *Agent) applyMessage(r routerMessage) {
-	a.guard.Try("router's message", func() { a.routers.applyMessage(time.Now(), r.from, r.demand) })
+	a.guard.Try("router's message", func() {
+		if !a.routers.admit(r.from, r.demand, r.size) {
+			a.log.Request("message dropped: too many routers", "from", r.from.String())
+			return
+		}
+		a.routers.applyMessage(time.Now(), r.from, r.demand, r.size)
+	})
 }
 
 func (a *Agent) applyQueuedMessages() {
