--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -34,6 +34,12 @@
 // past is a deadline that ends pending reads and writes.
 var past = time.Unix(1, 0)
 
+// MemoryUsage returns the state of the account of the process's memory.
+func (g *Gateway) MemoryUsage() membudget.Usage {
+	usage, _ := g.memory.Usage()
+	return usage
+}
+
 // readAnswerBody buffers an answer's body of at most maxAnswerBytes. Memory for each piece is reserved before it is read
 // and released when the answer has been written or dropped.
 func (c *callerRequest) readAnswerBody(body io.Reader) (inbound.Segments, error) {
--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -27,7 +27,7 @@
 	largeShare = 0.5
 	// maxCommon bounds Common. Bodies of ordinary requests have up to 110,000 bytes.
 	maxCommon = 128 << 10
-	// guaranteedHolders is the number of holders whose common bytes always fit into the guaranteed part.
+	// guaranteedHolders is the number of holders whose common bytes fit into the guaranteed part.
 	guaranteedHolders = 128
 	// requestBytes is what a request in progress takes besides its bodies: the connection to the upstream with its read
 	// buffer (16 KiB) and the kernel's (32 KiB at most), goroutines and headers.
