Reserve memory for large events and replies, and fail large answers without a wait

Cause: an event of up to 64 KiB and a reply to a health check of up to 1 MiB were buffered outside the account.

--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -22,8 +22,8 @@
 	// the first.
 	firstSegment = 2 << 10
 	nextSegment  = 32 << 10
-	// answerMemoryWait bounds the wait of an answer for memory. It covers the end of a stalled transfer. With 1 s, endless
-	// answers that waited for each other held their memory until their deadlines.
+	// answerMemoryWait bounds the wait of an answer for its first memory. It covers the end of a stalled transfer. Later
+	// pieces do not wait: endless answers that wait for each other hold their memory and delay all others.
 	answerMemoryWait = 100 * time.Millisecond
 	// writeDeadlineInterval is the least time between two changes of the write deadline of a stream.
 	writeDeadlineInterval = time.Second
@@ -46,7 +46,11 @@
 	var out inbound.Segments
 	read := int64(0)
 	for size := int64(firstSegment); ; size = nextSegment {
-		if err := c.g.memory.Reserve(c.holder, size, answerMemoryWait); err != nil {
+		wait := answerMemoryWait
+		if read > 0 {
+			wait = 0
+		}
+		if err := c.g.memory.Reserve(c.holder, size, wait); err != nil {
 			c.dropAnswer(out)
 			return nil, fault.Wrap(err, fault.StepDispatch, "", "read body")
 		}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -24,6 +24,7 @@
 // stream that is interrupted before it can still be refused or retried at another upstream.
 func (c *callerRequest) forward(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
 	events := sse.NewReader(resp.Body)
+	events.SetReserve(func(n int) error { return c.g.memory.Reserve(c.holder, int64(n), answerMemoryWait) })
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
 	lastHeartbeat, received := time.Time{}, 0
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -36,7 +38,7 @@
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), instanceQueryTimeout)
 	defer cancel()
-	runs, err := c.g.instanceRuns(ctx, u, c.checkPath())
+	runs, err := c.instanceRuns(ctx, u, c.checkPath())
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", runs, "err", err)
 	return runs
 }
@@ -56,8 +58,8 @@
 
 // instanceRuns reports whether the instance of the upstream replies on a new connection. A connection that is only
 // accepted shows nothing: the kernel or a device on the path accepts it for a process that has ended or is back.
-func (g *Gateway) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
-	conn, err := g.pool.Get(ctx, u.Address, 0)
+func (c *callerRequest) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
+	conn, err := c.g.pool.Get(ctx, u.Address, 0)
 	if err != nil {
 		return false, err
 	}
@@ -67,7 +69,10 @@
 	resp, err := conn.ReadHead(http.MethodGet)
 	var body []byte
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, maxInstanceReplyBytes))
+		var parts inbound.Segments
+		parts, err = c.readAnswerBody(io.LimitReader(resp.Body, maxInstanceReplyBytes))
+		defer c.dropAnswer(parts)
+		body = bytes.Join(parts, nil)
 	}
 	if err != nil || !stop() {
 		_ = conn.Close()
--- a/pkg/sse/sse.go
+++ b/pkg/sse/sse.go
@@ -24,10 +24,36 @@
 }
 
 // Reader reads events from a stream.
-type Reader struct{ r *bufio.Reader }
+type Reader struct {
+	r *bufio.Reader
+	// reserve, if not nil, is called before an event takes n bytes more than reserved.
+	reserve  func(n int) error
+	reserved int
+}
+
+// bufferBytes is the size of a reader's buffer. An event of this size needs no further memory to be reserved.
+const bufferBytes = 8 << 10
 
 // NewReader returns a reader of the events in r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, 8<<10)} }
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, bufferBytes), reserved: bufferBytes}
+}
+
+// SetReserve sets a function that is called before an event takes n bytes more than any before. Its error ends the read.
+func (r *Reader) SetReserve(reserve func(n int) error) { r.reserve = reserve }
+
+// grow reserves memory for an event of n bytes.
+func (r *Reader) grow(n int) error {
+	if r.reserve == nil || n <= r.reserved {
+		return nil
+	}
+	more := max(n, 2*r.reserved) - r.reserved
+	if err := r.reserve(more); err != nil {
+		return err
+	}
+	r.reserved += more
+	return nil
+}
 
 // Next returns the next event. It returns io.EOF at the end of the stream, and ErrPartial if the stream ended within an
 // event.
@@ -36,6 +62,9 @@
 	lineStart := 0
 	for {
 		part, err := r.r.ReadSlice('\n')
+		if err := r.grow(len(e.Raw) + len(part)); err != nil {
+			return Event{}, err
+		}
 		e.Raw = append(e.Raw, part...)
 		if len(e.Raw) > maxEventBytes {
 			return Event{}, fault.Newf(fault.StepStream, "", "event exceeds %d bytes", maxEventBytes)
--- a/pkg/sse/sse_test.go
+++ b/pkg/sse/sse_test.go
@@ -69,6 +69,24 @@
 		}
 	})
 
+	// Guards against large events of many streams at once that exhaust memory.
+	It("reserves memory for large events before it takes it, and ends when there is none", func() {
+		left, events := 30_000, sse.NewReader(strings.NewReader("data: a\n\ndata: "+strings.Repeat("x", 20_000)+"\n\ndata: "+strings.Repeat("x", 60_000)+"\n\n"))
+		full := errors.New("full")
+		events.SetReserve(func(n int) error {
+			if left -= n; left < 0 {
+				return full
+			}
+			return nil
+		})
+		for range 2 {
+			_, err := events.Next()
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := events.Next()
+		Expect(err).To(MatchError(full))
+	})
+
 	It("refuses an endless event", func() {
 		_, err := readAll(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100_000)))
 		Expect(err).To(MatchError(ContainSubstring("exceeds")))
