--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -24,8 +24,8 @@
 
 	// Guarded by the listener's lock.
 	since   time.Time     // start of the time without a request
-	idle    bool          // the connection has had a request
-	element *list.Element // in the listener's list; nil during a request
+	waiting *list.List    // the listener's list that contains the connection; nil during a request
+	element *list.Element // in waiting
 	removed bool
 }
 
@@ -63,13 +63,13 @@
 }
 
 // overdue returns the limit that the connection is past, or "". The caller holds the listener's lock.
-func (c *conn) overdue(now time.Time, l *Limits) string {
+func (c *conn) overdue(now time.Time, l *Limits, idle bool) string {
 	start := c.headStart.Load()
 	switch {
 	case !c.inHead.Load():
 	case start != 0 && l.HeaderTimeout > 0 && now.Sub(time.Unix(0, start)) >= l.HeaderTimeout:
 		return CauseHeadTime
-	case start == 0 && c.idle && l.IdleTimeout > 0 && now.Sub(c.since) >= l.IdleTimeout:
+	case start == 0 && idle && l.IdleTimeout > 0 && now.Sub(c.since) >= l.IdleTimeout:
 		return CauseIdle
 	}
 	return ""
--- a/pkg/inbound/listener.go
+++ b/pkg/inbound/listener.go
@@ -79,8 +79,9 @@
 	mu        sync.Mutex
 	conns     int
 	byAddress map[netip.Addr]int
-	waiting   *list.List // *conn without a request, the longest first
-	closed    map[string]int
+	// fresh and idle are the *conn without a request, the longest first: those that have had none yet, and the others.
+	fresh, idle *list.List
+	closed      map[string]int
 }
 
 // Listen listens at a TCP address.
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.StepSettings, address, "listen")
 	}
-	l := &Listener{TCPListener: ln.(*net.TCPListener), options: o, byAddress: map[netip.Addr]int{}, waiting: list.New(), closed: map[string]int{}}
+	l := &Listener{TCPListener: ln.(*net.TCPListener), options: o, byAddress: map[netip.Addr]int{}, fresh: list.New(), idle: list.New(), closed: map[string]int{}}
 	l.refreshLimits()
 	return l, nil
 }
@@ -138,7 +139,7 @@
 	}
 	l.conns++
 	l.byAddress[address]++
-	c.element = l.waiting.PushBack(c)
+	l.startWaiting(c, l.fresh)
 	return c
 }
 
@@ -150,20 +151,41 @@
 	return l.options.Account == nil || l.options.Account.ReserveConnection(ConnectionBytes)
 }
 
-// evict closes the connection that has been without a request for longest. The caller holds the lock.
+// evict closes the connection that has been without a request for longest. An idle one is closed only if all others are
+// in use, since its client may be sending a request. The caller holds the lock.
 func (l *Listener) evict(now time.Time) bool {
-	oldest := l.waiting.Front()
-	if oldest == nil {
-		return false
-	}
-	c := oldest.Value.(*conn)
-	if now.Sub(c.since) < minWait {
-		return false
+	for _, waiting := range []*list.List{l.fresh, l.idle} {
+		if oldest := waiting.Front(); oldest != nil && now.Sub(oldest.Value.(*conn).since) >= minWait {
+			l.close(oldest.Value.(*conn), CauseEvicted)
+			return true
+		}
 	}
+	return false
+}
+
+// close closes a connection without a request. The caller holds the lock.
+func (l *Listener) close(c *conn, cause string) {
 	l.remove(c)
-	l.closed[CauseEvicted]++
+	l.closed[cause]++
+	if cause == CauseHeadTime {
+		c.reject(http.StatusRequestTimeout)
+	}
 	_ = c.TCPConn.Close()
-	return true
+}
+
+// startWaiting records that a connection has no request. The caller holds the lock.
+func (l *Listener) startWaiting(c *conn, waiting *list.List) {
+	if !c.removed && c.waiting == nil {
+		c.waiting, c.element = waiting, waiting.PushBack(c)
+	}
+}
+
+// stopWaiting records that a connection has a request or is closed. The caller holds the lock.
+func (l *Listener) stopWaiting(c *conn) {
+	if c.waiting != nil {
+		c.waiting.Remove(c.element)
+		c.waiting, c.element = nil, nil
+	}
 }
 
 // remove releases what a connection takes. The caller holds the lock.
@@ -176,10 +198,7 @@
 	if l.byAddress[c.address]--; l.byAddress[c.address] == 0 {
 		delete(l.byAddress, c.address)
 	}
-	if c.element != nil {
-		l.waiting.Remove(c.element)
-		c.element = nil
-	}
+	l.stopWaiting(c)
 	if l.options.Account != nil {
 		l.options.Account.ReleaseConnection(ConnectionBytes)
 	}
@@ -196,20 +215,15 @@
 		c.inHead.Store(false)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if c.element != nil {
-			l.waiting.Remove(c.element)
-			c.element = nil
-		}
+		l.stopWaiting(c)
 	case http.StateIdle:
 		c.headBytes.Store(0)
 		c.headStart.Store(0)
 		c.inHead.Store(true)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		c.idle, c.since = true, time.Now()
-		if !c.removed && c.element == nil {
-			c.element = l.waiting.PushBack(c)
-		}
+		c.since = time.Now()
+		l.startWaiting(c, l.idle)
 	}
 }
 
@@ -219,18 +233,14 @@
 	limits := l.limits.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for e := l.waiting.Front(); e != nil; {
-		c, next := e.Value.(*conn), e.Next()
-		cause := c.overdue(now, limits)
-		if cause != "" {
-			l.remove(c)
-			l.closed[cause]++
-			if cause == CauseHeadTime {
-				c.reject(http.StatusRequestTimeout)
+	for _, waiting := range []*list.List{l.fresh, l.idle} {
+		for e := waiting.Front(); e != nil; {
+			c, next := e.Value.(*conn), e.Next()
+			if cause := c.overdue(now, limits, waiting == l.idle); cause != "" {
+				l.close(c, cause)
 			}
-			_ = c.TCPConn.Close()
+			e = next
 		}
-		e = next
 	}
 }
 
