Account for the answers that an agent keeps for resumes

Cause: each job kept up to 1 MiB of its answer, outside the account. Change: an output grows beyond 32 KiB as far as the account has memory. Result: pkg/agent passes with the race detector, with a test that fails without the reservation.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -286,6 +286,9 @@
 	case EndJob:
 		a.endJob(act)
 	case ForgetJob:
+		if j := a.jobs[act.Job]; j != nil {
+			j.output.release()
+		}
 		delete(a.jobs, act.Job)
 	default:
 		a.executeExternal(act)
@@ -295,7 +298,7 @@
 func (a *Agent) attach(act Attach) {
 	j := a.jobs[act.Job]
 	if j == nil {
-		j = &jobState{output: newOutput(act.Open.NonIdempotent), carrier: propagation.MapCarrier{"traceparent": act.Open.Traceparent}}
+		j = &jobState{output: newOutput(act.Open.NonIdempotent, a.memory), carrier: propagation.MapCarrier{"traceparent": act.Open.Traceparent}}
 		_, j.waitSpan = a.tracer.Start(j.parentContext(a.ctx), "load")
 		a.jobs[act.Job] = j
 	}
--- a/pkg/agent/output.go
+++ b/pkg/agent/output.go
@@ -6,12 +6,15 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/membudget"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
 
 const (
 	// maxOutputBytes bounds the part of an answer that is kept for a resume: about 5,000 tokens.
 	maxOutputBytes = 1 << 20
+	// firstOutputBytes is the part that is kept without a reservation; most answers fit into it.
+	firstOutputBytes = 32 << 10
 	// maxDataBytes bounds the bytes of one Data frame.
 	maxDataBytes = 32 << 10
 )
@@ -26,13 +29,40 @@
 	end     *ending
 	readers map[uint64]uint64 // offset reached, by stream
 	changed chan struct{}     // closed and replaced at each change
+	// capacity bounds buf. It grows to maxOutputBytes as far as the account has memory; holder has what is reserved.
+	capacity int
+	memory   *membudget.Account // nil once the output is released
+	holder   *membudget.Holder
 }
 
 // ending is the end of an output. Its refuse is nil if the answer is complete.
 type ending struct{ refuse *wire.Refuse }
 
-func newOutput(lossy bool) *output {
-	return &output{lossy: lossy, readers: map[uint64]uint64{}, changed: make(chan struct{})}
+func newOutput(lossy bool, memory *membudget.Account) *output {
+	o := &output{lossy: lossy, readers: map[uint64]uint64{}, changed: make(chan struct{}), capacity: firstOutputBytes, memory: memory}
+	o.holder, _ = memory.Open("", 0) // without memory the output keeps its first part only
+	return o
+}
+
+// release releases the memory of an output whose job is forgotten. Its buffer does not grow any more.
+func (o *output) release() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.memory != nil {
+		o.memory.Close(o.holder)
+		o.memory = nil
+	}
+}
+
+// grow enlarges the capacity so that n more bytes fit, as far as there is memory. The caller holds the lock.
+func (o *output) grow(n int) {
+	for o.memory != nil && len(o.buf)+n > o.capacity && o.capacity < maxOutputBytes {
+		more := min(o.capacity, maxOutputBytes-o.capacity)
+		if o.memory.Reserve(o.holder, int64(more), 0) != nil {
+			return
+		}
+		o.capacity += more
+	}
 }
 
 func (o *output) notify() {
@@ -88,7 +118,8 @@
 
 // makeSpace drops bytes that all readers have read until n more fit, and reports whether they do.
 func (o *output) makeSpace(n int) bool {
-	excess := len(o.buf) + n - maxOutputBytes
+	o.grow(n)
+	excess := len(o.buf) + n - o.capacity
 	if excess <= 0 {
 		return true
 	}
@@ -137,7 +168,7 @@
 	}
 	if old, ok := o.readers[stream]; !ok || old != offset {
 		o.readers[stream] = offset
-		if len(o.buf) >= maxOutputBytes/2 {
+		if len(o.buf) >= o.capacity/2 {
 			o.notify() // append may be blocked on a full buffer
 		}
 	}
