Process test with callers that do not read long streams

The crowds that do not read now wait for the first byte, so that the answers have begun when the ordinary request is sent.

--- a/pkg/untrusted/clients_test.go
+++ b/pkg/untrusted/clients_test.go
@@ -55,9 +55,14 @@
 }
 
 // head returns the head of a request on the route of plain requests, with further header lines.
-func head(method, path string, lines ...string) string {
+func head(method, path string, lines ...string) string { return headFor("", method, path, lines...) }
+
+// streamHead returns the head of a request for a stream.
+func streamHead(path string) string { return headFor("m0", "GET", path) }
+
+func headFor(model, method, path string, lines ...string) string {
 	h := http.Header{}
-	standin.SetRequestHeader(h, "crowd", 20*time.Second, "", "")
+	standin.SetRequestHeader(h, "crowd", 20*time.Second, model, "")
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, standin.Host)
 	_ = h.Write(&b)
@@ -109,10 +114,14 @@
 	}
 }
 
-// unread sends requests and reads none of the answers.
+// unread sends requests and reads one byte of the answers, which shows that they have begun.
 func unread(requests string) client {
 	return func(conn net.Conn) error {
-		_, err := io.WriteString(conn, requests)
+		if _, err := io.WriteString(conn, requests); err != nil {
+			return err
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(crowdTimeout))
+		_, err := conn.Read(make([]byte, 1))
 		return err
 	}
 }
--- a/pkg/untrusted/entry_test.go
+++ b/pkg/untrusted/entry_test.go
@@ -34,6 +34,7 @@
 	models := map[string]float64{"m0": 70}
 	store.Put("config", "main", standin.WithLimits(standin.Config(1, []standin.Route{
 		{Name: "lookup", Prefix: "/lookup/", Kind: standin.Idempotent, Service: "loans", Timeout: 20 * time.Second, MaxAttempts: 2},
+		{Name: "chat", Prefix: "/chat/", Kind: standin.Streaming, Service: "llm", Timeout: 20 * time.Second, MaxAttempts: 1},
 	}, models), standin.Limits{BodyBytes: bodyLimit, HeaderBytes: 16384, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}))
 	ln, err := net.Listen("tcp4", at(platformIP, storePort))
 	Expect(err).NotTo(HaveOccurred())
@@ -48,7 +49,11 @@
 		{Service: "llm", Zone: "z0", ListedAddress: at(platformIP, enginePort), Slots: 32, MemoryMB: 200, AdapterSlots: 3, Models: models, WorkTime: time.Millisecond},
 	} {
 		s.ListenAddress = s.ListedAddress
-		r := standin.NewRunner(s, store, observer)
+		var loaded []string
+		for m := range s.Models {
+			loaded = append(loaded, m)
+		}
+		r := standin.NewRunner(s, store, observer, loaded...)
 		Expect(r.Start()).To(Succeed())
 		DeferCleanup(r.Crash)
 	}
@@ -164,6 +169,7 @@
 			return sized(head("GET", "/api/readyz", announced), bodyLimit, bodyLimit-shortBy, 256<<10, 0)
 		}),
 		Entry("requests for long answers that they do not read", 60, at(entryIP, frontPort), func() client { return unread(head("GET", "/lookup"+standin.LongPath)) }),
+		Entry("requests for long streams that they do not read", 60, at(entryIP, frontPort), func() client { return unread(streamHead("/chat" + standin.LongPath)) }),
 		Entry("many requests at once whose answers they do not read", 300, at(entryIP, frontPort), func() client { return unread(strings.Repeat(head("GET", "/lookup/x"), 100)) }),
 	)
 
