--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -34,9 +34,40 @@
 // past is a deadline that ends pending reads and writes.
 var past = time.Unix(1, 0)
 
+// clientBounds bound what clients can take from the gateway.
+type clientBounds struct {
+	// memory is the account of the process's memory.
+	memory *membudget.Account
+	// maxConnections bounds the callers' connections.
+	maxConnections int
+}
+
+func defaultClientBounds() clientBounds {
+	return clientBounds{memory: membudget.NewAccount(membudget.ForMemory(defaultMemory)), maxConnections: defaultConnections}
+}
+
+// SetMemory sets the account of the process's memory. It must be called before the first request.
+func (b *clientBounds) SetMemory(account *membudget.Account) { b.memory = account }
+
+// SetBodyMemoryLimit bounds the memory of all buffered bodies, in bytes. It must be called before the first request.
+func (b *clientBounds) SetBodyMemoryLimit(bytes int64) {
+	b.SetMemory(membudget.NewAccount(membudget.ForHeld(bytes)))
+}
+
+// SetMaxConnections bounds the callers' connections. It must be called before NewServer.
+func (b *clientBounds) SetMaxConnections(n int) { b.maxConnections = n }
+
+// requestBounds are the state of one request within those bounds.
+type requestBounds struct {
+	// holder has what is reserved for the request.
+	holder *membudget.Holder
+	// writeDeadlineSet is when the write deadline was last set.
+	writeDeadlineSet time.Time
+}
+
 // MemoryUsage returns the state of the account of the process's memory.
-func (g *Gateway) MemoryUsage() membudget.Usage {
-	usage, _ := g.memory.Usage()
+func (b *clientBounds) MemoryUsage() membudget.Usage {
+	usage, _ := b.memory.Usage()
 	return usage
 }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -18,7 +18,6 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
-	"github.com/hibiscuscross/hibiscuscross/pkg/membudget"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -44,30 +43,17 @@
 	// requestsCtx is cancelled shortly before the process exits; open requests then get their final answer.
 	requestsCtx context.Context
 	endRequests context.CancelFunc
-	memory      *membudget.Account
-	// maxConnections bounds the callers' connections.
-	maxConnections int
-	started        time.Time
+	clientBounds
+	started time.Time
 }
 
 // New returns a gateway that sends requests over the connections of pool.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, draining: make(chan struct{}), requestsCtx: ctx, endRequests: cancel,
-		memory: membudget.NewAccount(membudget.ForMemory(defaultMemory)), maxConnections: defaultConnections, started: time.Now()}
+		clientBounds: defaultClientBounds(), started: time.Now()}
 }
 
-// SetBodyMemoryLimit bounds the memory of all buffered bodies, in bytes. It must be called before the first request.
-func (g *Gateway) SetBodyMemoryLimit(bytes int64) {
-	g.SetMemory(membudget.NewAccount(membudget.ForHeld(bytes)))
-}
-
-// SetMemory sets the account of the process's memory. It must be called before the first request.
-func (g *Gateway) SetMemory(account *membudget.Account) { g.memory = account }
-
-// SetMaxConnections bounds the callers' connections. It must be called before NewServer.
-func (g *Gateway) SetMaxConnections(n int) { g.maxConnections = n }
-
 // StartDraining makes all further answers ask callers to close their connections.
 func (g *Gateway) StartDraining() { close(g.draining) }
 
@@ -94,10 +80,7 @@
 	// attempted reports whether an attempt has started.
 	attempted bool
 	timing    timing
-	// holder has what is reserved for the request in the account of the process's memory.
-	holder *membudget.Holder
-	// writeDeadlineSet is when the write deadline was last set.
-	writeDeadlineSet time.Time
+	requestBounds
 }
 
 // ServeHTTP serves one request.
@@ -110,10 +93,10 @@
 	default:
 	}
 	cfg := g.core.config()
+	defer c.releaseMemory()
 	if !c.readBody(cfg) {
 		return
 	}
-	defer c.releaseMemory()
 	if cfg == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration is known", c.startRetryAfter())
 		return
