--- a/pkg/h1/h1_test.go
+++ b/pkg/h1/h1_test.go
@@ -134,6 +134,30 @@
 		Expect(pool.Idle()).To(Equal(2))
 	})
 
+	// Guards against descriptors that connections to upstreams use up, and against idle connections that keep the places of
+	// requests.
+	It("bounds the connections, and closes an idle one for a request", func() {
+		pool.SetLimits(2, 2)
+		server := newServer(okAnswer, okAnswer)
+		Expect(exchange(pool, server, time.Second)).To(Equal("ok"))
+		Expect(pool.Idle()).To(Equal(1))
+		var open []*h1.Conn
+		get := func() error {
+			c, err := pool.Get(context.Background(), server.ln.Addr().String(), 0)
+			open = append(open, c)
+			return err
+		}
+		Expect(get()).To(Succeed())
+		Expect(get()).To(Succeed())
+		Expect(pool.Idle()).To(BeZero())
+		Expect(get()).To(MatchError(h1.ErrTooManyConnections))
+		Expect(get()).To(MatchError(h1.ErrNotConnected))
+		Expect(open[0].Close()).To(Succeed())
+		_ = open[0].Close() // the place is free once
+		Expect(get()).To(Succeed())
+		Expect(get()).To(MatchError(h1.ErrTooManyConnections))
+	})
+
 	// Guards against bytes after an answer, which belong to no request, being taken for the answer to the next request.
 	It("does not reuse a connection with unread bytes", func() {
 		server := newServer(okAnswer + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
