--- a/pkg/inbound/inbound_test.go
+++ b/pkg/inbound/inbound_test.go
@@ -33,7 +33,10 @@
 }
 
 func open(o inbound.Options, held int64, l inbound.BodyLimits) *port {
-	p := &port{account: membudget.NewAccount(membudget.ForHeld(held)), closed: make(chan map[string]int, 1000)}
+	p := &port{account: o.Account, closed: make(chan map[string]int, 1000)}
+	if p.account == nil {
+		p.account = membudget.NewAccount(membudget.ForHeld(held))
+	}
 	ln, err := inbound.Listen("127.0.0.1:0", o)
 	Expect(err).NotTo(HaveOccurred())
 	p.address = ln.Addr().String()
@@ -110,6 +113,21 @@
 		Eventually(p.closed).Should(Receive(HaveKey(inbound.CauseTooMany)))
 	})
 
+	// Guards against bodies that stop and keep all places although memory is not short.
+	It("ends a body that has stopped for a new connection", func() {
+		o := options
+		o.Account = membudget.NewAccount(membudget.ForMemory(64 * mb))
+		p := open(o, 0, inbound.BodyLimits{Bytes: mb, Grace: time.Minute})
+		for range 9 {
+			p.dial("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
+		}
+		Eventually(p.served.Load).Should(Equal(int32(9)))
+		Eventually(func() string {
+			_, in := p.dial(get)
+			return answer(in)
+		}).WithTimeout(20 * time.Second).WithPolling(100 * time.Millisecond).Should(Equal("200 "))
+	})
+
 	// Guards against heads without end in size or time, which net/http bounds by fixed limits only.
 	It("refuses heads beyond the configured size and time", func() {
 		p := open(options, 64*mb, bodyLimits)
--- a/pkg/inbound/listener.go
+++ b/pkg/inbound/listener.go
@@ -134,6 +134,9 @@
 	if !l.reserve(address) {
 		if !l.evict(c.since) || !l.reserve(address) {
 			l.closed[CauseTooMany]++
+			if l.options.Account != nil {
+				l.options.Account.EndStalled() // makes a place for the next one
+			}
 			return nil
 		}
 	}
--- a/pkg/membudget/account.go
+++ b/pkg/membudget/account.go
@@ -168,6 +168,13 @@
 	return h.ended
 }
 
+// EndStalled ends one stalled transfer, whatever is free, because others need its connection.
+func (a *Account) EndStalled() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reclaimed += int64(a.budget.EndStalled(time.Now()))
+}
+
 // Counts are the numbers of transfers that were ended for others and of reservations that found no memory.
 type Counts struct{ Reclaimed, Refused int64 }
 
--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -207,6 +207,9 @@
 	return b.endStalled(now, b.held-b.endedHeld-b.limits.Held*3/4, b.largeHeld-b.endedLarge-b.limits.Large*3/4)
 }
 
+// EndStalled ends one stalled transfer, whatever is free, because others need its connection.
+func (b *Budget) EndStalled(now time.Time) int { return b.endStalled(now, 1, 0) }
+
 func (b *Budget) endStalled(now time.Time, held, large int64) (ended int) {
 	if held <= 0 && large <= 0 {
 		return 0
