Run the process tests with untrusted clients alone, after the others

They compare processes with their memory limits. Also opens 300 sessions to an agent with a certificate of another authority.

--- a/pkg/untrusted/roles_test.go
+++ b/pkg/untrusted/roles_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/devcert"
 	"github.com/hibiscuscross/hibiscuscross/pkg/processtest"
 	"github.com/hibiscuscross/hibiscuscross/pkg/transport/quic"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
@@ -80,6 +81,7 @@
 		c, dir := startCluster()
 		u := watch(c.EngineAgents[0].PID(), netip.Addr{})
 		crowd(1500, strings.TrimPrefix(c.EngineAgents[0].Ops, "http://"), openHead(60_000))
+		strangers(c.EngineAgents[0].Addr)
 		sessions(c.EngineAgents[0].Addr, dir)
 		u.expectLives()
 		Eventually(func() error { return stream(c) }).Should(Succeed())
@@ -88,6 +90,27 @@
 	})
 })
 
+// strangers opens sessions to an agent with a certificate of another authority. The agent refuses each.
+func strangers(address string) {
+	GinkgoHelper()
+	other, err := devcert.NewAuthority()
+	Expect(err).NotTo(HaveOccurred())
+	cert, err := other.Issue("router-02")
+	Expect(err).NotTo(HaveOccurred())
+	t := quic.New(cert, other.Pool())
+	ctx, cancel := context.WithTimeout(context.Background(), crowdTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range 300 {
+		wg.Go(func() {
+			if conn, err := t.Dial(ctx, address); err == nil {
+				DeferCleanup(func() { _ = conn.Close() })
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // sessions opens sessions to an agent with the certificate of a router and sends requests of legal size that stop short on
 // some of them. They stay open until the spec ends.
 func sessions(address, dir string) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,11 +11,18 @@
     flags+=("-ginkgo.skip=^.*$pattern\$")
   done < <(sed -n 's/^spec: //p' KNOWN-RED.txt)
 fi
+# Runs alone at the end, since its processes are compared with their memory limits.
+alone=./pkg/untrusted
+run() { go test -race -count=1 -timeout 600s "$@"; }
+others=$(go list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|" | grep -vxF "$alone")
 if [ ${#flags[@]} -eq 0 ]; then
-  exec go test -race -count=1 -timeout 600s ./...
+  run $others
+  run "$alone"
+  exit
 fi
 # Only packages with a Ginkgo suite take the flag; the others are run without it.
-suites=$(grep -rl --include='*_test.go' 'RunSpecs(' . | xargs -n1 dirname | sort -u)
-others=$(go list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|" | grep -vxF "$suites" || true)
-go test -race -count=1 -timeout 600s $suites "${flags[@]}"
-if [ -n "$others" ]; then go test -race -count=1 -timeout 600s $others; fi
+suites=$(grep -rl --include='*_test.go' 'RunSpecs(' . | xargs -n1 dirname | sort -u | grep -vxF "$alone")
+others=$(printf '%s\n' "$others" | grep -vxF "$suites" || true)
+run $suites "${flags[@]}"
+if [ -n "$others" ]; then run $others; fi
+run "$alone" "${flags[@]}"
