Merge the bounds on what untrusted clients can make a process hold

Cause: request bodies were read whole before anything was weighed, and answers could take the last byte of the memory for bodies. Change: one account of memory (pkg/membudget), bounds on connections and descriptors of every listener (pkg/inbound).

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -19,6 +17,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -27,13 +26,9 @@
 const (
 	// defaultTimeout bounds a request for which neither the caller nor the route sets a time.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the reading of a request's body.
-	bodyTimeout = 10 * time.Second
 	// minStartRetryAfter is the least Retry-After of a process that has no configuration yet: it normally has one
 	// within about 100 ms. If the store does not answer, Retry-After grows to the time since the start of the process.
 	minStartRetryAfter = 250 * time.Millisecond
-	// defaultBodyBytes bounds a body if the configuration does not.
-	defaultBodyBytes = 4 << 20
 )
 
 // Gateway serves callers. It is an http.Handler.
@@ -49,21 +44,18 @@
 	// requestsCtx is cancelled shortly before the process exits; open requests then get their final answer.
 	requestsCtx context.Context
 	endRequests context.CancelFunc
-	bodyMemory  memoryBudget
-	started     time.Time
-	quotas      *Quotas // nil if quotas are not observed
+	clientBounds
+	started time.Time
+	quotas  *Quotas // nil if quotas are not observed
 }
 
 // New returns a gateway that sends requests over the connections of pool.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, draining: make(chan struct{}), requestsCtx: ctx, endRequests: cancel,
-		bodyMemory: memoryBudget{limit: defaultBodyMemory}, started: time.Now()}
+		clientBounds: defaultClientBounds(), started: time.Now()}
 }
 
-// SetBodyMemoryLimit bounds the memory of all buffered bodies, in bytes. It must be called before the first request.
-func (g *Gateway) SetBodyMemoryLimit(bytes int64) { g.bodyMemory.limit = bytes }
-
 // StartDraining makes all further answers ask callers to close their connections.
 func (g *Gateway) StartDraining() { close(g.draining) }
 
@@ -76,7 +68,7 @@
 	w           http.ResponseWriter
 	r           *http.Request
 	meta        platform.Request
-	body        []byte
+	body        inbound.Segments
 	req         *dispatch.Request
 	start       time.Time
 	ctx         context.Context // ends at the deadline, and when the caller disconnects if the request may then be cancelled
@@ -101,9 +93,8 @@
 	// prompt is the request for an admission of the current attempt; nil if there is none.
 	prompt      *promptAsk
 	promptStats promptStats
-	// reservedBytes is the memory reserved for the bodies of answers.
-	reservedBytes int64
-	quota         requestQuota
+	quota       requestQuota
+	requestBounds
 }
 
 // ServeHTTP serves one request.
@@ -117,10 +108,10 @@
 	}
 	cfg := g.core.config()
 	route, matched := c.match(cfg)
+	defer c.releaseMemory()
 	if !c.admit(route) || !c.readBody(cfg) {
 		return
 	}
-	defer func() { g.bodyMemory.release(c.reservedBytes) }()
 	if cfg == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration is known", c.startRetryAfter())
 		return
@@ -189,28 +180,6 @@
 	return c.r.Context()
 }
 
-func (c *callerRequest) readBody(cfg *catalog.Config) bool {
-	limit := int64(defaultBodyBytes)
-	if cfg != nil && cfg.Limits.BodyBytes > 0 {
-		limit = int64(cfg.Limits.BodyBytes)
-	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // without support for deadlines the read is bounded by the server
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.refuse(http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
-		return false
-	case err != nil:
-		c.finish("caller_left", 0, "reason", "body was not received", "err", err)
-		panic(http.ErrAbortHandler)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	c.body = body
-	return true
-}
-
 func (c *callerRequest) prepare(route *catalog.Route) {
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
@@ -238,7 +207,7 @@
 	d := xxhash.New()
 	caller, _, _ := strings.Cut(c.r.RemoteAddr, ":")
 	_, _ = d.WriteString(caller + "\x00" + c.r.Host + c.r.RequestURI + "\x00")
-	_, _ = d.Write(c.body)
+	_, _ = c.body.WriteTo(d)
 	return d.Sum64()
 }
 
@@ -379,6 +348,7 @@
 // refuse answers with an error of the gateway itself.
 func (c *callerRequest) refuse(status int, reason string, after time.Duration) {
 	platform.SetRefusalHeader(c.w.Header(), c.meta.ID, after)
+	c.extendWriteDeadline()
 	http.Error(c.w, reason, status)
 	c.finish("refused", status, "reason", reason, "retry_after_ms", after.Milliseconds())
 }
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
@@ -22,7 +24,7 @@
 		defer cancel()
 		q := platform.NewInstanceQuery(u.ID, "")
 		q.Header.Set("Connection", "close") // an engine has a limited number of connections
-		replied, err := instanceReplies(ctx, p.queryPool, u, q)
+		replied, err := instanceReplies(ctx, p.queryPool, u, q, readQueryReply)
 		if !replied {
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
@@ -42,3 +44,15 @@
 		}
 	})
 }
+
+// maxQueryReplyBytes bounds the body of an engine's report, which takes some kilobytes. At most one query per engine and
+// probe interval is open, so their replies need no account of memory.
+const maxQueryReplyBytes = 64 << 10
+
+func readQueryReply(r io.Reader) ([]byte, error) {
+	body, err := fill(r, make([]byte, maxQueryReplyBytes))
+	if errors.Is(err, io.EOF) {
+		return body, nil
+	}
+	return nil, errors.Join(errAnswerTooLong, err)
+}
--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -150,6 +150,10 @@
 	standin.SetRequestHeader(q.Header, "r1", 0, "", "")
 	route, _ := r.config.Match("h", "/x")
 	c := &callerRequest{g: r.gw, w: w, r: q, meta: meta, start: time.Now(), tenant: &r.config.Tenants()[0], config: r.config.Version}
+	if !c.readBody(r.config) {
+		r.t.Fatal("body not read")
+	}
+	r.t.Cleanup(c.releaseMemory)
 	c.prepare(route)
 	return c, w
 }
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -36,7 +37,7 @@
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), instanceQueryTimeout)
 	defer cancel()
-	runs, err := c.g.instanceRuns(ctx, u, c.checkPath())
+	runs, err := c.instanceRuns(ctx, u, c.checkPath())
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", runs, "err", err)
 	return runs
 }
@@ -56,12 +57,17 @@
 
 // instanceRuns reports whether the instance of the upstream replies on a new connection. A connection that is only
 // accepted shows nothing: the kernel or a device on the path accepts it for a process that has ended or is back.
-func (g *Gateway) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
-	return instanceReplies(ctx, g.pool, u, platform.NewInstanceQuery(u.ID, checkPath))
+func (c *callerRequest) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
+	return instanceReplies(ctx, c.g.pool, u, platform.NewInstanceQuery(u.ID, checkPath), func(r io.Reader) ([]byte, error) {
+		parts, err := c.readAnswerBody(io.LimitReader(r, maxInstanceReplyBytes))
+		defer c.dropAnswer(parts)
+		return bytes.Join(parts, nil), err
+	})
 }
 
-// instanceReplies reports whether the instance of the upstream replies to the query on a new connection of the pool.
-func instanceReplies(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery) (bool, error) {
+// instanceReplies reports whether the instance of the upstream replies to the query on a new connection of the pool. The
+// function read reads the body of the reply within a bound.
+func instanceReplies(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) (bool, error) {
 	conn, err := pool.Get(ctx, u.Address, 0)
 	if err != nil {
 		return false, err
@@ -71,7 +77,7 @@
 	resp, err := conn.ReadHead(http.MethodGet)
 	var body []byte
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, maxInstanceReplyBytes))
+		body, err = read(resp.Body)
 	}
 	if err != nil || !stop() {
 		_ = conn.Close()
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -164,6 +164,8 @@
 	// QuotaRequest is sent by routers, QuotaGrant by the sidecars that hold quotas.
 	QuotaRequest *quota.Request `cbor:"3,keyasint,omitempty"`
 	QuotaGrant   *quota.Grant   `cbor:"4,keyasint,omitempty"`
+	// Size is the encoded size of a received message in bytes.
+	Size int `cbor:"-"`
 }
 
 // Encode encodes a message.
@@ -190,5 +192,6 @@
 	if err := m.check(); err != nil {
 		return Message{}, err
 	}
+	m.Size = len(raw)
 	return m, nil
 }
