Reserve memory for late orders only at the instance that they name

Cause: beside engines that ignore fencing tokens, every restart of an engine and its sidecar left room for one model less for 13 s. Change: an order names the engine's id, which most restarts change, and an engine with another id refuses it. Pending orders and the fence record now carry the id.

--- a/pkg/sidecar/fence.go
+++ b/pkg/sidecar/fence.go
@@ -24,7 +24,7 @@
 func (a *Agent) addPending(now time.Time, o placement.Order, token uint64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.pending.add(now, o, a.report.Upstream.Orders, token)
+	return a.pending.add(now, o, a.report.Upstream.ID, a.report.Upstream.Orders, token)
 }
 
 func (a *Agent) endPending(number int, answered bool) {
@@ -38,24 +38,27 @@
 // token: the reservations for unanswered orders do not depend on the store. A record that names unanswered orders is
 // replaced when these have expired; otherwise the next process would reserve memory for them again.
 func (a *Agent) requestToken() {
-	started := a.report.Upstream.StartedUnixMS
+	instance := instanceOf(&a.report.Upstream)
+	if instance.id == "" { // orders need the id, too
+		return
+	}
 	a.mu.Lock()
 	replace := false
 	if !a.settings.ChecksTokens && a.token != 0 && !a.recordClean {
-		r := a.pending.record(time.Now(), started)
+		r := a.pending.record(time.Now(), instance)
 		replace = r.isClean()
 		a.recordClean = replace
 	}
 	a.mu.Unlock()
-	if a.fenced && a.fencedInstance == started && !replace {
+	if a.fenced && a.fencedInstance == instance && !replace {
 		return
 	}
-	a.fenced, a.fencedInstance = true, started
+	a.fenced, a.fencedInstance = true, instance
 	select { // an instance whose record has not been written is gone
 	case <-a.fences:
 	default:
 	}
-	a.fences <- started
+	a.fences <- instance
 }
 
 // AcquireToken gets a fencing token from the store for each instance of the engine and sets it, until ctx ends. The token
@@ -66,12 +69,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case started := <-a.fences:
+		case instance := <-a.fences:
 			if !adopted {
 				adopted = true
 				a.adoptRecord(ctx, store)
 			}
-			a.writeFence(ctx, store, started)
+			a.writeFence(ctx, store, instance)
 		}
 	}
 }
@@ -97,7 +100,7 @@
 		a.pending.adopt(time.Now(), previous)
 		unanswered, instance := len(a.pending.orders), a.pending.unknownInstance
 		a.mu.Unlock()
-		a.log.State("fence record read", "found", previous != nil, "unanswered", unanswered, "born", instance)
+		a.log.State("fence record read", "found", previous != nil, "unanswered", unanswered, "upstream", instance.id, "born", instance.startedUnixMS)
 		return
 	}
 }
@@ -113,10 +116,10 @@
 
 // writeFence writes the record for an instance of the engine and sets its revision as the token. It retries until it
 // succeeds, ctx ends or the engine has restarted again.
-func (a *Agent) writeFence(ctx context.Context, store *platform.Store, startedUnixMS int64) {
+func (a *Agent) writeFence(ctx context.Context, store *platform.Store, instance engineInstance) {
 	for ctx.Err() == nil && len(a.fences) == 0 {
 		a.mu.Lock()
-		record := a.pending.record(time.Now(), startedUnixMS)
+		record := a.pending.record(time.Now(), instance)
 		a.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, fenceWriteTimeout)
 		token, err := store.Write(callCtx, platform.KindFences, a.settings.Node, record)
@@ -126,7 +129,7 @@
 			a.mu.Lock()
 			a.recordClean = record.isClean()
 			a.mu.Unlock()
-			a.log.State("fencing token acquired", "token", token, "born", startedUnixMS, "unanswered", len(record.Unanswered), "unknown_order", record.Unknown)
+			a.log.State("fencing token acquired", "token", token, "born", instance.startedUnixMS, "unanswered", len(record.Unanswered), "unknown_order", record.Unknown)
 			return
 		}
 		a.log.State("acquiring the fencing token failed, retrying", "err", err)
--- a/pkg/sidecar/pending.go
+++ b/pkg/sidecar/pending.go
@@ -16,10 +16,11 @@
 // pendingOrder is an order that was sent and whose outcome is unknown.
 type pendingOrder struct {
 	placement.Order
-	number int
-	expect uint64 // the count of accepted orders at which an engine accepts it
-	token  uint64
-	until  time.Time
+	number   int
+	instance string // id of the instance that it was sent to, which alone accepts it; empty if unknown
+	expect   uint64 // the count of accepted orders at which an engine accepts it
+	token    uint64
+	until    time.Time
 }
 
 // pendingOrders records the orders that may still be carried out. An engine that restarts under its id counts accepted
@@ -28,20 +29,35 @@
 	orders []pendingOrder
 	added  int
 	// unknownUntil is the time until which a predecessor of this process may have left an order that is not recorded. It
-	// cannot do harm while the instance runs that the predecessor sent it to: that one's count never repeats.
+	// cannot do harm while the instance runs that the predecessor sent it to, since that one's count never repeats, or an
+	// instance with another id, which refuses it.
 	unknownUntil    time.Time
-	unknownInstance int64 // start of that instance; 0 if it is not known
+	unknownInstance engineInstance // zero if it is not known
+}
+
+// engineInstance identifies a process of the engine. Most restarts change the id.
+type engineInstance struct {
+	id            string
+	startedUnixMS int64
+}
+
+func instanceOf(u *catalog.Upstream) engineInstance {
+	return engineInstance{id: u.ID, startedUnixMS: u.StartedUnixMS}
 }
 
 // hasUnknown reports whether an unrecorded order may be carried out by the instance of the engine.
-func (p *pendingOrders) hasUnknown(now time.Time, startedUnixMS int64) bool {
-	return now.Before(p.unknownUntil) && (startedUnixMS == 0 || startedUnixMS != p.unknownInstance)
+func (p *pendingOrders) hasUnknown(now time.Time, instance engineInstance) bool {
+	sent := p.unknownInstance
+	if !now.Before(p.unknownUntil) || sent.id != "" && instance.id != "" && sent.id != instance.id {
+		return false
+	}
+	return instance.startedUnixMS == 0 || instance.startedUnixMS != sent.startedUnixMS
 }
 
 // add records an order before it is sent and returns its number.
-func (p *pendingOrders) add(now time.Time, o placement.Order, expect, token uint64) int {
+func (p *pendingOrders) add(now time.Time, o placement.Order, instance string, expect, token uint64) int {
 	p.added++
-	p.orders = append(p.live(now), pendingOrder{Order: o, number: p.added, expect: expect, token: token, until: now.Add(orderLifetime)})
+	p.orders = append(p.live(now), pendingOrder{Order: o, number: p.added, instance: instance, expect: expect, token: token, until: now.Add(orderLifetime)})
 	return p.added
 }
 
@@ -65,11 +81,12 @@
 // reserved returns the memory and adapter slots to keep free for the orders that the engine could still carry out after
 // it has accepted the next order. That order names the present count of accepted orders and carries the token. The engine
 // accepts only one order for each count, so those for the present count or a lower one cannot follow it. Neither can those
-// with a lower token, if the engine checks tokens.
+// with a lower token, if the engine checks tokens, and those that name another instance.
 func (p *pendingOrders) reserved(now time.Time, engine *catalog.Engine, self *catalog.Upstream, token uint64, checksTokens bool) placement.Reserved {
 	byCount := map[uint64]placement.Reserved{}
 	for _, o := range p.live(now) {
-		if o.Unload || o.expect <= self.Orders || checksTokens && o.token < token {
+		otherInstance := o.instance != "" && o.instance != self.ID
+		if o.Unload || o.expect <= self.Orders || otherInstance || checksTokens && o.token < token {
 			continue
 		}
 		r, spec := byCount[o.expect], engine.Models[o.Model]
@@ -85,7 +102,7 @@
 	for _, r := range byCount {
 		sum.MemoryMB, sum.AdapterSlots = sum.MemoryMB+r.MemoryMB, sum.AdapterSlots+r.AdapterSlots
 	}
-	if p.hasUnknown(now, self.StartedUnixMS) && !checksTokens { // the token of this process is higher than its predecessor's
+	if p.hasUnknown(now, instanceOf(self)) && !checksTokens { // the token of this process is higher than its predecessor's
 		sum.MemoryMB, sum.AdapterSlots = sum.MemoryMB+largestUnloaded(engine, self), sum.AdapterSlots+1
 	}
 	return sum
@@ -106,8 +123,9 @@
 // next process on the VM knows whether the engine has restarted since.
 type fenceRecord struct {
 	StartedMS int64 `json:"startedMs"`
-	// EngineStartedMS identifies the instance of the engine.
-	EngineStartedMS int64 `json:"engineStartedMs"`
+	// EngineID and EngineStartedMS identify the instance of the engine.
+	EngineID        string `json:"engineId,omitempty"`
+	EngineStartedMS int64  `json:"engineStartedMs"`
 	// Unanswered lists the orders that may still be carried out, and Unknown reports whether there may be others that were
 	// sent to earlier instances.
 	Unanswered []recordedOrder `json:"unanswered,omitempty"`
@@ -121,14 +139,15 @@
 	Unload         bool   `json:"unload,omitempty"`
 	Model          string `json:"model"`
 	Adapter        string `json:"adapter,omitempty"`
+	Instance       string `json:"instance,omitempty"`
 	ExpectedOrders uint64 `json:"expectedOrders"`
 }
 
 // record returns the record for an instance of the engine.
-func (p *pendingOrders) record(now time.Time, engineStartedMS int64) fenceRecord {
-	r := fenceRecord{StartedMS: now.UnixMilli(), EngineStartedMS: engineStartedMS, Unknown: p.hasUnknown(now, engineStartedMS)}
+func (p *pendingOrders) record(now time.Time, instance engineInstance) fenceRecord {
+	r := fenceRecord{StartedMS: now.UnixMilli(), EngineID: instance.id, EngineStartedMS: instance.startedUnixMS, Unknown: p.hasUnknown(now, instance)}
 	for _, o := range p.live(now) {
-		r.Unanswered = append(r.Unanswered, recordedOrder{Unload: o.Unload, Model: o.Model, Adapter: o.Adapter, ExpectedOrders: o.expect})
+		r.Unanswered = append(r.Unanswered, recordedOrder{Unload: o.Unload, Model: o.Model, Adapter: o.Adapter, Instance: o.instance, ExpectedOrders: o.expect})
 	}
 	return r
 }
@@ -141,9 +160,9 @@
 		p.unknownUntil = time.Time{}
 		return
 	case !predecessor.Unknown:
-		p.unknownInstance = predecessor.EngineStartedMS
+		p.unknownInstance = engineInstance{id: predecessor.EngineID, startedUnixMS: predecessor.EngineStartedMS}
 	}
 	for _, o := range predecessor.Unanswered {
-		p.add(now, placement.Order{Unload: o.Unload, Model: o.Model, Adapter: o.Adapter}, o.ExpectedOrders, 0)
+		p.add(now, placement.Order{Unload: o.Unload, Model: o.Model, Adapter: o.Adapter}, o.Instance, o.ExpectedOrders, 0)
 	}
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -83,9 +83,9 @@
 	list    upstreamList
 	token   uint64
 	pending pendingOrders
-	// fences holds the start of the running instance of the engine until the fence record for it is written, and
+	// fences holds the running instance of the engine until the fence record for it is written, and
 	// recordClean reports whether the record last written is clean.
-	fences      chan int64
+	fences      chan engineInstance
 	recordClean bool
 
 	prompts         *promptAdmission // has its own lock
@@ -98,7 +98,7 @@
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
 	fenced          bool   // a fence record has been requested, the last one for fencedInstance
-	fencedInstance  int64
+	fencedInstance  engineInstance
 	reserved        placement.Reserved // reservation last logged
 	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
 	endedID        string
@@ -124,7 +124,7 @@
 func New(settings Settings, engine Engine, socket *peer.Socket, log *eventlog.Log, g *guard.Guard) *Agent {
 	now := time.Now()
 	a := &Agent{
-		pending: pendingOrders{unknownUntil: now.Add(orderLifetime)}, fences: make(chan int64, 1),
+		pending: pendingOrders{unknownUntil: now.Add(orderLifetime)}, fences: make(chan engineInstance, 1),
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
