Test the observations of queues, plain answers and complete streams

The specs guard against an engine with a queue that is taken for a slow one, a slow plain upstream that gets as many requests as the others, and room for prompts that does not follow the steps of an event.

--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -14,3 +14,8 @@
 	}
 	return s.upstreamStats(id).speeds.Ratio(now, kind, s.serviceSpeed(now, m.Service).priors[kind])
 }
+
+// EventSteps returns the number of steps that an event of the service spans.
+func (s *State) EventSteps(now time.Time, service string) float64 {
+	return s.serviceSpeed(now, service).eventSteps
+}
