Weigh the cached prefix of a prompt against the wait

Cause: a quarter of the prompt tokens that a deployment's engines processed were shared parts processed again. Each router knew its own prompts only, took a part for cached until its own record was full, and preferred the first-ranked upstream by a fixed time.

Change: parts are expected to be cached with a probability that falls with time and with the rate of prompt tokens at the engine, and that the times of first events correct. The upstream that ranks first for a prefix is expected to have it from other routers, as often as was seen. The choice counts what a copy of the prefix elsewhere costs others, what a long prompt evicts, and a last event after the deadline; a second upstream is preferred as the first fills up. The request line and explain show the expected and the seen part and the detour. The policy is named by defaultPrefixPolicy.

--- a/pkg/account/account_test.go
+++ b/pkg/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -96,6 +97,20 @@
 		Expect(account.Find(records, "none").Text()).To(ContainSubstring("no line"))
 	})
 
+	// Guards against prefixes that are processed again without a line that says so.
+	It("sums up what was expected to be cached, what was, and the detours", func() {
+		request := "time=00:32:42.000 msg=request id=%s route=chat outcome=done took_ms=9 target_ms=500 sent_ms=1 first_ms=5 uncached=2890 "
+		log := fmt.Sprintf(request+"cached=6300 cached_seen=0 detour_ms=0\n"+request+"cached=6000 cached_seen=-1 detour_ms=140\n", "r6", "r7")
+		records, err := account.Read(strings.NewReader(lines + log))
+		Expect(err).NotTo(HaveOccurred())
+		s := account.Summarize(records, account.Window{}, nil)
+		Expect(s.Prefix).To(Equal(account.Prefix{Processed: 5780, Expected: 12300, Seen: 1, SeenExpected: 6300, Detours: 1, DetourTime: 140 * ms}))
+		Expect(s.Text()).To(ContainSubstring("seen at 1 requests: 6300 expected, 0 cached; 1 detours cost 140ms"))
+		Expect(account.Find(records, "r6").Text()).To(ContainSubstring("2890 to process, 6300 expected cached, 0 seen cached; detour cost 0s"))
+		Expect(account.Find(records, "r7").Text()).To(ContainSubstring("not seen whether they were; detour cost 140ms"))
+		Expect(account.Find(records, "r1").Text()).NotTo(ContainSubstring("detour")) // a line of an older process
+	})
+
 	It("is plotted, also for a log without requests", func() {
 		for _, rs := range [][]account.Record{records, nil} {
 			var svg bytes.Buffer
--- a/pkg/account/record.go
+++ b/pkg/account/record.go
@@ -18,6 +18,11 @@
 type Record struct {
 	ID, Route, Model, Outcome, Reason, VM, Upstream string
 	Status, Priority, Runs, Attempts, Uncached      int
+	// Cached is the number of prompt tokens that were expected to be cached at the upstream, and CachedSeen that which the
+	// first event showed; -1 if it showed nothing.
+	Cached, CachedSeen int
+	// Detour is the time that the prefill was expected to take longer than where most of the prompt was cached.
+	Detour time.Duration
 	// Arrived is the time of day of the arrival, since midnight.
 	Arrived time.Duration
 	Took    time.Duration
@@ -83,6 +88,7 @@
 		Took: ms("took_ms"), Target: ms("target_ms"), MaxGap: ms("gap_ms"), ForReports: ms("reports_ms"), ForModel: ms("model_ms"), ForAdapter: ms("adapter_ms"), ForPrefill: max(0, ms("prefill_ms")),
 		Expected: ms("cost_ms"), Sent: ms("sent_ms"), FirstEvent: ms("first_ms"), Pause: ms("pause_ms"), PauseAt: ms("pause_at_ms"),
 	}
+	rec.Cached, rec.CachedSeen, rec.Detour = number("cached"), number("cached_seen"), max(0, ms("detour_ms"))
 	midnight := time.Date(at.Year(), at.Month(), at.Day(), 0, 0, 0, 0, at.Location())
 	rec.Arrived = at.Sub(midnight) - rec.Took
 	return rec, true
--- a/pkg/account/summary.go
+++ b/pkg/account/summary.go
@@ -27,6 +27,37 @@
 	Requests   int
 	Owed, Lost float64
 	Lines      []Line // largest loss first
+	Prefix     Prefix
+}
+
+// Prefix sums up the cached parts of prompts.
+type Prefix struct {
+	// Processed and Expected are the prompt tokens that upstreams were expected to process and to have cached.
+	Processed, Expected int
+	// Seen is the number of requests whose first event showed whether the expected part was cached, SeenExpected the
+	// tokens that were expected of these, and SeenCached those that were cached.
+	Seen, SeenExpected, SeenCached int
+	// Detours is the number of requests that were sent elsewhere than where most of their prompt was cached, and
+	// DetourTime the time that their prefill was expected to take longer.
+	Detours    int
+	DetourTime time.Duration
+}
+
+func (p *Prefix) add(r Record) {
+	if r.Cached < 0 || r.Sent < 0 {
+		return
+	}
+	p.Processed += max(0, r.Uncached)
+	p.Expected += r.Cached
+	if r.CachedSeen >= 0 {
+		p.Seen++
+		p.SeenExpected += r.Cached
+		p.SeenCached += r.CachedSeen
+	}
+	if r.Detour > 0 {
+		p.Detours++
+		p.DetourTime += r.Detour
+	}
 }
 
 // Window selects requests by the time of day of their arrival. The zero value selects all.
@@ -49,6 +80,7 @@
 		}
 		s.Requests++
 		s.Owed += w.OnTime
+		s.Prefix.add(r)
 		cause := CauseOf(r)
 		if cause == OnTime {
 			continue
@@ -98,6 +130,10 @@
 		s.row(table, l)
 	}
 	_ = table.Flush() // a strings.Builder does not fail
+	if p := s.Prefix; p.Processed+p.Expected > 0 {
+		fmt.Fprintf(&out, "prompt tokens: %d to process, %d expected cached; seen at %d requests: %d expected, %d cached; %d detours cost %v\n",
+			p.Processed, p.Expected, p.Seen, p.SeenExpected, p.SeenCached, p.Detours, p.DetourTime)
+	}
 	return out.String()
 }
 
@@ -132,7 +168,18 @@
 		fmt.Fprintf(&out, "%s at %s, upstream %s: %s\n", r.ID, r.VM, r.Upstream, e.Causes[i])
 		fmt.Fprintf(&out, "  waited for reports %v, model %v, adapter %v, other prompts %v; sent after %v, first event after %v of %v, expected %v after sending\n",
 			r.ForReports, r.ForModel, r.ForAdapter, r.ForPrefill, r.Sent, r.FirstEvent, r.Target, r.Expected)
+		if r.Cached >= 0 && r.Sent >= 0 {
+			fmt.Fprintf(&out, "  prompt tokens: %d to process, %d expected cached, %s; detour cost %v\n", r.Uncached, r.Cached, seenText(r), r.Detour)
+		}
 		fmt.Fprintf(&out, "  longest pause %v of %v, ended after %v; took %v, outcome %s %s\n", r.Pause, r.MaxGap, r.PauseAt, r.Took, r.Outcome, r.Reason)
 	}
 	return out.String()
 }
+
+// seenText says how many of the tokens that were expected to be cached were.
+func seenText(r Record) string {
+	if r.CachedSeen < 0 {
+		return "not seen whether they were"
+	}
+	return fmt.Sprintf("%d seen cached", r.CachedSeen)
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -150,8 +150,9 @@
 
 // pick returns the decision to use the candidate with the least expected time to the first byte.
 func (s *State) pick(now time.Time, r *Request, members []*fleet.Member) Decision {
-	best, bestCost, mustWait := s.choose(now, r, members)
-	d := Decision{Cost: bestCost, Age: -time.Second}
+	chosen, detour, mustWait := s.choose(now, r, members)
+	best, bestCost := chosen.m, chosen.cost
+	d := Decision{Cost: bestCost, Age: -time.Second, Cached: chosen.cached, Detour: detour, Last: chosen.last}
 	if !best.ReportedAt.IsZero() {
 		d.Age = now.Sub(best.ReportedAt)
 	}
@@ -189,68 +190,6 @@
 	return after
 }
 
-// firstRanked returns the index of the member that ranks first for the shared parts of the prompt; -1 if there are none.
-// Members of the router's region come first, since traffic to another region is paid by volume.
-func (s *State) firstRanked(c *comparison, members []*fleet.Member) int {
-	r := c.r
-	if len(r.Chain) < 2 {
-		return -1
-	}
-	key := r.Model + "/" + r.Adapter + "/" + r.Parts[len(r.Parts)-2].ID
-	first, firstIsLocal, firstRank := -1, false, 0.0
-	for i, m := range members {
-		local := s.roundTrip(m.Zone) < regionRoundTrip
-		if !local && firstIsLocal {
-			continue
-		}
-		rank := weightedRank(key, m.ID, s.profile(c.now, m, c.stats[i]).slowness)
-		if first < 0 || local && !firstIsLocal || rank > firstRank {
-			first, firstIsLocal, firstRank = i, local, rank
-		}
-	}
-	return first
-}
-
-// cost returns the expected time from the start of an attempt to the first byte of the answer, plus surcharges for
-// possible failures, and the time by which the candidates are ranked.
-func (s *State) cost(c *comparison, m *fleet.Member, stats *upstreamStats, ranksFirst bool) (cost, rank time.Duration) {
-	now, r, speeds := c.now, c.r, s.profile(c.now, m, stats)
-	cost = s.roundTrip(m.Zone) + time.Duration(stats.failureRate*float64(failureCost)) + m.WarmupRemaining/4
-	if !c.isEngine {
-		beyondSlots := max(0, stats.outstanding-m.Slots+1)
-		load := time.Duration(stats.outstanding)*plainOutstandingTime + time.Duration(beyondSlots)*plainQueueTime
-		cost += speeds.plainExcess + time.Duration(speeds.plainRatio*float64(load))
-		return cost, cost
-	}
-	tokens := s.uncached(stats, r)
-	tokensAhead := tokens
-	for _, n := range stats.prefill[:r.priority()+1] {
-		tokensAhead += n
-	}
-	cost += speeds.prefillTime(tokensAhead)
-	running := stats.outstanding
-	if m.Fresh(now) {
-		running = max(running, m.Load.Running)
-		cost += time.Duration(float64(m.Load.Queued) * c.shareAhead * float64(speeds.queueTime))
-		if m.Load.KVTotal > 0 && m.Load.KVUsed+tokens+r.TokensOut > m.Load.KVTotal {
-			cost += fullMemoryCost
-		}
-	}
-	cost += speeds.runningTime(running)
-	if r.Adapter != "" && !m.HoldsAdapter(r.Model, r.Adapter) {
-		cost += adapterLoadTime + orderRemaining(now, m)
-	}
-	if ranksFirst {
-		cost -= affinityBonus
-	}
-	rank = cost
-	if ranksFirst && len(r.Parts) > 1 {
-		shared := max(0, tokens-r.Parts[len(r.Parts)-1].Tokens)
-		rank -= speeds.prefillTime(int(affinityShare * float64(shared)))
-	}
-	return cost, rank
-}
-
 // shareAhead returns the share of an engine's queue that is served before the request. Engines admit by priority, but
 // their reports do not break their queues down by priority, so the model's arrival rates by priority are used instead.
 // This overestimates the share for urgent requests, since less urgent ones stay in the queue longer.
--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -19,3 +19,19 @@
 func (s *State) EventSteps(now time.Time, service string) float64 {
 	return s.serviceSpeed(now, service).eventSteps
 }
+
+// Policies for cached prefixes.
+const (
+	PrefixNone     = prefixNone
+	PrefixSent     = prefixSent
+	PrefixExpected = prefixExpected
+)
+
+// SetPrefixPolicy sets the policy for cached prefixes.
+func (s *State) SetPrefixPolicy(p prefixPolicy) { s.prefixes.policy = p }
+
+// PrefixPolicy is the type of these policies.
+type PrefixPolicy = prefixPolicy
+
+// LifetimeFactor returns the factor by which observations have corrected the lifetime of cached parts at the upstream.
+func (s *State) LifetimeFactor(id string) float64 { return s.upstreamStats(id).lifetimeFactor() }
--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
-)
+import "time"
 
 // An engine processes prompts between the tokens of the streams that it generates. Prompts that arrive together lengthen
 // each step, and an event spans several steps, so a burst of prompts delays the next event of all streams of the engine
@@ -14,63 +10,11 @@
 // prefillWaitShare is the share of the time to spare until the first event is due for which a prompt may wait.
 const prefillWaitShare = 0.5
 
-// comparison is what the candidates for a request are compared with.
-type comparison struct {
-	now      time.Time
-	r        *Request
-	isEngine bool
-	// shareAhead is the share of an engine's queue that is served before the request.
-	shareAhead float64
-	// eventSteps is the number of steps that an event spans.
-	eventSteps float64
-	stats      []*upstreamStats // of the candidates
-}
-
-func (s *State) newComparison(now time.Time, r *Request, members []*fleet.Member) comparison {
-	c := comparison{now: now, r: r, isEngine: s.engine(r.Service) != nil, eventSteps: s.serviceSpeed(now, r.Service).eventSteps}
-	if c.isEngine {
-		c.shareAhead = s.shareAhead(now, r)
-	}
-	c.stats = s.candidateStats[:0]
-	for _, m := range members {
-		c.stats = append(c.stats, s.upstreamStats(m.ID))
-	}
-	s.candidateStats = c.stats
-	return c
-}
-
-// choose returns the candidate with the least expected time to the first byte, its cost, and whether the request is to
-// wait for room there. If that engine has no room for the prompt, the best one with room is chosen unless it is much
-// slower.
-func (s *State) choose(now time.Time, r *Request, members []*fleet.Member) (best *fleet.Member, cost time.Duration, mustWait bool) {
-	var open *fleet.Member
-	var openCost, rank, openRank time.Duration
-	comparison := s.newComparison(now, r, members)
-	first := s.firstRanked(&comparison, members)
-	for i, m := range members {
-		stats := comparison.stats[i]
-		c, by := s.cost(&comparison, m, stats, i == first)
-		if best == nil || by < rank {
-			best, cost, rank = m, c, by
-		}
-		if (open == nil || by < openRank) && s.hasPrefillRoom(&comparison, m, stats) {
-			open, openCost, openRank = m, c, by
-		}
-	}
-	switch {
-	case best == open || !now.Before(s.prefillWaitEnd(r, cost)):
-		return best, cost, false
-	case open != nil && openRank <= rank+affinityBonus:
-		return open, openCost, false
-	}
-	return best, cost, true
-}
-
 // hasPrefillRoom reports whether the engine can process the request's prompt without delaying the events of its streams
 // too long. The bound of the request's own route stands for those of the running streams, which are not known by route.
 // More urgent prompts that wait take precedence. A prompt is never held back if the router has no other one there.
-func (s *State) hasPrefillRoom(c *comparison, m *fleet.Member, stats *upstreamStats) bool {
-	r := c.r
+func (s *State) hasPrefillRoom(c *comparison, o *candidate) bool {
+	r, stats := c.r, o.stats
 	if r.Model == "" || r.Route.MaxEventGap == 0 || r.attempts > 0 {
 		return true
 	}
@@ -83,7 +27,7 @@
 			ahead += n
 		}
 	}
-	return ahead <= 0 || ahead+s.uncached(stats, r) <= prefillBudget(s.profile(c.now, m, stats), c.eventSteps, r.Route.MaxEventGap)
+	return ahead <= 0 || ahead+o.uncached <= prefillBudget(o.profile, c.eventSteps, r.Route.MaxEventGap)
 }
 
 // prefillBudget returns the number of prompt tokens that may be processed in one step of an engine with the given figures
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -38,7 +38,15 @@
 	sentAt       time.Time       // time of the decision for the current attempt
 	progressed   bool            // whether the current attempt's answer has gone on beyond its beginning
 	view         attemptView     // what was known of the upstream at the start of the current attempt
-	sharedParts  []uint64        // keys of the prompt parts that requests share; see partKeys
+	// firstHit is the probability, used in the last decision, that the upstream firstHitAt has the shared parts cached
+	// through other routers. seenBefore is 1 if the prefix was requested at this router before.
+	firstHit   float64
+	firstHitAt string
+	seenBefore int
+	// seen reports whether the first event of the current attempt showed how many tokens were cached.
+	seen        bool
+	seenCached  int
+	sharedParts []uint64 // keys of the prompt parts that requests share; see partKeys
 }
 
 // waitLimit returns how much longer the request may wait for its first event.
@@ -116,6 +124,12 @@
 	// Cost is the expected time to the first byte of the answer. Age is the age of the upstream's report; it is
 	// negative if the upstream has not reported.
 	Cost, Age time.Duration
+	// Last is the expected time to the last event of a stream; 0 if unknown.
+	Last time.Duration
+	// Cached is the number of prompt tokens that the upstream is expected to have cached, and Detour the time that its
+	// prefill takes longer than that of the upstream which is expected to have most cached.
+	Cached int
+	Detour time.Duration
 }
 
 // AgeMS returns the age of the upstream's report in milliseconds; -1 if the upstream has not reported.
--- a/pkg/dispatch/speed.go
+++ b/pkg/dispatch/speed.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
+	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/pkg/speed"
 )
 
@@ -41,13 +42,20 @@
 	// one below which it no longer is. With one threshold prefixes would move with each change of the estimate. The next
 	// levels lie at twice the ratio each.
 	slowRatio, notSlowRatio, maxSlowness = 1.35, 1.15, 3
+	// minKnown is the confidence from which an estimate is rather observed than assumed.
+	minKnown = 0.5
+	// maxSeenRatio bounds the ratio of the prefill with which cached prefixes are recognised to that of the intervals between
+	// events: an engine without a cache seems to process prompts slowly, but its steps take no longer.
+	maxSeenRatio = 1.1
 	// minRoomRatio bounds from below the ratio of the prefill time with which the room for prompts is determined: too
 	// much room delays all streams of the engine, too little only the prompt.
 	minRoomRatio = 0.8
 	// minObservedTokens is the size of a prompt from which the time to its first event says something of the speed of
-	// its processing, and maxUncertainShare the largest share of it that may or may not be cached.
+	// its processing. maxUncertainShare is the largest share of it that may be cached although it probably is not, and
+	// probablyCached the largest share of the shared parts that may not be cached although they probably are.
 	minObservedTokens = 400
 	maxUncertainShare = 0.25
+	probablyCached    = 0.6
 	// minObservedShare is the least expected prefill time in relation to the interval between events for the same
 	// purpose, and fullObservedShare the one from which an observation has its full weight.
 	minObservedShare, fullObservedShare = 0.5, 2
@@ -65,11 +73,17 @@
 	started int64
 	// nsPerToken is the prefill time of a prompt token in ns, prefillRatio its ratio to the default.
 	nsPerToken, prefillRatio float64
+	// seenRatio is the ratio with which first events show whether a prefix was cached.
+	seenRatio float64
 	// slowness is 0 for engines of usual speed, and k for those about 2^k times as slow.
 	slowness int
 	// intervalRatio is the ratio of the interval between events to the default.
 	intervalRatio float64
-	queueTime     time.Duration
+	// intervalKnown reports whether that ratio is rather observed than assumed.
+	intervalKnown bool
+	// lifetime is the time after which half of the cached parts that are not used again are expected to be evicted.
+	lifetime  time.Duration
+	queueTime time.Duration
 	// plainRatio is the ratio of the time of a plain answer to the service's mean, plainExcess the difference from it.
 	plainRatio  float64
 	plainExcess time.Duration
@@ -129,12 +143,15 @@
 	steps := stats.speeds.Estimate(now, speed.Interval)
 	prior := priors[speed.Prefill] + steps.Confidence(now)*(steps.Log2-priors[speed.Interval])
 	p.prefillRatio = speed.Ratio(speed.Prefill, speed.Damp(stats.speeds.Log2(now, speed.Prefill, prior), priors[speed.Prefill]))
+	p.seenRatio = min(p.prefillRatio, maxSeenRatio*speed.Ratio(speed.Prefill, prior))
 	p.nsPerToken = p.prefillRatio * float64(time.Millisecond) / defaultTokensPerMS
 	if level := slowness(p.slowness, p.prefillRatio/speed.Ratio(speed.Prefill, priors[speed.Prefill])); level != p.slowness {
 		p.slowness = level
 		s.speedChanges = append(s.speedChanges, m.ID)
 	}
 	p.intervalRatio = speed.Ratio(speed.Interval, speed.Damp(stats.speeds.Log2(now, speed.Interval, priors[speed.Interval]), priors[speed.Interval]))
+	p.intervalKnown = steps.Confidence(now) > minKnown
+	p.lifetime = s.lifetime(now, m, stats)
 	p.queueTime = time.Duration(stats.speeds.Ratio(now, speed.Queue, priors[speed.Queue]) * float64(defaultQueueTime))
 	mean := speed.Ratio(speed.Plain, priors[speed.Plain])
 	p.plainRatio = stats.speeds.Ratio(now, speed.Plain, priors[speed.Plain]) / mean
@@ -194,6 +211,8 @@
 func (stats *upstreamStats) forget() {
 	stats.speeds = speed.Speeds{}
 	stats.profile = profile{}
+	stats.cache = prompt.NewCache(upstreamCacheTokens)
+	stats.keeps = 0
 }
 
 // prefillTime returns the time to process the tokens.
@@ -221,6 +240,12 @@
 	// tokens are the prompt tokens to process until the first event: the request's own that were not expected to be cached
 	// and those ahead of it. uncertain of them may be cached, as other routers send the same parts.
 	tokens, uncertain int
+	// shared is the number of tokens of the shared parts, expected what the router's own prompts let expect to be cached
+	// of them. first reports whether the upstream ranks first for them, seenBefore whether (1) the router had seen them.
+	shared     int
+	expected   expectation
+	first      bool
+	seenBefore int
 	// queued is the number of requests ahead in the engine's queue; -1 if unknown.
 	queued float64
 	// slotsTaken reports whether all slots were taken.
@@ -241,8 +266,12 @@
 	for _, n := range stats.prefill[:r.priority()+1] {
 		v.tokens += n
 	}
+	stats.speeds.RecordSent(r.sentAt, uncached)
 	if len(r.Parts) > 0 {
+		_, v.shared = r.sharedPrefix()
 		v.uncertain = uncached - r.Parts[len(r.Parts)-1].Tokens
+		v.expected = s.expected(r.sentAt, r, stats, v.shared, 0)
+		v.first, v.seenBefore = id == r.firstHitAt, r.seenBefore
 	}
 	v.queued = -1
 	if r.sentAt.Sub(m.ReportedAt) <= maxQueueReportAge {
@@ -270,17 +299,23 @@
 	}
 	stats.speeds.Observe(now, speed.Interval, usual.Seconds()/interval(running).Seconds(), 1)
 	took := events.First().Sub(v.sentAt) - v.roundTrip - usual
-	expected := time.Duration(float64(v.tokens) / defaultTokensPerMS * float64(time.Millisecond))
+	s.recordSeen(now, m, r, took)
+	// Tokens that are probably cached are left out: if they were not, the observation is longer, as others may be.
+	tokens := v.tokens - max(0, v.uncertain)
+	expected := time.Duration(float64(tokens) / defaultTokensPerMS * float64(time.Millisecond))
 	switch {
 	case v.queued >= 1:
 		wait := took - s.profile(now, m, stats).prefillTime(v.tokens)
 		stats.speeds.Observe(now, speed.Queue, max(wait.Seconds(), 0.001)/(v.queued*defaultQueueTime.Seconds()), 1)
 	case v.queued != 0 || v.slotsTaken: // the wait in the queue is not the engine's speed
-	case v.tokens < minObservedTokens || float64(v.uncertain) > maxUncertainShare*float64(v.tokens):
+	case tokens < minObservedTokens:
+	case float64(v.uncertain) > maxUncertainShare*float64(v.tokens) && float64(v.uncertain) > probablyCached*float64(v.shared):
 	case expected.Seconds() < minObservedShare*usual.Seconds():
 	default:
 		if ratio := took.Seconds() / expected.Seconds(); ratio >= minPrefillRatio {
-			stats.speeds.Observe(now, speed.Prefill, ratio, expected.Seconds()/(fullObservedShare*usual.Seconds()))
+			// An observation that relies on a cached prefix counts less: an engine that does not keep it seems slow.
+			certain := float64(tokens) / float64(tokens+v.shared)
+			stats.speeds.Observe(now, speed.Prefill, ratio, min(1, expected.Seconds()/(fullObservedShare*usual.Seconds()))*certain)
 		}
 	}
 }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -49,6 +49,7 @@
 	cache        *prompt.Cache
 	speeds       speed.Speeds
 	profile      profile // derived from speeds
+	keeps        float64 // correction of the lifetime of cached parts; 0 for none
 }
 
 // State makes the decisions of one router. It is not safe for concurrent use.
@@ -80,8 +81,9 @@
 	serviceSpeeds map[string]*serviceSpeed
 	// speedChanges are the upstreams whose level of slowness has changed since TakeSpeedChanges was called.
 	speedChanges []string
-	// candidateStats is reused by each decision.
-	candidateStats []*upstreamStats
+	prefixes     prefixes
+	// scratch is reused by each decision.
+	scratch []candidate
 	// routers is the number of live routers that an agent last reported.
 	routers int
 	// unreachableAt is when a connection to an upstream last failed, by service.
@@ -99,7 +101,7 @@
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit),
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{},
-		serviceSpeeds: map[string]*serviceSpeed{},
+		serviceSpeeds: map[string]*serviceSpeed{}, prefixes: prefixes{policy: defaultPrefixPolicy},
 	}
 }
 
@@ -265,15 +267,18 @@
 // RecordStart records the start of an attempt at an upstream.
 func (s *State) RecordStart(id string, r *Request) {
 	stats := s.upstreamStats(id)
-	r.progressed = false
+	r.progressed, r.seen = false, false
 	stats.outstanding++
 	if r.Model != "" {
 		stats.running[placement.Adapter{Model: r.Model, Name: r.Adapter}]++
 	}
-	tokens := s.uncached(stats, r)
+	tokens := s.uncached(id, r)
 	s.recordView(id, r, tokens)
 	stats.prefill[r.priority()] += tokens
-	stats.cache.RecordSent(r.Chain, r.Parts)
+	if prefix, shared := r.sharedPrefix(); shared > 0 {
+		s.prefixes.recordRequested(prefix)
+	}
+	stats.cache.RecordSent(r.sentAt, r.Chain, r.Parts)
 	if r.Adapter != "" {
 		if s.used[id] == nil {
 			s.used[id] = map[placement.Adapter]bool{}
@@ -290,10 +295,15 @@
 
 // Uncached returns the number of prompt tokens that the upstream is expected to process because they are not in its
 // cache.
-func (s *State) Uncached(id string, r *Request) int { return s.uncached(s.upstreamStats(id), r) }
+func (s *State) Uncached(id string, r *Request) int { return s.uncached(id, r) }
 
-func (s *State) uncached(stats *upstreamStats, r *Request) int {
-	return promptTokens(r) - stats.cache.CachedTokens(r.Chain, r.Parts)
+func (s *State) uncached(id string, r *Request) int {
+	_, shared := r.sharedPrefix()
+	first := 0.0
+	if id == r.firstHitAt {
+		first = r.firstHit
+	}
+	return promptTokens(r) - int(s.expected(r.sentAt, r, s.upstreamStats(id), shared, first).cached)
 }
 
 // promptTokens returns the number of tokens of the request's prompt.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -348,7 +348,8 @@
 	fields := []any{"id", c.meta.ID, "outcome", outcome, "status", status, "took_ms", took.Milliseconds()}
 	if c.req != nil {
 		fields = append(fields, "route", c.req.Route.Name, "service", c.req.Service, "model", c.meta.Model, "adapter", c.meta.Adapter,
-			"config", c.config, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", c.decision.Cost.Milliseconds(), "report_age_ms", c.decision.AgeMS())
+			"config", c.config, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", c.decision.Cost.Milliseconds(), "report_age_ms", c.decision.AgeMS(),
+			"cached", c.decision.Cached, "cached_seen", c.req.SeenCached(), "detour_ms", c.decision.Detour.Milliseconds(), "last_ms", c.decision.Last.Milliseconds())
 		if c.decision.Upstream != nil {
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
 		}
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -64,6 +64,7 @@
 			s.Speed = &speed.Summary{Estimates: []speed.PooledEstimate{{Weight: float32(math.Inf(1))}}}
 		})),
 		Entry("speeds of unknown kinds", report(func(s *peer.Report) { s.Speed = &speed.Summary{Estimates: make([]speed.PooledEstimate, 9)} })),
+		Entry("a rate that is not a number", report(func(s *peer.Report) { s.Speed = &speed.Summary{TokensPerS: float32(math.NaN())} })),
 		Entry("observations beyond the buckets", demand(func(d *peer.Demand) {
 			d.Speed = &speed.Observed{Counts: []speed.Counts{{First: 30, Counts: []byte{1, 2, 3}}}}
 		})),
--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -3,6 +3,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,12 +30,15 @@
 type entry struct {
 	hash   uint64
 	tokens int
+	sent   time.Time // when it was last sent
+	uses   int
 }
 
 // Cache estimates the parts that one upstream has cached. It evicts the least recently sent parts when their tokens
 // exceed the capacity. It is not safe for concurrent use.
 type Cache struct {
 	capacity, used int
+	reused         int        // tokens of the parts that were sent more than once
 	order          *list.List // of entry, most recent first
 	byHash         map[uint64]*list.Element
 }
@@ -56,19 +60,55 @@
 	return cached
 }
 
+// ExpectedTokens returns the number of leading tokens of the prompt that the upstream is expected to have cached at now,
+// and the time since the last of these parts was sent. The probability that a part is still cached is one half after the
+// lifetime.
+func (c *Cache) ExpectedTokens(now time.Time, chain []uint64, parts []Part, lifetime time.Duration) (tokens float64, gap time.Duration) {
+	p := 1.0
+	for i, h := range chain {
+		e := c.byHash[h]
+		if e == nil {
+			break
+		}
+		sent := e.Value.(*entry).sent
+		gap = max(0, now.Sub(sent))
+		p = min(p, StillCached(gap, lifetime))
+		tokens += p * float64(parts[i].Tokens)
+	}
+	return tokens, gap
+}
+
+// StillCached returns the probability that a part is still cached when the given time has passed since its last use. An
+// engine evicts what has not been used for longest, so there is a time from which little is left; it is known roughly only.
+func StillCached(gap, lifetime time.Duration) float64 {
+	x := gap.Seconds() / max(lifetime.Seconds(), 1e-3)
+	return 1 / (1 + x*x)
+}
+
+// ReusedTokens returns the tokens of the cached parts that were sent more than once.
+func (c *Cache) ReusedTokens() int { return c.reused }
+
 // RecordSent records that a prompt was sent to the upstream.
-func (c *Cache) RecordSent(chain []uint64, parts []Part) {
+func (c *Cache) RecordSent(now time.Time, chain []uint64, parts []Part) {
 	for i := len(chain) - 1; i >= 0; i-- { // later parts first: they are evicted before the prefixes that they need
 		if e := c.byHash[chain[i]]; e != nil {
 			c.order.MoveToFront(e)
+			known := e.Value.(*entry)
+			if known.uses++; known.uses == 2 {
+				c.reused += known.tokens
+			}
+			known.sent = now
 			continue
 		}
-		c.byHash[chain[i]] = c.order.PushFront(entry{hash: chain[i], tokens: parts[i].Tokens})
+		c.byHash[chain[i]] = c.order.PushFront(&entry{hash: chain[i], tokens: parts[i].Tokens, sent: now, uses: 1})
 		c.used += parts[i].Tokens
 	}
 	for c.used > c.capacity && c.order.Len() > 0 {
 		last := c.order.Back()
-		e, _ := last.Value.(entry)
+		e := last.Value.(*entry)
+		if e.uses > 1 {
+			c.reused -= e.tokens
+		}
 		c.order.Remove(last)
 		delete(c.byHash, e.hash)
 		c.used -= e.tokens
--- a/pkg/speed/estimate.go
+++ b/pkg/speed/estimate.go
@@ -78,8 +78,13 @@
 
 // Speeds is what a router knows of the speed of one instance of an upstream. The zero value knows nothing.
 type Speeds struct {
-	own    [Kinds]Sketch
+	own [Kinds]Sketch
+	// sent is the rate of the prompt tokens that this router sent, without those expected to be cached.
+	sent   Rate
 	pooled [Pooled]Estimate // from the agent's last report
+	// pooledSent is the rate of all routers in that report, which was received at pooledAt.
+	pooledSent float64
+	pooledAt   time.Time
 }
 
 // Observe adds an observation of the router's own: an observed time in relation to its default.
@@ -87,6 +92,15 @@
 	u.own[kind].Add(now, ratio, weight)
 }
 
+// RecordSent records a prompt that was sent with the given number of tokens to process.
+func (u *Speeds) RecordSent(now time.Time, tokens int) { u.sent.Add(now, float64(tokens)) }
+
+// TokensPerS returns the prompt tokens per second that the routers send to the upstream to be processed: those of the
+// agent's last report, or more if this router alone has sent more.
+func (u *Speeds) TokensPerS(now time.Time) float64 {
+	return max(u.sent.At(now), decayed(u.pooledSent, max(0, now.Sub(u.pooledAt))))
+}
+
 // Estimate returns what is known of the quantity: the pooled estimate, or the router's own where that has more weight.
 func (u *Speeds) Estimate(now time.Time, kind Kind) Estimate {
 	own := u.own[kind].estimate(now, quantiles[kind], maxOwnWeight)
--- a/pkg/speed/message.go
+++ b/pkg/speed/message.go
@@ -11,11 +11,19 @@
 	ID            string   `cbor:"1,keyasint"`
 	StartedUnixMS int64    `cbor:"2,keyasint,omitempty"`
 	Counts        []Counts `cbor:"3,keyasint,omitempty"` // by Kind
+	// TokensPerS is the rate of the prompt tokens that the router sends to the upstream to be processed.
+	TokensPerS float32 `cbor:"4,keyasint,omitempty"`
 }
 
+// maxTokensPerS bounds the rate of prompt tokens in a message: that of an engine a hundred times as fast as usual.
+const maxTokensPerS = 4e6
+
+// validRate reports whether the rate is in range.
+func validRate(r float32) bool { return r >= 0 && r <= maxTokensPerS }
+
 // Valid reports whether the values are in range.
 func (o *Observed) Valid() bool {
-	if o.StartedUnixMS < 0 || len(o.Counts) > int(Pooled) {
+	if o.StartedUnixMS < 0 || len(o.Counts) > int(Pooled) || !validRate(o.TokensPerS) {
 		return false
 	}
 	for _, c := range o.Counts {
@@ -40,11 +48,13 @@
 // Summary is what an agent knows of its upstream's speed from the routers' last messages.
 type Summary struct {
 	Estimates []PooledEstimate `cbor:"1,keyasint,omitempty"` // by Kind
+	// TokensPerS is the rate of the prompt tokens that the live routers send to the upstream to be processed.
+	TokensPerS float32 `cbor:"2,keyasint,omitempty"`
 }
 
 // Valid reports whether the values are in range.
 func (s *Summary) Valid() bool {
-	if len(s.Estimates) > int(Pooled) {
+	if len(s.Estimates) > int(Pooled) || !validRate(s.TokensPerS) {
 		return false
 	}
 	for _, e := range s.Estimates {
@@ -57,7 +67,7 @@
 
 // Observed returns the router's own observations for the agent beside the upstream; nil if there are none.
 func (u *Speeds) Observed(now time.Time, id string, startedUnixMS int64) *Observed {
-	o := &Observed{ID: id, StartedUnixMS: startedUnixMS, Counts: make([]Counts, Pooled)}
+	o := &Observed{ID: id, StartedUnixMS: startedUnixMS, Counts: make([]Counts, Pooled), TokensPerS: min(float32(u.sent.At(now)), maxTokensPerS)}
 	known := 0
 	for kind := range Pooled {
 		o.Counts[kind] = u.own[kind].encode(now)
@@ -65,7 +75,7 @@
 			known = int(kind) + 1
 		}
 	}
-	if known == 0 {
+	if known == 0 && o.TokensPerS < 1 {
 		return nil
 	}
 	o.Counts = o.Counts[:known]
@@ -75,10 +85,11 @@
 // ApplySummary stores the summary of an agent's report; nil if the agent has none. Kinds that it does not have are
 // unknown.
 func (u *Speeds) ApplySummary(now time.Time, s *Summary) {
-	u.pooled = [Pooled]Estimate{}
+	u.pooled, u.pooledSent, u.pooledAt = [Pooled]Estimate{}, 0, now
 	if s == nil {
 		return
 	}
+	u.pooledSent = float64(s.TokensPerS)
 	estimates := s.Estimates
 	for kind, e := range estimates[:min(len(estimates), int(Pooled))] {
 		u.pooled[kind] = Estimate{Log2: float64(e.Log2), Weight: float64(e.Weight), At: now}
@@ -91,7 +102,10 @@
 	if len(routers) == 0 {
 		return nil
 	}
-	out := make([]PooledEstimate, 0, Pooled)
+	out, sent := make([]PooledEstimate, 0, Pooled), float32(0)
+	for _, o := range routers {
+		sent = min(sent+o.TokensPerS, maxTokensPerS)
+	}
 	known := 0
 	for kind := range Pooled {
 		e := pool(kind, routers)
@@ -100,7 +114,7 @@
 			known = int(kind) + 1
 		}
 	}
-	return &Summary{Estimates: out[:known]}
+	return &Summary{Estimates: out[:known], TokensPerS: sent}
 }
 
 // minTrimmed is the number of routers from which the influence of one is bounded by the others, and maxTrimmed that above
--- a/pkg/speed/sketch.go
+++ b/pkg/speed/sketch.go
@@ -52,6 +52,20 @@
 	s.at = now
 }
 
+// Rate is the mean of an amount per second over the last seconds. The zero value is 0.
+type Rate struct {
+	value float64 // at the time at
+	at    time.Time
+}
+
+// Add adds an amount.
+func (r *Rate) Add(now time.Time, amount float64) {
+	r.value, r.at = r.At(now)+amount*math.Ln2/HalfLife.Seconds(), now
+}
+
+// At returns the rate per second.
+func (r *Rate) At(now time.Time) float64 { return decayed(r.value, max(0, now.Sub(r.at))) }
+
 // decayed returns the weight after the given time.
 func decayed(weight float64, after time.Duration) float64 {
 	return weight * math.Exp2(-after.Seconds()/HalfLife.Seconds())
