Test each rule of the learned speeds and cached prefixes on its own

Each spec fails without its rule: fewer prefixes for a slow engine, last event before the deadline, threshold for replicas, room for prompts, observations that waited or rely on other routers' prefixes, lifetime of cached parts, forgetting with the instance.

--- a/pkg/dispatch/prefix_test.go
+++ b/pkg/dispatch/prefix_test.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+	"github.com/hibiscuscross/hibiscuscross/pkg/speed"
 )
 
 // shared returns a prompt with the named prefix of 6,300 tokens and a part of its own.
@@ -88,11 +89,11 @@
 	// Guards against sessions whose prefix is processed again although it is cached, and against a wait for one that has
 	// been evicted meanwhile.
 	It("of sessions that return are worth a wait as long as they are probably cached", func() {
-		s := newState()
+		s, perS := newState(), float32(0)
 		reportAt := func(at time.Time) {
 			for _, id := range []string{"u1", "u2"} {
 				m := s.Fleet.Get(id)
-				r := &peer.Report{KVUsed: 165_000, KVTotal: 265_000}
+				r := &peer.Report{KVUsed: 165_000, KVTotal: 265_000, Speed: &speed.Summary{TokensPerS: perS}}
 				r.SetUpstream(m.Upstream, 1)
 				s.ApplyReport(at, r)
 			}
@@ -115,15 +116,8 @@
 		d := s.Decide(soon, session(soon, 2))
 		Expect(d.Upstream.ID).To(Equal(at))
 		Expect(d.Cached).To(BeNumerically(">", 6000))
-		for i := range 200 { // other prompts fill the memory
-			later := now.Add(time.Duration(i) * 100 * time.Millisecond)
-			r := promptOf(&longRoute, later, fmt.Sprint("other", i), 9000)
-			s.Decide(later, r)
-			s.RecordStart(at, r)
-			s.RecordFirstEvent(at, r, 9000)
-			s.RecordEnd(later, at, r, dispatch.Done)
-		}
 		later := now.Add(20 * time.Second)
+		perS = 50_000 // other prompts fill the memory
 		reportAt(later)
 		stays := session(later, 3)
 		Expect(s.Decide(later, stays).Cached).To(BeNumerically("<", 5500)) // what other routers may have put there remains
--- a/pkg/dispatch/speed_test.go
+++ b/pkg/dispatch/speed_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
 	"github.com/hibiscuscross/hibiscuscross/pkg/speed"
 )
@@ -145,13 +147,14 @@
 	It("is forgotten when the instance changes", func() {
 		p := start(4)
 		slow(p, 3)
+		Expect(p.ratio(0)).To(BeNumerically(">", 1.5))
 		e := p.engines[0]
 		e.up.StartedUnixMS++
 		for _, r := range p.routers {
 			r.state.Fleet.Put(p.now, e.up)
 		}
 		p.report()
-		Expect(p.ratio(0)).To(BeNumerically("<", 1.5))
+		Expect(p.ratio(0)).To(BeNumerically("<", 1.3))
 	})
 
 	It("is known to a router without requests of its own", func() {
@@ -200,17 +203,43 @@
 	}
 
 	// Guards against an engine with a queue that is taken for a slow one, gets no requests and keeps that reputation.
-	It("of prompts that waited in a queue say nothing about the engine's speed", func() {
+	DescribeTable("of prompts that waited say nothing about the engine's speed",
+		func(load upstream, reportAge time.Duration, queueRatio float64) {
+			s := newState()
+			load.id, load.models = "u1", []string{"a"}
+			for i := range 20 {
+				at := now.Add(time.Duration(i) * time.Second)
+				add(s, load)
+				s.Fleet.Get("u1").ReportedAt = at.Add(-reportAge)
+				answer(s, at, "u1", sent(s, at, "u1"), time.Second)
+			}
+			Expect(s.SpeedRatio(now.Add(20*time.Second), "u1", speed.Prefill)).To(BeNumerically("<", 1.1))
+			Expect(s.SpeedRatio(now.Add(20*time.Second), "u1", speed.Queue)).To(BeNumerically(">=", queueRatio))
+		},
+		Entry("in a queue", upstream{queued: 2}, time.Duration(0), 1.7),
+		Entry("for a slot", upstream{running: 64}, time.Duration(0), 1.0),
+		Entry("unknown to the router", upstream{}, 400*time.Millisecond, 1.0),
+	)
+
+	// Guards against an engine that seems fast because another router has had the prefix processed there.
+	It("of prompts that another router may have had cached say nothing about the engine's speed", func() {
 		s := newState()
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		add(s, upstream{id: "u2", models: []string{"a"}})
 		for i := range 20 {
-			at := now.Add(time.Duration(i) * time.Second)
-			m := upstream{id: "u1", models: []string{"a"}, queued: 2}
-			add(s, m)
-			s.Fleet.Get("u1").ReportedAt = at
-			answer(s, at, "u1", sent(s, at, "u1"), time.Second)
-		}
-		Expect(s.SpeedRatio(now.Add(20*time.Second), "u1", speed.Prefill)).To(BeNumerically("~", 1, 0.1))
-		Expect(s.SpeedRatio(now.Add(20*time.Second), "u1", speed.Queue)).To(BeNumerically(">", 1.7))
+			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+			parts := shared(fmt.Sprint(i), i)
+			r := &dispatch.Request{ID: "r", Route: &longRoute, Service: "llm", Model: "a", Parts: parts, Chain: prompt.Chain("a", "", parts), Deadline: at.Add(20 * time.Second)}
+			other := map[string]string{"u1": "u2", "u2": "u1"}[s.Decide(at, r).Upstream.ID]
+			for id := range map[string]bool{"u1": true, "u2": true} {
+				s.Fleet.Get(id).ReportedAt = at
+			}
+			s.RecordStart(other, r)
+			answer(s, at, other, r, 130*time.Millisecond)
+		}
+		for _, id := range []string{"u1", "u2"} {
+			Expect(s.SpeedRatio(now.Add(2*time.Second), id, speed.Prefill)).To(BeNumerically(">", 0.95))
+		}
 	})
 
 	// Guards against a plain service of which a slow upstream gets as many requests as the others.
@@ -248,3 +277,84 @@
 		Expect(s.EventSteps(now.Add(time.Second), "llm")).To(And(BeNumerically(">=", 2), BeNumerically("<", 3.5)))
 	})
 })
+
+// reportSpeed applies a report with the binary logarithms of the upstream's ratios for prefill and interval.
+func reportSpeed(s *dispatch.State, id string, load upstream, prefill, interval float32) {
+	m := s.Fleet.Get(id)
+	r := &peer.Report{Queued: load.queued, Running: load.running, AvailableMemory: placement.AvailableMemory{IdleMB: load.idle}, Speed: &speed.Summary{Estimates: []speed.PooledEstimate{{Log2: prefill, Weight: 200}, {Log2: interval, Weight: 200}}}}
+	r.SetUpstream(m.Upstream, 1)
+	s.ApplyReport(now, r)
+}
+
+var _ = Describe("learned speeds", func() {
+	var s *dispatch.State
+	BeforeEach(func() { s = newState() })
+
+	// Guards against a slow engine that ranks first for as many prefixes as the others.
+	It("let a slow engine have fewer prefixes", func() {
+		for i := range 8 {
+			id := fmt.Sprint("u", i)
+			add(s, upstream{id: id, models: []string{"a"}})
+			if i == 0 {
+				reportSpeed(s, id, upstream{}, 1, 1)
+			} else {
+				reportSpeed(s, id, upstream{}, 0, 0)
+			}
+		}
+		counts := map[string]int{}
+		for i := range 800 {
+			parts := shared(fmt.Sprint(i), i)
+			r := &dispatch.Request{ID: "r", Route: &longRoute, Service: "llm", Model: "a", Parts: parts, Chain: prompt.Chain("a", "", parts), Deadline: now.Add(20 * time.Second)}
+			counts[s.Decide(now, r).Upstream.ID]++
+		}
+		Expect(counts["u0"]).To(And(BeNumerically(">", 20), BeNumerically("<", 75)))
+	})
+
+	// Guards against a stream that begins early at an engine at which it cannot end in time.
+	It("lead long streams to an engine that completes them before the deadline", func() {
+		for id, interval := range map[string]float32{"u1": 2, "u2": 0} {
+			add(s, upstream{id: id, models: []string{"a"}})
+			reportSpeed(s, id, upstream{queued: int(1 - interval/2)}, 0, interval)
+		}
+		r := promptOf(&longRoute, now, "p", 100)
+		r.TokensOut = 80
+		Expect(s.Decide(now, r).Upstream.ID).To(Equal("u1"))
+		r.TokensOut = 2000
+		d := s.Decide(now, r)
+		Expect(d.Upstream.ID).To(Equal("u2"))
+		Expect(d.Last).To(And(BeNumerically(">", 5*time.Second), BeNumerically("<", 12*time.Second)))
+	})
+
+	// Guards against extra replicas because all engines take long for a prompt, which replicas do not change.
+	It("let no replica be added for a prompt that takes as long anywhere", func() {
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		add(s, upstream{id: "u2", idle: 100, onDisk: []string{"a"}})
+		r := promptOf(&longRoute, now, "p", 15_000)
+		s.RecordArrival(now, r)
+		s.Decide(now, r)
+		Expect(s.LoadRequests(now)).To(HaveLen(1))
+		s = newState()
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		add(s, upstream{id: "u2", idle: 100, onDisk: []string{"a"}})
+		for _, id := range []string{"u1", "u2"} {
+			reportSpeed(s, id, upstream{idle: 100}, 2, 0)
+		}
+		r = promptOf(&longRoute, now, "p", 5000)
+		s.RecordArrival(now, r)
+		Expect(s.Decide(now, r).Cost).To(BeNumerically(">", 350*time.Millisecond))
+		Expect(s.LoadRequests(now)).To(BeEmpty())
+	})
+
+	// Guards against prompts that delay the events of a slow engine's streams too long.
+	It("leave less room for prompts at a slow engine", func() {
+		add(s, upstream{id: "u1", models: []string{"a"}})
+		second := func() dispatch.Action {
+			first := promptOf(&liveRoute, now, "p1", 300)
+			s.Decide(now, first)
+			s.RecordStart("u1", first)
+			return s.Decide(now, promptOf(&liveRoute, now, "p2", 300)).Action
+		}
+		reportSpeed(s, "u1", upstream{}, 2, 0)
+		Expect(second()).To(Equal(dispatch.Wait))
+	})
+})
