--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -352,6 +352,7 @@
 			"cached", c.decision.Cached, "cached_seen", c.req.SeenCached(), "detour_ms", c.decision.Detour.Milliseconds(), "last_ms", c.decision.Last.Milliseconds())
 		if c.decision.Upstream != nil {
 			fields = append(fields, "upstream", c.decision.Upstream.ID)
+			c.countPrefix()
 		}
 		fields = append(fields, c.timing.fields(c.start, c.req.Route)...)
 	}
--- a/pkg/gateway/observe.go
+++ b/pkg/gateway/observe.go
@@ -42,3 +42,12 @@
 		o.c.g.core.Do(func(s *dispatch.State) { s.RecordEvents(now, o.upstream, o.c.req, &o.events) })
 	}
 }
+
+// countPrefix counts the prompt tokens of the last attempt that were expected to be cached and not, and its detour.
+func (c *callerRequest) countPrefix() {
+	c.g.scope.Counter("prompt_tokens_cached_total").Inc(int64(c.decision.Cached))
+	c.g.scope.Counter("prompt_tokens_uncached_total").Inc(int64(c.timing.uncached))
+	if c.decision.Detour > 0 {
+		c.g.scope.Timer("prompt_detour_seconds").Record(c.decision.Detour)
+	}
+}
--- a/pkg/gateway/observe_test.go
+++ b/pkg/gateway/observe_test.go
@@ -1,15 +1,24 @@
 package gateway_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
+	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/speed"
 )
 
@@ -44,4 +53,25 @@
 		Expect(observed().Counts).To(HaveLen(int(speed.Interval) + 1))
 		Expect(observed().Counts[speed.Prefill].Counts).To(BeEmpty()) // it has no prompt
 	})
+
+	// Guards against request lines from which explain cannot tell what cached prefixes were worth.
+	It("leave what was expected and seen of the cached part in the request line", func() {
+		r := newRig()
+		r.configure()
+		r.upstream("u1", "llm", []catalog.Resident{{Model: "m"}}, func(w http.ResponseWriter, req *http.Request) {
+			sign(w, req)
+			_, _ = fmt.Fprint(w, "id: 1\ndata: x\n\n")
+		})
+		var out bytes.Buffer
+		log := eventlog.New(&out, "entry", "vm")
+		r.gw = gateway.New(r.core, h1.NewPool(), log, guard.New(log), tally.NoopScope, noop.NewTracerProvider().Tracer(""))
+		front := httptest.NewServer(r.gw)
+		r.front = front
+		Eventually(func() error { _, _, err := r.call(http.MethodPost, "/once/x"); return err }).Should(Succeed())
+		front.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		log.Run(ctx)
+		Expect(out.String()).To(ContainSubstring("cached=0 cached_seen=-1 detour_ms=0 last_ms=0"))
+	})
 })
--- a/pkg/speed/sketch.go
+++ b/pkg/speed/sketch.go
@@ -103,6 +103,9 @@
 
 // estimate returns the quantile with the sketch's weight at now.
 func (s *Sketch) estimate(now time.Time, q, maxWeight float64) Estimate {
+	if s.at.IsZero() { // most sketches of a router are empty
+		return Estimate{}
+	}
 	s.decay(now)
 	w := s.weight()
 	if w < minWeight {
