Bound prompt parts by size and the cost of a late last event

Parts of a prompt with no or a negative size, which callers choose, were recorded without a bound and made a prompt look free. The expected last event follows the events that streams had, since many end before their greatest length, and costs at most 2 s.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -6,6 +6,9 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/fleet"
 )
 
+// maxLateCost bounds the cost of an answer that is expected to end after the deadline.
+const maxLateCost = 2 * time.Second
+
 // comparison is what the candidates for a request are compared with.
 type comparison struct {
 	now      time.Time
@@ -16,6 +19,8 @@
 	shareAhead float64
 	// eventSteps is the number of steps that an event spans.
 	eventSteps float64
+	// tokensPerEvent is the number of tokens that a request asks for over that of its events; 0 if unknown.
+	tokensPerEvent float64
 	// tokens is the size of the prompt, and shared that of the parts that other requests share.
 	tokens, shared int
 }
@@ -39,7 +44,8 @@
 }
 
 func (s *State) newComparison(now time.Time, r *Request) comparison {
-	c := comparison{now: now, r: r, eventSteps: s.serviceSpeed(now, r.Service).eventSteps, tokens: promptTokens(r)}
+	service := s.serviceSpeed(now, r.Service)
+	c := comparison{now: now, r: r, eventSteps: service.eventSteps, tokensPerEvent: service.tokensPerEvent, tokens: promptTokens(r)}
 	_, c.shared = r.sharedPrefix()
 	if engine := s.engine(r.Service); engine != nil {
 		c.isEngine, c.slots, c.shareAhead = true, engine.Slots, s.shareAhead(now, r)
@@ -172,9 +178,10 @@
 		shared := max(0, o.uncached-r.Parts[len(r.Parts)-1].Tokens)
 		o.rank -= o.profile.prefillTime(int(affinityShare * float64(shared)))
 	}
-	if o.profile.intervalKnown && r.TokensOut > 0 {
-		events := float64(r.TokensOut) / c.eventSteps
+	if o.profile.intervalKnown && c.tokensPerEvent > 0 && r.TokensOut > 0 {
+		events := float64(r.TokensOut) / c.tokensPerEvent
 		o.last = o.cost + time.Duration(events*o.profile.intervalRatio*float64(interval(running)))
-		o.rank += max(0, o.last+answerReserve-r.Deadline.Sub(now)) // what cannot finish in time there is lost
+		// What cannot finish in time is lost. The bound leaves a choice among those at which it cannot.
+		o.rank += min(maxLateCost, max(0, o.last+answerReserve-r.Deadline.Sub(now)))
 	}
 }
--- a/pkg/dispatch/speed.go
+++ b/pkg/dispatch/speed.go
@@ -98,6 +98,9 @@
 	// which another replica is requested.
 	eventSteps   float64
 	scaleOutTime time.Duration
+	// tokensPerEvent is the number of tokens that a request asks for over that of its events. It exceeds eventSteps where
+	// streams end early. It is 0 while it is assumed rather than observed.
+	tokensPerEvent float64
 }
 
 // serviceSpeed returns the service's figures, derived at most every profileInterval.
@@ -121,6 +124,10 @@
 	for kind := range means {
 		v.priors[kind] = means[kind].Log2()
 	}
+	v.tokensPerEvent = 0
+	if v.observed.Estimate(now, speed.EventSteps).Confidence(now) > minKnown {
+		v.tokensPerEvent = defaultEventSteps * math.Exp2(v.observed.Log2(now, speed.EventSteps, 0))
+	}
 	v.eventSteps = defaultEventSteps * v.observed.Ratio(now, speed.EventSteps, 0)
 	v.scaleOutTime = time.Duration(defaultScaleOutTime.Seconds() * speed.Ratio(speed.Prefill, v.priors[speed.Prefill]) * float64(time.Second))
 	return v
--- a/pkg/dispatch/speed_test.go
+++ b/pkg/dispatch/speed_test.go
@@ -317,6 +317,10 @@
 			reportSpeed(s, id, upstream{queued: int(1 - interval/2)}, 0, interval)
 		}
 		r := promptOf(&longRoute, now, "p", 100)
+		r.TokensOut = 800
+		for range 100 {
+			s.RecordStreamEnd(now.Add(-time.Second), r, 100)
+		}
 		r.TokensOut = 80
 		Expect(s.Decide(now, r).Upstream.ID).To(Equal("u1"))
 		r.TokensOut = 2000
--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -34,6 +34,10 @@
 	uses   int
 }
 
+// minPartTokens is the least size with which a part is recorded. Callers choose the sizes, and parts without a size would
+// fill the process's memory.
+const minPartTokens = 32
+
 // Cache estimates the parts that one upstream has cached. It evicts the least recently sent parts when their tokens
 // exceed the capacity. It is not safe for concurrent use.
 type Cache struct {
@@ -90,6 +94,7 @@
 
 // RecordSent records that a prompt was sent to the upstream.
 func (c *Cache) RecordSent(now time.Time, chain []uint64, parts []Part) {
+	size := func(i int) int { return max(parts[i].Tokens, minPartTokens) }
 	for i := len(chain) - 1; i >= 0; i-- { // later parts first: they are evicted before the prefixes that they need
 		if e := c.byHash[chain[i]]; e != nil {
 			c.order.MoveToFront(e)
@@ -100,8 +105,8 @@
 			known.sent = now
 			continue
 		}
-		c.byHash[chain[i]] = c.order.PushFront(&entry{hash: chain[i], tokens: parts[i].Tokens, sent: now, uses: 1})
-		c.used += parts[i].Tokens
+		c.byHash[chain[i]] = c.order.PushFront(&entry{hash: chain[i], tokens: size(i), sent: now, uses: 1})
+		c.used += size(i)
 	}
 	for c.used > c.capacity && c.order.Len() > 0 {
 		last := c.order.Back()
--- a/pkg/prompt/prompt_test.go
+++ b/pkg/prompt/prompt_test.go
@@ -1,6 +1,7 @@
 package prompt_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -38,6 +39,33 @@
 		Expect(cachedTokens(c, "n", parts("a", "b"))).To(BeZero())
 	})
 
+	// Guards against callers that fill a router's memory with parts without a size.
+	It("forgets parts without a size, too", func() {
+		c := prompt.NewCache(1000)
+		first := []prompt.Part{{ID: "first"}, {ID: "own", Tokens: 100}}
+		recordSent(c, "m", first)
+		Expect(cachedTokens(c, "m", first)).To(Equal(100))
+		for i := range 100 {
+			recordSent(c, "m", []prompt.Part{{ID: strconv.Itoa(i)}})
+		}
+		Expect(cachedTokens(c, "m", first)).To(BeZero())
+	})
+
+	// Guards against parts that count as cached for ever.
+	It("expects less of a prompt to be cached the longer ago it was sent", func() {
+		c, lifetime := prompt.NewCache(1000), 10*time.Second
+		p := parts("a", "b")
+		chain, sent := prompt.Chain("m", "", p), time.Unix(1000, 0)
+		c.RecordSent(sent, chain, p)
+		at := func(after time.Duration) float64 {
+			tokens, _ := c.ExpectedTokens(sent.Add(after), chain, p, lifetime)
+			return tokens
+		}
+		Expect(at(0)).To(Equal(200.0))
+		Expect(at(lifetime)).To(Equal(100.0))
+		Expect(at(10 * lifetime)).To(BeNumerically("<", 3))
+	})
+
 	It("evicts the least recently sent parts, the last parts of a prompt first", func() {
 		c := prompt.NewCache(400)
 		recordSent(c, "m", parts("a", "b"))
--- a/pkg/speed/message.go
+++ b/pkg/speed/message.go
@@ -15,6 +15,9 @@
 	TokensPerS float32 `cbor:"4,keyasint,omitempty"`
 }
 
+// minTokensPerS is the rate below which a router without observations sends nothing: traffic between regions is billed.
+const minTokensPerS = 20
+
 // maxTokensPerS bounds the rate of prompt tokens in a message: that of an engine a hundred times as fast as usual.
 const maxTokensPerS = 4e6
 
@@ -75,7 +78,7 @@
 			known = int(kind) + 1
 		}
 	}
-	if known == 0 && o.TokensPerS < 1 {
+	if known == 0 && o.TokensPerS < minTokensPerS {
 		return nil
 	}
 	o.Counts = o.Counts[:known]
