--- a/pkg/dispatch/prefix_test.go
+++ b/pkg/dispatch/prefix_test.go
@@ -175,25 +175,31 @@
 	})
 
 	// Guards against routers that send a prefix to different upstreams because their views of the load differ a little.
-	It("that are new go to one upstream from two routers that decide at once", func() {
-		same := 0
-		for i := range 50 {
-			var chosen [2]string
-			for router := range chosen {
-				s := newState()
-				for u := range 8 {
-					add(s, upstream{id: fmt.Sprint("u", u), models: []string{"a"}, running: 10 + (u*3+router*5)%7})
+	DescribeTable("that are new go to one upstream from two routers that decide at once",
+		func(queued func(first bool) int) {
+			for i := range 50 {
+				decide := func(router int, first string) string {
+					s := newState()
+					for u := range 8 {
+						id := fmt.Sprint("u", u)
+						add(s, upstream{id: id, models: []string{"a"}, running: 10 + (u*3+router*5)%7, queued: queued(id == first)})
+					}
+					parts := shared(fmt.Sprint("new", i), router)
+					r := &dispatch.Request{ID: "r", Route: &longRoute, Service: "llm", Model: "a", Parts: parts, Chain: prompt.Chain("a", "", parts), Deadline: now.Add(20 * time.Second), EventTarget: now.Add(time.Second)}
+					return s.Decide(now, r).Upstream.ID
 				}
-				parts := shared(fmt.Sprint("new", i), router)
-				r := &dispatch.Request{ID: "r", Route: &longRoute, Service: "llm", Model: "a", Parts: parts, Chain: prompt.Chain("a", "", parts), Deadline: now.Add(20 * time.Second), EventTarget: now.Add(time.Second)}
-				chosen[router] = s.Decide(now, r).Upstream.ID
+				first := decide(0, "")
+				Expect(decide(0, first)).To(Equal(decide(1, first)))
 			}
-			if chosen[0] == chosen[1] {
-				same++
+		},
+		Entry("to the first", func(bool) int { return 0 }),
+		Entry("to the second as the first is full", func(first bool) int {
+			if first {
+				return 60
 			}
-		}
-		Expect(same).To(Equal(50))
-	})
+			return 0
+		}),
+	)
 
 	// Guards against long prompts without shared parts that take the memory of prefixes which are in use.
 	It("are not displaced by a long unique prompt while another upstream has memory for it", func() {
