--- a/cmd/hibiscuscrossctl/main.go
+++ b/cmd/hibiscuscrossctl/main.go
@@ -67,6 +67,7 @@
 	Get      getCmd      `cmd:"" help:"Print the configuration in force."`
 	Status   statusCmd   `cmd:"" help:"Show versions, grants, key slots, refused requests and processes."`
 	Drain    drainCmd    `cmd:"" help:"Mark a VM as leaving through its agent."`
+	Check    checkCmd    `cmd:"" help:"Check a configuration of the users' platform. Exits with 1 if it has errors, with 2 if it cannot be decoded."`
 	Explain  explainCmd  `cmd:"" help:"Attribute requests that were not answered on time to causes, from logs of entry processes."`
 }
 
