--- a/pkg/configcheck/compare.go
+++ b/pkg/configcheck/compare.go
@@ -59,10 +59,10 @@
 		switch c.Action {
 		case Added:
 			added, _ := keys(new, c.Name)
-			changes[i].To = fmt.Sprintf("%d keys", len(added))
+			changes[i].To = count(len(added), "key")
 		case Removed:
 			removed, _ := keys(old, c.Name)
-			changes[i].From = fmt.Sprintf("%d keys", len(removed))
+			changes[i].From = count(len(removed), "key")
 		}
 	}
 	for i, t := range new {
@@ -147,9 +147,9 @@
 	}
 	text := func(positions []string, total int, what string) string {
 		if len(positions) == 0 {
-			return fmt.Sprintf("%d keys", total)
+			return count(total, "key")
 		}
-		return fmt.Sprintf("%d keys, %d %s (number %s)", total, len(positions), what, strings.Join(positions, ", "))
+		return fmt.Sprintf("%s, %d %s (number %s)", count(total, "key"), len(positions), what, strings.Join(positions, ", "))
 	}
 	removed, added := missing(old, new), missing(new, old)
 	if len(removed) == 0 && len(added) == 0 {
@@ -158,6 +158,14 @@
 	return []Change{{Kind: "tenant", Name: tenant, Action: Changed, Field: Keys, From: text(removed, len(old), Removed), To: text(added, len(new), Added)}}
 }
 
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
 func valueText(v any) string {
 	if v == nil {
 		return "none"
--- a/pkg/configcheck/document.go
+++ b/pkg/configcheck/document.go
@@ -107,11 +107,11 @@
 
 // Problem is what the decoder found wrong with the form of a document.
 type Problem struct {
-	Code Code
-	// Path and Line are set if the place has no Field, as for a field that is not known; otherwise Place is set.
-	Path  string
-	Line  int
+	Code  Code
 	Place Place
+	// Path and Line are set for fields that Place cannot express, such as unknown ones; Place is then the entry.
+	Path string
+	Line int
 	// Detail describes the problem. It must not contain a key.
 	Detail string
 }
--- a/pkg/configcheck/finding.go
+++ b/pkg/configcheck/finding.go
@@ -98,7 +98,7 @@
 	// Refused reports whether routers refuse the version.
 	Refused bool
 	Place   Place
-	// Path and Line are those of the Problem that the finding comes from, if its Place is not set.
+	// Path and Line are those of the Problem that the finding comes from.
 	Path string
 	Line int
 	// Entry names the entry, for example `route "chat" (number 2)`. It is empty outside the lists.
--- a/pkg/configcheck/report.go
+++ b/pkg/configcheck/report.go
@@ -75,9 +75,9 @@
 		}
 		b.WriteByte('\n')
 	}
-	fmt.Fprintf(&b, "version %d: %d errors, %d warnings", r.Version, r.Errors, r.Warnings)
+	fmt.Fprintf(&b, "version %d: %s, %s", r.Version, count(r.Errors, "error"), count(r.Warnings, "warning"))
 	if r.InForce != nil {
-		fmt.Fprintf(&b, ", %d changes from version %d", len(r.Changes), *r.InForce)
+		fmt.Fprintf(&b, ", %s from version %d", count(len(r.Changes), "change"), *r.InForce)
 	}
 	if r.Refused {
 		b.WriteString("; routers refuse it")
