--- a/pkg/configcheck/check_test.go
+++ b/pkg/configcheck/check_test.go
@@ -78,7 +78,7 @@
 		}, configcheck.HiddenRoute, configcheck.Place{List: configcheck.Routes, Index: 1, Field: configcheck.Prefix}},
 		"no host":            {func(d *configcheck.Document) { d.Routes[0].Host = "" }, configcheck.InvalidHost, at(configcheck.Routes, configcheck.Host)},
 		"host with a port":   {func(d *configcheck.Document) { d.Routes[0].Host = "a:80" }, configcheck.InvalidHost, at(configcheck.Routes, configcheck.Host)},
-		"URL as a host":      {func(d *configcheck.Document) { d.Routes[0].Host = "http://a" }, configcheck.InvalidHost, at(configcheck.Routes, configcheck.Host)},
+		"host with a path":   {func(d *configcheck.Document) { d.Routes[0].Host = "a.example/" }, configcheck.InvalidHost, at(configcheck.Routes, configcheck.Host)},
 		"relative prefix":    {func(d *configcheck.Document) { d.Routes[0].Prefix = "r/" }, configcheck.PrefixStart, at(configcheck.Routes, configcheck.Prefix)},
 		"open prefix":        {func(d *configcheck.Document) { d.Routes[0].Prefix = "/r" }, configcheck.PrefixEnd, at(configcheck.Routes, configcheck.Prefix)},
 		"empty prefix":       {func(d *configcheck.Document) { d.Routes[0].Prefix = "" }, configcheck.PrefixEnd, at(configcheck.Routes, configcheck.Prefix)},
