Admit the requests of a tenant beyond its limit in order of arrival

Requests were admitted with a probability from the demand of 8 s, so that a burst used up the window and callers who came later were refused, urgent or not. Change: a token bucket with the rate of the limit, sized by the largest requests, admits in order of arrival; more urgent routes may use the tokens of the next 0.5 s. The window of the limit holds as before.

--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -291,12 +291,9 @@
 	return max(0, due.Sub(now)/2)
 }
 
-func (c *callerRequest) quotaPriority() int {
-	if c.tenant.Priority != nil {
-		return max(0, *c.tenant.Priority)
-	}
-	return max(0, c.req.Route.Priority)
-}
+// quotaPriority returns the request's rank among those of its tenant. It is the route's, since the tenant's priority is
+// the same for all of them.
+func (c *callerRequest) quotaPriority() int { return max(0, c.req.Route.Priority) }
 
 // refuseQuota ends a request that gets no tokens. One that may have run is not refused: 429 and 503 guarantee that it has
 // not. after is spread over a quarter so that callers with the same deadline do not come back together.
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -115,6 +115,7 @@
 		return
 	}
 	amount := t.granted.remove(g.at, min(ret.Amount, g.granted[name]))
+	t.level += amount
 	g.granted[name] -= amount
 	t.returned += amount
 }
@@ -178,6 +179,7 @@
 		}
 	}
 	t.granted.advance(now)
+	t.level = min(t.bucketSize(), limit.Max()-t.granted.sum)
 	return t
 }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -22,12 +22,17 @@
 	// takes over assumes that all of it has been granted since the last write. A renewal about every second needs a ninth
 	// of the limit if the burst is as large as the rate. The rest is for bursts, which otherwise need early renewals.
 	capShare = 0.25
-	// demandTime is the time over which the demand of a tenant is averaged. Over 4 s, a tenant at 0.8 of its limit that
-	// sends long requests (9,200 tokens of 29,000 per second) looks too often as if it exceeded the limit.
+	// demandTime is the time over which the demand of a tenant is averaged, and minDemand the least demand per second of
+	// a priority that counts.
 	demandTime = 8 * time.Second
-	// levelTime is the time in which the difference between what is left of a quota and the reserve is made up, and
-	// reserveTime the reserve in terms of the rate: it is left for long requests of a tenant that exceeds its limit.
-	levelTime, reserveTime = 4 * time.Second, 500 * time.Millisecond
+	minDemand  = 1e-3
+	// reserveTime is how much of the tokens to come a more urgent request may use.
+	reserveTime = 500 * time.Millisecond
+	// maxLevelWait is how long any request may wait for the level. If those with a later target waited longer, they would
+	// be served before more urgent ones, which have earlier targets.
+	maxLevelWait = 100 * time.Millisecond
+	// largestAtOnce is the number of the largest requests that a tenant may send at once.
+	largestAtOnce = 10
 	// pendingTimeout is the time after which a waiting request that its router no longer names loses its place.
 	pendingTimeout = 600 * time.Millisecond
 	// maxBacklogTime bounds the times to come back that refused requests are given one after the other.
--- a/pkg/quota/rules_test.go
+++ b/pkg/quota/rules_test.go
@@ -150,3 +150,24 @@
 		t.Errorf("%d writes in a minute while the store is down", writes)
 	}
 }
+
+// Guards against a tenant at three times its limit whose first requests use up the window: those who came seconds later
+// were all refused.
+func TestEvenUse(t *testing.T) {
+	h, number := testHolder(State{}), uint64(0)
+	perSecond := map[int]float64{}
+	for now := second; now < 21*second; now = now.Add(10 * time.Millisecond) {
+		number++
+		r := oneNeed(number, 1, 1000, 30)
+		if g := h.Handle(now, r); granted(g) {
+			perSecond[int(now/second)] += 30
+		}
+		_, mark := h.Snapshot(now, false)
+		h.Confirm(mark)
+	}
+	for s := 4; s <= 20; s++ {
+		if perSecond[s] < 600 || perSecond[s] > 1400 {
+			t.Errorf("%.0f granted in second %d at a rate of 1000", perSecond[s], s)
+		}
+	}
+}
--- a/pkg/quota/tenant.go
+++ b/pkg/quota/tenant.go
@@ -18,6 +18,8 @@
 	// wantedCap is the largest amount that a request needs at once.
 	wantedCap float64
 	pending   map[pendingKey]*pending
+	// level is the level of a token bucket with the rate of the limit. Requests are admitted while it is positive.
+	level float64
 	// demand is the amount needed per second by priority, granted or not, averaged over demandTime.
 	demand     [priorities]float64
 	backlog    float64 // refused amounts that were told to come back later
@@ -63,6 +65,7 @@
 		t.demand[i] *= decay
 	}
 	t.backlog = max(0, t.backlog-elapsed*t.limit.Rate)
+	t.level = min(max(t.level, t.bucketSize()), t.level+elapsed*t.limit.Rate)
 	for key, p := range t.pending {
 		if now.Sub(p.seenAt) > pendingTimeout {
 			delete(t.pending, key)
@@ -80,11 +83,21 @@
 func (t *tenant) grant(now boottime.Instant, amount float64) {
 	t.granted.add(now, amount)
 	t.total += amount
+	t.level -= amount
 }
 
-// decide answers a need. It addresses a tenant that sends many times its limit: requests are admitted with the same
-// probability whatever their size, the more urgent ones first, so that many short requests do not use up the quota
-// before a long one finds enough of it. Those admitted are served in order.
+// bucketSize returns how much may be admitted at once. It is what the window leaves beside a steady use of the rate, or
+// several of the largest requests, so that a tenant below its limit is not held up by the sizes of its requests.
+func (t *tenant) bucketSize() float64 {
+	steady := t.limit.Rate * t.granted.length.Seconds()
+	return max(t.limit.Max()-steady, min(t.limit.Max()*3/4, largestAtOnce*t.wantedCap))
+}
+
+// decide answers a need. It addresses a tenant that sends many times its limit. Requests are admitted in the order in
+// which they come, whatever their size, so that many short requests do not use up the quota before a long one finds enough
+// of it; a more urgent one may use what is still to come. A quota that is used up evenly serves the callers who came
+// first: without the bucket, a burst uses up the window, and those who come seconds later are refused. Those admitted
+// are served in order.
 func (t *tenant) decide(now boottime.Instant, key pendingKey, n Need) Answer {
 	p := t.pending[key]
 	if p == nil {
@@ -93,21 +106,22 @@
 		if n.Amount <= t.limit.Max() {
 			t.wantedCap = max(t.wantedCap, n.Amount)
 		}
-		if n.Amount > t.limit.Max() || key.share() >= t.admitted(priority) {
+		if n.Amount > t.limit.Max() || t.timeUntilLevel(t.waitingAmount(), priority) > min(maxLevelWait, time.Duration(n.MaxWaitMS)*time.Millisecond) {
 			return t.refuse(now, key, n)
 		}
 		p = &pending{amount: n.Amount, priority: priority, firstAt: now}
 		t.pending[key] = p
 	}
 	p.seenAt = now
-	needed := t.ahead(key, p) + n.Amount
-	if needed <= t.available() {
+	ahead := t.ahead(key, p)
+	needed, untilLevel := ahead+n.Amount, t.timeUntilLevel(ahead, p.priority)
+	if needed <= t.available() && untilLevel == 0 {
 		delete(t.pending, key)
 		t.grant(now, n.Amount)
 		t.grants++
 		return Answer{ID: n.ID, Granted: true}
 	}
-	wait := t.timeUntil(now, needed)
+	wait := max(t.timeUntil(now, needed), untilLevel)
 	if wait > time.Duration(n.MaxWaitMS)*time.Millisecond {
 		return t.refuse(now, key, n)
 	}
@@ -115,18 +129,26 @@
 	return Answer{ID: n.ID, WaitMS: max(1, wait.Milliseconds())}
 }
 
-// admitted returns the share of the needs of a priority that the quota suffices for. It is 1 unless the tenant's demand
-// exceeds its rate and little of the quota is left. The reserve lets a long request find what it needs.
-func (t *tenant) admitted(priority int) float64 {
-	reserve := min(t.limit.Rate*reserveTime.Seconds(), t.limit.Max()/4)
-	rate := t.limit.Rate + (t.limit.Max()-t.granted.sum-t.waitingAmount()-reserve)/levelTime.Seconds()
-	for _, d := range t.demand[:priority] {
-		rate -= d
+// floor returns the level above which requests of the priority are admitted: below 0 if less urgent ones come, too.
+func (t *tenant) floor(priority int) float64 {
+	for _, d := range t.demand[priority+1:] {
+		if d > minDemand {
+			return -t.limit.Rate * reserveTime.Seconds()
+		}
 	}
-	if t.demand[priority] <= 0 || rate >= t.demand[priority] {
-		return 1
+	return 0
+}
+
+// timeUntilLevel returns the time until the level admits a request of the priority after others with the amount ahead.
+func (t *tenant) timeUntilLevel(ahead float64, priority int) time.Duration {
+	missing := t.floor(priority) - (t.level - ahead)
+	switch {
+	case missing < 0:
+		return 0
+	case t.limit.Rate <= 0:
+		return maxBacklogTime
 	}
-	return max(0, rate/t.demand[priority])
+	return time.Duration(min(maxBacklogTime.Seconds(), missing/t.limit.Rate)*float64(time.Second)) + time.Millisecond
 }
 
 func (t *tenant) waitingAmount() float64 {
