Keep the quota of a tenant that has been idle for a burst, and guard the transport's pool

Change: a new tenant may use 0.35 of a window at once; Discard skips entries whose dial has not ended.

--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -179,7 +179,9 @@
 		}
 	}
 	t.granted.advance(now)
-	t.level = min(t.bucketSize(), limit.Max()-t.granted.sum)
+	// A tenant that has sent nothing may use a good part of its window at once. Use below its rate takes the level down to
+	// the size of the bucket, to which it is refilled.
+	t.level = min(initialShare*limit.Max(), limit.Max()-t.granted.sum)
 	return t
 }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -31,8 +31,12 @@
 	// maxLevelWait is how long any request may wait for the level. If those with a later target waited longer, they would
 	// be served before more urgent ones, which have earlier targets.
 	maxLevelWait = 100 * time.Millisecond
-	// largestAtOnce is the number of the largest requests that a tenant may send at once.
-	largestAtOnce = 10
+	// largestAtOnce is the number of the largest requests that a tenant may send at once, and maxBucketShare the largest
+	// share of a window's limit.
+	largestAtOnce  = 10
+	maxBucketShare = 0.75
+	// initialShare is the share of a window's limit that a tenant may use at once when it has sent nothing before.
+	initialShare = 0.35
 	// pendingTimeout is the time after which a waiting request that its router no longer names loses its place.
 	pendingTimeout = 600 * time.Millisecond
 	// maxBacklogTime bounds the times to come back that refused requests are given one after the other.
--- a/pkg/quota/tenant.go
+++ b/pkg/quota/tenant.go
@@ -86,11 +86,11 @@
 	t.level -= amount
 }
 
-// bucketSize returns how much may be admitted at once. It is what the window leaves beside a steady use of the rate, or
-// several of the largest requests, so that a tenant below its limit is not held up by the sizes of its requests.
+// bucketSize returns how much may be admitted at once: what the window leaves beside a steady use of the rate, or several
+// of the largest requests, so that a tenant below its limit is not held up by the sizes of its requests.
 func (t *tenant) bucketSize() float64 {
 	steady := t.limit.Rate * t.granted.length.Seconds()
-	return max(t.limit.Max()-steady, min(t.limit.Max()*3/4, largestAtOnce*t.wantedCap))
+	return max(t.limit.Max()-steady, min(maxBucketShare*t.limit.Max(), largestAtOnce*t.wantedCap))
 }
 
 // decide answers a need. It addresses a tenant that sends many times its limit. Requests are admitted in the order in
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -65,8 +65,16 @@
 func (p *Pool) Discard(addr string, conn Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e, ok := p.conns[addr]; ok && e.conn == conn {
-		delete(p.conns, addr)
+	e, ok := p.conns[addr]
+	if !ok {
+		return
+	}
+	select {
+	case <-e.ready: // a dial in progress is another connection, and still writes the entry
+		if e.conn == conn {
+			delete(p.conns, addr)
+		}
+	default:
 	}
 }
 
