Mend the seams between admission of prompts, turns and learned speeds

Change: the fetch ends with its instance; no wants without reports; only a change of instance resets the queue; the send is timed right before the write; waiting prompts count; messages are not behind the reads of a hanging engine; unresponsive sidecars are not asked; offers keep their interval for each model; a tenant's name is cut at a character.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -37,7 +37,7 @@
 
 // admitsPrompts reports whether the sidecar beside the upstream admits prompts and is not known to be unresponsive.
 func admitsPrompts(now time.Time, m *fleet.Member) bool {
-	return m.Load.AskAbove > 0 && m.Fresh(now) && !m.IsUnresponsive(now)
+	return m.Load.AskAbove > 0 && m.Fresh(now) && !m.IsUnresponsive(now) && !m.IsAgentUnresponsive()
 }
 
 // prefillTime returns the time in which the upstream processes the number of prompt tokens.
@@ -59,7 +59,7 @@
 	}
 	reported := m.Load.PromptTokens + int(s.shareAhead(now, r)*float64(m.Load.PromptTokensWaiting))
 	processed := float64(now.Sub(m.ReportedAt)) / float64(max(1, s.prefillTime(now, m, 1)))
-	return max(own, reported-int(processed))
+	return max(own+stats.promptWaitTokens, reported-int(processed))
 }
 
 // promptAsk returns the request for an admission, or nil if the prompt needs none. Retries and requests without a
@@ -83,9 +83,13 @@
 	return ask
 }
 
-// AddPromptWait adds delta to the number of requests that wait for an admission by the upstream's sidecar, which is
-// probed meanwhile.
-func (s *State) AddPromptWait(id string, delta int) { s.upstreamStats(id).promptWaits += delta }
+// AddPromptWait adds delta requests, each with the number of prompt tokens, to those that wait for an admission by the
+// upstream's sidecar. The sidecar is probed meanwhile, and the tokens count as ahead of later prompts: until its next
+// report a router would otherwise send all prompts of a burst to it.
+func (s *State) AddPromptWait(id string, delta, tokens int) {
+	stats := s.upstreamStats(id)
+	stats.promptWaits, stats.promptWaitTokens = stats.promptWaits+delta, stats.promptWaitTokens+delta*tokens
+}
 
 // RecordPromptRejected records that the sidecar beside the upstream expects to admit the prompt only after the wait.
 func (s *State) RecordPromptRejected(now time.Time, id string, r *Request, wait time.Duration) {
--- a/pkg/dispatch/speed.go
+++ b/pkg/dispatch/speed.go
@@ -291,6 +291,14 @@
 	}
 }
 
+// RecordSent records that the request is written to the upstream now. The connection, a repeated wait for an admission
+// and a wait for tokens of a quota come between the start of an attempt and this, and say nothing of the engine's speed.
+func (s *State) RecordSent(now time.Time, r *Request) {
+	if r.sentAt = now; !r.view.sentAt.IsZero() {
+		r.view.sentAt = now
+	}
+}
+
 // RecordEvents records the first events of the answer to the request's current attempt, or all of an answer with few.
 func (s *State) RecordEvents(now time.Time, id string, r *Request, events *speed.Events) {
 	v := &r.view
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -41,17 +41,18 @@
 
 // upstreamStats is what the router has observed of an upstream through its own attempts.
 type upstreamStats struct {
-	outstanding  int
-	running      map[placement.Adapter]int // outstanding requests by model and adapter; Name is empty for none
-	prefill      perPriority[int]          // prompt tokens of the requests whose first event has not arrived
-	promptWaits  int                       // requests that wait for the sidecar's admission of their prompts
-	failures     int                       // consecutive failed attempts
-	blockedUntil time.Time
-	failureRate  float64
-	cache        *prompt.Cache
-	speeds       speed.Speeds
-	profile      profile // derived from speeds
-	keeps        float64 // correction of the lifetime of cached parts; 0 for none
+	outstanding      int
+	running          map[placement.Adapter]int // outstanding requests by model and adapter; Name is empty for none
+	prefill          perPriority[int]          // prompt tokens of the requests whose first event has not arrived
+	promptWaits      int                       // requests that wait for the sidecar's admission of their prompts
+	promptWaitTokens int                       // their prompt tokens
+	failures         int                       // consecutive failed attempts
+	blockedUntil     time.Time
+	failureRate      float64
+	cache            *prompt.Cache
+	speeds           speed.Speeds
+	profile          profile // derived from speeds
+	keeps            float64 // correction of the lifetime of cached parts; 0 for none
 }
 
 // State makes the decisions of one router. It is not safe for concurrent use.
--- a/pkg/fetchturn/outlook.go
+++ b/pkg/fetchturn/outlook.go
@@ -80,22 +80,25 @@
 	if model = q.unasked(now, in); model == "" {
 		model = q.singleCopy(in)
 	}
+	if model == "" {
+		return "", "", false
+	}
+	maps.DeleteFunc(q.offers, func(_ string, o *offer) bool { return now.Sub(o.at) > offerRetention })
 	o := q.offers[model]
 	if o == nil {
 		o = &offer{}
-		q.offers = map[string]*offer{model: o} // only the latest is needed
 	}
 	targets := slices.DeleteFunc(slices.Clone(in.Upstreams), func(u catalog.Upstream) bool {
 		return u.Draining || u.Tier(model) != catalog.TierStore || q.running[u.ID] != nil || q.turns[u.ID] != nil
 	})
-	if model == "" || len(targets) == 0 || now.Sub(o.at) < offerInterval {
+	if len(targets) == 0 || now.Sub(o.at) < offerInterval {
 		return "", "", false
 	}
 	slices.SortFunc(targets, func(a, b catalog.Upstream) int {
 		return cmp.Compare(placement.Rank(model, b.ID), placement.Rank(model, a.ID))
 	})
 	target := targets[o.number%len(targets)]
-	o.at, o.number = now, o.number+1
+	o.at, o.number, q.offers[model] = now, o.number+1, o
 	return target.ID, model, true
 }
 
--- a/pkg/fetchturn/queue.go
+++ b/pkg/fetchturn/queue.go
@@ -41,6 +41,9 @@
 	// the next upstream by rank, since the earlier ones may have no room.
 	offerValidity = 2 * time.Second
 	offerInterval = 1500 * time.Millisecond
+	// offerRetention is how long the last offer of a model is remembered. Offers of several models alternate as their demand
+	// changes.
+	offerRetention = time.Minute
 	// heardRetention is how long the number of an upstream's last message is remembered.
 	heardRetention = time.Minute
 	// unaskedDelay is the time after which a model that requests wait for and no upstream asks for is offered: the list of
--- a/pkg/fetchturn/tracker.go
+++ b/pkg/fetchturn/tracker.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// InstanceEnded records that the engine's process has ended, and with it the fetch. A confirmed fetch has no other bound:
+// while the engine is down, no report shows its end.
+func (t *Tracker) InstanceEnded(now time.Time) {
+	if t.current != nil {
+		t.end(now, false)
+	}
+}
+
 func (t *Tracker) end(now time.Time, loaded bool) {
 	c := t.current
 	t.ended, t.endedAt, t.current = &Ended{Model: c.model, DurationMS: now.Sub(c.started).Milliseconds(), Loaded: loaded}, now, nil
--- a/pkg/gateway/promptqueue.go
+++ b/pkg/gateway/promptqueue.go
@@ -230,8 +230,8 @@
 		asks.transmit(e, true)
 		return promptSend
 	}
-	c.g.core.Do(func(s *dispatch.State) { s.AddPromptWait(d.Upstream.ID, 1) })
-	defer c.g.core.Do(func(s *dispatch.State) { s.AddPromptWait(d.Upstream.ID, -1) })
+	c.g.core.Do(func(s *dispatch.State) { s.AddPromptWait(d.Upstream.ID, 1, d.Prompt.Tokens) })
+	defer c.g.core.Do(func(s *dispatch.State) { s.AddPromptWait(d.Upstream.ID, -1, d.Prompt.Tokens) })
 	unresponsive := make(chan struct{}, 1)
 	defer c.g.core.onUnresponsive(d.Upstream.ID, func() {
 		select {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -100,6 +100,7 @@
 		_ = conn.Close()
 		return dispatch.Expired, nil
 	}
+	c.g.core.Do(func(s *dispatch.State) { s.RecordSent(time.Now(), c.req) })
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
--- a/pkg/peer/check_test.go
+++ b/pkg/peer/check_test.go
@@ -69,7 +69,7 @@
 	It("with valid values are accepted", func() {
 		Expect(decode(report(func(*peer.Report) {}))).To(Succeed())
 		Expect(decode(demand(func(*peer.Demand) {}))).To(Succeed())
-		ask := &peer.PromptAsk{Router: "edge-1", Tokens: math.MaxInt, Output: -3, SpareMS: -1, DueMS: math.MinInt64, Tenant: longName}
+		ask := &peer.PromptAsk{Router: "edge-1", Tokens: math.MaxInt, Output: -3, SpareMS: -1, DueMS: math.MinInt64, Tenant: strings.Repeat("a", 255) + "é"}
 		ask.Clamp() // callers state the sizes
 		Expect(decode(peer.Message{PromptAsk: ask})).To(Succeed())
 		Expect(decode(peer.Message{PromptAsk: ask, Demand: &peer.Demand{Router: "edge-1"}})).NotTo(Succeed())
--- a/pkg/peer/prompts.go
+++ b/pkg/peer/prompts.go
@@ -1,5 +1,7 @@
 package peer
 
+import "strings"
+
 import "github.com/hibiscuscross/hibiscuscross/pkg/promptqueue"
 
 // PromptAsk asks an agent to admit a prompt to its upstream, or states that a prompt is sent without an admission. It is
@@ -49,7 +51,7 @@
 func (a *PromptAsk) Clamp() {
 	a.Tokens, a.Output = min(max(a.Tokens, 0), maxPromptTokens), min(max(a.Output, 0), maxPromptTokens)
 	a.SpareMS, a.DueMS = min(max(a.SpareMS, 0), maxPromptMS), min(max(a.DueMS, -maxPromptMS), maxPromptMS)
-	a.Tenant = a.Tenant[:min(len(a.Tenant), maxNameBytes)]
+	a.Tenant = strings.ToValidUTF8(a.Tenant[:min(len(a.Tenant), maxNameBytes)], "") // a cut character cannot be decoded
 }
 
 // kinds returns the number of fields that are set.
--- a/pkg/promptqueue/order.go
+++ b/pkg/promptqueue/order.go
@@ -88,7 +88,7 @@
 	queued := q.load.queuedTokens(len(q.admitted))
 	for _, w := range q.order(now, prompts) {
 		nextAt, nextBusy, nextBurst, nextQueued := at, busyUntil, burst, queued
-		if burst > 0 && (burst+queued+w.Tokens > q.limits.budget() || !q.fitsMemory(w.Prompt) && at.Equal(now)) {
+		if burst > 0 && (burst+queued+w.Tokens > q.limits.budget() || at.Equal(now) && !q.fitsMemory(w.Prompt)) {
 			nextAt, nextBurst, nextQueued = latest(at, busyUntil.Add(eventTime)), 0, 0
 			nextBusy = nextAt.Add(transit)
 		}
--- a/pkg/sidecar/prompts.go
+++ b/pkg/sidecar/prompts.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -225,10 +226,12 @@
 func (p *promptAdmission) applyReport(now time.Time, r platform.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.Upstream.ID != p.instance || r.Upstream.StartedUnixMS != p.started {
-		p.instance, p.started = r.Upstream.ID, r.Upstream.StartedUnixMS
+	// The first report of this process, and the first that has the id, show no restart: the admissions before them count.
+	id, started := r.Upstream.ID, r.Upstream.StartedUnixMS
+	if p.started != 0 && started != p.started || p.instance != "" && id != "" && id != p.instance {
 		p.queue.Reset(now)
 	}
+	p.instance, p.started = cmp.Or(id, p.instance), started
 	p.queue.SetLoad(now, promptqueue.Load{At: now, Running: r.Running, Queued: r.Queued, KVUsed: r.KVUsed, KVTotal: r.KVTotal})
 	p.admit(now)
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -97,9 +97,11 @@
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
-	fenced          bool   // a fence record has been requested, the last one for fencedInstance
-	fencedInstance  engineInstance
-	reserved        placement.Reserved // reservation last logged
+	// reportedAt is when the engine's report was last read, on the clock of bootClock.
+	reportedAt     time.Time
+	fenced         bool // a fence record has been requested, the last one for fencedInstance
+	fencedInstance engineInstance
+	reserved       placement.Reserved // reservation last logged
 	// endedID is the upstream whose end was last published, and endNoticesSent the number of notices of it.
 	endedID        string
 	endNoticesSent int
@@ -179,6 +181,9 @@
 			return
 		case r := <-a.demands:
 			a.applyMessage(r)
+			if !a.engineReporting { // the timer paces the reads, which take up to reportTimeout: turn messages must not wait for each
+				continue
+			}
 		case r := <-a.instance.replies:
 			a.applyInstanceReply(r)
 		case m := <-a.turns.messages:
@@ -258,6 +263,7 @@
 		}
 		a.engineReporting = false
 		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.turns.tracker.InstanceEnded(bootClock())
 			a.publishEnd()
 		}
 		return false
@@ -265,7 +271,7 @@
 	if !a.engineReporting {
 		a.log.State("engine report available", "born", r.Upstream.StartedUnixMS, "models", len(r.Upstream.Models), "orders", r.Upstream.Orders)
 	}
-	a.engineReporting = true
+	a.engineReporting, a.reportedAt = true, bootClock()
 	a.identify(ctx, &r.Upstream)
 	a.report = r
 	a.requestToken()
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -23,6 +23,10 @@
 	turnInputsInterval = 100 * time.Millisecond
 	// queueLogInterval is the minimum time between two log lines on the coordinator's queue.
 	queueLogInterval = time.Second
+	// maxReportAge is the age of the engine's report from which the sidecar no longer announces the fetch: an engine that
+	// hangs would otherwise keep its model and its place at the weight store for as long as it hangs. It is the time after
+	// which a coordinator drops a fetch that is not announced.
+	maxReportAge = 3500 * time.Millisecond
 	// maxSenders bounds the remembered addresses of sidecars, and the reasons of refusals that have been logged.
 	maxSenders = 4096
 )
@@ -199,7 +203,7 @@
 	}
 	t.ranked = ranked
 	t.wants = nil
-	if view, _, ok := a.view(now); ok && (!view.Busy || a.order != nil && a.order.order.Unload) {
+	if view, _, ok := a.view(now); ok && a.engineReporting && (!view.Busy || a.order != nil && a.order.order.Unload) {
 		t.wants = placement.Wants(view, fetchturn.MaxWants)
 	}
 }
@@ -292,8 +296,10 @@
 		return
 	}
 	request := fetchturn.Request{Upstream: a.report.Upstream.ID, Service: a.service(), Wants: t.wants}
-	request.Fetch, request.Ended = t.tracker.State(bootClock())
-	request.Busy = request.Fetch == nil && a.report.Busy && a.order == nil
+	if now := bootClock(); now.Sub(a.reportedAt) <= maxReportAge {
+		request.Fetch, request.Ended = t.tracker.State(now)
+		request.Busy = request.Fetch == nil && a.report.Busy && a.order == nil
+	}
 	for _, send := range t.requester.Next(boottime.Now(), request, t.ranks) {
 		if send.Address == a.settings.Address {
 			a.applyRequest(&send.Request)
