Mend the seams of the memory account

Change: refused bodies are discarded as transfers; an eighth of the requests' memory is for first parts of answers; evictions stay with the address at its bound; one budget for waits; deadlines of streams are extended before the end; grants are retried.

--- a/pkg/api/body.go
+++ b/pkg/api/body.go
@@ -26,9 +26,11 @@
 	maxMemoryRetryMS = 3000
 )
 
-// Keys of the context of a request: its memory, and whether its body was refused while it was still arriving.
+// Keys of the context of a request: its memory, whether its body has been read or refused, and whether it was refused while
+// it was still arriving.
 const (
 	keyHolder   = "memory-holder"
+	keyBodyRead = "body-read"
 	keyArriving = "body-arriving"
 )
 
@@ -41,6 +43,7 @@
 	address, _, _ := net.SplitHostPort(c.Request().RemoteAddr) // an address of another form is one client
 	holder, err := s.memory.Open(address, inbound.MemoryWait)
 	c.Set(keyHolder, holder)
+	c.Set(keyBodyRead, true)
 	var body []byte
 	if err == nil {
 		body, err = s.readReserved(c, holder)
--- a/pkg/api/refusal.go
+++ b/pkg/api/refusal.go
@@ -77,8 +77,14 @@
 	if r.status >= http.StatusInternalServerError || r.retryAfterMS > 0 {
 		h.Set("Retry-After", strconv.FormatInt(max(1, (r.retryAfterMS+999)/1000), 10))
 	}
+	arriving, _ := c.Get(keyArriving).(bool)
+	if read, _ := c.Get(keyBodyRead).(bool); !read && c.Request().ContentLength != 0 {
+		// net/http would read the rest of the body before the answer, without a bound on the time.
+		h.Set("Connection", "close")
+		arriving = true
+	}
 	_ = c.JSON(r.status, r.body())
-	if arriving, _ := c.Get(keyArriving).(bool); arriving {
+	if arriving {
 		inbound.Linger(c.Response().Writer, c.Request())
 	}
 }
--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -81,7 +81,7 @@
 		if read > 0 {
 			wait = 0
 		}
-		if err := c.g.memory.Reserve(c.holder, size, wait); err != nil {
+		if err := c.g.memory.ReserveAnswer(c.holder, size, wait, read <= firstSegment); err != nil {
 			c.dropAnswer(out)
 			return nil, fault.Wrap(err, fault.StepDispatch, "", "read body")
 		}
@@ -151,12 +151,12 @@
 
 // extendWriteDeadline allows the caller the write timeout from now on to take what is written next.
 func (c *callerRequest) extendWriteDeadline() {
-	now := time.Now()
-	if now.Sub(c.writeDeadlineSet) < writeDeadlineInterval {
+	now, timeout := time.Now(), c.writeTimeout()
+	if now.Sub(c.writeDeadlineSet) < min(writeDeadlineInterval, timeout/4) {
 		return
 	}
 	c.writeDeadlineSet = now
-	_ = http.NewResponseController(c.w).SetWriteDeadline(now.Add(c.writeTimeout()))
+	_ = http.NewResponseController(c.w).SetWriteDeadline(now.Add(timeout))
 }
 
 // fill reads until the buffer is full or the reader fails. In contrast to io.ReadFull it returns the reader's own
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -39,9 +39,10 @@
 	if cfg != nil && cfg.Limits.IdleTimeout > 0 {
 		limits.Grace = min(limits.Grace, cfg.Limits.IdleTimeout)
 	}
-	address, _, _ := net.SplitHostPort(c.r.RemoteAddr) // an address of another form is one client
+	wait, started := c.memoryWait(), time.Now()
 	var err error
-	if c.holder, err = c.g.memory.Open(address, inbound.MemoryWait); err == nil {
+	if c.holder, err = c.g.memory.Open(c.address(), wait); err == nil {
+		limits.MemoryWait = max(time.Nanosecond, wait-time.Since(started))
 		c.body, err = inbound.ReadBody(c.w, c.r, c.g.memory, c.holder, limits)
 	}
 	switch {
@@ -61,6 +62,20 @@
 	return false
 }
 
+// address returns the client's address. One of another form is one client.
+func (c *callerRequest) address() string {
+	address, _, _ := net.SplitHostPort(c.r.RemoteAddr)
+	return address
+}
+
+// memoryWait bounds the waits for the memory of the request and its body together. It leaves the caller time for a retry.
+func (c *callerRequest) memoryWait() time.Duration {
+	if c.meta.Timeout > 0 {
+		return min(inbound.MemoryWait, c.meta.Timeout/3)
+	}
+	return inbound.MemoryWait
+}
+
 // refuseBody refuses a request that has not run, after its memory has been released.
 func (c *callerRequest) refuseBody(status int, cause, reason string, after time.Duration) {
 	c.releaseMemory()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -265,6 +265,9 @@
 				c.finishFailed(retry, answer)
 				return
 			}
+			if answer != nil {
+				c.dropAnswer(answer.body) // a further attempt may need its memory
+			}
 		}
 	}
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -78,6 +78,12 @@
 		}
 		return dispatch.NotConnected, nil
 	}
+	reusable := false
+	defer func() {
+		if !reusable { // also after a panic
+			_ = conn.Close()
+		}
+	}()
 	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	cancelled := func() bool { return !stop() }
 	var unresponsive atomic.Bool
@@ -125,6 +131,7 @@
 		_ = conn.Close()
 		return outcome, a
 	}
+	reusable = true
 	conn.Release(resp)
 	return outcome, a
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -36,6 +36,7 @@
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
+			c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 			c.writeHead(resp)
 			observed.recordEnd()
 			return dispatch.Done, a, nil
--- a/pkg/gateway/tenants.go
+++ b/pkg/gateway/tenants.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -91,9 +92,19 @@
 	if c.tenant, refusal = c.authorize(); refusal == keyview.Accepted {
 		return true
 	}
-	// The server reads the rest of the body before it answers.
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	// The rest of the body is read before the answer, and ended like other bodies when its connection is needed: requests
+	// without a valid key could otherwise keep all connections for the time of a body.
+	var err error
+	c.holder, err = c.g.memory.Open(c.address(), 0)
+	complete := err == nil && inbound.Discard(c.w, c.r, c.g.memory, c.holder, bodyTimeout)
+	c.releaseMemory()
+	if !complete {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.finishUnauthorized(refusal)
+	if !complete {
+		inbound.Linger(c.w, c.r)
+	}
 	return false
 }
 
--- a/pkg/inbound/body.go
+++ b/pkg/inbound/body.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -69,6 +70,8 @@
 	Bytes int64
 	// Grace is how long the body may make no progress.
 	Grace time.Duration
+	// MemoryWait bounds the waits for memory together; 0 means the default.
+	MemoryWait time.Duration
 }
 
 // body is a body that is being read.
@@ -94,7 +97,7 @@
 		return nil, ErrTooLarge
 	}
 	rc := http.NewResponseController(w)
-	b := &body{src: r.Body, rc: rc, account: account, holder: holder, pace: membudget.NewPace(time.Now(), l.Grace), waitLeft: MemoryWait}
+	b := &body{src: r.Body, rc: rc, account: account, holder: holder, pace: membudget.NewPace(time.Now(), l.Grace), waitLeft: cmp.Or(l.MemoryWait, MemoryWait)}
 	account.StartTransfer(holder, func() { _ = rc.SetReadDeadline(past) })
 	out, err := b.read(r.ContentLength, l.Bytes)
 	if account.EndTransfer(holder) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -172,6 +175,40 @@
 	return buf, nil
 }
 
+// Discard reads the rest of the body of a request that is refused, so that its connection can carry the next one. The
+// body is not kept. Its transfer is ended when others need the connection. It reports whether the body is complete.
+func Discard(w http.ResponseWriter, r *http.Request, account *membudget.Account, holder *membudget.Holder, timeout time.Duration) bool {
+	switch {
+	case r.ContentLength == 0:
+		return true
+	case r.ContentLength > lingerBytes || r.Header.Get("Expect") != "":
+		return false
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(timeout))
+	account.StartTransfer(holder, func() { _ = rc.SetReadDeadline(past) })
+	_, err := io.CopyN(discarded{account, holder}, r.Body, lingerBytes+1)
+	if account.EndTransfer(holder) || !errors.Is(err, io.EOF) {
+		return false
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return true
+}
+
+// discarded records the progress of a body that is not kept.
+type discarded struct {
+	account *membudget.Account
+	holder  *membudget.Holder
+}
+
+// Write records the bytes.
+func (d discarded) Write(p []byte) (int, error) {
+	if d.account.Advance(d.holder, int64(len(p))) {
+		return 0, ErrTooSlow
+	}
+	return len(p), nil
+}
+
 // Linger reads a bounded part of a body that was refused and was still arriving. A connection that is closed with unread
 // bytes is reset, and its client may lose the answer.
 func Linger(w http.ResponseWriter, r *http.Request) {
--- a/pkg/inbound/listener.go
+++ b/pkg/inbound/listener.go
@@ -132,7 +132,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.reserve(address) {
-		if !l.evict(c.since) || !l.reserve(address) {
+		if !l.evict(c.since, address) || !l.reserve(address) {
 			l.closed[CauseTooMany]++
 			if l.options.Account != nil {
 				l.options.Account.EndStalled() // makes a place for the next one
@@ -148,19 +148,28 @@
 
 // reserve reserves the place and the memory of a connection. The caller holds the lock.
 func (l *Listener) reserve(address netip.Addr) bool {
-	if l.conns >= l.options.Connections || float64(l.byAddress[address]+1) > max(1, addressShare*float64(l.options.Connections)) {
+	if l.conns >= l.options.Connections || l.isAddressFull(address) {
 		return false
 	}
 	return l.options.Account == nil || l.options.Account.ReserveConnection(ConnectionBytes)
 }
 
+// isAddressFull reports whether a client address has all connections that it may have. The caller holds the lock.
+func (l *Listener) isAddressFull(address netip.Addr) bool {
+	return float64(l.byAddress[address]+1) > max(1, addressShare*float64(l.options.Connections))
+}
+
 // evict closes the connection that has been without a request for longest. An idle one is closed only if all others are
-// in use, since its client may be sending a request. The caller holds the lock.
-func (l *Listener) evict(now time.Time) bool {
+// in use, since its client may be sending a request. For a client address at its own bound, only a connection of that
+// address is closed: that of another one would make no place for it. The caller holds the lock.
+func (l *Listener) evict(now time.Time, address netip.Addr) bool {
+	ownOnly := l.isAddressFull(address)
 	for _, waiting := range []*list.List{l.fresh, l.idle} {
-		if oldest := waiting.Front(); oldest != nil && now.Sub(oldest.Value.(*conn).since) >= minWait {
-			l.close(oldest.Value.(*conn), CauseEvicted)
-			return true
+		for e := waiting.Front(); e != nil && now.Sub(e.Value.(*conn).since) >= minWait; e = e.Next() {
+			if c := e.Value.(*conn); !ownOnly || c.address == address {
+				l.close(c, CauseEvicted)
+				return true
+			}
 		}
 	}
 	return false
--- a/pkg/membudget/account.go
+++ b/pkg/membudget/account.go
@@ -69,11 +69,31 @@
 	return a.wait(h, n, wait)
 }
 
+// ReserveAnswer reserves n bytes for a part of an answer. The first part may take the section for answers: the request has
+// run, and those that wait must not take the last memory from its answer.
+func (a *Account) ReserveAnswer(h *Holder, n int64, wait time.Duration, first bool) error {
+	a.setAnswering(h, first)
+	defer a.setAnswering(h, false)
+	return a.Reserve(h, n, wait)
+}
+
+func (a *Account) setAnswering(h *Holder, answering bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.answering = answering
+}
+
 func (a *Account) wait(h *Holder, n int64, wait time.Duration) error {
 	w := &waiter{holder: h, bytes: n, granted: make(chan struct{})}
 	a.mu.Lock()
+	if h.ended { // its memory is needed by others
+		a.refused++
+		a.mu.Unlock()
+		return ErrFull
+	}
 	h.waiting = true
 	a.waiters = append(a.waiters, w)
+	a.grant() // memory may have been released since the reservation failed
 	a.reclaim(w)
 	a.mu.Unlock()
 	timeout := time.NewTimer(wait)
--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -15,6 +15,8 @@
 	// Large bounds, within Held, what holders have reserved beyond Common bytes each. The rest of Held is the guaranteed
 	// part: it serves requests of common size, whatever large ones hold.
 	Large, Common int64
+	// Answers is the part of Held that only the first parts of answers may take.
+	Answers int64
 	// Request is the memory of a request in progress besides its bodies.
 	Request int64
 }
@@ -25,6 +27,8 @@
 	connectionShare, heldShare = 0.25, 0.25
 	// largeShare is the share of Held that holders may reserve beyond Common.
 	largeShare = 0.5
+	// answersShare is the inverse of the share of Held for the first parts of answers, 34 KiB each: 132 with 144 MB.
+	answersShare = 8
 	// maxCommon bounds Common. Bodies of ordinary requests have up to 110,000 bytes.
 	maxCommon = 128 << 10
 	// guaranteedHolders is the number of holders whose common bytes fit into the guaranteed part.
@@ -40,7 +44,7 @@
 // ForMemory returns the limits of a process that has the given memory in bytes.
 func ForMemory(bytes int64) Limits {
 	l := ForHeld(int64(heldShare * float64(bytes)))
-	l.Connections, l.Request = int64(connectionShare*float64(bytes)), requestBytes
+	l.Connections, l.Request, l.Answers = int64(connectionShare*float64(bytes)), requestBytes, l.Held/answersShare
 	return l
 }
 
@@ -81,13 +85,14 @@
 
 // Holder is one request with what is reserved for it.
 type Holder struct {
-	address string
-	bytes   int64
-	base    int64 // part of bytes that is not for bodies
-	pace    Pace
-	end     func() // ends the transfer in progress; nil if there is none that may be ended
-	ended   bool   // end was called
-	waiting bool   // the transfer waits for memory, not for its peer
+	address   string
+	bytes     int64
+	base      int64 // part of bytes that is not for bodies
+	pace      Pace
+	end       func() // ends the transfer in progress; nil if there is none that may be ended
+	ended     bool   // end was called
+	answering bool   // the reservation is for the first part of an answer
+	waiting   bool   // the transfer waits for memory, not for its peer
 }
 
 // large returns what a holder has beyond the common size if it has reserved bytes.
@@ -141,7 +146,11 @@
 
 // missing returns by how much n bytes for the holder exceed what is free of all and of the large section.
 func (b *Budget) missing(h *Holder, n int64) (held, large int64) {
-	held = max(0, b.held+n-b.limits.Held)
+	limit := b.limits.Held
+	if !h.answering {
+		limit -= b.limits.Answers
+	}
+	held = max(0, b.held+n-limit)
 	own := b.large(h, h.bytes+n)
 	if more := own - b.large(h, h.bytes); more > 0 {
 		large = max(0, own-(b.limits.Large-b.largeHeld))
