Mend the seams between keys, quotas and decisions

Cause, found by a review that did not write these parts: a request that waited for tokens after its decision was sent to an upstream that could have left meanwhile; a sidecar recorded routers by names from datagrams without a bound (a million names, 266 MB); the quotas' loop of a router did not wait while eight requests were unanswered (10,650 calls in 0.5 s of simulated time); counters could decrease with a new lease; a refused request lost its tenant in the log.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	for _, m := range s.candidates(now, r) {
-		if m.ID == id && m.Serves(r.Model) && (r.Adapter == "" || m.HoldsAdapter(r.Model, r.Adapter)) {
+		if m.ID == id && (r.Model == "" || m.Serves(r.Model)) && (r.Adapter == "" || m.HoldsAdapter(r.Model, r.Adapter)) {
 			r.sentAt = now
 			return true
 		}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -241,8 +241,14 @@
 			case promptRequestEnded:
 				return
 			}
-			if !c.quotaHeld() && !c.awaitQuota() { // the wait for the admission can outlast the tokens
-				return
+			if !c.quotaHeld() { // the wait for the admission can outlast the tokens
+				if !c.awaitQuota() {
+					return
+				}
+				if c.confirmSend(d) != promptSend { // the upstream may have left during the wait
+					c.endPrompt(dispatch.Expired)
+					continue
+				}
 			}
 			outcome, answer := c.attempt(d)
 			if c.settleQuota(outcome) {
--- a/pkg/gateway/tenants.go
+++ b/pkg/gateway/tenants.go
@@ -126,7 +126,7 @@
 // attempt, which is counted under it.
 func (c *callerRequest) authorizeSend() bool {
 	var tenant *catalog.Tenant
-	if tenant, c.unauthorized = c.authorize(); tenant == nil {
+	if tenant, c.unauthorized = c.authorize(); tenant == nil && c.unauthorized == keyview.Accepted {
 		c.tenant = nil
 	}
 	return c.unauthorized == keyview.Accepted
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -232,6 +232,8 @@
 // Usage is the state of a tenant's quota, for metrics.
 type Usage struct {
 	Tenant string
+	// Epoch is that of the lease under which the counts were made.
+	Epoch uint64
 	// Max is what may run within the window, and Granted what has been granted within it.
 	Max, Granted float64
 	// Waiting is the number of needs that wait for tokens.
@@ -248,7 +250,7 @@
 	for name, t := range h.tenants {
 		t.advance(now)
 		if t.limit.Rate > 0 {
-			out = append(out, Usage{Tenant: name, Max: t.limit.Max(), Granted: t.granted.sum, Waiting: len(t.pending), Returned: t.returned,
+			out = append(out, Usage{Tenant: name, Epoch: h.epoch, Max: t.limit.Max(), Granted: t.granted.sum, Waiting: len(t.pending), Returned: t.returned,
 				Grants: t.grants, Waits: t.waits, Refusals: t.refusals, Decided: t.grants + t.waits + t.refusals})
 		}
 	}
--- a/pkg/quota/messages.go
+++ b/pkg/quota/messages.go
@@ -145,6 +145,9 @@
 		}
 	}
 	for _, a := range b.tenants {
+		if inFlight[a.shard] >= maxInFlight {
+			continue // nothing is returned before a request is answered or given up
+		}
 		for _, l := range a.lots {
 			if l.refundedAt != 0 && l.until.Sub(now) >= minReturn && l.epoch == b.holders[a.shard].epoch {
 				next = min(next, l.refundedAt.Add(returnAfter))
--- a/pkg/sidecar/quota.go
+++ b/pkg/sidecar/quota.go
@@ -307,7 +307,18 @@
 		delete(q.routers, d.Router)
 		return
 	}
-	q.routers[d.Router] = quotaRouter{address: from, receivedAt: time.Now()}
+	now := time.Now()
+	if _, known := q.routers[d.Router]; !known && len(q.routers) >= maxRouters {
+		for name, r := range q.routers {
+			if now.Sub(r.receivedAt) > routerTimeout {
+				delete(q.routers, name)
+			}
+		}
+		if len(q.routers) >= maxRouters {
+			return // messages carry no proof of their sender
+		}
+	}
+	q.routers[d.Router] = quotaRouter{address: from, receivedAt: now}
 }
 
 // announcements returns the shards that the process holds, for a report to the routers.
--- a/pkg/sidecar/quota_metrics.go
+++ b/pkg/sidecar/quota_metrics.go
@@ -21,7 +21,7 @@
 		}
 		for _, u := range h.Usages(now) {
 			s, last := q.scope.Tagged(map[string]string{"tenant": u.Tenant}), q.counted[u.Tenant]
-			if u.Decided < last.Decided {
+			if u.Epoch != last.Epoch {
 				last = quota.Usage{} // of an earlier epoch
 			}
 			s.Gauge("quota_limit").Update(u.Max)
