--- a/pkg/gateway/observe_test.go
+++ b/pkg/gateway/observe_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,16 +29,16 @@
 	It("are observed for the agent beside the upstream, unless an earlier attempt began the stream", func() {
 		r := newRig()
 		r.configure()
-		streams := 0
+		var streams atomic.Int64
 		r.upstream("u1", "llm", []catalog.Resident{{Model: "m"}}, func(w http.ResponseWriter, req *http.Request) {
 			sign(w, req)
 			w.Header().Set("Content-Type", "text/event-stream")
-			streams++
+			stream := streams.Add(1)
 			for i := range 12 {
 				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
 				_ = http.NewResponseController(w).Flush()
 				time.Sleep(2 * time.Millisecond)
-				if streams == 1 && i == 1 {
+				if stream == 1 && i == 1 {
 					panic(http.ErrAbortHandler)
 				}
 			}
