--- a/pkg/quota/rules_test.go
+++ b/pkg/quota/rules_test.go
@@ -151,6 +151,33 @@
 	}
 }
 
+// Guards against a tenant whose limit is lowered below its use and which is then served for half of each window and
+// refused for the rest of it.
+func TestEvenUseOfLoweredLimit(t *testing.T) {
+	h, number := testHolder(State{}), uint64(0)
+	perSecond := map[int]float64{}
+	for now := second; now < 50*second; now = now.Add(20 * time.Millisecond) {
+		number++
+		rate, config, amount := 2000.0, uint64(1), 30.0
+		if now >= 10*second {
+			rate, config = 1000, 2
+		}
+		if number%50 == 0 {
+			amount = 400
+		}
+		if g := h.Handle(now, oneNeed(number, config, rate, amount)); granted(g) {
+			perSecond[int(now/second)] += amount
+		}
+		_, mark := h.Snapshot(now, false)
+		h.Confirm(mark)
+	}
+	for s := 30; s < 48; s++ {
+		if three := perSecond[s] + perSecond[s+1] + perSecond[s+2]; three < 1500 {
+			t.Errorf("%.0f granted in three seconds from second %d at a rate of 1000", three, s)
+		}
+	}
+}
+
 // Guards against a tenant that comes to three times its limit and uses up its window with the first requests: those who
 // came seconds later were all refused. The validity of grants counts 0.55 s of the rate twice, which leaves 0.45 of it in
 // the second in which a window ends.
--- a/pkg/quota/tenant.go
+++ b/pkg/quota/tenant.go
@@ -65,7 +65,9 @@
 		t.demand[i] *= decay
 	}
 	t.backlog = max(0, t.backlog-elapsed*t.limit.Rate)
-	t.level = min(max(t.level, t.bucketSize()), t.level+elapsed*t.limit.Rate)
+	// The bucket does not fill up while the window is used up: the tenant would be served in bursts, one for each window.
+	left := max(t.limit.Max()-t.granted.sum, t.limit.Rate*reserveTime.Seconds())
+	t.level = min(max(t.level, t.bucketSize()), t.level+elapsed*t.limit.Rate, left)
 	for key, p := range t.pending {
 		if now.Sub(p.seenAt) > pendingTimeout {
 			delete(t.pending, key)
