Split one attempt off the loop over decisions

Cause: the loop had grown over keys, quotas and admissions. Change: callerRequest.send, no change of behaviour. Result: the suite of gateway passes.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -235,49 +235,56 @@
 				return
 			}
 		case dispatch.Send:
-			switch c.admitPrompt(d, changed) {
-			case promptDecideAgain:
-				continue
-			case promptRequestEnded:
+			if c.send(d, changed) {
 				return
 			}
-			if !c.quotaHeld() { // the wait for the admission can outlast the tokens
-				if !c.awaitQuota() {
-					return
-				}
-				if c.confirmSend(d) != promptSend { // the upstream may have left during the wait
-					c.endPrompt(dispatch.Expired)
-					continue
-				}
-			}
-			outcome, answer := c.attempt(d)
-			if c.settleQuota(outcome) {
-				continue
-			}
-			if outcome == dispatch.Done {
-				c.deliver(answer)
-				return
-			}
-			if c.unauthorized != keyview.Accepted {
-				c.finishUnauthorized(c.unauthorized)
-				return
-			}
-			var retry dispatch.RetryDecision
-			c.g.core.Do(func(s *dispatch.State) { retry = s.DecideRetry(time.Now(), c.req, outcome) })
-			c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
-				"retry", retry.Retry, "reason", retry.Reason, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.AgeMS(),
-				"window_requests", retry.Quota.Requests, "retry_tokens", int(retry.Quota.Tokens), "retry_capacity", int(retry.Quota.Capacity), "routers", retry.Routers)
-			if !retry.Retry {
-				c.finishFailed(retry, answer)
-				return
-			}
-			if answer != nil {
-				c.dropAnswer(answer.body) // a further attempt may need its memory
-			}
 		}
 	}
 }
 
+// send makes one attempt at the chosen upstream and reports whether the request has ended.
+func (c *callerRequest) send(d dispatch.Decision, changed <-chan struct{}) bool {
+	switch c.admitPrompt(d, changed) {
+	case promptDecideAgain:
+		return false
+	case promptRequestEnded:
+		return true
+	}
+	if !c.quotaHeld() { // the wait for the admission can outlast the tokens
+		if !c.awaitQuota() {
+			return true
+		}
+		if c.confirmSend(d) != promptSend { // the upstream may have left during the wait
+			c.endPrompt(dispatch.Expired)
+			return false
+		}
+	}
+	outcome, answer := c.attempt(d)
+	switch {
+	case c.settleQuota(outcome):
+		return false
+	case outcome == dispatch.Done:
+		c.deliver(answer)
+		return true
+	case c.unauthorized != keyview.Accepted:
+		c.finishUnauthorized(c.unauthorized)
+		return true
+	}
+	var retry dispatch.RetryDecision
+	c.g.core.Do(func(s *dispatch.State) { retry = s.DecideRetry(time.Now(), c.req, outcome) })
+	c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
+		"retry", retry.Retry, "reason", retry.Reason, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.AgeMS(),
+		"window_requests", retry.Quota.Requests, "retry_tokens", int(retry.Quota.Tokens), "retry_capacity", int(retry.Quota.Capacity), "routers", retry.Routers)
+	if !retry.Retry {
+		c.finishFailed(retry, answer)
+		return true
+	}
+	if answer != nil {
+		c.dropAnswer(answer.body) // a further attempt may need its memory
+	}
+	return false
+}
+
 // wait blocks until the fleet changes. It returns false if the request has ended meanwhile.
 func (c *callerRequest) wait(d dispatch.Decision, changed <-chan struct{}) bool {
 	if d.WaitCause == dispatch.WaitPrefill {
