Count arrivals in the order of the calls

Change: arrivals are recorded with the time of the call; the counter takes an earlier time for that of its first call. Result: a spec that panics without the change; the suites of retrylimit, dispatch and gateway pass.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -218,7 +218,9 @@
 	if !c.awaitQuota() {
 		return
 	}
-	c.g.core.Do(func(s *dispatch.State) { s.RecordArrival(c.start, c.req) }) // not those beyond the quota, however many
+	// Requests beyond the quota, however many, earn no retries. The time is that of the call: requests end their wait for
+	// the quota in another order than they arrive, and arrivals are counted in order.
+	c.g.core.Do(func(s *dispatch.State) { s.RecordArrival(time.Now(), c.req) })
 	for c.readmit() {
 		if !c.awaitQuota() {
 			return
--- a/pkg/retrylimit/quota.go
+++ b/pkg/retrylimit/quota.go
@@ -100,12 +100,12 @@
 // windowRequests returns the number of requests within the window less up to one bucket.
 func (q *Quota) windowRequests(now time.Time) int { return q.requests.sum(q.bucket(now)) }
 
-// bucket returns the number of the current bucket.
+// bucket returns the number of the current bucket. A time before the first call counts as that of the first.
 func (q *Quota) bucket(now time.Time) int64 {
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
-	return int64(now.Sub(q.epoch) / (q.limit.Window / requestBuckets))
+	return int64(max(0, now.Sub(q.epoch)) / (q.limit.Window / requestBuckets))
 }
 
 // counter counts the events of the last requestBuckets buckets in a ring.
--- a/pkg/retrylimit/retrylimit_test.go
+++ b/pkg/retrylimit/retrylimit_test.go
@@ -101,3 +101,12 @@
 		Expect(s.Burst(start.Add(10 * time.Second))).To(BeEquivalentTo(5))
 	})
 })
+
+// Guards against a request that is recorded with a time before the first one, as after a wait: it ended with a panic.
+var _ = It("a request before the first one counts", func() {
+	q := retrylimit.NewQuota(retrylimit.Limit{Ratio: 0.2, Burst: 10, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	q.RecordRequest(now, 1)
+	q.RecordRequest(now.Add(-3*time.Second), 1)
+	Expect(q.Usage(now, 1).Requests).To(Equal(2))
+})
