--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -129,6 +129,12 @@
 	l.read, l.stored, l.sinceAt = true, s, at
 }
 
+// NeedsFirstRead reports whether the process has not read the object yet. It reads it once whatever its rank: an earlier
+// process of the VM may have held the lease, which it takes back at once.
+func (l *Lease) NeedsFirstRead(now boottime.Instant) bool {
+	return !l.read && (l.failedAt == 0 || now.Sub(l.failedAt) >= failedReadInterval)
+}
+
 // NextRead returns when the object is to be read next by the process that ranks at the place, counted from 0.
 func (l *Lease) NextRead(now boottime.Instant, rank int) boottime.Instant {
 	interval := candidateInterval
--- a/pkg/quota/rules_test.go
+++ b/pkg/quota/rules_test.go
@@ -202,3 +202,16 @@
 		}
 	}
 }
+
+// Guards against a restarted holder that does not rank among the candidates and does not take its lease back: nobody
+// granted tokens until the lease had ended.
+func TestFirstRead(t *testing.T) {
+	l := NewLease(0, "a", 2, 0)
+	if !l.NeedsFirstRead(second) {
+		t.Fatal("does not read at the start")
+	}
+	l.Read(second, Stored{Revision: 5, Spec: LeaseSpec{Node: "a"}})
+	if _, ok := l.Write(second, Candidates+Reserves+1); !ok || l.NeedsFirstRead(second) {
+		t.Fatal("does not take back the lease of an earlier process on its VM")
+	}
+}
--- a/pkg/sidecar/quota.go
+++ b/pkg/sidecar/quota.go
@@ -177,7 +177,7 @@
 		if w, ok := l.Write(now, ranks[shard]); ok {
 			q.calls.Go(func() { q.write(context.WithoutCancel(ctx), quota.WriteTimeout, shard, w) })
 		}
-		read = read || candidate && now >= l.NextRead(now, ranks[shard])
+		read = read || l.NeedsFirstRead(now) || candidate && now >= l.NextRead(now, ranks[shard])
 	}
 	if read && !q.reading {
 		q.reading = true
