Let the leases of quotas end on a sidecar whose engine is not listed

A sidecar whose engine was gone took all shards back at its restart and renewed them for 8 s, but routers send no messages to it, so none learned of the holder. The same could happen without a restart once the engine of a holder is removed. Change: a sidecar whose engine is not in the list of upstreams neither takes nor renews leases; they end within 2 s.

--- a/pkg/sidecar/quota.go
+++ b/pkg/sidecar/quota.go
@@ -140,8 +140,9 @@
 	if limited == [quota.Shards]bool{} {
 		return ranks, true
 	}
-	seen, addresses, draining := map[string]bool{}, []string(nil), false
+	seen, addresses, listed, draining := map[string]bool{}, []string(nil), false, false
 	for _, u := range a.list.byID {
+		listed = listed || u.Address == a.settings.Address
 		draining = draining || u.Draining && u.Address == a.settings.Address
 		if a.config.Services[u.Service].Engine == nil || seen[u.Address] {
 			continue
@@ -151,6 +152,11 @@
 			addresses = append(addresses, u.Address)
 		}
 	}
+	if !listed {
+		// Routers send no messages to a sidecar whose engine is not listed, so it cannot announce what it holds. Its leases
+		// end within LeaseTime, since they are not renewed.
+		return ranks, true
+	}
 	for shard := range ranks {
 		if limited[shard] {
 			ranks[shard] = quota.Rank(shard, a.settings.Address, addresses)
--- a/pkg/sidecar/quota_test.go
+++ b/pkg/sidecar/quota_test.go
@@ -73,6 +73,7 @@
 		stored      map[string]platform.Object
 		others      int // further upstreams
 		holds, idle bool
+		unlisted    bool // the sidecar's own engine is not listed
 	}{
 		{name: "holds the shard of a limited tenant", holds: true},
 		// Guards against a process that waits for the end of a lease that it holds itself.
@@ -81,6 +82,9 @@
 		{name: "does not take over an object that cannot be decoded", stored: map[string]platform.Object{object: {Name: object, Revision: 1, Spec: []byte(`7`)}}},
 		// Guards against store calls that grow with the number of upstreams.
 		{name: "makes one read and no other call if it is not a candidate", others: 2000, idle: true},
+		// Guards against a holder that no router can find: for 8 s no tokens were granted (vanstops-now-grown, trouble-1).
+		{name: "takes nothing back if its engine is not listed", unlisted: true,
+			stored: map[string]platform.Object{object: {Name: object, Revision: 1, Spec: []byte(`{"node":"side-1"}`)}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &leaseStore{objects: map[string]platform.Object{}, lose: c.lose}
@@ -99,6 +103,9 @@
 			agent := sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm"}, &engine{reportErr: errors.New("no report")}, socket, log, guard.New(log))
 			agent.EnableQuotas(s, s, 0, tally.NoopScope)
 			config, upstreams := testConfig(), []catalog.Upstream{{ID: "i-1", Service: "llm", Address: address}}
+			if c.unlisted {
+				upstreams[0].Address = "10.0.0.9:1"
+			}
 			config.SetTenants([]catalog.Tenant{limited})
 			for i := range c.others {
 				upstreams = append(upstreams, catalog.Upstream{ID: fmt.Sprint(i), Service: "llm", Address: fmt.Sprint("10.0.0.1:", i)})
