Send no request to an unreachable upstream that could not be retried elsewhere

Callers saw: a stream refused with 503 and the code retry_budget, about 6 s after an agent had been killed, while the other engine was idle. Cause: an unreachable agent is avoided for 2 s and then chosen again, until it reports. Each such request first waits 1 s for its dial and then takes a retry of the budget, which has three in 10 s at low rates. The request that came after the third was refused although another upstream could serve it. Evidence: the answer's reason, "the retry budget is spent after peer_lost: dial 127.0.0.1:29352: context deadline exceeded", after 1.002 s. Ruled out: no upstream being eligible (the code would be no_upstream). Change: an upstream that has not reported since it was unreachable is left out, as while it is avoided, if the budget allows no further attempt.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -101,7 +101,12 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c, code := r.state.Choose(now, *a.Criteria)
+	criteria, further := *a.Criteria, r.budget.Remaining(now)
+	if a.Retry {
+		further--
+	}
+	criteria.NoRetry = further <= 0
+	c, code := r.state.Choose(now, criteria)
 	if code == "" && a.Retry {
 		if !r.budget.AllowRetry(now) {
 			r.metrics.budgetSpent.Inc(1)
--- a/pkg/routing/budget.go
+++ b/pkg/routing/budget.go
@@ -50,10 +50,15 @@
 
 // AllowRetry reports whether a retry is allowed, and counts it if so.
 func (b *Budget) AllowRetry(now time.Time) bool {
-	requests, retries := b.sum(now)
-	if float64(retries+1) > max(minRetries, retryShare*float64(requests)) {
+	if b.Remaining(now) == 0 {
 		return false
 	}
 	b.bucketAt(now).retries++
 	return true
 }
+
+// Remaining returns the number of retries that are allowed now.
+func (b *Budget) Remaining(now time.Time) int {
+	requests, retries := b.sum(now)
+	return max(0, int(max(minRetries, retryShare*float64(requests)))-retries)
+}
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -24,14 +24,15 @@
 }
 
 // candidates returns the upstreams of the group that may get new work, without the excluded ones. Upstreams that
-// recently were unreachable or refused requests are left out while there are others.
+// recently were unreachable or refused requests are left out while there are others. So are those that have not reported
+// since, if the request could not be retried elsewhere.
 func (s *State) candidates(now time.Time, c Criteria) []*node {
 	preferred := make([]*node, 0, len(s.nodes))
 	var avoided []*node
 	for _, n := range s.nodes {
 		switch {
 		case n.Group != c.Group || n.draining() || slices.Contains(c.Exclude, n.VM):
-		case now.Before(n.avoidUntil), now.Before(n.refusedUntil):
+		case now.Before(n.avoidUntil), now.Before(n.refusedUntil), n.unreachable && c.NoRetry:
 			avoided = append(avoided, n)
 		default:
 			preferred = append(preferred, n)
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -128,6 +128,23 @@
 		Expect(c.Upstream.VM).To(Equal("a1-0"))
 	})
 
+	// Guards against a request that is refused because it was the one to find out that an upstream is still gone, and the
+	// retry budget was spent.
+	It("does not return to an unreachable upstream with a request that could not be retried", func() {
+		s := newState(1, routing.View{Upstreams: upstreams("a1-0", "a2-0"), Grants: holders("a1-0", "a2-0")})
+		s.RecordUnreachable("a1-0", now)
+		later, c := now.Add(time.Minute), modelCriteria()
+		c.NoRetry = true
+		chosen, _ := s.Choose(later, c)
+		Expect(chosen.Upstream.VM).To(Equal("a2-0"))
+		c.NoRetry = false
+		chosen, _ = s.Choose(later, c)
+		Expect(chosen.Upstream.VM).To(Equal("a1-0"))
+		c.NoRetry, c.Exclude = true, []string{"a2-0"}
+		chosen, _ = s.Choose(later, c)
+		Expect(chosen.Upstream.VM).To(Equal("a1-0"))
+	})
+
 	// Guards against all routers choosing the one upstream that looked idle, and against load being ignored: the
 	// router's own count decides, and a reported queue breaks ties until it is 1 s old.
 	It("chooses the less loaded of two", func() {
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -51,6 +51,8 @@
 	// FirstSend reports that the key was never sent before, so the call is new work.
 	FirstSend bool
 	Slot      uint32
+	// NoRetry reports that the retry budget allows no further attempt if this one fails.
+	NoRetry bool
 	// Exclude are VMs at which this request failed, Hints those that an agent named in a refusal.
 	Exclude []string
 	Hints   []string
@@ -82,6 +84,7 @@
 	load         wire.Load
 	loadAt       time.Time
 	avoidUntil   time.Time
+	unreachable  bool      // has not reported since it could not be reached
 	refusedUntil time.Time // avoided until then while other upstreams are eligible
 	refusals     int       // consecutive refusals, which set the length of the next avoidance
 }
@@ -183,7 +186,7 @@
 		return false
 	}
 	draining = l.Draining && !n.draining()
-	n.load, n.loadAt, n.avoidUntil = l, now, time.Time{}
+	n.load, n.loadAt, n.avoidUntil, n.unreachable = l, now, time.Time{}, false
 	return draining
 }
 
@@ -199,7 +202,7 @@
 // this.
 func (s *State) RecordUnreachable(vm string, now time.Time) {
 	if n := s.byVM[vm]; n != nil {
-		n.avoidUntil = now.Add(avoidDelay)
+		n.avoidUntil, n.unreachable = now.Add(avoidDelay), true
 	}
 }
 
