Reset the connection of an attempt that is given up

Cause: the router closes the connection of an attempt that it abandons, and the kernel goes on to deliver what was written: to an upstream behind a partition once that ends, or to one that reads again after a pause. The retry has arrived elsewhere meanwhile, so the late one counts as a repeat at a time at which no token was spent. Ruled out: that a reset also withdraws bytes in the upstream's own receive buffer; Linux lets it read those. Change: abandoned, interrupted and cancelled attempts reset their connection; complete answers close it as before.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -81,7 +81,7 @@
 	reusable := false
 	defer func() {
 		if !reusable { // also after a panic
-			_ = conn.Close()
+			conn.Abort()
 		}
 	}()
 	stop := context.AfterFunc(c.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
@@ -110,7 +110,6 @@
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
-		_ = conn.Close()
 		return c.interruptedOutcome(cancelled(), unresponsive.Load(), err), nil
 	}
 	recordFirst()
@@ -120,7 +119,6 @@
 		outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
 	}
 	if cancelled() || err != nil {
-		_ = conn.Close()
 		if err == nil && outcome == dispatch.Done {
 			return outcome, a
 		}
@@ -128,7 +126,6 @@
 	}
 	unregister() // the hook must not abort the connection's next request
 	if outcome == dispatch.Interrupted || unresponsive.Load() {
-		_ = conn.Close()
 		return outcome, a
 	}
 	reusable = true
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -98,6 +98,15 @@
 	return c.Conn.Close()
 }
 
+// Abort resets the connection of a request that is given up. After Close the kernel would go on to deliver what has been
+// written, to an upstream that does not read at the moment or is behind a partition.
+func (c *Conn) Abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only on a connection that is closed already
+	}
+	_ = c.Close()
+}
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
