Show that nothing keeps the rate that an upstream names

An upstream in need names in its answers how many requests per second it takes from all routers together. Callers' operators saw 12 requests in 4 s, from four routers, at one that named 1.1 (11.6 are allowed).

Cause: nothing reads the header. Not ruled out yet: nothing was, as there is no mechanism to look at.

The stand-in runner can name a limit in all its answers. The soak's checker counts the arrivals at a runner by the entry that each request was sent to, from 4 s after the first answer that named the limit and only those of entries that had passed on such an answer half a second before; an entry that was killed counts again once it has passed one on. A runner that gets less than a tenth of its limit is reported too. The new scenario (--limit-engines) makes one engine and one plain runner name 0.8 to 3 per second while others serve the same, and kills a sidecar, all sidecars or an entry meanwhile.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -25,6 +25,7 @@
 	RepeatCrash   bool          `help:"Send a request that crashes runners again and again while all processes lose power, in place of random faults."`
 	RemoveEngines bool          `help:"Remove one engine after the other at short notice, in place of random faults."`
 	WithdrawKeys  bool          `help:"Withdraw callers' keys while routers are partitioned from the store, in place of random faults."`
+	LimitEngines  bool          `help:"An engine and a plain runner name how many requests per second they take, in place of random faults."`
 	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
 	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
 	Verbose       bool          `help:"Print the events and outcomes of each seed."`
@@ -81,7 +82,7 @@
 		fmt.Println("seed", seed, "failed:", err)
 		return false
 	}
-	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys})
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys, LimitEngines: cli.LimitEngines})
 	ok := err == nil && len(res.Violations) == 0
 	fmt.Printf("seed %d: %d events, %d of %d requests served after recovery, %d rules broken, err %v\n", seed, len(res.Events), res.Served, res.Sent, len(res.Violations), err)
 	if !ok || cli.Verbose {
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -106,6 +106,7 @@
 	}
 	standin.SetRequestHeader(req.Header, id, timeout, model, parts)
 	c.world.check.recordSent(id, kind, path, body)
+	c.world.check.recordEntry(id, entry)
 	c.setKey(req.Header, id)
 	start := time.Now()
 	resp, err := c.clients[entry].Do(req)
@@ -113,6 +114,7 @@
 		c.recordEnd(entry, kind, id, start, timeout, "no answer", err)
 		return
 	}
+	c.world.check.recordLimit(entry, resp.Header, time.Now())
 	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	c.checkResponse(entry, kind, id, path, body, resp, answer, err, start, activeFrom)
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -33,6 +33,7 @@
 	violations                []string
 	outcomes                  map[string]int
 	keys                      *keyring // nil if the configuration has no tenants
+	limits                    *rateLimits
 }
 
 // arrival is the arrival of a request at a runner.
@@ -42,7 +43,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
+	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}, limits: newRateLimits(), requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -98,6 +99,7 @@
 			defer c.mu.Unlock()
 			c.countRepeat(id, at)
 			c.arrivals = append(c.arrivals, arrival{runner: runner, at: at})
+			c.limits.arrive(id, runner, at)
 		},
 		RequestRan: c.recordRun,
 		RuleBroken: c.recordViolation,
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -68,6 +68,8 @@
 		res.Events = w.withdrawKeys()
 	case opt.RepeatCrashingRequest:
 		res.Events = w.repeatCrashingRequest()
+	case opt.LimitEngines:
+		res.Events = w.limitEngines()
 	default:
 		res.Events = w.injectFaults()
 	}
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -57,6 +57,13 @@
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
+	// Guards against routers that each keep to themselves what an upstream takes from all of them, or that ignore it.
+	It("keeps the rate that an upstream names over all routers", func() {
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 12 * time.Second, LimitEngines: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	})
+
 	// Guards against a request that crashes upstreams and is let through again by routers that have forgotten it.
 	It("runs a request that crashes upstreams six times at most, although all processes lose power meanwhile", func() {
 		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 13 * time.Second, RepeatCrashingRequest: true})
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -52,6 +52,9 @@
 	// WithdrawKeys configures a tenant and withdraws its keys while routers are partitioned from the store, in place of
 	// the random faults.
 	WithdrawKeys bool
+	// LimitEngines makes an engine and a plain runner name how many requests per second they take, in place of the random
+	// faults.
+	LimitEngines bool
 }
 
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
