Complete an unframed stream only if its upstream outlives the end

Cause: the router takes one reply of the same instance, sent a fraction of a millisecond after the end, for a proof that the upstream lives. A process that ends in steps replies while the streams that it has broken off are already closed. Class: the end of a connection is taken for the end of an answer.

Ruled out: a query that fails being taken for a reply (five forms, specs pass); a process that ends at once (refused at the first query, before and after). A kept connection is no better proof: a process without its listener serves it on.

Change: after the end of such a stream the instance has to reply to a query that is sent 250 ms or more after it, on a new connection. A refused connection or another instance ends the check at once; any other failure (a reset of an engine with too many connections, a timeout) is asked again until 1.2 s after the end, at most 0.2 s past the deadline or 0.35 s after the end. The decision is endCheck, without input or output. The place at the upstream is free from the end of the stream on. An answer that is not a stream is checked as before, but asked again within its 0.6 s, since its caller waits for all of it.

Weighed: a resume for each such end would cost a run, a token and a prefill of its prompt; a proof costs one more query for the report, which takes no slot. The last event has been delivered, so only the end of the stream is later.

--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -38,6 +38,7 @@
 	attempts     int             // attempts that reached an upstream
 	pending      int             // prompt tokens counted as waiting for room at an engine
 	sentAt       time.Time       // time of the decision for the current attempt
+	released     bool            // whether the current attempt no longer takes a place at its upstream
 	progressed   bool            // whether the current attempt's answer has gone on beyond its beginning
 	view         attemptView     // what was known of the upstream at the start of the current attempt
 	// firstHit is the probability, used in the last decision, that the upstream firstHitAt has the shared parts cached
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -272,7 +272,7 @@
 // RecordStart records the start of an attempt at an upstream.
 func (s *State) RecordStart(id string, r *Request) {
 	stats := s.upstreamStats(id)
-	r.progressed, r.seen = false, false
+	r.progressed, r.seen, r.released = false, false, false
 	stats.outstanding++
 	if r.Model != "" {
 		stats.running[placement.Adapter{Model: r.Model, Name: r.Adapter}]++
@@ -320,14 +320,25 @@
 	return total
 }
 
-// RecordEnd records how an attempt ended.
-func (s *State) RecordEnd(now time.Time, id string, r *Request, o Outcome) {
+// RecordReleased records that the answer has been read, so that the request no longer takes a place at the upstream,
+// before it is known whether the answer is complete.
+func (s *State) RecordReleased(id string, r *Request) {
+	if r.released {
+		return
+	}
+	r.released = true
 	stats := s.upstreamStats(id)
 	stats.outstanding--
 	a := placement.Adapter{Model: r.Model, Name: r.Adapter}
 	if stats.running[a]--; stats.running[a] <= 0 {
 		delete(stats.running, a)
 	}
+}
+
+// RecordEnd records how an attempt ended.
+func (s *State) RecordEnd(now time.Time, id string, r *Request, o Outcome) {
+	s.RecordReleased(id, r)
+	stats := s.upstreamStats(id)
 	failed := 0.0
 	switch o {
 	case Done:
--- /dev/null
+++ b/pkg/gateway/endcheck.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+const (
+	// endProofTime is how long after the end of a stream its upstream must still reply. A process that ends in steps
+	// replies while the streams that it has broken off are already closed, for up to some 200 ms.
+	endProofTime = 250 * time.Millisecond
+	// endQueryInterval is the time between a query without a reply and the next one.
+	endQueryInterval = 100 * time.Millisecond
+	// endCheckLimit bounds the check of a stream, instanceQueryTimeout that of another answer. It leaves a VM that stands
+	// still, or an engine that refuses connections because it has too many, some time.
+	endCheckLimit = 1200 * time.Millisecond
+	// maxPastDeadline is how long the check may go on after the deadline of the request.
+	maxPastDeadline = 200 * time.Millisecond
+)
+
+// endVerdict is what is known of an answer that has ended with its connection.
+type endVerdict int
+
+const (
+	endOpen endVerdict = iota
+	endComplete
+	endBrokenOff
+)
+
+// endCheck decides whether an answer that has ended with its connection is complete, by the replies of its upstream.
+// An upstream that replies proof after the end has not ended with the answer.
+type endCheck struct {
+	proof, limit time.Duration // from the end of the answer on
+}
+
+// newEndCheck returns the check of an answer whose request has the time left.
+func newEndCheck(streamed bool, left time.Duration) endCheck {
+	if !streamed { // the caller waits for all of the answer
+		return endCheck{limit: instanceQueryTimeout}
+	}
+	return endCheck{proof: endProofTime, limit: min(endCheckLimit, max(left+maxPastDeadline, endProofTime+endQueryInterval))}
+}
+
+// judge returns the verdict after a query that was sent at the time after the end and whose reply was decoded with err,
+// and the time after the end of the next query if the verdict is open.
+func (e endCheck) judge(sent, now time.Duration, err error) (endVerdict, time.Duration) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, platform.ErrOtherInstance):
+		return endBrokenOff, 0
+	case err != nil && now+endQueryInterval >= e.limit:
+		return endBrokenOff, 0
+	case err != nil:
+		return endOpen, now + endQueryInterval
+	case sent >= e.proof:
+		return endComplete, 0
+	}
+	return endOpen, max(now, e.proof)
+}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -116,8 +116,13 @@
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream.ID)
 	outcome, a, err := c.receive(resp, d.Upstream.ID)
-	if err == nil && outcome == dispatch.Done && isUnframed(resp) && !c.isComplete(d.Upstream) {
-		outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
+	if err == nil && outcome == dispatch.Done && isUnframed(resp) {
+		_ = conn.Close() // the upstream has closed it
+		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
+		if !c.isComplete(d.Upstream, a.streamed) {
+			outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
+		}
+		c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 	}
 	if cancelled() || err != nil {
 		_ = conn.Close()
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -28,18 +29,35 @@
 }
 
 // isComplete reports whether an answer that ended with its connection is complete: the kernel also closes the connections
-// of a process that ends, wherever its answers were. A process that replies afterwards has ended the answer itself. That
-// it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
-func (c *callerRequest) isComplete(u *dispatch.UpstreamRef) bool {
+// of a process that ends, wherever its answers were. A process that replies long enough afterwards has ended the answer
+// itself. That it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
+func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, streamed bool) bool {
 	if c.r.Context().Err() != nil {
 		return true // the caller has left
 	}
+	ended := time.Now()
+	check := newEndCheck(streamed, c.req.Deadline.Sub(ended))
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), instanceQueryTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), check.limit)
 	defer cancel()
-	runs, err := c.instanceRuns(ctx, u, c.checkPath())
-	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", runs, "err", err)
-	return runs
+	query := platform.NewInstanceQuery(u.ID, c.checkPath())
+	var (
+		verdict endVerdict
+		err     error
+		queries int
+	)
+	for verdict == endOpen {
+		sent := time.Since(ended)
+		queries++
+		err = c.queryInstance(ctx, u, query)
+		var next time.Duration
+		if verdict, next = check.judge(sent, time.Since(ended), err); verdict == endOpen {
+			time.Sleep(next - time.Since(ended)) // at most the limit
+		}
+	}
+	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
+		"queries", queries, "took_ms", time.Since(ended).Milliseconds(), "err", err)
+	return verdict == endComplete
 }
 
 // checkPath returns the path of the health check of a plain service, and "" for model engines, whose report takes no
@@ -55,22 +73,25 @@
 	return service.HealthPath
 }
 
-// instanceRuns reports whether the instance of the upstream replies on a new connection. A connection that is only
-// accepted shows nothing: the kernel or a device on the path accepts it for a process that has ended or is back.
-func (c *callerRequest) instanceRuns(ctx context.Context, u *dispatch.UpstreamRef, checkPath string) (bool, error) {
-	return instanceReplies(ctx, c.g.pool, u, platform.NewInstanceQuery(u.ID, checkPath), func(r io.Reader) ([]byte, error) {
+// queryInstance asks the instance of the upstream for a sign of life. A connection that is only accepted shows nothing:
+// the kernel or a device on the path accepts it for a process that has ended or is back.
+func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery) error {
+	ctx, cancel := context.WithTimeout(ctx, instanceQueryTimeout)
+	defer cancel()
+	return queryInstance(ctx, c.g.pool, u, q, func(r io.Reader) ([]byte, error) {
 		parts, err := c.readAnswerBody(io.LimitReader(r, maxInstanceReplyBytes))
 		defer c.dropAnswer(parts)
 		return bytes.Join(parts, nil), err
 	})
 }
 
-// instanceReplies reports whether the instance of the upstream replies to the query on a new connection of the pool. The
-// function read reads the body of the reply within a bound.
-func instanceReplies(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) (bool, error) {
+// queryInstance sends the query to the instance of the upstream on a new connection, since a process that is ending may
+// still serve open ones. The function read reads the body of the reply within a bound. The error is nil if the instance
+// replies.
+func queryInstance(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) error {
 	conn, err := pool.Get(ctx, u.Address, 0)
 	if err != nil {
-		return false, err
+		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	conn.Send(&h1.Request{Method: http.MethodGet, Target: q.Target, Host: u.Address, Header: q.Header})
@@ -81,11 +102,14 @@
 	}
 	if err != nil || !stop() {
 		_ = conn.Close()
-		return false, errors.Join(err, ctx.Err())
+		return errors.Join(err, ctx.Err())
 	}
 	conn.Release(resp)
 	reply, err := q.DecodeReply(resp.StatusCode, resp.Header, body)
-	return err == nil && isSameInstance(u, reply), err
+	if err == nil && !isSameInstance(u, reply) {
+		return fault.Wrap(platform.ErrOtherInstance, fault.StepDispatch, u.Address, "query")
+	}
+	return err
 }
 
 // isSameInstance reports whether the reply is that of the instance. An id can come again after a restart; the start then
