Read an idle connection once more before it is used again

What callers could see: the router takes a connection from the pool on which bytes or the end have just arrived. Bytes that belong to no request come before the next answer: an answer with another request's id is found out, a refusal without an id is taken for that of this request. A request on a closed connection fails with an unknown outcome.

Cause: the read that watches an idle connection is ended by a deadline in the past. The reader returns with that deadline although bytes are in the kernel's buffer, if it has not been woken for them yet. On a VM that goes on after it stood still, that is so for all that has arrived meanwhile.

Ruled out: bytes that the reader has seen (it reports them) and bytes that came with the answer (the connection is closed).

Change: once the watch has ended, the socket is read without waiting; only a connection with nothing to read is used.

--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -192,5 +192,24 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) || c.br.Buffered() > 0 {
 		return false
 	}
-	return c.SetReadDeadline(time.Time{}) == nil
+	return c.SetReadDeadline(time.Time{}) == nil && c.isQuiet()
+}
+
+// isQuiet reports whether nothing has arrived that the process has not read, neither bytes nor the end of the connection.
+// The read that watches the idle connection may end by its deadline before it has seen them.
+func (c *Conn) isQuiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var rerr error
+	err = raw.Read(func(fd uintptr) bool {
+		_, rerr = unix.Read(int(fd), make([]byte, 1)) // a connection of which it takes a byte is not used again
+		return true
+	})
+	return err == nil && errors.Is(rerr, unix.EAGAIN)
 }
