Check the ids of events within and across runs

Cause: events were forwarded as they came. The only check dropped events whose id was not above the last forwarded one, in the first run too, so that an answer repeated within the stream lost its beginning and went on where its ids were higher. The class is new: bytes of a run are taken for the continuation of the stream without a look at what continues it.

Ruled out: events cut at the edge of the reader's buffer (spec, sizes around 8 and 16 KiB pass before and after).

Change: sse.Sequence checks each event of a stream over all of its runs. Ids must grow within a run; a step that is larger than those before is a gap, also between two runs; an event has the same kind of id as those before, and no lines of another answer's head. Other events of the upstream interrupt the attempt: a resumable stream goes on elsewhere, any other ends visibly incomplete. Streams without ids, or with names for ids, pass as before.

Tests: the spec on the fields of events compares the new fields, too.

--- a/pkg/gateway/bodies.go
+++ b/pkg/gateway/bodies.go
@@ -172,3 +172,17 @@
 	}
 	return buf, nil
 }
+
+// minStartRetryAfter is the least Retry-After of a process that has no configuration yet: it normally has one
+// within about 100 ms. If the store does not answer, Retry-After grows to the time since the start of the process.
+const minStartRetryAfter = 250 * time.Millisecond
+
+// startRetryAfter returns the Retry-After while no configuration is available: at most a third of the caller's
+// remaining time, which is as long as callers wait before a retry.
+func (c *callerRequest) startRetryAfter() time.Duration {
+	after := max(minStartRetryAfter, time.Since(c.g.started))
+	if c.meta.Timeout > 0 {
+		after = min(after, (c.meta.Timeout-time.Since(c.start))/3)
+	}
+	return max(after, 0)
+}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,15 +21,13 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/pkg/keyview"
 	"github.com/hibiscuscross/hibiscuscross/pkg/prompt"
+	"github.com/hibiscuscross/hibiscuscross/pkg/sse"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
 const (
 	// defaultTimeout bounds a request for which neither the caller nor the route sets a time.
 	defaultTimeout = 30 * time.Second
-	// minStartRetryAfter is the least Retry-After of a process that has no configuration yet: it normally has one
-	// within about 100 ms. If the store does not answer, Retry-After grows to the time since the start of the process.
-	minStartRetryAfter = 250 * time.Millisecond
 )
 
 // Gateway serves callers. It is an http.Handler.
@@ -46,7 +45,8 @@
 	endRequests context.CancelFunc
 	clientBounds
 	started time.Time
-	quotas  *Quotas // nil if quotas are not observed
+	quotas  *Quotas  // nil if quotas are not observed
+	habits  sync.Map // of the services' streams, *sse.Habit by name
 }
 
 // New returns a gateway that sends requests over the connections of pool.
@@ -74,6 +74,7 @@
 	ctx         context.Context // ends at the deadline, and when the caller disconnects if the request may then be cancelled
 	headWritten bool            // reports whether the head of the answer has been written
 	lastEventID string          // id of the last forwarded event
+	events      *sse.Sequence   // the events of a stream
 	cause       string          // of the last failed attempt
 	decision    dispatch.Decision
 	config      uint64 // version of the configuration that the request was matched with
@@ -141,16 +142,6 @@
 	return cfg.Match(c.r.Host, path)
 }
 
-// startRetryAfter returns the Retry-After while no configuration is available: at most a third of the caller's
-// remaining time, which is as long as callers wait before a retry.
-func (c *callerRequest) startRetryAfter() time.Duration {
-	after := max(minStartRetryAfter, time.Since(c.g.started))
-	if c.meta.Timeout > 0 {
-		after = min(after, (c.meta.Timeout-time.Since(c.start))/3)
-	}
-	return max(after, 0)
-}
-
 // recoverPanic answers the request after a panic. It reports a possible run if an attempt has started.
 func (c *callerRequest) recoverPanic() {
 	p := recover()
@@ -200,6 +191,7 @@
 		c.req.EventTarget = c.start.Add(route.Target)
 	}
 	c.lastEventID = c.meta.LastEvent
+	c.events = sse.NewSequence(c.g.habit(c.req.Service), "")
 	c.setTenant()
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
@@ -29,6 +28,7 @@
 	a := &answer{status: resp.StatusCode, streamed: true}
 	lastHeartbeat, received := time.Time{}, 0
 	observed := streamObserver{c: c, upstream: upstream, resumed: c.lastEventID != ""}
+	c.events.StartRun()
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -36,6 +36,7 @@
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
+			c.events.End()
 			c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 			c.writeHead(resp)
 			observed.recordEnd()
@@ -44,6 +45,10 @@
 		if err != nil {
 			return dispatch.Interrupted, nil, err
 		}
+		forwarded, err := c.events.Add(e)
+		if err != nil {
+			return dispatch.Interrupted, nil, err
+		}
 		if received == 0 {
 			c.recordPromptProcessed()
 		}
@@ -55,7 +60,7 @@
 			lastHeartbeat = now
 			c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordHeartbeat(now, upstream) })
 		}
-		if c.headWritten && c.alreadyForwarded(e.ID) {
+		if !forwarded {
 			continue
 		}
 		c.extendWriteDeadline()
@@ -83,9 +88,8 @@
 	c.w.WriteHeader(resp.StatusCode)
 }
 
-// alreadyForwarded reports whether an event of a resumed stream has been forwarded by an earlier attempt.
-func (c *callerRequest) alreadyForwarded(id string) bool {
-	last, err1 := strconv.ParseInt(c.lastEventID, 10, 64)
-	next, err2 := strconv.ParseInt(id, 10, 64)
-	return err1 == nil && err2 == nil && next <= last
+// habit returns what is known of the streams of the service.
+func (g *Gateway) habit(service string) *sse.Habit {
+	h, _ := g.habits.LoadOrStore(service, &sse.Habit{})
+	return h.(*sse.Habit)
 }
--- a/pkg/sse/sse.go
+++ b/pkg/sse/sse.go
@@ -21,6 +21,11 @@
 type Event struct {
 	Raw []byte
 	ID  string
+	// IDs is the number of ids, which is 1 at most in a valid event, and Data reports whether the event has data.
+	IDs  int
+	Data bool
+	// Foreign reports whether the event has lines that no event has, such as those of the head of another answer.
+	Foreign bool
 }
 
 // Reader reads events from a stream.
@@ -55,11 +60,22 @@
 	return nil
 }
 
+// isFieldName reports whether the name can be that of a further field, such as the platform's own. Headers of answers have
+// capital letters.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		if (b < 'a' || b > 'z') && (b < '0' || b > '9') && b != '-' && b != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns the next event. It returns io.EOF at the end of the stream, and ErrPartial if the stream ended within an
 // event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
-	lineStart := 0
+	lineStart, unknown := 0, false
 	for {
 		part, err := r.r.ReadSlice('\n')
 		if err := r.grow(len(e.Raw) + len(part)); err != nil {
@@ -81,10 +97,21 @@
 		line := bytes.TrimRight(e.Raw[lineStart:], "\r\n")
 		lineStart = len(e.Raw)
 		if len(line) == 0 {
+			e.Foreign = e.Foreign || unknown && !e.Data
 			return e, nil
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.ID = string(bytes.TrimSpace(id))
+			e.IDs++
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "data":
+			e.Data = true
+		case "", "id", "event", "retry": // a comment has no name
+		default:
+			unknown = true
+			e.Foreign = e.Foreign || !isFieldName(name)
 		}
 	}
 }
--- a/pkg/sse/sse_test.go
+++ b/pkg/sse/sse_test.go
@@ -34,7 +34,7 @@
 	It("returns the bytes and the id of each event", func() {
 		out, err := readAll(strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"))
 		Expect(err).To(Equal(io.EOF))
-		Expect(out).To(Equal([]sse.Event{{Raw: []byte("id: 1\ndata: a\n\n"), ID: "1"}, {Raw: []byte("id:2\r\ndata: b\r\n\r\n"), ID: "2"}}))
+		Expect(out).To(Equal([]sse.Event{{Raw: []byte("id: 1\ndata: a\n\n"), ID: "1", IDs: 1, Data: true}, {Raw: []byte("id:2\r\ndata: b\r\n\r\n"), ID: "2", IDs: 1, Data: true}}))
 	})
 
 	// Guards against joining a partial event of one run with the first event of the next run.
