Do not resume a stream behind an event without an id

Cause: the next run is sent with the id of the last event, and without one it starts from the beginning behind what the caller has.

Ruled out: streams that have forwarded nothing but comments; they start anew without harm.

Change: a stream whose forwarded events have no ids is not resumed and ends visibly incomplete.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -269,6 +269,9 @@
 	c.g.log.Request("send failed", "id", c.meta.ID, "upstream", d.Upstream.ID, "outcome", outcome.String(), "cause", c.cause,
 		"retry", retry.Retry, "reason", retry.Reason, "runs", c.req.PossibleRuns(), "sends", c.req.Attempts(), "cost_ms", d.Cost.Milliseconds(), "report_age_ms", d.AgeMS(),
 		"window_requests", retry.Quota.Requests, "retry_tokens", int(retry.Quota.Tokens), "retry_capacity", int(retry.Quota.Capacity), "routers", retry.Routers)
+	if retry.Retry && c.headWritten && !c.events.CanResume() {
+		retry = dispatch.RetryDecision{Reason: "events without ids cannot be resumed"}
+	}
 	if !retry.Retry {
 		c.finishFailed(retry, answer)
 		return true
--- a/pkg/sse/sequence.go
+++ b/pkg/sse/sequence.go
@@ -119,3 +119,6 @@
 		s.habit.RecordComplete(s.step)
 	}
 }
+
+// CanResume reports whether another run can go on after the last event that was forwarded.
+func (s *Sequence) CanResume() bool { return s.kind != nameless }
--- a/pkg/sse/sequence_test.go
+++ b/pkg/sse/sequence_test.go
@@ -95,6 +95,14 @@
 		}
 		Expect(found).To(Equal(100))
 	})
+
+	It("cannot go on behind events without ids", func() {
+		s := sse.NewSequence(&sse.Habit{}, "")
+		Expect(s.CanResume()).To(BeTrue())
+		_, err := add(s, "", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.CanResume()).To(BeFalse())
+	})
 })
 
 var _ = DescribeTable("an event has foreign lines",
