Complete no resumed stream without an event that had begun

Cause: the part of the event is dropped, and with it the proof that the stream has a further one. The end of the second answer is then taken for the end of the stream.

Ruled out: a run that was broken off behind an event. There the second upstream's word, a regular end with chunks or a length, is all that is known, and a complete run has no further events; a spec keeps it so.

Change: the reader reports whether a broken-off stream had begun an event, and a run that ends without an event behind it is interrupted. Only bytes that begin with a field of an event count, not those of another answer.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -36,13 +36,18 @@
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
-			c.events.End()
+			if err := c.events.End(); err != nil {
+				return dispatch.Interrupted, nil, err
+			}
 			c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 			c.writeHead(resp)
 			observed.recordEnd()
 			return dispatch.Done, a, nil
 		}
 		if err != nil {
+			if events.HasPart() {
+				c.events.RecordPart()
+			}
 			return dispatch.Interrupted, nil, err
 		}
 		forwarded, err := c.events.Add(e)
--- a/pkg/sse/sequence.go
+++ b/pkg/sse/sequence.go
@@ -7,9 +7,10 @@
 
 // Errors for events that do not continue a stream: a piece is missing before them, has come before, or is not of it.
 var (
-	ErrRepeated = errors.New("the id of the event has come before")
-	ErrGap      = errors.New("events are missing before the event")
-	ErrForeign  = errors.New("bytes that are no event of the stream")
+	ErrRepeated   = errors.New("the id of the event has come before")
+	ErrGap        = errors.New("events are missing before the event")
+	ErrForeign    = errors.New("bytes that are no event of the stream")
+	ErrUnfinished = errors.New("stream ended without an event that had begun to arrive")
 )
 
 // numbering is the kind of ids in a stream.
@@ -32,6 +33,8 @@
 	// run is the last number of the current run and runBegun whether there is one.
 	run      int64
 	runBegun bool
+	// awaited reports whether the beginning of an event has arrived that has not been forwarded since.
+	awaited bool
 }
 
 // NewSequence returns the sequence of a stream of which the caller has the events up to the id last; "" if none. The habit
@@ -70,6 +73,7 @@
 	case kind != s.kind, e.IDs > 1:
 		return false, ErrForeign
 	case kind != numbered:
+		s.awaited = false
 		return true, nil
 	case s.runBegun && n <= s.run:
 		return false, ErrRepeated
@@ -99,7 +103,7 @@
 }
 
 // accept records an event that is forwarded.
-func (s *Sequence) accept(n int64) { s.last, s.run, s.runBegun = n, n, true }
+func (s *Sequence) accept(n int64) { s.last, s.run, s.runBegun, s.awaited = n, n, true, false }
 
 // continues reports whether the number follows the last one without a gap.
 func (s *Sequence) continues(n int64) bool {
@@ -113,11 +117,18 @@
 	return !s.habit.RecordGap()
 }
 
-// End records that a run is complete by itself.
-func (s *Sequence) End() {
+// RecordPart records the beginning of an event that a run has brought before it was interrupted.
+func (s *Sequence) RecordPart() { s.awaited = true }
+
+// End checks the end of a run that is complete by itself.
+func (s *Sequence) End() error {
+	if s.awaited {
+		return ErrUnfinished
+	}
 	if s.kind == numbered && s.step > 0 {
 		s.habit.RecordComplete(s.step)
 	}
+	return nil
 }
 
 // CanResume reports whether another run can go on after the last event that was forwarded.
--- a/pkg/sse/sequence_test.go
+++ b/pkg/sse/sequence_test.go
@@ -43,7 +43,7 @@
 			Expect(strings.TrimSpace(a + " " + b)).To(Equal(want))
 			if wantErr == nil {
 				Expect(err).NotTo(HaveOccurred())
-				s.End()
+				Expect(s.End()).To(Succeed())
 			} else {
 				Expect(err).To(MatchError(wantErr))
 			}
@@ -74,7 +74,7 @@
 				broken++
 				continue
 			}
-			s.End()
+			Expect(s.End()).To(Succeed())
 		}
 		Expect(broken).To(BeNumerically("<=", 30)) // 8, and one for each 64 complete streams
 	})
@@ -91,11 +91,22 @@
 				found++
 				continue
 			}
-			s.End()
+			Expect(s.End()).To(Succeed())
 		}
 		Expect(found).To(Equal(100))
 	})
 
+	It("is not complete without an event that has begun to arrive", func() {
+		s := sse.NewSequence(&sse.Habit{}, "")
+		_, err := add(s, "1", "2")
+		Expect(err).NotTo(HaveOccurred())
+		s.RecordPart()
+		Expect(s.End()).To(MatchError(sse.ErrUnfinished))
+		_, err = add(s, "3")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.End()).To(Succeed())
+	})
+
 	It("cannot go on behind events without ids", func() {
 		s := sse.NewSequence(&sse.Habit{}, "")
 		Expect(s.CanResume()).To(BeTrue())
--- a/pkg/sse/sse.go
+++ b/pkg/sse/sse.go
@@ -34,6 +34,7 @@
 	// reserve, if not nil, is called before an event takes n bytes more than reserved.
 	reserve  func(n int) error
 	reserved int
+	part     bool
 }
 
 // bufferBytes is the size of a reader's buffer. An event of this size needs no further memory to be reserved.
@@ -60,6 +61,19 @@
 	return nil
 }
 
+// HasPart reports whether the stream ended within an event of which at least the name of its first field had arrived.
+func (r *Reader) HasPart() bool { return r.part }
+
+// hasField reports whether the bytes begin with a field of an event, in contrast to bytes that are no event.
+func hasField(raw []byte) bool {
+	for _, field := range []string{"id:", "data:", "event:"} {
+		if bytes.HasPrefix(raw, []byte(field)) {
+			return true
+		}
+	}
+	return false
+}
+
 // isFieldName reports whether the name can be that of a further field, such as the platform's own. Headers of answers have
 // capital letters.
 func isFieldName(name []byte) bool {
@@ -88,6 +102,7 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		r.part = err != nil && hasField(e.Raw)
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) > 0 {
 			return Event{}, ErrPartial
 		}
