Check a resumed stream against the caller's own last event

Cause: the id of the caller was passed on, and compared with the events of an upstream only after the first of them had been forwarded.

Ruled out: the retries of the router itself; they pass on the id of the last forwarded event in place of the caller's.

Change: where streams may be resumed, the sequence starts with the caller's id. Elsewhere the header is the upstream's to interpret, as before.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -191,7 +191,7 @@
 		c.req.EventTarget = c.start.Add(route.Target)
 	}
 	c.lastEventID = c.meta.LastEvent
-	c.events = sse.NewSequence(c.g.habit(c.req.Service), "")
+	c.events = sse.NewSequence(c.g.habit(c.req.Service), c.callersLast())
 	c.setTenant()
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -98,3 +98,12 @@
 	h, _ := g.habits.LoadOrStore(service, &sse.Habit{})
 	return h.(*sse.Habit)
 }
+
+// callersLast returns the id of the last event that the caller has; "" if there is none. Where streams may not be resumed,
+// the caller's header is the upstream's to interpret.
+func (c *callerRequest) callersLast() string {
+	if !c.req.Route.Resumable {
+		return ""
+	}
+	return c.meta.LastEvent
+}
