Take the end of an unframed stream at its deadline for a break

What callers saw: a stream without a length or chunks that ended at its deadline, as complete, with events missing (ORDER). The busiest deployments have most streams that reach their deadline.

Cause: an upstream stops work at the time that the router passes on, which is rounded down to a millisecond and starts to count at the upstream. It closes the connection just before the router's own timer, lives, and replies to the query. A router that stood still meets the events and the end after the deadline and reads them before its timer runs.

Ruled out: ends that come after the router's timer; the read fails then.

Change: an end 20 ms or less before the deadline, or after it, is no completion. Such a request has no time for another run, so its stream ends visibly incomplete. Cost: a complete stream that ends in its last 20 ms is reported as broken off.

That the users' cases had this cause is not shown.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -17,6 +17,9 @@
 	// endCheckLimit bounds the check of a stream, instanceQueryTimeout that of another answer. It leaves a VM that stands
 	// still, or an engine that refuses connections because it has too many, some time.
 	endCheckLimit = 1200 * time.Millisecond
+	// deadlineMargin is the time before the deadline of a request in which the end of its stream is taken for the work of
+	// the upstream's own timer. An upstream stops work at the time that it was given, which the router rounds down.
+	deadlineMargin = 20 * time.Millisecond
 	// maxPastDeadline is how long the check may go on after the deadline of the request.
 	maxPastDeadline = 200 * time.Millisecond
 )
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -36,7 +36,12 @@
 		return true // the caller has left
 	}
 	ended := time.Now()
-	check := newEndCheck(streamed, c.req.Deadline.Sub(ended))
+	left := c.req.Deadline.Sub(ended)
+	if streamed && left <= deadlineMargin {
+		c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", false, "left_ms", left.Milliseconds())
+		return false
+	}
+	check := newEndCheck(streamed, left)
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), check.limit)
 	defer cancel()
