Take a stream's end just before a removal for a break

Cause: such an upstream ends whatever it is running when its time is over. If it ends its streams first and itself some hundred milliseconds later, it outlives the end by more than the router asks for. Its report says that it leaves and how much time it has; the router did not read that.

Ruled out: an upstream that leaves as planned, which names no time and completes its answers; one with time left (spec).

Change: the reply to the query carries the time until the removal. A stream that ends with less than 500 ms of it left counts as broken off: it goes on elsewhere or ends visibly incomplete. The report is some hundred milliseconds old, so less may be left. Cost: the streams that such an upstream completes in its last half second.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -17,6 +17,9 @@
 	// endCheckLimit bounds the check of a stream, instanceQueryTimeout that of another answer. It leaves a VM that stands
 	// still, or an engine that refuses connections because it has too many, some time.
 	endCheckLimit = 1200 * time.Millisecond
+	// minRemoval is the time that an upstream which is removed at short notice must have left. It ends whatever it is
+	// running, its streams first.
+	minRemoval = 500 * time.Millisecond
 	// deadlineMargin is the time before the deadline of a request in which the end of its stream is taken for the work of
 	// the upstream's own timer. An upstream stops work at the time that it was given, which the router rounds down.
 	deadlineMargin = 20 * time.Millisecond
@@ -47,9 +50,9 @@
 	return endCheck{proof: endProofTime, limit: min(endCheckLimit, max(left+maxPastDeadline, endProofTime+endQueryInterval))}
 }
 
-// judge returns the verdict after a query that was sent at the time after the end and whose reply was decoded with err,
-// and the time after the end of the next query if the verdict is open.
-func (e endCheck) judge(sent, now time.Duration, err error) (endVerdict, time.Duration) {
+// judge returns the verdict after a query that was sent at the time after the end and that ended with the reply or err, and
+// the time after the end of the next query if the verdict is open.
+func (e endCheck) judge(sent, now time.Duration, reply platform.InstanceReply, err error) (endVerdict, time.Duration) {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, platform.ErrOtherInstance):
 		return endBrokenOff, 0
@@ -57,6 +60,8 @@
 		return endBrokenOff, 0
 	case err != nil:
 		return endOpen, now + endQueryInterval
+	case e.proof > 0 && reply.HasRemoval && reply.Removal < minRemoval:
+		return endBrokenOff, 0
 	case sent >= e.proof:
 		return endComplete, 0
 	}
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -24,7 +24,7 @@
 		defer cancel()
 		q := platform.NewInstanceQuery(u.ID, "")
 		q.Header.Set("Connection", "close") // an engine has a limited number of connections
-		if err := queryInstance(ctx, p.queryPool, u, q, readQueryReply); err != nil {
+		if _, err := queryInstance(ctx, p.queryPool, u, q, readQueryReply); err != nil {
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
 		}
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -54,9 +54,10 @@
 	for verdict == endOpen {
 		sent := time.Since(ended)
 		queries++
-		err = c.queryInstance(ctx, u, query)
+		var reply platform.InstanceReply
+		reply, err = c.queryInstance(ctx, u, query)
 		var next time.Duration
-		if verdict, next = check.judge(sent, time.Since(ended), err); verdict == endOpen {
+		if verdict, next = check.judge(sent, time.Since(ended), reply, err); verdict == endOpen {
 			time.Sleep(next - time.Since(ended)) // at most the limit
 		}
 	}
@@ -80,7 +81,7 @@
 
 // queryInstance asks the instance of the upstream for a sign of life. A connection that is only accepted shows nothing:
 // the kernel or a device on the path accepts it for a process that has ended or is back.
-func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery) error {
+func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery) (platform.InstanceReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, instanceQueryTimeout)
 	defer cancel()
 	return queryInstance(ctx, c.g.pool, u, q, func(r io.Reader) ([]byte, error) {
@@ -93,10 +94,10 @@
 // queryInstance sends the query to the instance of the upstream on a new connection, since a process that is ending may
 // still serve open ones. The function read reads the body of the reply within a bound. The error is nil if the instance
 // replies.
-func queryInstance(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) error {
+func queryInstance(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) (platform.InstanceReply, error) {
 	conn, err := pool.Get(ctx, u.Address, 0)
 	if err != nil {
-		return err
+		return platform.InstanceReply{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	conn.Send(&h1.Request{Method: http.MethodGet, Target: q.Target, Host: u.Address, Header: q.Header})
@@ -107,14 +108,14 @@
 	}
 	if err != nil || !stop() {
 		_ = conn.Close()
-		return errors.Join(err, ctx.Err())
+		return platform.InstanceReply{}, errors.Join(err, ctx.Err())
 	}
 	conn.Release(resp)
 	reply, err := q.DecodeReply(resp.StatusCode, resp.Header, body)
-	if err == nil && !isSameInstance(u, reply) {
-		return fault.Wrap(platform.ErrOtherInstance, fault.StepDispatch, u.Address, "query")
+	if err == nil && !isSameInstance(u, reply.Instance) {
+		return reply, fault.Wrap(platform.ErrOtherInstance, fault.StepDispatch, u.Address, "query")
 	}
-	return err
+	return reply, err
 }
 
 // isSameInstance reports whether the reply is that of the instance. An id can come again after a restart; the start then
