Compare the end of a stream with what its upstream generated

Cause: the upstream lives and replies, so the end counts as its own. Class: the end of a connection is taken for the end of an answer.

Change: the reply to the queries carries the events of each run. If the upstream has generated more of them than have arrived, the stream is broken off. Streams that were resumed are not compared, since their count may start anywhere. A run that is still listed without more events proves nothing, as the report is some hundred milliseconds old.

What remains: an upstream that drops its run at the close, which most do, before a report shows more events cannot be told from one that has completed it. Resuming each such stream to find out would cost a run and a token of the limit on retries for each complete one.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -40,6 +40,10 @@
 // An upstream that replies proof after the end has not ended with the answer.
 type endCheck struct {
 	proof, limit time.Duration // from the end of the answer on
+	// id is that of the request and events the number of events that have arrived, if the upstream's count of them can be
+	// compared; otherwise id is empty.
+	id     string
+	events int
 }
 
 // newEndCheck returns the check of an answer whose request has the time left.
@@ -62,6 +66,8 @@
 		return endOpen, now + endQueryInterval
 	case e.proof > 0 && reply.HasRemoval && reply.Removal < minRemoval:
 		return endBrokenOff, 0
+	case e.id != "" && reply.Events[e.id] > e.events:
+		return endBrokenOff, 0 // the connection was closed on the way
 	case sent >= e.proof:
 		return endComplete, 0
 	}
--- /dev/null
+++ b/pkg/gateway/endcheck_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
+	"github.com/hibiscuscross/hibiscuscross/platform"
+)
+
+// Guards against an end of a connection that is taken for the end of a stream, and against breaking off complete ones.
+func TestEndCheck(t *testing.T) {
+	const ms = time.Millisecond
+	same := platform.InstanceReply{Instance: catalog.Instance{ID: "u1"}}
+	removal := func(left time.Duration) platform.InstanceReply {
+		return platform.InstanceReply{Removal: left, HasRemoval: true}
+	}
+	runs := func(id string, events int) platform.InstanceReply {
+		return platform.InstanceReply{Events: map[string]int{id: events}}
+	}
+	refused := errors.Join(io.EOF, syscall.ECONNREFUSED)
+	for name, c := range map[string]struct {
+		streamed  bool
+		left      time.Duration
+		sent, now time.Duration
+		reply     platform.InstanceReply
+		err       error
+		want      endVerdict
+		next      time.Duration
+	}{
+		"replies at once":                   {true, time.Second, 0, 1 * ms, same, nil, endOpen, 250 * ms},
+		"replies just before the proof":     {true, time.Second, 249 * ms, 251 * ms, same, nil, endOpen, 251 * ms},
+		"replies late to an early query":    {true, time.Second, 100 * ms, 600 * ms, same, nil, endOpen, 600 * ms},
+		"replies after the proof":           {true, time.Second, 250 * ms, 251 * ms, same, nil, endComplete, 0},
+		"refuses at once":                   {true, time.Second, 0, 1 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
+		"refuses after the proof":           {true, time.Second, 250 * ms, 251 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
+		"is another instance":               {true, time.Second, 250 * ms, 251 * ms, same, platform.ErrOtherInstance, endBrokenOff, 0},
+		"resets the connection":             {true, 5 * time.Second, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
+		"resets it until the limit":         {true, 5 * time.Second, 1100 * ms, 1101 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+		"resets it near the deadline":       {true, 30 * ms, 260 * ms, 261 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+		"is removed soon":                   {true, time.Second, 0, 1 * ms, removal(499 * ms), nil, endBrokenOff, 0},
+		"is removed soon, no stream":        {false, time.Second, 0, 1 * ms, removal(499 * ms), nil, endComplete, 0},
+		"is removed later":                  {true, time.Second, 250 * ms, 251 * ms, removal(500 * ms), nil, endComplete, 0},
+		"has generated more events":         {true, time.Second, 0, 1 * ms, runs("r", 4), nil, endBrokenOff, 0},
+		"has generated those that came":     {true, time.Second, 250 * ms, 251 * ms, runs("r", 3), nil, endComplete, 0},
+		"has generated more for another":    {true, time.Second, 250 * ms, 251 * ms, runs("x", 9), nil, endComplete, 0},
+		"replies at once, no stream":        {false, time.Second, 0, 1 * ms, same, nil, endComplete, 0},
+		"resets it, no stream":              {false, time.Second, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
+		"resets it until the limit of this": {false, time.Second, 500 * ms, 501 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := newEndCheck(c.streamed, c.left)
+			if c.streamed {
+				check.id, check.events = "r", 3
+			}
+			if got, next := check.judge(c.sent, c.now, c.reply, c.err); got != c.want || next != c.next {
+				t.Errorf("verdict %v, next query after %v; want %v, %v", got, next, c.want, c.next)
+			}
+		})
+	}
+}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -34,6 +34,8 @@
 	header   http.Header
 	body     inbound.Segments
 	streamed bool
+	// events is the number of events of a stream that its only run has brought; -1 for one that was resumed.
+	events int
 }
 
 // attempt sends the request to the chosen upstream and receives its answer.
@@ -119,7 +121,7 @@
 	if err == nil && outcome == dispatch.Done && isUnframed(resp) {
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
-		if !c.isComplete(d.Upstream, a.streamed) {
+		if !c.isComplete(d.Upstream, a) {
 			outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
 		}
 		c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -27,7 +27,8 @@
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
 	lastHeartbeat, received := time.Time{}, 0
-	observed := streamObserver{c: c, upstream: upstream, resumed: c.lastEventID != ""}
+	resumed := c.lastEventID != ""
+	observed := streamObserver{c: c, upstream: upstream, resumed: resumed}
 	c.events.StartRun()
 	for {
 		e, err := events.Next()
@@ -42,6 +43,9 @@
 			c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 			c.writeHead(resp)
 			observed.recordEnd()
+			if a.events = received; resumed {
+				a.events = -1
+			}
 			return dispatch.Done, a, nil
 		}
 		if err != nil {
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -31,17 +31,20 @@
 // isComplete reports whether an answer that ended with its connection is complete: the kernel also closes the connections
 // of a process that ends, wherever its answers were. A process that replies long enough afterwards has ended the answer
 // itself. That it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
-func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, streamed bool) bool {
+func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, a *answer) bool {
 	if c.r.Context().Err() != nil {
 		return true // the caller has left
 	}
 	ended := time.Now()
 	left := c.req.Deadline.Sub(ended)
-	if streamed && left <= deadlineMargin {
+	if a.streamed && left <= deadlineMargin {
 		c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", false, "left_ms", left.Milliseconds())
 		return false
 	}
-	check := newEndCheck(streamed, left)
+	check := newEndCheck(a.streamed, left)
+	if a.streamed && a.events >= 0 {
+		check.id, check.events = c.meta.ID, a.events
+	}
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), check.limit)
 	defer cancel()
