Show that broken-off answers look complete to callers of HTTP/1.0

What callers saw: nothing yet; found by review. For a caller of HTTP/1.0 net/http sends an answer without a length until the connection ends, and closes the connection regularly when the handler breaks it off: streams of both paths, and plain bodies over 1 MiB of pkg/api.

Cause: the abort relies on the missing last chunk. Class: the end of a connection is taken for the end of an answer, by the caller.

Change: the specs.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -222,6 +223,23 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against a truncated body that looks complete to a caller of HTTP/1.0, which has no chunks: only the end of the
+	// connection marks the end of a body without a length.
+	It("does not end a truncated body regularly for a caller of HTTP/1.0", func() {
+		x := newFixture(true)
+		x.f.serve = streamedAnswer(router.Result{Outcome: wire.OutcomeUnknown, Refusal: &wire.Refuse{Outcome: wire.OutcomeUnknown, Code: wire.CodePeerLost}})
+		c, err := net.Dial("tcp4", strings.TrimPrefix(x.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(c, "GET /services/loans/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer van-key\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		raw, err := io.ReadAll(c)
+		Expect(string(raw)).To(HavePrefix("HTTP/1.0 200"))
+		Expect(string(raw)).To(HaveSuffix("data: {}\n\n"))
+		Expect(err).To(HaveOccurred(), "the connection ended regularly")
+	})
+
 	// Guards against a refusal without a Retry-After header.
 	It("returns the refusals of agents", func() {
 		x := newFixture(true)
