Write a router's refused requests on the revision that it knows

What callers saw: a request that crashes upstreams let through again (BUDGET), by routers that started after all others had ended. Cause: the list is written without a condition, and the store may execute a write that was given up seconds later. The older list then replaces the newer one and stays until the next crash. Class: bytes that were given to the kernel are taken for withdrawn. Ruled out: leases of quotas and grants, which are conditional already. Change: each write expects the revision of the router's object as it was last read or written. A conflict shows the earlier write, whose revision the next one expects. The stand-in of the specs on refused requests refuses other revisions too. What remains: fencing records are written without a condition, since the revision of the write itself is the token.

--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -24,7 +26,7 @@
 // RefusalStore is the part of the platform's store in which refused requests outlive the processes that know them.
 type RefusalStore interface {
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
-	Write(ctx context.Context, kind, name string, spec any) (uint64, error)
+	WriteIf(ctx context.Context, kind, name string, spec any, expect uint64) (uint64, platform.Object, error)
 }
 
 // Refusals keeps the requests that crash upstreams in the store: one object for each router, which only that router writes.
@@ -34,6 +36,9 @@
 	store  RefusalStore
 	router string
 	log    *eventlog.Log
+	// revision is that of this router's object as last read or written; 0 if there is none. Each write expects it, since one
+	// that was given up may be executed seconds later.
+	revision uint64
 }
 
 // NewRefusals returns the refusals of the router.
@@ -98,6 +103,9 @@
 	}
 	total := 0
 	for _, o := range objects {
+		if o.Name == r.router {
+			r.revision = o.Revision
+		}
 		var spec refusalsSpec
 		if err := json.Unmarshal(o.Spec, &spec); err != nil {
 			r.log.State("refused requests of a router not read", "router", o.Name, "err", err)
@@ -117,8 +125,12 @@
 	r.core.Do(func(s *dispatch.State) {
 		spec.Requests, version = s.Crashes.OwnRefusals(time.Now()), s.Crashes.OwnRefusalsVersion()
 	})
-	revision, err := r.store.Write(ctx, platform.KindRefusals, r.router, spec)
-	if err == nil {
+	revision, current, err := r.store.WriteIf(ctx, platform.KindRefusals, r.router, spec, r.revision)
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		r.revision = current.Revision // an earlier write without an answer has been executed
+	case err == nil:
+		r.revision = revision
 		r.log.State("refused requests stored", "requests", len(spec.Requests), "revision", revision)
 	}
 	return version, err
--- a/pkg/gateway/refusals_test.go
+++ b/pkg/gateway/refusals_test.go
@@ -13,16 +13,20 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/gateway"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
 // refusalStore is a store whose calls fail while down is set.
 type refusalStore struct {
-	mu      sync.Mutex
-	down    bool
-	objects map[string]json.RawMessage
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	objects  map[string]platform.Object
 }
 
+func newRefusalStore() *refusalStore { return &refusalStore{objects: map[string]platform.Object{}} }
+
 var errStoreDown = errors.New("store is down")
 
 func (s *refusalStore) List(context.Context, string) ([]platform.Object, uint64, error) {
@@ -32,21 +36,25 @@
 		return nil, 0, errStoreDown
 	}
 	var out []platform.Object
-	for name, spec := range s.objects {
-		out = append(out, platform.Object{Name: name, Spec: spec})
+	for _, o := range s.objects {
+		out = append(out, o)
 	}
-	return out, 1, nil
+	return out, s.revision, nil
 }
 
-func (s *refusalStore) Write(_ context.Context, _, name string, spec any) (uint64, error) {
+func (s *refusalStore) WriteIf(_ context.Context, _, name string, spec any, expect uint64) (uint64, platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, errStoreDown
+		return 0, platform.Object{}, errStoreDown
+	}
+	if s.objects[name].Revision != expect {
+		return 0, s.objects[name], store.ErrConflict
 	}
 	raw, err := json.Marshal(spec)
-	s.objects[name] = raw
-	return 1, err
+	s.revision++
+	s.objects[name] = platform.Object{Name: name, Revision: s.revision, Spec: raw}
+	return s.revision, platform.Object{}, err
 }
 
 func (s *refusalStore) setDown(down bool) {
@@ -88,7 +96,7 @@
 
 	// Guards against a request that crashes three more upstreams after each loss of power of all processes.
 	It("are known to routers that start after all others have ended", func() {
-		store := &refusalStore{objects: map[string]json.RawMessage{}}
+		store := newRefusalStore()
 		crashThrice(start(store, "edge-1"))
 		Eventually(store.written, "2s").Should(Equal(1))
 		Eventually(refused(start(store, "edge-2")), "2s").Should(BeTrue())
@@ -97,7 +105,7 @@
 	// Guards against a write that drops what an earlier process of the router has stored, while the store is down at the
 	// start of its successor.
 	It("survive an outage of the store", func() {
-		store := &refusalStore{objects: map[string]json.RawMessage{}}
+		store := newRefusalStore()
 		crashThrice(start(store, "edge-1"))
 		Eventually(store.written, "2s").Should(Equal(1))
 		store.setDown(true)
