Let the soak's size and traffic be chosen

What callers saw: ORDER and BUDGET were reported from real processes in deployments whose shape the soak could not take: 4 to 27 entries, 9 engines and more, streams of 13 to 97 events and many callers at a time.

Cause: the numbers of processes, callers, events and attempts and the limit on retries were constants.

The limit on retries is written to the settings files and checked with the same values. Entries that a shape calls spare do not run at first.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -25,17 +25,23 @@
 	RepeatCrash   bool          `help:"Send a request that crashes runners again and again while all processes lose power, in place of random faults."`
 	RemoveEngines bool          `help:"Remove one engine after the other at short notice, in place of random faults."`
 	WithdrawKeys  bool          `help:"Withdraw callers' keys while routers are partitioned from the store, in place of random faults."`
+	Shape         string        `help:"Size and traffic: default, traitvif, vanstops or large." default:"default"`
 	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
 	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
 	Verbose       bool          `help:"Print the events and outcomes of each seed."`
 }
 
+var shape soak.Shape
+
 func main() {
 	kong.Parse(&cli, kong.Name("hibiscuscross-soak"))
 	if cli.Seed == 0 {
 		cli.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
 	binary, err := filepath.Abs(cli.Binary)
+	if err == nil {
+		shape, err = soak.ShapeNamed(cli.Shape)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hibiscuscross-soak:", err)
 		os.Exit(2)
@@ -81,7 +87,7 @@
 		fmt.Println("seed", seed, "failed:", err)
 		return false
 	}
-	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys})
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, Shape: shape, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys})
 	ok := err == nil && len(res.Violations) == 0
 	fmt.Printf("seed %d: %d events, %d of %d requests served after recovery, %d rules broken, err %v\n", seed, len(res.Events), res.Served, res.Sent, len(res.Violations), err)
 	if !ok || cli.Verbose {
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -20,19 +20,12 @@
 )
 
 const (
-	numCallers = 8
 	// answerMargin is the time after a request's timeout within which its answer is still accepted.
-	answerMargin    = 500 * time.Millisecond
-	requestInterval = 25 * time.Millisecond
+	answerMargin = 500 * time.Millisecond
 	// runnerDisturbanceGrace is how long after a runner was disturbed connections may still be interrupted.
 	runnerDisturbanceGrace = 500 * time.Millisecond
 )
 
-var (
-	streamKinds  = []string{"report", "chat"}
-	requestKinds = append(streamKinds[:len(streamKinds):len(streamKinds)], "loan", "lookup", "new")
-)
-
 // caller sends requests one after the other. It reuses each connection until it is closed or its process ends, and
 // sends requests only to entries that are in the balancer's rotation.
 type caller struct {
@@ -52,7 +45,7 @@
 
 func (w *world) newCaller(n int, s *stats) *caller {
 	c := &caller{world: w, index: n, random: rand.New(rand.NewPCG(w.options.Seed, uint64(100+n))), stats: s}
-	for range numEntries {
+	for range w.shape.allEntries() {
 		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}})
 	}
 	return c
@@ -66,120 +59,137 @@
 			c.measuring = true
 		default:
 		}
-		entry := c.random.IntN(numEntries)
+		entry := c.random.IntN(len(c.clients))
 		if inRotation(entry) {
 			c.send(entry, fmt.Sprintf("%x-%d-%d", c.world.options.Seed, c.index, seq))
 		}
-		time.Sleep(requestInterval)
+		time.Sleep(c.world.shape.RequestInterval)
 	}
 }
 
+// request is a request of a caller and what its answer is checked against.
+type request struct {
+	id, kind, method, path string
+	events                 int // of a stream; 0 for other requests
+	body                   []byte
+	model, parts           string
+	timeout                time.Duration
+	entry                  int
+	start                  time.Time
+	activeFrom             time.Time // a route of the newest configuration has to be active from then on
+}
+
 // send sends one request of a random kind and checks its answer.
 func (c *caller) send(entry int, id string) {
-	kinds := requestKinds
+	kinds := c.world.shape.Mix
 	if c.world.options.RemoveEngines {
-		kinds = streamKinds
+		kinds = streams(kinds)
 	}
-	kind := kinds[c.random.IntN(len(kinds))]
-	path, activeFrom := fmt.Sprintf("/%s/%d//x%%2f?q=%d", kind, c.index, c.random.IntN(100)), time.Time{}
-	if kind == "new" {
-		path, activeFrom = c.world.newestRoute(time.Now())
+	drawn := kinds[c.random.IntN(len(kinds))]
+	r := &request{id: id, kind: drawn.Route, entry: entry, events: drawn.Events, method: http.MethodGet}
+	r.path = fmt.Sprintf("/%s/%d//x%%2f?q=%d", r.kind, c.index, c.random.IntN(100))
+	if r.events > 0 && r.events != standin.EventsPerStream {
+		r.path += standin.EventsQuery(r.events)
 	}
-	var body []byte
-	method := http.MethodGet
-	if kind != "lookup" && kind != "new" {
-		method, body = http.MethodPost, bytes.Repeat([]byte(id), 1+c.random.IntN(200))
+	if r.kind == "new" {
+		r.path, r.activeFrom = c.world.newestRoute(time.Now())
 	}
-	timeout := 1500*time.Millisecond + time.Duration(c.random.IntN(3000))*time.Millisecond
-	req, err := http.NewRequest(method, "http://"+c.world.entryAddresses[entry]+path, bytes.NewReader(body))
-	if err != nil {
-		panic(err) // all paths of the soak are valid
+	if r.kind != "lookup" && r.kind != "new" {
+		r.method, r.body = http.MethodPost, bytes.Repeat([]byte(id), 1+c.random.IntN(200))
 	}
-	req.Host = standin.Host
-	model, parts := "", ""
-	if kind == "report" || kind == "chat" {
-		model = fmt.Sprintf("m%d", c.random.IntN(len(modelSizes)))
+	r.timeout = 1500*time.Millisecond + time.Duration(c.random.IntN(3000))*time.Millisecond
+	if r.events > 0 {
+		r.model = fmt.Sprintf("m%d", c.random.IntN(len(modelSizes)))
 		if c.random.IntN(3) == 0 {
-			model += fmt.Sprintf("/a%d", 1+c.random.IntN(4))
+			r.model += fmt.Sprintf("/a%d", 1+c.random.IntN(4))
 		}
-		parts = fmt.Sprintf("s1:400,t%d:300,%x:200", c.random.IntN(3), c.random.IntN(1<<20))
+		r.parts = fmt.Sprintf("s1:400,t%d:300,%x:200", c.random.IntN(3), c.random.IntN(1<<20))
 	}
-	standin.SetRequestHeader(req.Header, id, timeout, model, parts)
-	c.world.check.recordSent(id, kind, path, body)
-	c.setKey(req.Header, id)
-	start := time.Now()
-	resp, err := c.clients[entry].Do(req)
+	c.exchange(r)
+}
+
+// exchange sends a request and checks its answer.
+func (c *caller) exchange(r *request) {
+	req, err := http.NewRequest(r.method, "http://"+c.world.entryAddresses[r.entry]+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		panic(err) // all paths of the soak are valid
+	}
+	req.Host = standin.Host
+	standin.SetRequestHeader(req.Header, r.id, r.timeout, r.model, r.parts)
+	c.world.check.recordSent(r.id, r.kind, r.path, r.body)
+	c.setKey(req.Header, r.id)
+	r.start = time.Now()
+	resp, err := c.clients[r.entry].Do(req)
 	if err != nil {
-		c.recordEnd(entry, kind, id, start, timeout, "no answer", err)
+		c.recordEnd(r, "no answer", err)
 		return
 	}
 	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	c.checkResponse(entry, kind, id, path, body, resp, answer, err, start, activeFrom)
-	c.recordEnd(entry, kind, id, start, timeout, strconv.Itoa(resp.StatusCode), err)
+	c.checkResponse(r, resp, answer, err)
+	c.recordEnd(r, strconv.Itoa(resp.StatusCode), err)
 }
 
-// checkResponse checks an answer against its request. A route of the newest configuration must be active from
-// activeFrom on.
-func (c *caller) checkResponse(entry int, kind, id, path string, body []byte, resp *http.Response, answer []byte, err error, start, activeFrom time.Time) {
+// checkResponse checks an answer against its request.
+func (c *caller) checkResponse(r *request, resp *http.Response, answer []byte, err error) {
 	check := c.world.check
-	if got := standin.AnswerID(resp.Header); got != "" && got != id {
-		check.recordViolation("mixed", fmt.Sprintf("%s got the answer to %s", id, got))
+	if got := standin.AnswerID(resp.Header); got != "" && got != r.id {
+		check.recordViolation("mixed", fmt.Sprintf("%s got the answer to %s", r.id, got))
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK && err == nil:
-		c.checkBody(kind, id, path, body, resp, answer)
+		c.checkBody(r, resp, answer)
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
-		check.recordRefusal(id)
+		check.recordRefusal(r.id)
 	case resp.StatusCode == http.StatusUnauthorized:
-		c.checkUnauthorized(kind, id)
+		c.checkUnauthorized(r.kind, r.id)
 	case resp.StatusCode == http.StatusNotFound:
-		proc := c.world.processes[entry]
-		if kind != "new" {
-			check.recordViolation("denied", fmt.Sprintf("%s %s was answered 404", kind, id))
-		} else if start.After(activeFrom) && proc.undisturbedSince(start.Add(-disturbanceGrace)) && c.world.storeUndisturbedSince(start.Add(-disturbanceGrace)) {
-			check.recordViolation("config", fmt.Sprintf("%s: route of %s is not active at %s", id, path, proc.name))
+		proc := c.world.processes[r.entry]
+		if r.kind != "new" {
+			check.recordViolation("denied", fmt.Sprintf("%s %s was answered 404", r.kind, r.id))
+		} else if r.start.After(r.activeFrom) && proc.undisturbedSince(r.start.Add(-disturbanceGrace)) && c.world.storeUndisturbedSince(r.start.Add(-disturbanceGrace)) {
+			check.recordViolation("config", fmt.Sprintf("%s: route of %s is not active at %s", r.id, r.path, proc.name))
 		}
 	}
 }
 
 // checkBody checks that a successful answer belongs to the request and is complete and stamped.
-func (c *caller) checkBody(kind, id, path string, body []byte, resp *http.Response, answer []byte) {
-	want := fmt.Sprintf("%s %s %x", id, path, xxhash.Sum64(body))
-	if kind == "report" || kind == "chat" {
+func (c *caller) checkBody(r *request, resp *http.Response, answer []byte) {
+	want := fmt.Sprintf("%s %s %x", r.id, r.path, xxhash.Sum64(r.body))
+	if r.events > 0 {
 		var b strings.Builder
-		for i := 1; i <= standin.EventsPerStream; i++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, id, i)
+		for i := 1; i <= r.events; i++ {
+			fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, r.id, i)
 		}
 		want = b.String()
 	}
 	switch {
 	case strings.HasPrefix(want, string(answer)) && string(answer) != want:
-		c.world.check.recordViolation("order", fmt.Sprintf("%s %s: truncated answer looks complete: got %q", kind, id, answer))
+		c.world.check.recordViolation("order", fmt.Sprintf("%s %s: truncated answer looks complete: got %q", r.kind, r.id, answer))
 	case string(answer) != want:
-		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: got %q", kind, id, answer))
+		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: got %q", r.kind, r.id, answer))
 	case !standin.Signed(resp.Header):
-		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: successful answer has no stamp", kind, id))
+		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: successful answer has no stamp", r.kind, r.id))
 	}
 }
 
 // recordEnd checks a request's duration and how its connection ended, and counts its outcome.
-func (c *caller) recordEnd(entry int, kind, id string, start time.Time, timeout time.Duration, outcome string, err error) {
-	elapsed := time.Since(start)
-	if elapsed > timeout+answerMargin && c.world.processes[entry].undisturbedSince(start.Add(-disturbanceGrace)) && !errors.Is(err, io.EOF) {
-		c.world.check.recordViolation("late", fmt.Sprintf("%s %s ended after %s with a timeout of %s: %s %v", kind, id, elapsed, timeout, outcome, err))
+func (c *caller) recordEnd(r *request, outcome string, err error) {
+	elapsed := time.Since(r.start)
+	if elapsed > r.timeout+answerMargin && c.world.processes[r.entry].undisturbedSince(r.start.Add(-disturbanceGrace)) && !errors.Is(err, io.EOF) {
+		c.world.check.recordViolation("late", fmt.Sprintf("%s %s ended after %s with a timeout of %s: %s %v", r.kind, r.id, elapsed, r.timeout, outcome, err))
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) && c.world.processes[entry].balancerUnaware(time.Now()) {
-		c.world.check.recordViolation("lost", fmt.Sprintf("%s refused %s %s before the balancer could detect its stop", c.world.processes[entry].name, kind, id))
+	if errors.Is(err, syscall.ECONNREFUSED) && c.world.processes[r.entry].balancerUnaware(time.Now()) {
+		c.world.check.recordViolation("lost", fmt.Sprintf("%s refused %s %s before the balancer could detect its stop", c.world.processes[r.entry].name, r.kind, r.id))
 	}
-	lost := err != nil && elapsed < timeout && c.world.check.hasRun(id) && c.world.processes[entry].inPlannedStop(time.Now())
-	if lost && c.world.runnersUndisturbedSince(start.Add(-runnerDisturbanceGrace)) {
-		c.world.check.recordViolation("lost", fmt.Sprintf("%s %s ran but got no complete answer while %s stopped: %v", kind, id, c.world.processes[entry].name, err))
+	lost := err != nil && elapsed < r.timeout && c.world.check.hasRun(r.id) && c.world.processes[r.entry].inPlannedStop(time.Now())
+	if lost && c.world.runnersUndisturbedSince(r.start.Add(-runnerDisturbanceGrace)) {
+		c.world.check.recordViolation("lost", fmt.Sprintf("%s %s ran but got no complete answer while %s stopped: %v", r.kind, r.id, c.world.processes[r.entry].name, err))
 	}
 	if err != nil && outcome != "no answer" {
 		outcome += " cut"
 	}
-	c.world.check.countOutcome(kind, outcome)
+	c.world.check.countOutcome(r.kind, outcome)
 	if !c.measuring {
 		return
 	}
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -31,6 +31,7 @@
 	// requestTimes and repeatTimes are the times of the requests and of their arrivals beyond the first, by service.
 	requestTimes, repeatTimes map[string][]time.Time
 	violations                []string
+	shape                     Shape
 	outcomes                  map[string]int
 	keys                      *keyring // nil if the configuration has no tenants
 }
@@ -41,8 +42,8 @@
 	at     time.Time
 }
 
-func newChecker() *checker {
-	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
+func newChecker(s Shape) *checker {
+	return &checker{shape: s.withDefaults(), requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -69,7 +70,7 @@
 	defer c.mu.Unlock()
 	s := c.requests[id]
 	s.refused = true
-	if s.runs > 0 && !retryable(s.kind) {
+	if s.runs > 0 && !c.shape.retryable(s.kind) {
 		c.recordViolationLocked("refused", fmt.Sprintf("%s %s was refused although it had run", s.kind, id))
 	}
 }
@@ -88,7 +89,9 @@
 }
 
 // retryable reports whether requests of a kind may run more than once.
-func retryable(kind string) bool { return kind != "loan" && kind != "chat" }
+func (s Shape) retryable(kind string) bool {
+	return kind != "loan" && kind != "chat" && (kind != "report" || !s.NotResumable)
+}
 
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
@@ -120,11 +123,11 @@
 		c.recordViolationLocked("revoked", fmt.Sprintf("%s %s ran with key %q, which had been withdrawn", s.kind, id, s.key))
 	case s.target != target || s.bodyHash != body:
 		c.recordViolationLocked("unasked", fmt.Sprintf("%s ran %s with target %s or another body", runner, id, target))
-	case s.refused && !retryable(s.kind):
+	case s.refused && !c.shape.retryable(s.kind):
 		c.recordViolationLocked("refused", fmt.Sprintf("%s %s ran after it had been refused", s.kind, id))
-	case s.runs > 1 && !retryable(s.kind):
+	case s.runs > 1 && !c.shape.retryable(s.kind):
 		c.recordViolationLocked("twice", fmt.Sprintf("%s %s ran %d times: %v", s.kind, id, s.runs, s.runners))
-	case s.runs > 2:
+	case s.runs > c.shape.MaxAttempts:
 		c.recordViolationLocked("attempts", fmt.Sprintf("%s %s ran %d times: %v", s.kind, id, s.runs, s.runners))
 	}
 }
--- a/pkg/soak/check_test.go
+++ b/pkg/soak/check_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("checks", func() {
 	var c *checker
 	BeforeEach(func() {
-		c = newChecker()
+		c = newChecker(Shape{})
 		c.recordSent("1", "loan", "/loan/x", []byte("b"))
 		c.recordSent("2", "lookup", "/lookup/x", nil)
 	})
@@ -40,10 +40,10 @@
 	It("detect retries beyond the limit", func() {
 		at := time.Now()
 		arrive := c.observer().RequestArrived
-		for i := range int(standin.RetryBurst) + 2 {
+		for i := range int(standin.DefaultRetryLimit.Burst) + 2 {
 			arrive("1", "a", at.Add(time.Duration(i)*100*time.Millisecond))
 		}
-		c.checkRetryLimit()
+		c.checkRetryLimit(standin.DefaultRetryLimit)
 		Expect(c.violations).To(ConsistOf(ContainSubstring("budget: 59 repeats")))
 	})
 
--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashingTimeout)
 	defer cancel()
 	const path, body = "/loan" + standin.CrashingPath, "the same body"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddresses[n%numEntries]+path, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddresses[n%w.shape.Entries]+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		panic(err) // the path is valid
 	}
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -132,7 +132,7 @@
 	r.Drain()
 	time.Sleep(max(duration, drainDelay+time.Second))
 	undisturbed := w.storeUndisturbedSince(start.Add(-disturbanceGrace))
-	for _, p := range w.processes[:numEntries] {
+	for _, p := range w.entries() {
 		undisturbed = undisturbed && p.undisturbedSince(start.Add(-disturbanceGrace))
 	}
 	if last := w.check.lastArrival(id); undisturbed && last.After(start.Add(drainDelay)) {
--- a/pkg/soak/limit.go
+++ b/pkg/soak/limit.go
@@ -37,7 +37,7 @@
 
 // checkRetryLimit checks that the arrivals beyond the first of each request stay within the limit on retries in each
 // window. The requests are counted in the window, the one before it or the one half a window before it.
-func (c *checker) checkRetryLimit() {
+func (c *checker) checkRetryLimit(l standin.RetryLimit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for service, repeats := range c.repeatTimes {
@@ -45,10 +45,10 @@
 		requests := c.requestTimes[service]
 		worst, detail := 0.0, ""
 		for _, start := range repeats {
-			n := max(countWithin(requests, start), countWithin(requests, start.Add(-standin.RetryWindow)), countWithin(requests, start.Add(-standin.RetryWindow/2)))
-			allowed := standin.RetryRatio*float64(n) + standin.RetryBurst
-			if got := countWithin(repeats, start); float64(got)-allowed > worst {
-				worst, detail = float64(got)-allowed, fmt.Sprintf("%d repeats arrived at %s within %s for %d requests, %.0f allowed", got, service, standin.RetryWindow, n, allowed)
+			n := max(countWithin(requests, start, l.Window), countWithin(requests, start.Add(-l.Window), l.Window), countWithin(requests, start.Add(-l.Window/2), l.Window))
+			allowed := l.Ratio*float64(n) + l.Burst
+			if got := countWithin(repeats, start, l.Window); float64(got)-allowed > worst {
+				worst, detail = float64(got)-allowed, fmt.Sprintf("%d repeats arrived at %s within %s for %d requests, %.0f allowed", got, service, l.Window, n, allowed)
 			}
 		}
 		if worst > 0 {
@@ -57,12 +57,12 @@
 	}
 }
 
-// countWithin returns the number of the sorted times within the window of the limit on retries from start.
-func countWithin(times []time.Time, start time.Time) int {
+// countWithin returns the number of the sorted times within the window from start.
+func countWithin(times []time.Time, start time.Time, window time.Duration) int {
 	before := func(end time.Time) int {
 		return sort.Search(len(times), func(i int) bool { return !times[i].Before(end) })
 	}
-	return before(start.Add(standin.RetryWindow)) - before(start)
+	return before(start.Add(window)) - before(start)
 }
 
 // killEntries kills all entries again and again while most requests are rejected.
@@ -73,7 +73,7 @@
 	var events []string
 	for start := time.Now(); time.Since(start) < w.options.FaultPeriod; {
 		time.Sleep(killInterval)
-		for _, p := range w.processes[:numEntries] {
+		for _, p := range w.entries() {
 			p.kill()
 			w.restartProcess(p)
 		}
--- a/pkg/soak/removal.go
+++ b/pkg/soak/removal.go
@@ -17,7 +17,7 @@
 	var events []string
 	start := time.Now()
 	for i := 0; time.Since(start) < w.options.FaultPeriod; i++ {
-		r := w.runners[i%numEngines]
+		r := w.runners[i%w.shape.Engines]
 		end := w.startRunnerDisturbance()
 		r.RemoveAfter(removalNotice)
 		events = append(events, fmt.Sprintf("%6.2f s removed %s", time.Since(start).Seconds(), r.ID()))
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -52,7 +52,7 @@
 	var wg sync.WaitGroup
 	s := &stats{}
 	go lb.run(ctx)
-	for n := range numCallers {
+	for n := range w.shape.Callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -76,7 +76,7 @@
 	time.Sleep(measureTime)
 	cancel()
 	wg.Wait()
-	w.check.checkRetryLimit()
+	w.check.checkRetryLimit(w.shape.Retries)
 	res.Violations, res.Outcomes, res.Sent, res.Served = w.check.violations, w.check.outcomes, s.sent, s.served
 	if float64(s.served) < minServedShare*float64(s.sent) || s.sent == 0 {
 		res.Violations = append(res.Violations, fmt.Sprintf("recover: %d of %d requests served after the last disturbance", s.served, s.sent))
@@ -136,6 +136,9 @@
 	return name
 }
 
+// minFailedProbes is the number of failed probes after which an entry leaves the rotation.
+const minFailedProbes = 2
+
 // balancer stands in for the platform's load balancer: it probes each entry once a second and takes it out of rotation
 // after two failed probes.
 type balancer struct {
@@ -145,7 +148,11 @@
 }
 
 func newBalancer(w *world) *balancer {
-	return &balancer{world: w, failedProbes: make([]int, numEntries)}
+	b := &balancer{world: w, failedProbes: make([]int, w.shape.allEntries())}
+	for i := w.shape.Entries; i < len(b.failedProbes); i++ {
+		b.failedProbes[i] = minFailedProbes
+	}
+	return b
 }
 
 func (b *balancer) run(ctx context.Context) {
@@ -161,10 +168,10 @@
 	}
 }
 
-// probe probes each entry once and reports whether all are ready.
+// probe probes each entry once and reports whether all are ready but those that are added later.
 func (b *balancer) probe() bool {
 	allReady := true
-	for i := range numEntries {
+	for i := range b.failedProbes {
 		ready := b.world.isReady(i)
 		b.mu.Lock()
 		b.failedProbes[i]++
@@ -172,7 +179,7 @@
 			b.failedProbes[i] = 0
 		}
 		b.mu.Unlock()
-		allReady = allReady && ready
+		allReady = allReady && (ready || i >= b.world.shape.Entries)
 	}
 	return allReady
 }
@@ -181,7 +188,7 @@
 func (b *balancer) inRotation(i int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failedProbes[i] < 2
+	return b.failedProbes[i] < minFailedProbes
 }
 
 // waitAllReady probes until all entries are ready and reports whether that happened within the timeout.
--- a/pkg/soak/withdraw.go
+++ b/pkg/soak/withdraw.go
@@ -108,9 +108,12 @@
 	var events []string
 	start := time.Now()
 	for i := 0; time.Since(start) < w.options.FaultPeriod; i++ {
-		entries := []int{i % numEntries}
+		entries := []int{i % w.shape.Entries}
 		if i%3 == 2 {
-			entries = []int{0, 1, 2}
+			entries = entries[:0]
+			for n := range w.shape.Entries {
+				entries = append(entries, n)
+			}
 		}
 		for _, n := range entries {
 			w.storeProxies[n].Set(Blackhole, false)
@@ -130,7 +133,7 @@
 // hold lasts withdrawalFault. It pauses the first entry meanwhile if pause is true.
 func (w *world) hold(entries []int, pause bool) {
 	for start := time.Now(); time.Since(start) < withdrawalFault; time.Sleep(markInterval) {
-		for n, p := range w.processes[:numEntries] {
+		for n, p := range w.entries() {
 			if slices.Contains(entries, n) {
 				p.markDisturbed()
 			}
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	numEntries       = 3
-	numEngines       = 4
-	numPlainServices = 2
 	// stopGrace is the maximum time from SIGTERM to the exit of a process.
 	stopGrace = 8 * time.Second
 	// disturbanceGrace is how long after a disturbance a process may still violate time limits.
@@ -40,6 +37,7 @@
 	Seed   uint64
 	// LoopbackNet is the second byte of the loopback addresses, 1 to 254. Concurrent runs need different values.
 	LoopbackNet int
+	Shape       Shape
 	// FaultPeriod is the period in which faults are started.
 	FaultPeriod time.Duration
 	// KillEntries kills all entries again and again while runners reject most requests, in place of the random faults.
@@ -57,6 +55,7 @@
 // world contains everything that takes part in one run: stand-ins, proxies, processes and checks.
 type world struct {
 	options      Options
+	shape        Shape // of the options, with defaults
 	random       *rand.Rand
 	store        *standin.Store
 	runners      []*runner
@@ -89,7 +88,7 @@
 
 // newWorld starts the stand-ins and the processes. The world returned with an error has to be closed too, if not nil.
 func newWorld(opt Options) (*world, error) {
-	w := &world{options: opt, random: rand.New(rand.NewPCG(opt.Seed, 1)), store: standin.NewStore(), check: newChecker(), storeDisturbanceEnd: time.Now()}
+	w := &world{options: opt, shape: opt.Shape.withDefaults(), random: rand.New(rand.NewPCG(opt.Seed, 1)), store: standin.NewStore(), check: newChecker(opt.Shape), storeDisturbanceEnd: time.Now()}
 	ln, err := net.Listen("tcp4", hostPort(w.ip(9, 0), storePort))
 	if err != nil {
 		return nil, err
@@ -104,19 +103,19 @@
 	} else {
 		w.writeConfig()
 	}
-	for i := range numEngines + numPlainServices {
+	for i := range w.shape.Engines + w.shape.PlainServices {
 		if err := w.addRunner(i); err != nil {
 			return w, err
 		}
 	}
-	for i := range numEntries {
-		if err := w.addProcess("entry", i, w.ip(1, i)); err != nil {
+	for i := range w.shape.allEntries() {
+		if err := w.addProcess("entry", i, w.ip(1, i), i < w.shape.Entries); err != nil {
 			return w, err
 		}
 		w.entryAddresses = append(w.entryAddresses, hostPort(w.ip(1, i), frontPort))
 	}
-	for i := range numEngines {
-		if err := w.addProcess("sidecar", i, w.ip(2, i)); err != nil {
+	for i := range w.shape.Engines {
+		if err := w.addProcess("sidecar", i, w.ip(2, i), true); err != nil {
 			return w, err
 		}
 	}
@@ -124,10 +123,10 @@
 }
 
 func (w *world) addRunner(i int) error {
-	isPlain := i >= numEngines
+	isPlain := i >= w.shape.Engines
 	settings := standin.RunnerSettings{
 		Service: "llm", Zone: zone(i), ListedAddress: hostPort(w.ip(2, i), runnerPort), ListenAddress: hostPort(w.ip(3, i), runnerPort), Slots: 32,
-		MemoryMB: 200, AdapterSlots: 3, Models: modelSizes, FetchTime: 800 * time.Millisecond, DiskTime: 150 * time.Millisecond, WorkTime: 10 * time.Millisecond,
+		MemoryMB: 200, AdapterSlots: 3, Models: modelSizes, FetchTime: 800 * time.Millisecond, DiskTime: 150 * time.Millisecond, WorkTime: w.shape.EventTime,
 	}
 	models := []string{fmt.Sprintf("m%d", i%len(modelSizes)), fmt.Sprintf("m%d", (i+1)%len(modelSizes))}
 	if isPlain {
@@ -146,9 +145,12 @@
 	return nil
 }
 
+// entries returns the processes that serve callers, with those that are added later.
+func (w *world) entries() []*process { return w.processes[:w.shape.allEntries()] }
+
 func zone(i int) string { return fmt.Sprintf("z%d", i%3) }
 
-func (w *world) addProcess(role string, i int, ip string) error {
+func (w *world) addProcess(role string, i int, ip string, start bool) error {
 	name := fmt.Sprintf("%s-%d", role, i)
 	storeAddress := hostPort(w.ip(4, len(w.processes)), storePort)
 	proxy, err := NewProxy(storeAddress, hostPort(w.ip(9, 0), storePort))
@@ -162,6 +164,11 @@
 	}
 	p := &process{name: name, role: role, binary: w.options.Binary, settings: settings, logs: w.options.Dir, onExit: func(d string) { w.check.recordViolation("process", d) }}
 	w.processes = append(w.processes, p)
+	if !start {
+		p.exited = make(chan struct{})
+		close(p.exited)
+		return nil
+	}
 	return p.start()
 }
 
@@ -176,12 +183,13 @@
 	defer w.mu.Unlock()
 	w.version++
 	w.versionWritten = time.Now()
+	attempts := w.shape.MaxAttempts
 	config := standin.Config(w.version, []standin.Route{
-		{Name: "report", Prefix: "/report/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, MaxAttempts: 2, Resumable: true},
+		{Name: "report", Prefix: "/report/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, MaxAttempts: attempts, Resumable: !w.shape.NotResumable},
 		{Name: "chat", Prefix: "/chat/", Kind: standin.Streaming, Service: "llm", Timeout: 5 * time.Second, MaxAttempts: 1},
-		{Name: "loan", Prefix: "/loan/", Kind: standin.NonIdempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
-		{Name: "lookup", Prefix: "/lookup/", Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
-		{Name: "new", Prefix: fmt.Sprintf("/v%d/", w.version), Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: 2},
+		{Name: "loan", Prefix: "/loan/", Kind: standin.NonIdempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: attempts},
+		{Name: "lookup", Prefix: "/lookup/", Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: attempts},
+		{Name: "new", Prefix: fmt.Sprintf("/v%d/", w.version), Kind: standin.Idempotent, Service: "loans", Timeout: 2 * time.Second, MaxAttempts: attempts},
 	}, modelSizes)
 	if len(keys) > 0 {
 		config = standin.WithTenants(config, standin.TenantKeys{Name: tenantName, Keys: keys})
@@ -191,7 +199,7 @@
 
 // processSettings returns the settings of process i of a role.
 func (w *world) processSettings(name, ip string, i int, store string, sidecar bool) standin.Settings {
-	s := standin.Settings{Name: name, IP: ip, Zone: zone(i), PeerPort: peerPort, Front: hostPort(ip, frontPort), Ready: hostPort(ip, readyPort), Store: store}
+	s := standin.Settings{Name: name, IP: ip, Zone: zone(i), PeerPort: peerPort, Front: hostPort(ip, frontPort), Ready: hostPort(ip, readyPort), Store: store, Retries: w.shape.Retries}
 	if w.options.WithdrawKeys {
 		s.RevokeDelay = revokeDelay
 	}
