Judge each stream of the soak from both ends, and name the form of ORDER

What callers saw: ORDER was reported with counts only; nobody could say whether pieces were missing, came twice, were joined from two runs, or whether the stream only ended too early.

Cause: the soak compared the whole text of complete streams, so broken ones were not looked at, and it kept nothing.

Change: each event carries the run that wrote it and where that run began. The check looks at every stream, broken ones too, and names one of the four forms. The stand-in reports what each run wrote and how it ended. Where the shape says so, callers resume broken streams at another entry with Last-Event-Id.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,12 +28,13 @@
 // caller sends requests one after the other. It reuses each connection until it is closed or its process ends, and
 // sends requests only to entries that are in the balancer's rotation.
 type caller struct {
-	world     *world
-	index     int
-	random    *rand.Rand
-	clients   []*http.Client
-	measuring bool // outcomes are counted in stats
-	stats     *stats
+	world      *world
+	index      int
+	random     *rand.Rand
+	clients    []*http.Client
+	inRotation func(int) bool
+	measuring  bool // outcomes are counted in stats
+	stats      *stats
 }
 
 // stats counts the outcomes of requests after the recovery time.
@@ -43,8 +43,8 @@
 	sent, served int
 }
 
-func (w *world) newCaller(n int, s *stats) *caller {
-	c := &caller{world: w, index: n, random: rand.New(rand.NewPCG(w.options.Seed, uint64(100+n))), stats: s}
+func (w *world) newCaller(n int, inRotation func(int) bool, s *stats) *caller {
+	c := &caller{world: w, inRotation: inRotation, index: n, random: rand.New(rand.NewPCG(w.options.Seed, uint64(100+n))), stats: s}
 	for range w.shape.allEntries() {
 		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}})
 	}
@@ -52,7 +52,7 @@
 }
 
 // run sends requests until ctx ends and completes the last one. recovered is closed after the recovery time.
-func (c *caller) run(ctx context.Context, inRotation func(int) bool, recovered <-chan struct{}) {
+func (c *caller) run(ctx context.Context, recovered <-chan struct{}) {
 	for seq := 0; ctx.Err() == nil; seq++ {
 		select {
 		case <-recovered:
@@ -60,7 +60,7 @@
 		default:
 		}
 		entry := c.random.IntN(len(c.clients))
-		if inRotation(entry) {
+		if c.inRotation(entry) {
 			c.send(entry, fmt.Sprintf("%x-%d-%d", c.world.options.Seed, c.index, seq))
 		}
 		time.Sleep(c.world.shape.RequestInterval)
@@ -76,6 +76,9 @@
 	timeout                time.Duration
 	entry                  int
 	start                  time.Time
+	from                   int       // the last event that the caller had before, if it resumes a stream
+	resumed                string    // the request whose stream it resumes
+	resumptions            int       // of the first request, with this one
 	activeFrom             time.Time // a route of the newest configuration has to be active from then on
 }
 
@@ -118,6 +121,9 @@
 	standin.SetRequestHeader(req.Header, r.id, r.timeout, r.model, r.parts)
 	c.world.check.recordSent(r.id, r.kind, r.path, r.body)
 	c.setKey(req.Header, r.id)
+	if r.from > 0 {
+		standin.SetLastEvent(req.Header, r.from)
+	}
 	r.start = time.Now()
 	resp, err := c.clients[r.entry].Do(req)
 	if err != nil {
@@ -128,6 +134,11 @@
 	_ = resp.Body.Close()
 	c.checkResponse(r, resp, answer, err)
 	c.recordEnd(r, strconv.Itoa(resp.StatusCode), err)
+	if resp.StatusCode == http.StatusOK && r.events > 0 {
+		if last := c.checkStream(r, string(answer), err); err != nil {
+			c.resume(r, last)
+		}
+	}
 }
 
 // checkResponse checks an answer against its request.
@@ -156,19 +167,15 @@
 // checkBody checks that a successful answer belongs to the request and is complete and stamped.
 func (c *caller) checkBody(r *request, resp *http.Response, answer []byte) {
 	want := fmt.Sprintf("%s %s %x", r.id, r.path, xxhash.Sum64(r.body))
-	if r.events > 0 {
-		var b strings.Builder
-		for i := 1; i <= r.events; i++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, r.id, i)
-		}
-		want = b.String()
-	}
 	switch {
-	case strings.HasPrefix(want, string(answer)) && string(answer) != want:
+	case r.events > 0: // checkStream checks the body
+	case string(answer) == want:
+	case bytes.HasPrefix([]byte(want), answer):
 		c.world.check.recordViolation("order", fmt.Sprintf("%s %s: truncated answer looks complete: got %q", r.kind, r.id, answer))
-	case string(answer) != want:
+	default:
 		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: got %q", r.kind, r.id, answer))
-	case !standin.Signed(resp.Header):
+	}
+	if !standin.Signed(resp.Header) {
 		c.world.check.recordViolation("mixed", fmt.Sprintf("%s %s: successful answer has no stamp", r.kind, r.id))
 	}
 }
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -32,6 +32,8 @@
 	requestTimes, repeatTimes map[string][]time.Time
 	violations                []string
 	shape                     Shape
+	streams                   []*streamRecord // that broke a rule
+	streamRuns                map[string][]standin.StreamRun
 	outcomes                  map[string]int
 	keys                      *keyring // nil if the configuration has no tenants
 }
@@ -43,7 +45,7 @@
 }
 
 func newChecker(s Shape) *checker {
-	return &checker{shape: s.withDefaults(), requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
+	return &checker{shape: s.withDefaults(), streamRuns: map[string][]standin.StreamRun{}, requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -90,9 +92,12 @@
 
 // retryable reports whether requests of a kind may run more than once.
 func (s Shape) retryable(kind string) bool {
-	return kind != "loan" && kind != "chat" && (kind != "report" || !s.NotResumable)
+	return kind != "loan" && kind != "chat" && (kind != "report" || s.resumable(kind))
 }
 
+// resumable reports whether streams of a kind may be resumed.
+func (s Shape) resumable(kind string) bool { return kind == "report" && !s.NotResumable }
+
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
 	return standin.Observer{
@@ -103,7 +108,7 @@
 			c.arrivals = append(c.arrivals, arrival{runner: runner, at: at})
 		},
 		RequestRan: c.recordRun,
-		RuleBroken: c.recordViolation,
+		RuleBroken: c.recordViolation, StreamEnded: c.recordStreamRun,
 	}
 }
 
--- a/pkg/soak/shape.go
+++ b/pkg/soak/shape.go
@@ -23,6 +23,8 @@
 	MaxAttempts int
 	// NotResumable makes route "report" one whose streams must not be resumed or repeated.
 	NotResumable bool
+	// CallersResume lets callers resume a broken stream of a resumable route at another entry.
+	CallersResume bool
 	// Retries is the limit on retries.
 	Retries standin.RetryLimit
 }
@@ -56,15 +58,15 @@
 	shapes = map[string]Shape{
 		"default": {},
 		"traitvif": {
-			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, Retries: retryLimit(54),
+			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, CallersResume: true, Retries: retryLimit(54),
 			Mix: slices.Concat(kinds(47, "chat", "chat", "chat", "report", "report"), kinds(8, "chat", "chat"), plainKinds),
 		},
 		"vanstops": {
-			Entries: 5, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 24, Retries: retryLimit(58),
+			Entries: 5, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, Retries: retryLimit(58),
 			Mix: slices.Concat(kinds(13, "chat", "chat", "report"), kinds(73, "chat", "chat", "report"), plainKinds),
 		},
 		"large": {
-			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, Retries: retryLimit(106),
+			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, Retries: retryLimit(106),
 			RequestInterval: 200 * time.Millisecond, Mix: slices.Concat(kinds(17, "chat", "chat", "report"), kinds(97, "chat", "chat"), plainKinds),
 		},
 	}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -56,7 +56,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			w.newCaller(n, s).run(ctx, lb.inRotation, recovered)
+			w.newCaller(n, lb.inRotation, s).run(ctx, recovered)
 		}()
 	}
 	switch {
@@ -82,7 +82,7 @@
 		res.Violations = append(res.Violations, fmt.Sprintf("recover: %d of %d requests served after the last disturbance", s.served, s.sent))
 	}
 	sort.Strings(res.Violations)
-	return res, nil
+	return res, w.check.writeStreams(opt.Dir)
 }
 
 // injectFaults injects faults at random intervals for the fault period and undoes each one after a random duration. It
