--- a/pkg/soak/proxy.go
+++ b/pkg/soak/proxy.go
@@ -3,8 +3,10 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -22,6 +24,9 @@
 	BlackholeReplies
 	// Blackhole forwards no bytes.
 	Blackhole
+	// Hold forwards bytes of open connections when the mode ends, unless their sender has reset the connection meanwhile.
+	// New connections carry nothing.
+	Hold
 )
 
 // chunkDelay is the delay of each chunk of bytes in mode Delay.
@@ -65,9 +70,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		reset(c)
+	}
+}
+
+// Finish ends all open connections regularly, as a device on the path may do.
+func (p *Proxy) Finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
 		_ = c.Close()
 	}
 }
@@ -89,8 +100,15 @@
 			return
 		}
 		p.mu.Lock()
-		refuse := p.refuseNew
+		refuse, hold, modeChanged := p.refuseNew, p.mode == Hold, p.modeChanged
 		p.mu.Unlock()
+		if hold {
+			go func() {
+				<-modeChanged
+				reset(c)
+			}()
+			continue
+		}
 		if refuse {
 			_ = c.Close()
 			continue
@@ -102,10 +120,7 @@
 func (p *Proxy) forward(client net.Conn) {
 	server, err := net.DialTimeout("tcp4", p.target, time.Second)
 	if err != nil {
-		if t, ok := client.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // reset, as by a port without a listener
-		}
-		_ = client.Close()
+		reset(client) // as by a port without a listener
 		return
 	}
 	p.mu.Lock()
@@ -130,7 +145,14 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.waitToForward(toClient) {
+		if p.currentMode() == Hold {
+			var held []byte
+			if held, err = p.hold(from, buf[:n], err); len(held) > 0 {
+				if _, werr := to.Write(held); werr != nil {
+					err = werr
+				}
+			}
+		} else if n > 0 && !p.waitToForward(toClient) {
 			err = io.ErrClosedPipe
 		} else if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
@@ -145,17 +167,54 @@
 				_ = t.CloseWrite()
 			}
 		default:
-			for _, c := range []net.Conn{to, from} {
-				if t, ok := c.(*net.TCPConn); ok {
-					_ = t.SetLinger(0)
-				}
-				_ = c.Close()
-			}
+			reset(to)
+			reset(from)
 		}
 		return
 	}
 }
 
+// reset closes a connection so that its peer sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// holdPoll is the time between two looks at the mode while bytes are held.
+const holdPoll = 20 * time.Millisecond
+
+// hold returns the bytes read and all that follow them until the mode is no longer Hold, and how the connection ended. It
+// returns no bytes if the connection was reset.
+func (p *Proxy) hold(from net.Conn, read []byte, err error) ([]byte, error) {
+	held, buf := append([]byte{}, read...), make([]byte, 16<<10)
+	for p.currentMode() == Hold {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(holdPoll)
+			continue
+		}
+		_ = from.SetReadDeadline(time.Now().Add(holdPoll)) // fails only on a connection that is closed
+		var n int
+		n, err = from.Read(buf)
+		held = append(held, buf[:n]...)
+	}
+	_ = from.SetReadDeadline(time.Time{})
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = nil
+	case err != nil && err != io.EOF:
+		return nil, err
+	}
+	return held, err
+}
+
+func (p *Proxy) currentMode() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
 // waitToForward waits while the direction is blackholed and reports whether the bytes are to be forwarded. Bytes that
 // had to wait for the end of a blackhole mode are not: they are lost.
 func (p *Proxy) waitToForward(toClient bool) bool {
