Name the disruptions of the soak, and check all forms of BUDGET

What callers saw: "repeats piled up beyond what is allowed" and streams that ended early, under disruptions that no run of ours played; of the six forms of BUDGET the soak checked the repeats per window and the runs of one request.

Cause: the scenarios were single options, and the random faults lacked the disruptions of the users' runs.

Change: `--scenario` takes disruptions by name, some of them with commas, or mix for all with the random faults: steps, path-fin, cut, garble, freeze, hold, restarts, retry-after, entry-ends, sidecars, crashing. The list of the random faults and its order are unchanged. The soak also checks requests after a Retry-After, deadlines that are longer than what is left, and requests and prompt parts that reach runners again after their third crash, each against what the rule allows and excuses.

Measured: go test -race of the checks' specs passes.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -26,6 +26,7 @@
 	RemoveEngines bool          `help:"Remove one engine after the other at short notice, in place of random faults."`
 	WithdrawKeys  bool          `help:"Withdraw callers' keys while routers are partitioned from the store, in place of random faults."`
 	Shape         string        `help:"Size and traffic: default, traitvif, vanstops or large." default:"default"`
+	Scenario      string        `help:"Disruptions in place of the random faults: mix, or some of steps, path-fin, cut, garble, freeze, hold, restarts, retry-after, entry-ends, sidecars and crashing, with commas." default:""`
 	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
 	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
 	Verbose       bool          `help:"Print the events and outcomes of each seed."`
@@ -87,7 +88,7 @@
 		fmt.Println("seed", seed, "failed:", err)
 		return false
 	}
-	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, Shape: shape, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys})
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, Shape: shape, Scenario: cli.Scenario, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys})
 	ok := err == nil && len(res.Violations) == 0
 	fmt.Printf("seed %d: %d events, %d of %d requests served after recovery, %d rules broken, err %v\n", seed, len(res.Events), res.Served, res.Sent, len(res.Violations), err)
 	if !ok || cli.Verbose {
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -120,6 +120,7 @@
 	req.Host = standin.Host
 	standin.SetRequestHeader(req.Header, r.id, r.timeout, r.model, r.parts)
 	c.world.check.recordSent(r.id, r.kind, r.path, r.body)
+	c.world.check.recordSender(r.id, r.entry, r.timeout, "")
 	c.setKey(req.Header, r.id)
 	if r.from > 0 {
 		standin.SetLastEvent(req.Header, r.from)
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -20,7 +20,13 @@
 	runners      map[string]int
 	key          string
 	sentAt       time.Time // set with the key
-	refused      bool      // the answer was a refusal: the request has not run and never will
+	entry        int
+	sent         time.Time // set with the entry
+	timeout      time.Duration
+	cause        string    // what it crashes runners with
+	firstAt      time.Time // of its first arrival, firstEnd the end of its deadline then
+	firstEnd     time.Time
+	refused      bool // the answer was a refusal: the request has not run and never will
 }
 
 // checker collects the observations of callers and runners and detects violations of the system's guarantees.
@@ -32,6 +38,10 @@
 	requestTimes, repeatTimes map[string][]time.Time
 	violations                []string
 	shape                     Shape
+	turnedAway                []turnedAway
+	deadlines                 deadlines
+	crashes                   map[string][]time.Time // by cause
+	disturbedAt               func(entry int) time.Time
 	streams                   []*streamRecord // that broke a rule
 	streamRuns                map[string][]standin.StreamRun
 	outcomes                  map[string]int
@@ -42,10 +52,14 @@
 type arrival struct {
 	runner string
 	at     time.Time
+	entry  int    // that the caller has sent it to
+	cause  string // what it crashes runners with
+	// entryDisturbed is when the entry was disturbed last.
+	entryDisturbed time.Time
 }
 
 func newChecker(s Shape) *checker {
-	return &checker{shape: s.withDefaults(), streamRuns: map[string][]standin.StreamRun{}, requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
+	return &checker{shape: s.withDefaults(), crashes: map[string][]time.Time{}, streamRuns: map[string][]standin.StreamRun{}, requests: map[string]*sentRequest{}, outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -101,13 +115,7 @@
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
 	return standin.Observer{
-		RequestArrived: func(id, runner string, at time.Time) {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.countRepeat(id, at)
-			c.arrivals = append(c.arrivals, arrival{runner: runner, at: at})
-		},
-		RequestRan: c.recordRun,
+		RequestArrived: c.recordArrival, TurnedAway: c.recordTurnedAway, DeadlineReceived: c.recordDeadline, RequestRan: c.recordRun,
 		RuleBroken: c.recordViolation, StreamEnded: c.recordStreamRun,
 	}
 }
@@ -122,6 +130,9 @@
 		return
 	}
 	s.runs++
+	if s.cause != "" {
+		c.crashes[s.cause] = append(c.crashes[s.cause], time.Now())
+	}
 	s.runners[runner]++
 	switch {
 	case c.keys != nil && !c.keys.mayRun(s.key, s.sentAt):
--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -29,7 +29,7 @@
 	start := time.Now()
 	lastLoss := start
 	for n := 0; time.Since(start) < w.options.FaultPeriod; n++ {
-		w.sendCrashingRequest(n)
+		w.sendCrashing(causeRequest, n)
 		time.Sleep(crashingInterval)
 		if time.Since(lastLoss) < powerLossInterval {
 			continue
@@ -51,19 +51,26 @@
 	return events
 }
 
-// sendCrashingRequest sends the request with a new id. Its path, caller and body are always the same.
-func (w *world) sendCrashingRequest(n int) {
+// sendCrashing sends a request that crashes runners, with a new id. If it does so as a whole, its path, caller and body are
+// always the same, else only a part of its prompt is.
+func (w *world) sendCrashing(cause string, n int) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashingTimeout)
 	defer cancel()
-	const path, body = "/loan" + standin.CrashingPath, "the same body"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddresses[n%w.shape.Entries]+path, bytes.NewReader([]byte(body)))
+	path, body, kind, model, parts := "/loan"+standin.CrashingPath, "the same body", "loan", "", ""
+	if cause == causePart {
+		path, body, kind = fmt.Sprintf("/chat/crashing?q=%d", n), fmt.Sprint("body ", n), "chat"
+		model, parts = fmt.Sprintf("m%d", n%len(modelSizes)), fmt.Sprintf("s1:400,%s:300,%x:200", standin.CrashingPart, n)
+	}
+	entry := n % w.shape.Entries
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddresses[entry]+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		panic(err) // the path is valid
 	}
 	req.Host = standin.Host
 	id := fmt.Sprintf("%x-crashing-%d", w.options.Seed, n)
-	standin.SetRequestHeader(req.Header, id, crashingTimeout, "", "")
-	w.check.recordSent(id, "loan", path, []byte(body))
+	standin.SetRequestHeader(req.Header, id, crashingTimeout, model, parts)
+	w.check.recordSent(id, kind, path, []byte(body))
+	w.check.recordSender(id, entry, crashingTimeout, cause)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	if resp, err := client.Do(req); err == nil { // the runs are counted at the runners
 		_ = resp.Body.Close()
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -27,12 +27,7 @@
 		for _, p := range w.processes {
 			p.signal(syscall.SIGKILL, true)
 		}
-		return "all", func() {
-			for _, p := range w.processes {
-				<-p.done()
-				w.restartProcess(p)
-			}
-		}
+		return "all", func() { w.killAndRestart(w.processes) }
 	}},
 	{"pause a process", func(w *world, pick int, _ time.Duration) (string, func()) {
 		p := w.processes[pick%len(w.processes)]
@@ -41,9 +36,7 @@
 	}},
 	{"stop a process", func(w *world, pick int, _ time.Duration) (string, func()) {
 		p := w.processes[pick%len(w.processes)]
-		if !p.stop(stopGrace) {
-			w.check.recordViolation("stop", p.name+" did not exit within its grace period")
-		}
+		w.stopProcess(p)
 		return p.name, func() { w.restartProcess(p) }
 	}},
 	{"reload settings", func(w *world, pick int, _ time.Duration) (string, func()) {
--- a/pkg/soak/process.go
+++ b/pkg/soak/process.go
@@ -129,6 +129,16 @@
 	return p.plannedStop
 }
 
+// disturbed returns the time at which the process was disturbed last.
+func (p *process) disturbed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused {
+		return time.Now()
+	}
+	return p.lastDisturbed
+}
+
 // undisturbedSince reports whether the process has not been disturbed since t.
 func (p *process) undisturbedSince(t time.Time) bool {
 	p.mu.Lock()
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -34,6 +34,10 @@
 
 // Run starts the processes, injects the faults that the seed selects and checks the outcome.
 func Run(opt Options) (Result, error) {
+	disruptions, err := disruptionsOf(opt.Scenario)
+	if err != nil {
+		return Result{}, err
+	}
 	w, err := newWorld(opt)
 	if w != nil {
 		defer w.close()
@@ -69,7 +73,7 @@
 	case opt.RepeatCrashingRequest:
 		res.Events = w.repeatCrashingRequest()
 	default:
-		res.Events = w.injectFaults()
+		res.Events = w.injectFaults(disruptions)
 	}
 	time.Sleep(recoveryTime)
 	close(recovered)
@@ -77,6 +81,9 @@
 	cancel()
 	wg.Wait()
 	w.check.checkRetryLimit(w.shape.Retries)
+	w.check.checkTurnedAway()
+	w.check.checkDeadlines()
+	w.check.checkCrashing()
 	res.Violations, res.Outcomes, res.Sent, res.Served = w.check.violations, w.check.outcomes, s.sent, s.served
 	if float64(s.served) < minServedShare*float64(s.sent) || s.sent == 0 {
 		res.Violations = append(res.Violations, fmt.Sprintf("recover: %d of %d requests served after the last disturbance", s.served, s.sent))
@@ -85,9 +92,9 @@
 	return res, w.check.writeStreams(opt.Dir)
 }
 
-// injectFaults injects faults at random intervals for the fault period and undoes each one after a random duration. It
+// injectFaults injects the faults at random intervals for the fault period and undoes each one after a random duration. It
 // returns a description of each fault.
-func (w *world) injectFaults() []string {
+func (w *world) injectFaults(faults []fault) []string {
 	var mu sync.Mutex
 	var events []string
 	var wg sync.WaitGroup
@@ -128,9 +135,9 @@
 // each other.
 func exclusionGroup(name string) string {
 	switch name {
-	case "kill a process", "kill all processes", "pause a process", "stop a process":
+	case "kill a process", "kill all processes", "pause a process", "stop a process", "restarts", "entry-ends", "sidecars":
 		return "processes"
-	case "crash a runner", "drain a runner":
+	case "crash a runner", "drain a runner", "steps", "freeze", "hold", "crashing":
 		return "runners"
 	}
 	return name
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
@@ -40,6 +41,8 @@
 	Shape       Shape
 	// FaultPeriod is the period in which faults are started.
 	FaultPeriod time.Duration
+	// Scenario names the disruptions: "" for the random faults, "mix" for all, or some of ScenarioNames with commas.
+	Scenario string
 	// KillEntries kills all entries again and again while runners reject most requests, in place of the random faults.
 	KillEntries bool
 	// RemoveEngines removes one engine after the other at short notice, in place of the random faults.
@@ -64,6 +67,7 @@
 	check        *checker
 	keys         *keyring
 	servers      []*http.Server
+	crashingSent atomic.Int64 // requests sent that crash runners
 
 	mu                   sync.Mutex
 	version              uint64
@@ -89,6 +93,7 @@
 // newWorld starts the stand-ins and the processes. The world returned with an error has to be closed too, if not nil.
 func newWorld(opt Options) (*world, error) {
 	w := &world{options: opt, shape: opt.Shape.withDefaults(), random: rand.New(rand.NewPCG(opt.Seed, 1)), store: standin.NewStore(), check: newChecker(opt.Shape), storeDisturbanceEnd: time.Now()}
+	w.check.disturbedAt = func(entry int) time.Time { return w.entries()[entry].disturbed() }
 	ln, err := net.Listen("tcp4", hostPort(w.ip(9, 0), storePort))
 	if err != nil {
 		return nil, err
