--- a/pkg/soak/budget.go
+++ b/pkg/soak/budget.go
@@ -52,6 +52,9 @@
 	a := arrival{runner: runner, at: at, entry: -1}
 	if s := c.requests[id]; s != nil {
 		a.entry, a.cause = s.entry, s.cause
+		if s.ended {
+			c.lateArrivals++
+		}
 		if c.disturbedAt != nil {
 			a.entryDisturbed = c.disturbedAt(s.entry)
 		}
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -21,6 +21,8 @@
 const (
 	// answerMargin is the time after a request's timeout within which its answer is still accepted.
 	answerMargin = 500 * time.Millisecond
+	// maxRetryAfter is the longest time that a caller waits before its next request.
+	maxRetryAfter = time.Second
 	// runnerDisturbanceGrace is how long after a runner was disturbed connections may still be interrupted.
 	runnerDisturbanceGrace = 500 * time.Millisecond
 )
@@ -134,6 +136,9 @@
 	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	c.checkResponse(r, resp, answer, err)
+	if after, perr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); perr == nil && c.world.shape.HonourRetryAfter {
+		time.Sleep(min(time.Duration(after*float64(time.Second)), maxRetryAfter))
+	}
 	c.recordEnd(r, strconv.Itoa(resp.StatusCode), err)
 	if resp.StatusCode == http.StatusOK && r.events > 0 {
 		if last := c.checkStream(r, string(answer), err); err != nil {
@@ -197,7 +202,7 @@
 	if err != nil && outcome != "no answer" {
 		outcome += " cut"
 	}
-	c.world.check.countOutcome(r.kind, outcome)
+	c.world.check.countOutcome(r.id, r.kind, outcome)
 	if !c.measuring {
 		return
 	}
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -25,6 +25,7 @@
 	timeout      time.Duration
 	cause        string    // what it crashes runners with
 	firstAt      time.Time // of its first arrival, firstEnd the end of its deadline then
+	ended        bool      // the caller has an answer, or none will come
 	firstEnd     time.Time
 	refused      bool // the answer was a refusal: the request has not run and never will
 }
@@ -40,6 +41,7 @@
 	shape                     Shape
 	turnedAway                []turnedAway
 	deadlines                 deadlines
+	lateArrivals              int
 	crashes                   map[string][]time.Time // by cause
 	disturbedAt               func(entry int) time.Time
 	streams                   []*streamRecord // that broke a rule
@@ -98,10 +100,11 @@
 	return c.requests[id].runs > 0
 }
 
-func (c *checker) countOutcome(kind, outcome string) {
+func (c *checker) countOutcome(id, kind, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes[kind+" "+outcome]++
+	c.requests[id].ended = true
 }
 
 // retryable reports whether requests of a kind may run more than once.
--- a/pkg/soak/limit.go
+++ b/pkg/soak/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -35,26 +37,38 @@
 	}
 }
 
+// retryUse is the window in which the retries of a service were nearest to their limit, or furthest above it.
+type retryUse struct {
+	Service  string
+	Repeats  int
+	Allowed  float64
+	Requests int
+}
+
 // checkRetryLimit checks that the arrivals beyond the first of each request stay within the limit on retries in each
-// window. The requests are counted in the window, the one before it or the one half a window before it.
-func (c *checker) checkRetryLimit(l standin.RetryLimit) {
+// window. The requests are counted in the window, the one before it or the one half a window before it. It returns the worst window of each service.
+func (c *checker) checkRetryLimit(l standin.RetryLimit) []retryUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for service, repeats := range c.repeatTimes {
+	var uses []retryUse
+	for _, service := range slices.Sorted(maps.Keys(c.repeatTimes)) {
+		repeats := c.repeatTimes[service]
 		sort.Slice(repeats, func(i, j int) bool { return repeats[i].Before(repeats[j]) })
 		requests := c.requestTimes[service]
-		worst, detail := 0.0, ""
+		worst := retryUse{Service: service}
 		for _, start := range repeats {
 			n := max(countWithin(requests, start, l.Window), countWithin(requests, start.Add(-l.Window), l.Window), countWithin(requests, start.Add(-l.Window/2), l.Window))
 			allowed := l.Ratio*float64(n) + l.Burst
-			if got := countWithin(repeats, start, l.Window); float64(got)-allowed > worst {
-				worst, detail = float64(got)-allowed, fmt.Sprintf("%d repeats arrived at %s within %s for %d requests, %.0f allowed", got, service, l.Window, n, allowed)
+			if got := countWithin(repeats, start, l.Window); worst.Allowed == 0 || float64(got)/allowed > float64(worst.Repeats)/worst.Allowed {
+				worst.Repeats, worst.Allowed, worst.Requests = got, allowed, n
 			}
 		}
-		if worst > 0 {
-			c.recordViolationLocked("budget", detail)
+		if float64(worst.Repeats) > worst.Allowed {
+			c.recordViolationLocked("budget", fmt.Sprintf("%d repeats arrived at %s within %s for %d requests, %.0f allowed", worst.Repeats, service, l.Window, worst.Requests, worst.Allowed))
 		}
+		uses = append(uses, worst)
 	}
+	return uses
 }
 
 // countWithin returns the number of the sorted times within the window from start.
--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -16,7 +16,7 @@
 	mixScenario = "mix"
 	// planlessEnd is the time from an announced drain to the end of an upstream that does not wait until it is drained.
 	planlessEnd = 300 * time.Millisecond
-	// minFreeze and maxFreeze bound the time for which an upstream is frozen.
+	// minFreeze and maxFreeze bound the time for which upstreams are frozen or reject.
 	minFreeze, maxFreeze = time.Second, 8 * time.Second
 	// finishInterval is the time between two ends of the connections on a path.
 	finishInterval = 150 * time.Millisecond
@@ -162,6 +162,19 @@
 		}
 		return cause, end
 	}},
+	{"reject", func(w *world, pick int, _ time.Duration) (string, func()) {
+		end := w.startRunnerDisturbance()
+		for _, r := range w.runners {
+			r.SetRejectShare(rejectShare)
+		}
+		time.Sleep(minFreeze + time.Duration(pick%1000)*(maxFreeze-minFreeze)/1000)
+		return "all runners", func() {
+			for _, r := range w.runners {
+				r.SetRejectShare(0)
+			}
+			end()
+		}
+	}},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
--- a/pkg/soak/shape.go
+++ b/pkg/soak/shape.go
@@ -25,6 +25,8 @@
 	NotResumable bool
 	// CallersResume lets callers resume a broken stream of a resumable route at another entry.
 	CallersResume bool
+	// HonourRetryAfter lets callers wait as long as a refusal asks them to, up to maxRetryAfter.
+	HonourRetryAfter bool
 	// Retries is the limit on retries.
 	Retries standin.RetryLimit
 }
@@ -54,19 +56,20 @@
 		Mix: slices.Concat(kinds(standin.EventsPerStream, "report", "chat"), plainKinds), MaxAttempts: 2, Retries: standin.DefaultRetryLimit,
 	}
 	plainKinds = kinds(0, "loan", "lookup", "new")
-	// shapes are named after the users' deployments, whose sizes, kinds of requests and limits on retries they have.
+	// shapes are named after the users' deployments. They have their sizes, kinds of requests and limits on retries, and
+	// about as many requests a second.
 	shapes = map[string]Shape{
 		"default": {},
 		"traitvif": {
-			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, CallersResume: true, Retries: retryLimit(54),
+			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(54), RequestInterval: 150 * time.Millisecond,
 			Mix: slices.Concat(kinds(47, "chat", "chat", "chat", "report", "report"), kinds(8, "chat", "chat"), plainKinds),
 		},
 		"vanstops": {
-			Entries: 5, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, Retries: retryLimit(58),
+			Entries: 5, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(58), RequestInterval: 400 * time.Millisecond,
 			Mix: slices.Concat(kinds(13, "chat", "chat", "report"), kinds(73, "chat", "chat", "report"), plainKinds),
 		},
 		"large": {
-			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, Retries: retryLimit(106),
+			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(106),
 			RequestInterval: 200 * time.Millisecond, Mix: slices.Concat(kinds(17, "chat", "chat", "report"), kinds(97, "chat", "chat"), plainKinds),
 		},
 	}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -28,8 +28,11 @@
 	Violations []string       // broken guarantees, with time and rule
 	Events     []string       // injected faults
 	Outcomes   map[string]int // number of requests by kind and outcome
-	Sent       int            // requests sent after the recovery time
-	Served     int            // those of Sent that were answered with status 200
+	RetryUse   []string       // worst window of each service against the limit on retries
+	// LateArrivals is the number of requests that reached a runner after their callers had an answer.
+	LateArrivals int
+	Sent         int // requests sent after the recovery time
+	Served       int // those of Sent that were answered with status 200
 }
 
 // Run starts the processes, injects the faults that the seed selects and checks the outcome.
@@ -80,7 +83,10 @@
 	time.Sleep(measureTime)
 	cancel()
 	wg.Wait()
-	w.check.checkRetryLimit(w.shape.Retries)
+	for _, u := range w.check.checkRetryLimit(w.shape.Retries) {
+		res.RetryUse = append(res.RetryUse, fmt.Sprintf("%s: %d repeats, %.0f allowed for %d requests", u.Service, u.Repeats, u.Allowed, u.Requests))
+	}
+	res.LateArrivals = w.check.lateArrivals
 	w.check.checkTurnedAway()
 	w.check.checkDeadlines()
 	w.check.checkCrashing()
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -64,6 +64,27 @@
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
+	play := func(shape, scenario string, seed uint64, faults time.Duration) {
+		GinkgoHelper()
+		s, err := soak.ShapeNamed(shape)
+		Expect(err).NotTo(HaveOccurred())
+		dir := GinkgoT().TempDir()
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: 19, Shape: s, Scenario: scenario, FaultPeriod: faults})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
+	}
+
+	// Guards against streams and retries that break their rules beside upstreams that freeze, garble their answers, ask to be
+	// left alone or crash, paths that hold bytes back, and entries and agents that end.
+	It("keeps every guarantee under the disruptions that have names", func() {
+		play("vanstops", "garble,freeze,hold,restarts,retry-after,entry-ends,sidecars,crashing", 1, 10*time.Second)
+	})
+
+	// Guards against streams that have neither a length nor chunks, break off behind an event and look complete.
+	It("completes no stream of an upstream that ends its connections before it is gone", func() { play("traitvif", "steps", 2, 6*time.Second) })
+	It("completes no stream whose connection a device on the path has ended", func() { play("traitvif", "path-fin", 1, 3*time.Second) })
+	It("completes no stream that a living upstream breaks off", func() { play("traitvif", "cut", 1, 3*time.Second) })
+
 	for _, s := range seeds {
 		It(fmt.Sprintf("keeps every guarantee with seed %d (%s)", s.seed, s.cause), func() {
 			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: 19, FaultPeriod: 6 * time.Second})
