Play resets on paths, large bodies and more added entries in the soak

What callers saw: BUDGET was reported from the deployments whose connections are reset and whose machines are added; the soak's entries that are added were two, and its bodies fitted any buffer, so an early rejection never met one that was still being sent.

Change: disruption path-rst resets all connections to some runners again and again. One in 16 bodies of the users' shapes has 900 KiB, and a runner that rejects early reads on and checks that it gets the rest of that body.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -21,6 +21,8 @@
 const (
 	// answerMargin is the time after a request's timeout within which its answer is still accepted.
 	answerMargin = 500 * time.Millisecond
+	// largeBodyBytes is the size of a large body. No buffer on its way holds it.
+	largeBodyBytes = 900 << 10
 	// maxRetryAfter is the longest time that a caller waits before its next request.
 	maxRetryAfter = time.Second
 	// runnerDisturbanceGrace is how long after a runner was disturbed connections may still be interrupted.
@@ -101,6 +103,9 @@
 	}
 	if r.kind != "lookup" && r.kind != "new" {
 		r.method, r.body = http.MethodPost, bytes.Repeat([]byte(id), 1+c.random.IntN(200))
+		if n := c.world.shape.LargeBodies; n > 0 && c.random.IntN(n) == 0 {
+			r.body = bytes.Repeat([]byte(id), largeBodyBytes/len(id))
+		}
 	}
 	r.timeout = 1500*time.Millisecond + time.Duration(c.random.IntN(3000))*time.Millisecond
 	if r.events > 0 {
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -118,7 +118,8 @@
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
 	return standin.Observer{
-		RequestArrived: c.recordArrival, TurnedAway: c.recordTurnedAway, DeadlineReceived: c.recordDeadline, RequestRan: c.recordRun,
+		RequestArrived: c.recordArrival, TurnedAway: c.recordTurnedAway, DeadlineReceived: c.recordDeadline, BodyReadOn: c.recordBodyReadOn,
+		RequestRan: c.recordRun,
 		RuleBroken: c.recordViolation, StreamEnded: c.recordStreamRun,
 	}
 }
@@ -151,6 +152,15 @@
 	}
 }
 
+// recordBodyReadOn checks a body that a runner has read after it had rejected the request.
+func (c *checker) recordBodyReadOn(id, runner string, body uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.requests[id]; s != nil && s.bodyHash != body {
+		c.recordViolationLocked("unasked", fmt.Sprintf("%s read other bytes where the rest of the body of %s was due", runner, id))
+	}
+}
+
 // lastArrival returns the time at which the last request reached the runner, or the zero time if none did.
 func (c *checker) lastArrival(runner string) time.Time {
 	c.mu.Lock()
--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -43,15 +43,7 @@
 		return fmt.Sprintf("%s variant %d gap %s", r.label(pick, w), pick/64%4, gap), func() { w.restartRunner(r); end() }
 	}},
 	{"path-fin", func(w *world, pick int, duration time.Duration) (string, func()) {
-		targets := w.someRunners(pick)
-		w.markAllDisturbed()
-		end := w.startRunnerDisturbance()
-		for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(finishInterval) {
-			for _, r := range targets {
-				r.proxy.Finish()
-			}
-		}
-		return w.labels(targets), func() { w.markAllDisturbed(); end() }
+		return w.endConnections(pick, duration, (*Proxy).Finish)
 	}},
 	{"cut", func(w *world, pick int, _ time.Duration) (string, func()) {
 		return w.garble(pick, standin.CutUnframed)
@@ -175,6 +167,9 @@
 			end()
 		}
 	}},
+	{"path-rst", func(w *world, pick int, duration time.Duration) (string, func()) {
+		return w.endConnections(pick, duration, (*Proxy).Reset)
+	}},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
@@ -206,6 +201,19 @@
 	return names
 }
 
+// endConnections ends all connections to some runners again and again.
+func (w *world) endConnections(pick int, duration time.Duration, end func(*Proxy)) (string, func()) {
+	targets := w.someRunners(pick)
+	w.markAllDisturbed()
+	ended := w.startRunnerDisturbance()
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(finishInterval) {
+		for _, r := range targets {
+			end(r.proxy)
+		}
+	}
+	return w.labels(targets), func() { w.markAllDisturbed(); ended() }
+}
+
 // garble lets some runners send wrong bytes.
 func (w *world) garble(pick int, g standin.Garble) (string, func()) {
 	targets := w.someRunners(pick)
--- a/pkg/soak/shape.go
+++ b/pkg/soak/shape.go
@@ -19,6 +19,8 @@
 	EventTime, RequestInterval time.Duration
 	// Mix are the kinds of requests. All are equally frequent, so a kind may be listed several times.
 	Mix []Kind
+	// LargeBodies is the number of requests with a body of which one has largeBodyBytes; 0 for none.
+	LargeBodies int
 	// MaxAttempts is the number of upstreams of one attempt of a caller on routes whose requests may be repeated.
 	MaxAttempts int
 	// NotResumable makes route "report" one whose streams must not be resumed or repeated.
@@ -61,15 +63,15 @@
 	shapes = map[string]Shape{
 		"default": {},
 		"traitvif": {
-			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(54), RequestInterval: 150 * time.Millisecond,
+			Entries: 4, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 48, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(54), RequestInterval: 150 * time.Millisecond,
 			Mix: slices.Concat(kinds(47, "chat", "chat", "chat", "report", "report"), kinds(8, "chat", "chat"), plainKinds),
 		},
 		"vanstops": {
-			Entries: 5, SpareEntries: 2, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(58), RequestInterval: 400 * time.Millisecond,
+			Entries: 5, SpareEntries: 5, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(58), RequestInterval: 400 * time.Millisecond,
 			Mix: slices.Concat(kinds(13, "chat", "chat", "report"), kinds(73, "chat", "chat", "report"), plainKinds),
 		},
 		"large": {
-			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, HonourRetryAfter: true, Retries: retryLimit(106),
+			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(106),
 			RequestInterval: 200 * time.Millisecond, Mix: slices.Concat(kinds(17, "chat", "chat", "report"), kinds(97, "chat", "chat"), plainKinds),
 		},
 	}
