Show that the stand-in's wrong bytes are sent as their names say

What callers saw: nothing; the disruption garble broke no rule, and no spec showed that it does anything.

Change: a spec reads what a runner sends in each of its ways: bytes after an answer, a second copy, no answer, an early rejection.

Measured: go test -race of the specs of pkg/soak without processes passes.

--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -105,6 +105,29 @@
 		Eventually(ran).Should(Receive(Equal("1")))
 	})
 
+	DescribeTable("a runner sends wrong bytes",
+		func(g standin.Garble, pattern string) {
+			r, url, _ := startRunner()
+			r.SetGarble(g)
+			Eventually(func(g Gomega) string { // a share of the answers is concerned
+				c, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+				g.Expect(err).NotTo(HaveOccurred())
+				defer func() { _ = c.Close() }()
+				req, err := http.NewRequest(http.MethodPost, url+"/x", strings.NewReader("body"))
+				g.Expect(err).NotTo(HaveOccurred())
+				standin.SetRequestHeader(req.Header, "1", 0, "", "")
+				g.Expect(req.Write(c)).To(Succeed())
+				g.Expect(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+				all, _ := io.ReadAll(c) // ends with the deadline on a connection that is kept
+				return string(all)
+			}, 10*time.Second).Should(MatchRegexp(pattern))
+		},
+		Entry("after an answer", standin.ExtraBytes, `(?s)^HTTP/1.1 200 .*0123456789$`),
+		Entry("a second copy", standin.LateCopy, `(?s)^HTTP/1.1 200 .*HTTP/1.1 200 `),
+		Entry("no answer", standin.NoAnswer, `^\x16\x03`),
+		Entry("a rejection", standin.EarlyRejection, `^HTTP/1.1 503 `),
+	)
+
 	It("a runner that ends in steps breaks off its streams behind an event and still answers its health check", func() {
 		r, url, _ := startRunner()
 		done := make(chan struct{})
