--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -26,17 +26,24 @@
 	RemoveEngines bool          `help:"Remove one engine after the other at short notice, in place of random faults."`
 	WithdrawKeys  bool          `help:"Withdraw callers' keys while routers are partitioned from the store, in place of random faults."`
 	LimitEngines  bool          `help:"An engine and a plain runner name how many requests per second they take, in place of random faults."`
+	Shape         string        `help:"Size and traffic: default, traitvif, vanstops or large." default:"default"`
+	Scenario      string        `help:"Disruptions in place of the random faults: mix, or some of steps, path-fin, cut, garble, freeze, hold, restarts, retry-after, entry-ends, sidecars, crashing, reject and path-rst, with commas." default:""`
 	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
 	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
 	Verbose       bool          `help:"Print the events and outcomes of each seed."`
 }
 
+var shape soak.Shape
+
 func main() {
 	kong.Parse(&cli, kong.Name("hibiscuscross-soak"))
 	if cli.Seed == 0 {
 		cli.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
 	binary, err := filepath.Abs(cli.Binary)
+	if err == nil {
+		shape, err = soak.ShapeNamed(cli.Shape)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hibiscuscross-soak:", err)
 		os.Exit(2)
@@ -82,7 +89,7 @@
 		fmt.Println("seed", seed, "failed:", err)
 		return false
 	}
-	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys, LimitEngines: cli.LimitEngines})
+	res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, Shape: shape, Scenario: cli.Scenario, FaultPeriod: cli.For, KillEntries: cli.KillEntries, RemoveEngines: cli.RemoveEngines, RepeatCrashingRequest: cli.RepeatCrash, WithdrawKeys: cli.WithdrawKeys, LimitEngines: cli.LimitEngines})
 	ok := err == nil && len(res.Violations) == 0
 	fmt.Printf("seed %d: %d events, %d of %d requests served after recovery, %d rules broken, err %v\n", seed, len(res.Events), res.Served, res.Sent, len(res.Violations), err)
 	if !ok || cli.Verbose {
@@ -103,6 +110,10 @@
 	for _, e := range res.Events {
 		fmt.Println("  event:", e)
 	}
+	for _, u := range res.RetryUse {
+		fmt.Println("  retries:", u)
+	}
+	fmt.Println("  arrivals after the caller's answer:", res.LateArrivals)
 	names := make([]string, 0, len(res.Outcomes))
 	for name := range res.Outcomes {
 		names = append(names, name)
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -20,7 +20,14 @@
 	runners      map[string]int
 	key          string
 	sentAt       time.Time // set with the key
-	refused      bool      // the answer was a refusal: the request has not run and never will
+	entry        int
+	sent         time.Time // set with the entry
+	timeout      time.Duration
+	cause        string    // what it crashes runners with
+	firstAt      time.Time // of its first arrival, firstEnd the end of its deadline then
+	ended        bool      // the caller has an answer, or none will come
+	firstEnd     time.Time
+	refused      bool // the answer was a refusal: the request has not run and never will
 }
 
 // checker collects the observations of callers and runners and detects violations of the system's guarantees.
@@ -31,6 +38,14 @@
 	// requestTimes and repeatTimes are the times of the requests and of their arrivals beyond the first, by service.
 	requestTimes, repeatTimes map[string][]time.Time
 	violations                []string
+	shape                     Shape
+	turnedAway                []turnedAway
+	deadlines                 deadlines
+	lateArrivals              int
+	crashes                   map[string][]time.Time // by cause
+	disturbedAt               func(entry int) time.Time
+	streams                   []*streamRecord // that broke a rule
+	streamRuns                map[string][]standin.StreamRun
 	outcomes                  map[string]int
 	keys                      *keyring // nil if the configuration has no tenants
 	limits                    *rateLimits
@@ -40,10 +55,14 @@
 type arrival struct {
 	runner string
 	at     time.Time
+	entry  int    // that the caller has sent it to
+	cause  string // what it crashes runners with
+	// entryDisturbed is when the entry was disturbed last.
+	entryDisturbed time.Time
 }
 
-func newChecker() *checker {
-	return &checker{requests: map[string]*sentRequest{}, outcomes: map[string]int{}, limits: newRateLimits(), requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
+func newChecker(s Shape) *checker {
+	return &checker{shape: s.withDefaults(), crashes: map[string][]time.Time{}, streamRuns: map[string][]standin.StreamRun{}, requests: map[string]*sentRequest{}, limits: newRateLimits(), outcomes: map[string]int{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}}
 }
 
 func (c *checker) recordViolation(rule, detail string) {
@@ -70,7 +89,7 @@
 	defer c.mu.Unlock()
 	s := c.requests[id]
 	s.refused = true
-	if s.runs > 0 && !retryable(s.kind) {
+	if s.runs > 0 && !c.shape.retryable(s.kind) {
 		c.recordViolationLocked("refused", fmt.Sprintf("%s %s was refused although it had run", s.kind, id))
 	}
 }
@@ -82,27 +101,27 @@
 	return c.requests[id].runs > 0
 }
 
-func (c *checker) countOutcome(kind, outcome string) {
+func (c *checker) countOutcome(id, kind, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes[kind+" "+outcome]++
+	c.requests[id].ended = true
 }
 
 // retryable reports whether requests of a kind may run more than once.
-func retryable(kind string) bool { return kind != "loan" && kind != "chat" }
+func (s Shape) retryable(kind string) bool {
+	return kind != "loan" && kind != "chat" && (kind != "report" || s.resumable(kind))
+}
+
+// resumable reports whether streams of a kind may be resumed.
+func (s Shape) resumable(kind string) bool { return kind == "report" && !s.NotResumable }
 
 // observer returns the callbacks through which runners report to the checker.
 func (c *checker) observer() standin.Observer {
 	return standin.Observer{
-		RequestArrived: func(id, runner string, at time.Time) {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.countRepeat(id, at)
-			c.arrivals = append(c.arrivals, arrival{runner: runner, at: at})
-			c.limits.arrive(id, runner, at)
-		},
+		RequestArrived: c.recordArrival, TurnedAway: c.recordTurnedAway, DeadlineReceived: c.recordDeadline, BodyReadOn: c.recordBodyReadOn,
 		RequestRan: c.recordRun,
-		RuleBroken: c.recordViolation,
+		RuleBroken: c.recordViolation, StreamEnded: c.recordStreamRun,
 	}
 }
 
@@ -116,21 +135,33 @@
 		return
 	}
 	s.runs++
+	if s.cause != "" {
+		c.crashes[s.cause] = append(c.crashes[s.cause], time.Now())
+	}
 	s.runners[runner]++
 	switch {
 	case c.keys != nil && !c.keys.mayRun(s.key, s.sentAt):
 		c.recordViolationLocked("revoked", fmt.Sprintf("%s %s ran with key %q, which had been withdrawn", s.kind, id, s.key))
 	case s.target != target || s.bodyHash != body:
 		c.recordViolationLocked("unasked", fmt.Sprintf("%s ran %s with target %s or another body", runner, id, target))
-	case s.refused && !retryable(s.kind):
+	case s.refused && !c.shape.retryable(s.kind):
 		c.recordViolationLocked("refused", fmt.Sprintf("%s %s ran after it had been refused", s.kind, id))
-	case s.runs > 1 && !retryable(s.kind):
+	case s.runs > 1 && !c.shape.retryable(s.kind):
 		c.recordViolationLocked("twice", fmt.Sprintf("%s %s ran %d times: %v", s.kind, id, s.runs, s.runners))
-	case s.runs > 2:
+	case s.runs > c.shape.MaxAttempts:
 		c.recordViolationLocked("attempts", fmt.Sprintf("%s %s ran %d times: %v", s.kind, id, s.runs, s.runners))
 	}
 }
 
+// recordBodyReadOn checks a body that a runner has read after it had rejected the request.
+func (c *checker) recordBodyReadOn(id, runner string, body uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.requests[id]; s != nil && s.bodyHash != body {
+		c.recordViolationLocked("unasked", fmt.Sprintf("%s read other bytes where the rest of the body of %s was due", runner, id))
+	}
+}
+
 // lastArrival returns the time at which the last request reached the runner, or the zero time if none did.
 func (c *checker) lastArrival(runner string) time.Time {
 	c.mu.Lock()
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -27,12 +27,7 @@
 		for _, p := range w.processes {
 			p.signal(syscall.SIGKILL, true)
 		}
-		return "all", func() {
-			for _, p := range w.processes {
-				<-p.done()
-				w.restartProcess(p)
-			}
-		}
+		return "all", func() { w.killAndRestart(w.processes) }
 	}},
 	{"pause a process", func(w *world, pick int, _ time.Duration) (string, func()) {
 		p := w.processes[pick%len(w.processes)]
@@ -41,9 +36,7 @@
 	}},
 	{"stop a process", func(w *world, pick int, _ time.Duration) (string, func()) {
 		p := w.processes[pick%len(w.processes)]
-		if !p.stop(stopGrace) {
-			w.check.recordViolation("stop", p.name+" did not exit within its grace period")
-		}
+		w.stopProcess(p)
 		return p.name, func() { w.restartProcess(p) }
 	}},
 	{"reload settings", func(w *world, pick int, _ time.Duration) (string, func()) {
@@ -132,7 +125,7 @@
 	r.Drain()
 	time.Sleep(max(duration, drainDelay+time.Second))
 	undisturbed := w.storeUndisturbedSince(start.Add(-disturbanceGrace))
-	for _, p := range w.processes[:numEntries] {
+	for _, p := range w.entries() {
 		undisturbed = undisturbed && p.undisturbedSince(start.Add(-disturbanceGrace))
 	}
 	if last := w.check.lastArrival(id); undisturbed && last.After(start.Add(drainDelay)) {
--- a/pkg/soak/ratelimit.go
+++ b/pkg/soak/ratelimit.go
@@ -163,7 +163,7 @@
 // again in each round.
 func (w *world) limitEngines() []string {
 	var events []string
-	limited := []*runner{w.runners[0], w.runners[numEngines]}
+	limited := []*runner{w.runners[0], w.runners[w.shape.Engines]}
 	start := time.Now()
 	for round := 0; time.Since(start) < w.options.FaultPeriod; round++ {
 		var ends []func(time.Time)
@@ -174,11 +174,11 @@
 		}
 		time.Sleep(limitFaultAt)
 		// The sidecar beside the limited engine, an entry, and all sidecars in turn.
-		killed := [][]*process{w.processes[numEntries : numEntries+1], w.processes[round%numEntries : round%numEntries+1], w.processes[numEntries:]}[w.random.IntN(3)]
+		killed := [][]*process{w.sidecars()[:1], w.processes[round%w.shape.Entries : round%w.shape.Entries+1], w.sidecars()}[w.random.IntN(3)]
 		events = append(events, fmt.Sprintf("%6.2f s kill and restart %s and %d more", time.Since(start).Seconds(), killed[0].name, len(killed)-1))
 		for _, p := range killed {
 			p.kill()
-			for i, entry := range w.processes[:numEntries] {
+			for i, entry := range w.entries() {
 				if entry == p {
 					w.check.limits.forget(i)
 				}
--- a/pkg/soak/ratelimit_test.go
+++ b/pkg/soak/ratelimit_test.go
@@ -18,7 +18,7 @@
 		}
 	}
 	BeforeEach(func() {
-		c, start = newChecker(), time.Now()
+		c, start = newChecker(Shape{}), time.Now()
 	})
 
 	DescribeTable("counts what arrives in any 4 s through entries that know the limit",
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -28,12 +28,19 @@
 	Violations []string       // broken guarantees, with time and rule
 	Events     []string       // injected faults
 	Outcomes   map[string]int // number of requests by kind and outcome
-	Sent       int            // requests sent after the recovery time
-	Served     int            // those of Sent that were answered with status 200
+	RetryUse   []string       // worst window of each service against the limit on retries
+	// LateArrivals is the number of requests that reached a runner after their callers had an answer.
+	LateArrivals int
+	Sent         int // requests sent after the recovery time
+	Served       int // those of Sent that were answered with status 200
 }
 
 // Run starts the processes, injects the faults that the seed selects and checks the outcome.
 func Run(opt Options) (Result, error) {
+	disruptions, err := disruptionsOf(opt.Scenario)
+	if err != nil {
+		return Result{}, err
+	}
 	w, err := newWorld(opt)
 	if w != nil {
 		defer w.close()
@@ -52,11 +59,11 @@
 	var wg sync.WaitGroup
 	s := &stats{}
 	go lb.run(ctx)
-	for n := range numCallers {
+	for n := range w.shape.Callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			w.newCaller(n, s).run(ctx, lb.inRotation, recovered)
+			w.newCaller(n, lb.inRotation, s).run(ctx, recovered)
 		}()
 	}
 	switch {
@@ -71,25 +78,31 @@
 	case opt.LimitEngines:
 		res.Events = w.limitEngines()
 	default:
-		res.Events = w.injectFaults()
+		res.Events = w.injectFaults(disruptions)
 	}
 	time.Sleep(recoveryTime)
 	close(recovered)
 	time.Sleep(measureTime)
 	cancel()
 	wg.Wait()
-	w.check.checkRetryLimit()
+	for _, u := range w.check.checkRetryLimit(w.shape.Retries) {
+		res.RetryUse = append(res.RetryUse, fmt.Sprintf("%s: %d repeats, %.0f allowed for %d requests", u.Service, u.Repeats, u.Allowed, u.Requests))
+	}
+	res.LateArrivals = w.check.lateArrivals
+	w.check.checkTurnedAway()
+	w.check.checkDeadlines()
+	w.check.checkCrashing()
 	res.Violations, res.Outcomes, res.Sent, res.Served = w.check.violations, w.check.outcomes, s.sent, s.served
 	if float64(s.served) < minServedShare*float64(s.sent) || s.sent == 0 {
 		res.Violations = append(res.Violations, fmt.Sprintf("recover: %d of %d requests served after the last disturbance", s.served, s.sent))
 	}
 	sort.Strings(res.Violations)
-	return res, nil
+	return res, w.check.writeStreams(opt.Dir)
 }
 
-// injectFaults injects faults at random intervals for the fault period and undoes each one after a random duration. It
+// injectFaults injects the faults at random intervals for the fault period and undoes each one after a random duration. It
 // returns a description of each fault.
-func (w *world) injectFaults() []string {
+func (w *world) injectFaults(faults []fault) []string {
 	var mu sync.Mutex
 	var events []string
 	var wg sync.WaitGroup
@@ -130,14 +143,17 @@
 // each other.
 func exclusionGroup(name string) string {
 	switch name {
-	case "kill a process", "kill all processes", "pause a process", "stop a process":
+	case "kill a process", "kill all processes", "pause a process", "stop a process", "restarts", "entry-ends", "sidecars":
 		return "processes"
-	case "crash a runner", "drain a runner":
+	case "crash a runner", "drain a runner", "steps", "freeze", "hold", "crashing":
 		return "runners"
 	}
 	return name
 }
 
+// minFailedProbes is the number of failed probes after which an entry leaves the rotation.
+const minFailedProbes = 2
+
 // balancer stands in for the platform's load balancer: it probes each entry once a second and takes it out of rotation
 // after two failed probes.
 type balancer struct {
@@ -147,7 +163,11 @@
 }
 
 func newBalancer(w *world) *balancer {
-	return &balancer{world: w, failedProbes: make([]int, numEntries)}
+	b := &balancer{world: w, failedProbes: make([]int, w.shape.allEntries())}
+	for i := w.shape.Entries; i < len(b.failedProbes); i++ {
+		b.failedProbes[i] = minFailedProbes
+	}
+	return b
 }
 
 func (b *balancer) run(ctx context.Context) {
@@ -163,10 +183,10 @@
 	}
 }
 
-// probe probes each entry once and reports whether all are ready.
+// probe probes each entry once and reports whether all are ready but those that are added later.
 func (b *balancer) probe() bool {
 	allReady := true
-	for i := range numEntries {
+	for i := range b.failedProbes {
 		ready := b.world.isReady(i)
 		b.mu.Lock()
 		b.failedProbes[i]++
@@ -174,7 +194,7 @@
 			b.failedProbes[i] = 0
 		}
 		b.mu.Unlock()
-		allReady = allReady && ready
+		allReady = allReady && (ready || i >= b.world.shape.Entries)
 	}
 	return allReady
 }
@@ -183,7 +203,7 @@
 func (b *balancer) inRotation(i int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.failedProbes[i] < 2
+	return b.failedProbes[i] < minFailedProbes
 }
 
 // waitAllReady probes until all entries are ready and reports whether that happened within the timeout.
