Read the rate that an upstream names, and log it

What callers saw: nothing; routers sent an upstream that names the requests per second it takes as many as before.

Cause: nothing read the header. Change: platform.DecodeAnswer decodes it. Of several numbers the lowest counts; what is no plain decimal number (signs, exponents, NaN, units) is malformed and neither sets nor ends a limit, nor does a misdirected answer that does not name its instance, which may be another one's, nor the absence in an answer without any mark of an upstream. Only platform/ knows the name; the spec on the boundary checks it now. A router logs "upstream names a limit", "names another limit" and "names no limit any more" with the upstream, the rate and the request, and has a gauge of the upstreams with a limit. Nothing acts on it yet.

One spec compared a whole decoded answer; it now also requires that the answer names no limit.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -47,13 +47,14 @@
 	clientBounds
 	started time.Time
 	quotas  *Quotas // nil if quotas are not observed
+	limits  *Limits
 }
 
 // New returns a gateway that sends requests over the connections of pool.
 func New(core *Core, pool *h1.Pool, log *eventlog.Log, gd *guard.Guard, scope tally.Scope, tracer trace.Tracer) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gateway{core: core, pool: pool, log: log, guard: gd, scope: scope, trace: tracer, draining: make(chan struct{}), requestsCtx: ctx, endRequests: cancel,
-		clientBounds: defaultClientBounds(), started: time.Now()}
+		clientBounds: defaultClientBounds(), started: time.Now(), limits: NewLimits(log, scope)}
 }
 
 // StartDraining makes all further answers ask callers to close their connections.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -114,7 +114,7 @@
 		return c.interruptedOutcome(cancelled(), unresponsive.Load(), err), nil
 	}
 	recordFirst()
-	c.applyUpstreamState(resp, d.Upstream.ID)
+	c.applyUpstreamState(resp, d.Upstream)
 	outcome, a, err := c.receive(resp, d.Upstream.ID)
 	if err == nil && outcome == dispatch.Done && isUnframed(resp) && !c.isComplete(d.Upstream) {
 		outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
@@ -138,11 +138,12 @@
 
 // applyUpstreamState applies what an answer says about the upstream itself. An answer of another instance at the address
 // says nothing about it.
-func (c *callerRequest) applyUpstreamState(resp *http.Response, upstream string) {
-	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+func (c *callerRequest) applyUpstreamState(resp *http.Response, u *dispatch.UpstreamRef) {
+	head, upstream := platform.DecodeAnswer(resp.StatusCode, resp.Header), u.ID
 	if head.Instance != "" && head.Instance != upstream {
 		return
 	}
+	c.g.limits.observe(instanceOf(u), head.Limit, head.LimitPerS, c.meta.ID)
 	if head.RetryAfter > 0 {
 		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordBackoff(upstream, time.Now().Add(head.RetryAfter)) })
 		c.g.log.Request("upstream requested backoff", "id", c.meta.ID, "upstream", upstream, "for_ms", head.RetryAfter.Milliseconds())
