Share an upstream's limit by tokens from a holder

What callers see: nothing yet; nothing uses the package. Without a share, each router sends what it likes to an upstream that names a limit for all: 12 requests in 4 s were seen at 1.1 requests per second with 4 routers. Cause: nothing reads the limit. A simulation without faults beyond lost, doubled and late messages. Faults of processes are not simulated yet.

--- a/pkg/upstreamlimit/limit.go
+++ b/pkg/upstreamlimit/limit.go
@@ -54,5 +54,14 @@
 	return best
 }
 
+// maxBacklog bounds the times to come back that refused callers are given one after the other, beside the time for one.
+const maxBacklog = 4 * time.Second
+
+// backlogTime returns the time that so many callers take at the rate, as far as it is told to them.
+func backlogTime(rate float64, callers int) time.Duration {
+	one := time.Duration(float64(time.Second) / rate)
+	return time.Duration(min(float64(callers)*float64(one), float64(max(one, maxBacklog))))
+}
+
 // effective returns the rate that is used for a limit.
 func effective(n float64) float64 { return min(max(n, ProbeRate), MaxRate) }
--- a/pkg/upstreamlimit/messages.go
+++ b/pkg/upstreamlimit/messages.go
@@ -53,6 +53,10 @@
 	Holder    uint64 `cbor:"10,keyasint,omitempty"`
 	EchoMS    int64  `cbor:"11,keyasint,omitempty"`
 	EchoAgeMS int64  `cbor:"12,keyasint,omitempty"`
+	// Heard is the limit that the router knows from a holder. It counts only for a holder that has seen no fact yet.
+	Heard float64 `cbor:"13,keyasint,omitempty"`
+	// Refused is the number of callers that were told to come back since the last request.
+	Refused int `cbor:"14,keyasint,omitempty"`
 }
 
 // Count is a number of tokens that were granted for the request with the number Seq.
--- /dev/null
+++ b/pkg/upstreamlimit/sim_test.go
@@ -0,0 +1,470 @@
+package upstreamlimit
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
+)
+
+const engineID = "engine"
+
+// world simulates the routers, the sidecars and one engine in virtual time.
+type world struct {
+	scenario
+	now      time.Duration
+	rand     *rand.Rand
+	events   eventQueue
+	seq      int
+	routers  []*proc
+	sidecars []*proc
+	engine   engine
+	messages int
+
+	waits, served, refused int
+	// hints are the times that refused callers were told to come back after.
+	hints []time.Duration
+}
+
+// scenario is one deployment with its faults.
+type scenario struct {
+	routers, sidecars int
+	n                 float64 // named; changes are in script
+	demand            float64 // requests per second of all callers
+	skew              float64 // share of the requests that arrive at the first tenth of the routers
+	loss              float64 // share of messages lost; as many are doubled, and as many are late by up to 3 s
+	late              float64 // share of requests that reach the engine up to half a second later
+	duration          time.Duration
+	patience          time.Duration
+	sole              bool // the first sidecar is beside the engine
+	sameClock         bool
+	hooks             hooks
+	script            func(w *world)
+}
+
+// engine records arrivals and names a limit.
+type engine struct {
+	instance Instance
+	n        float64 // 0 or more if named, else -1
+	service  time.Duration
+	history  []naming
+	arrivals []arrival
+	freeSum  int
+}
+
+type naming struct {
+	at time.Duration
+	n  float64
+}
+
+type arrival struct {
+	at    time.Duration
+	bound bool // the router had passed on a naming half a second before
+}
+
+// proc is a process. A frozen one executes nothing; what arrives meanwhile is executed when it goes on.
+type proc struct {
+	w           *world
+	name        string
+	index       int
+	region      int
+	offset      time.Duration
+	generation  int
+	dead        bool
+	frozenUntil time.Duration
+	cut         bool // no messages between routers and holders
+	holder      *Holder
+	balance     *Balance
+	boundAt     time.Duration // when the router had first passed on a naming; 0 if it has not
+	done        map[uint64]func(*Token)
+	timer       time.Duration
+	lastServed  time.Duration
+	gap         time.Duration // longest time without a request that was sent
+	list        int           // offset of its list of sidecars: which one ranks first
+}
+
+type event struct {
+	at         time.Duration
+	seq        int
+	p          *proc
+	generation int
+	run        func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newWorld(seed uint64, s scenario) *world {
+	w := &world{scenario: s, rand: rand.New(rand.NewPCG(seed, 1))}
+	w.engine = engine{n: -1, instance: Instance{ID: engineID, StartedUnixMS: 1000}, service: 50 * time.Millisecond}
+	for i := range s.sidecars + s.routers {
+		p := &proc{w: w, name: fmt.Sprint("p", i), index: i, region: i % 3, offset: time.Hour}
+		if !s.sameClock {
+			p.offset += time.Duration(w.rand.IntN(1_000_000)) * time.Millisecond
+		}
+		if i < s.sidecars {
+			w.sidecars = append(w.sidecars, p)
+		} else {
+			w.routers = append(w.routers, p)
+		}
+		p.start()
+	}
+	w.name(s.n)
+	w.after(nil, 0, w.demandNext)
+	if s.script != nil {
+		s.script(w)
+	}
+	return w
+}
+
+// name lets the engine name n from now on; below 0 it names nothing.
+func (w *world) name(n float64) {
+	w.engine.n = n
+	w.engine.history = append(w.engine.history, naming{w.now, n})
+}
+
+// start starts the process or restarts it; it has forgotten everything.
+func (p *proc) start() {
+	p.generation++
+	p.dead, p.boundAt, p.timer = false, 0, 0
+	process := p.w.rand.Uint64()
+	if p.index < p.w.sidecars0() {
+		p.holder = NewHolder(p.clock(), process)
+		p.holder.hooks = p.w.hooks
+		if p.w.sole && p.index == 0 {
+			p.holder.SetInstance(p.clock(), p.w.engine.instance)
+		}
+		p.report()
+		return
+	}
+	p.balance, p.done = NewBalance(p.name, process), map[uint64]func(*Token){}
+	p.balance.hooks = p.w.hooks
+	p.lastServed = p.w.now
+	p.w.after(p, 100*time.Millisecond, func() { p.balance.SetRouters(p.clock(), p.w.scenario.routers) })
+}
+
+func (w *world) sidecars0() int { return w.scenario.sidecars }
+
+func (p *proc) clock() boottime.Instant { return boottime.Instant(p.w.now + p.offset) }
+
+// after runs f in the process after the delay, if it has not been restarted meanwhile.
+func (w *world) after(p *proc, delay time.Duration, f func()) {
+	w.seq++
+	e := event{at: w.now + delay, seq: w.seq, p: p, run: f}
+	if p != nil {
+		e.generation = p.generation
+	}
+	heap.Push(&w.events, e)
+}
+
+func (w *world) run() {
+	for len(w.events) > 0 && w.events[0].at <= w.duration {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		switch p := e.p; {
+		case p == nil:
+			e.run()
+		case p.dead || p.generation != e.generation:
+		case p.frozenUntil > w.now:
+			w.seq++
+			heap.Push(&w.events, event{at: p.frozenUntil, seq: w.seq, p: p, generation: e.generation, run: e.run})
+		default:
+			e.run()
+		}
+	}
+	w.now = w.duration
+}
+
+// delay returns the time of a message from one process to another.
+func (w *world) delay(sameRegion bool) time.Duration {
+	if sameRegion {
+		return 900 * time.Microsecond
+	}
+	return 12 * time.Millisecond
+}
+
+// send delivers a message, or loses it, or delivers it twice or late; also to a process that has been restarted meanwhile.
+func (w *world) send(from, to *proc, f func()) {
+	w.messages++
+	if from.cut || to.cut || w.rand.Float64() < w.loss {
+		return
+	}
+	deliver := func(delay time.Duration) {
+		w.after(nil, delay, func() {
+			if !to.dead {
+				w.after(to, 0, f)
+			}
+		})
+	}
+	delay := w.delay(from.region == to.region)
+	if w.rand.Float64() < w.loss {
+		deliver(delay + time.Duration(w.rand.IntN(3000))*time.Millisecond)
+	}
+	if w.rand.Float64() < w.loss {
+		delay += time.Duration(w.rand.IntN(3000)) * time.Millisecond
+	}
+	deliver(delay)
+}
+
+// report announces the limits to all routers.
+func (p *proc) report() {
+	if list := p.holder.Announcements(p.clock()); len(list) > 0 {
+		for _, r := range p.w.routers {
+			p.w.send(p, r, func() {
+				for _, n := range list {
+					r.balance.Announced(r.clock(), n)
+				}
+			})
+		}
+	}
+	p.w.after(p, 500*time.Millisecond, p.report)
+}
+
+// holderOf returns the sidecar that the router's list ranks first.
+func (p *proc) holderOf() *proc {
+	if len(p.w.sidecars) == 0 {
+		return nil
+	}
+	if p.w.sole {
+		return p.w.sidecars[0]
+	}
+	return p.w.sidecars[p.list%len(p.w.sidecars)]
+}
+
+// flush sends what is due, hands out tokens and sets a timer.
+func (p *proc) flush() {
+	now := p.clock()
+	for _, r := range p.balance.Results(now) {
+		if done := p.done[r.ID]; done != nil {
+			delete(p.done, r.ID)
+			done(r.Token)
+		}
+	}
+	for _, m := range p.balance.Messages(now) {
+		to := p.holderOf()
+		if to == nil {
+			continue
+		}
+		p.w.send(p, to, func() {
+			to.deliver(to.holder.Handle(to.clock(), m, p.w.sole))
+			to.schedule()
+		})
+	}
+	p.wake(max(time.Millisecond, p.balance.Next(now).Sub(now)), p.flush)
+}
+
+// wake runs f once after the delay; a later call replaces a timer that would run later.
+func (p *proc) wake(delay time.Duration, f func()) {
+	at := p.w.now + delay
+	if p.timer > p.w.now && p.timer <= at {
+		return
+	}
+	p.timer = at
+	p.w.after(p, delay, func() {
+		if p.timer <= p.w.now && p.timer == at || p.timer < p.w.now {
+			p.timer = 0
+			f()
+		}
+	})
+}
+
+func (p *proc) deliver(list []Outgoing) {
+	for _, o := range list {
+		for _, r := range p.w.routers {
+			if r.name == o.Router {
+				p.w.send(p, r, func() {
+					if r.balance.Apply(r.clock(), o.Grant) {
+						r.flush()
+					}
+				})
+				break
+			}
+		}
+	}
+}
+
+func (p *proc) schedule() {
+	p.wake(max(time.Millisecond, p.holder.Next(p.clock()).Sub(p.clock())), func() {
+		p.deliver(p.holder.Due(p.clock()))
+		p.schedule()
+	})
+}
+
+// demandNext lets a request arrive at a router, by a Poisson process.
+func (w *world) demandNext() {
+	w.after(nil, time.Duration(w.rand.ExpFloat64()/w.demand*float64(time.Second)), w.demandNext)
+	n := len(w.routers)
+	if w.rand.Float64() < w.skew {
+		n = max(1, n/10)
+	}
+	p := w.routers[w.rand.IntN(n)]
+	if p.dead {
+		return
+	}
+	w.after(p, 0, func() { p.request(w.rand.IntN(3)) })
+}
+
+func (p *proc) request(priority int) {
+	w := p.w
+	w.waits++
+	if t := p.balance.Take(p.clock(), w.engine.instance); t != nil {
+		p.use(t)
+		p.flush()
+		return
+	}
+	id := p.balance.Wait(p.clock(), w.engine.instance, priority)
+	p.done[id] = p.use
+	w.after(p, w.patience, func() {
+		if p.done[id] != nil {
+			delete(p.done, id)
+			p.balance.Cancel(p.clock(), id)
+			w.hints = append(w.hints, p.balance.RetryIn(p.clock(), w.engine.instance, w.rand.Float64()))
+			w.refused++
+		}
+	})
+	p.flush()
+}
+
+// use sends a request some milliseconds after it has got its token.
+func (p *proc) use(t *Token) {
+	w := p.w
+	w.after(p, time.Duration(w.rand.IntN(5))*time.Millisecond, func() {
+		if !t.Valid(p.clock()) {
+			p.balance.Refund(p.clock(), t)
+			return
+		}
+		p.balance.Sent(p.clock(), t)
+		w.served++
+		p.gap = max(p.gap, w.now-p.lastServed)
+		p.lastServed = w.now
+		delay := w.delay(p.region == 0)
+		if w.rand.Float64() < w.late {
+			delay += time.Duration(w.rand.IntN(500)) * time.Millisecond
+		}
+		sentAt := p.clock()
+		w.after(nil, delay, func() {
+			e := &w.engine
+			i, generation := e.instance, p.generation
+			e.arrivals = append(e.arrivals, arrival{w.now, p.boundAt > 0 && w.now-p.boundAt >= 500*time.Millisecond})
+			w.after(nil, time.Duration(w.rand.ExpFloat64()*float64(e.service)), func() {
+				n := e.n
+				w.after(p, w.delay(p.region == 0), func() {
+					if p.generation == generation && e.instance == i {
+						p.answer(i, n, sentAt)
+					}
+				})
+			})
+		})
+	})
+}
+
+// answer passes on an answer of the engine.
+func (p *proc) answer(i Instance, n float64, sentAt boottime.Instant) {
+	if n < 0 {
+		p.balance.Observe(p.clock(), i, Absent, 0, sentAt)
+	} else {
+		p.balance.Observe(p.clock(), i, Named, n, sentAt)
+		if p.boundAt == 0 {
+			p.boundAt = p.w.now
+		}
+	}
+	p.flush()
+}
+
+// measure is what a run brought.
+type measure struct {
+	// Worst is the largest number of requests in a window, as a part of what the rule allows, and WorstPlan as a part of
+	// the limit itself and five requests.
+	worst, worstPlan float64
+	worstAt          time.Duration
+	// part is the part of the limit that was served, from the first window's end on.
+	part float64
+	// gap is the longest time that a living router with demand sent nothing.
+	gap                      time.Duration
+	waits, refused, messages int
+	hint, longestHint        time.Duration
+}
+
+// allowed returns the integral of the limit from a to b. A change counts as from half a second later if it lowers the limit.
+func (e *engine) allowed(a, b time.Duration) float64 {
+	total := 0.0
+	for k, h := range e.history {
+		from, until := h.at, time.Duration(math.MaxInt64)
+		if k+1 < len(e.history) {
+			until = e.history[k+1].at
+			if next := e.history[k+1].n; next >= 0 && (h.n < 0 || next < h.n) {
+				until += 500 * time.Millisecond
+			}
+		}
+		if k > 0 && h.n >= 0 && (e.history[k-1].n < 0 || h.n < e.history[k-1].n) {
+			from += 500 * time.Millisecond
+		}
+		if d := min(b, until) - max(a, from); d > 0 {
+			if h.n < 0 {
+				return math.Inf(1)
+			}
+			total += d.Seconds() * h.n
+		}
+	}
+	return total
+}
+
+func (w *world) measure() measure {
+	m := measure{waits: w.waits, refused: w.refused, messages: w.messages}
+	first, sum, counted := 0, 0, 0
+	var bound []time.Duration
+	for _, a := range w.engine.arrivals {
+		if a.at >= 8*time.Second {
+			counted++
+		}
+		if a.bound {
+			bound = append(bound, a.at)
+		}
+	}
+	for _, at := range bound {
+		sum++
+		for at-bound[first] >= Window {
+			sum--
+			first++
+		}
+		if at < 8*time.Second {
+			continue // the limit was first named when the day began, and a window after it is free
+		}
+		limit := w.engine.allowed(at-Window, at)
+		if part := float64(sum) / (1.5*limit + 5); part > m.worst {
+			m.worst, m.worstAt = part, at
+		}
+		m.worstPlan = max(m.worstPlan, float64(sum)/(limit+5))
+	}
+	m.part = float64(counted) / w.engine.allowed(8*time.Second, w.duration)
+	for _, p := range w.routers {
+		if !p.dead {
+			m.gap = max(m.gap, p.gap, w.now-p.lastServed)
+		}
+	}
+	for _, h := range w.hints {
+		m.hint += h / time.Duration(len(w.hints))
+		m.longestHint = max(m.longestHint, h)
+	}
+	return m
+}
+
+func (m measure) String() string {
+	return fmt.Sprintf("largest window %.2f of the allowed (at %s), %.2f of the limit; served %.2f of the limit; longest gap %s; %d of %d refused, told %s on average, %s at most; %d messages",
+		m.worst, m.worstAt.Round(time.Millisecond), m.worstPlan, m.part, m.gap.Round(time.Millisecond), m.refused, m.waits, m.hint.Round(time.Millisecond), m.longestHint.Round(time.Millisecond), m.messages)
+}
