Simulate the faults of routers, holders and engines

What callers see: nothing yet; nothing uses the package. Change: routers, sidecars and the engine fail, freeze, are cut, replaced and restarted at random, the limit changes and ends, and the list of sidecars changes. A new holder of an upstream without a sidecar starts at a quarter of the rate in place of half: with half, a window of 4 s that begins with two holders can hold 1.5 of the limit.

--- a/pkg/upstreamlimit/account.go
+++ b/pkg/upstreamlimit/account.go
@@ -22,6 +22,7 @@
 type account struct {
 	instance Instance
 	usedAt   boottime.Instant
+	active   bool    // in Balance.active
 	phase    float64 // of the slots, from 0 to 1
 
 	n       float64          // the limit in force, as far as known; 0 if there is none
--- a/pkg/upstreamlimit/asker.go
+++ b/pkg/upstreamlimit/asker.go
@@ -76,14 +76,6 @@
 	for p, n := range r.Want {
 		a.want[min(p, Priorities-1)] += min(max(n, 0), maxWant)
 	}
-	// Tokens on their way are for requests that the router still counts as waiting.
-	if !u.hooks.noSeen {
-		for _, q := range a.requests {
-			if now.Sub(q.at) < Validity {
-				a.reduce(q.granted - seen(r.Seen, q.seq))
-			}
-		}
-	}
 	a.latest, a.askedAt = r.Seq, now
 	if a.wants() > 0 {
 		u.pendingUntil = now.Add(pendingTime)
@@ -94,23 +86,6 @@
 	}
 }
 
-func seen(counts []Count, seq uint64) int {
-	for _, c := range counts {
-		if c.Seq == seq {
-			return c.Count
-		}
-	}
-	return 0
-}
-
-func (a *asker) reduce(n int) {
-	for p := range a.want {
-		less := min(max(n, 0), a.want[p])
-		a.want[p] -= less
-		n -= less
-	}
-}
-
 func (a *asker) live(now boottime.Instant) bool { return now.Sub(a.askedAt) < pendingTime }
 
 func (a *asker) wants() int {
@@ -150,7 +125,7 @@
 	u.granted++
 	u.turn++
 	a.turn = u.turn
-	a.reduce(1)
+	a.want[a.urgent()]--
 	a.requests[len(a.requests)-1].granted++
 	u.answer(a)
 }
--- a/pkg/upstreamlimit/balance.go
+++ b/pkg/upstreamlimit/balance.go
@@ -69,6 +69,8 @@
 	process   uint64
 	id        uint64
 	upstreams map[string]*account
+	// active are the upstreams with a limit or a request that waits, by id. Most have neither.
+	active    []*account
 	waiting   map[uint64]*waiter
 	routers   [2]int // largest numbers of routers told in this minute and in the one before
 	routersAt boottime.Instant
@@ -122,7 +124,7 @@
 	}
 	b.prunedAt = now
 	for id, a := range b.upstreams {
-		if a.total == 0 && now.Sub(a.usedAt) > time.Minute && a.limited(now) == 0 {
+		if !a.active && now.Sub(a.usedAt) > time.Minute && a.limited(now) == 0 {
 			delete(b.upstreams, id)
 		}
 	}
@@ -137,6 +139,7 @@
 	switch {
 	case kind == Named: // of an earlier process too: which one answered is not certain
 		a.observeNamed(now, min(n, MaxRate), sentAt)
+		b.activate(a)
 	case kind == Absent && i.StartedUnixMS == a.instance.StartedUnixMS:
 		a.observeAbsent(now, sentAt, b.hooks)
 	}
@@ -150,6 +153,7 @@
 	a := b.account(now, n.Instance)
 	if n.Instance.StartedUnixMS == a.instance.StartedUnixMS {
 		a.hear(now, min(n.N, MaxRate))
+		b.activate(a)
 	}
 }
 
@@ -206,6 +210,7 @@
 	b.waiting[b.id] = w
 	w.account.queues[w.priority] = append(w.account.queues[w.priority], w)
 	w.account.total++
+	b.activate(w.account)
 	return b.id
 }
 
@@ -287,6 +292,7 @@
 		}
 	}
 	a.answered(now, g, s)
+	b.activate(a)
 	b.expire(now, a)
 	return true
 }
@@ -294,8 +300,7 @@
 // Results returns the waits that end now.
 func (b *Balance) Results(now boottime.Instant) []Result {
 	var out []Result
-	for _, id := range b.ids() {
-		a := b.upstreams[id]
+	for _, a := range b.active {
 		for a.total > 0 {
 			t := b.take(now, a)
 			if t == nil {
--- a/pkg/upstreamlimit/compose.go
+++ b/pkg/upstreamlimit/compose.go
@@ -12,8 +12,11 @@
 // has it. If the caller knows no holder, it drops the message.
 func (b *Balance) Messages(now boottime.Instant) []*Request {
 	var out []*Request
-	for _, id := range b.ids() {
-		a := b.upstreams[id]
+	b.active = slices.DeleteFunc(b.active, func(a *account) bool {
+		a.active = a.total > 0 || len(a.sent) > 0 || a.limited(now) > 0
+		return !a.active
+	})
+	for _, a := range b.active {
 		b.giveUp(now, a)
 		if a.limited(now) == 0 {
 			continue
@@ -99,12 +102,6 @@
 	if a.holder != 0 {
 		r.Holder, r.EchoMS, r.EchoAgeMS = a.holder, a.echo, now.Sub(a.echoAt).Milliseconds()
 	}
-	for _, s := range a.sent {
-		if s.got > 0 {
-			r.Seen = append(r.Seen, Count{s.Seq, s.got})
-		}
-	}
-	slices.SortFunc(r.Seen, func(x, y Count) int { return cmp.Compare(x.Seq, y.Seq) })
 	r.Returned = b.returns(now, a)
 	total := sum(want)
 	if total > 0 {
@@ -157,7 +154,7 @@
 // Next returns when Messages and Results are to be called next; at most a second later.
 func (b *Balance) Next(now boottime.Instant) boottime.Instant {
 	next := now.Add(time.Second)
-	for _, a := range b.upstreams {
+	for _, a := range b.active {
 		if a.limited(now) == 0 {
 			continue
 		}
@@ -180,13 +177,14 @@
 	return max(next, now)
 }
 
-func (b *Balance) ids() []string {
-	var out []string
-	for id := range b.upstreams {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
+// activate has the upstream looked at for messages and results.
+func (b *Balance) activate(a *account) {
+	if a.active {
+		return
+	}
+	a.active = true
+	i, _ := slices.BinarySearchFunc(b.active, a, func(x, y *account) int { return cmp.Compare(x.instance.ID, y.instance.ID) })
+	b.active = slices.Insert(b.active, i, a)
 }
 
 func (r *request) wanted() [Priorities]int {
--- a/pkg/upstreamlimit/holder.go
+++ b/pkg/upstreamlimit/holder.go
@@ -30,7 +30,7 @@
 
 // hooks take single mechanisms out, for the simulation that shows what each is for.
 type hooks struct {
-	fullStart, noEnd, noRepeatCheck, noSlots, noPhase, noSeen, noTurns, noPriority, noOrder, noRamp, noReturn, noSpent, noHalf, noHeard,
+	fullStart, noEnd, noRepeatCheck, noSlots, noTurns, noPriority, noOrder, noRamp, noReturn, noSpent, noSlowStart, noHeard,
 	noFallback bool
 }
 
@@ -67,8 +67,8 @@
 func (h *Holder) Forget(id string) { delete(h.upstreams, id) }
 
 // Handle applies a request and returns the messages to send: the answer, and tokens of other routers that came due. With
-// sole, no other process can be the holder, as for the engine beside the sidecar; without it the holder starts at half
-// the rate for one window, since routers with an older list may still ask another one.
+// sole, no other process can be the holder, as for the engine beside the sidecar; without it the holder starts at a
+// quarter of the rate for one window, since routers with an older list may still ask another one.
 func (h *Holder) Handle(now boottime.Instant, r *Request, sole bool) []Outgoing {
 	u := h.upstreams[r.Instance.ID]
 	if u == nil {
@@ -76,8 +76,8 @@
 			return nil
 		}
 		u = h.newUpstream(now, r.Instance)
-		if !sole && !h.hooks.noHalf {
-			u.halfUntil = now.Add(Window)
+		if !sole && !h.hooks.noSlowStart {
+			u.slowUntil = now.Add(Window)
 		}
 		h.upstreams[r.Instance.ID] = u
 	}
--- a/pkg/upstreamlimit/messages.go
+++ b/pkg/upstreamlimit/messages.go
@@ -44,19 +44,17 @@
 	Want []int `cbor:"6,keyasint,omitempty"`
 	// Spent is the number of requests sent without a token of a holder within the last window and not yet reported.
 	Spent int `cbor:"7,keyasint,omitempty"`
-	// Seen are the tokens received for the latest earlier requests. The holder repeats those that are missing.
-	Seen []Count `cbor:"8,keyasint,omitempty"`
 	// Returned are tokens that were not used and will not be.
-	Returned []Count `cbor:"9,keyasint,omitempty"`
+	Returned []Count `cbor:"8,keyasint,omitempty"`
 	// Holder and EchoMS are the process and the stamp of the holder's latest message, and EchoAgeMS the time since its
 	// arrival. They bound from below when this request was sent, in the holder's time.
-	Holder    uint64 `cbor:"10,keyasint,omitempty"`
-	EchoMS    int64  `cbor:"11,keyasint,omitempty"`
-	EchoAgeMS int64  `cbor:"12,keyasint,omitempty"`
+	Holder    uint64 `cbor:"9,keyasint,omitempty"`
+	EchoMS    int64  `cbor:"10,keyasint,omitempty"`
+	EchoAgeMS int64  `cbor:"11,keyasint,omitempty"`
 	// Heard is the limit that the router knows from a holder. It counts only for a holder that has seen no fact yet.
-	Heard float64 `cbor:"13,keyasint,omitempty"`
+	Heard float64 `cbor:"12,keyasint,omitempty"`
 	// Refused is the number of callers that were told to come back since the last request.
-	Refused int `cbor:"14,keyasint,omitempty"`
+	Refused int `cbor:"13,keyasint,omitempty"`
 }
 
 // Count is a number of tokens that were granted for the request with the number Seq.
--- a/pkg/upstreamlimit/sim_test.go
+++ b/pkg/upstreamlimit/sim_test.go
@@ -25,7 +25,9 @@
 	engine   engine
 	messages int
 
-	waits, served, refused int
+	waits, refused     int
+	urgent, urgentSent int
+	oldest             time.Duration
 	// hints are the times that refused callers were told to come back after.
 	hints []time.Duration
 }
@@ -41,6 +43,7 @@
 	duration          time.Duration
 	patience          time.Duration
 	sole              bool // the first sidecar is beside the engine
+	faults            faults
 	sameClock         bool
 	hooks             hooks
 	script            func(w *world)
@@ -53,7 +56,6 @@
 	service  time.Duration
 	history  []naming
 	arrivals []arrival
-	freeSum  int
 }
 
 type naming struct {
@@ -81,6 +83,7 @@
 	balance     *Balance
 	boundAt     time.Duration // when the router had first passed on a naming; 0 if it has not
 	done        map[uint64]func(*Token)
+	asked       map[uint64]time.Duration // when requests for tokens were sent
 	timer       time.Duration
 	lastServed  time.Duration
 	gap         time.Duration // longest time without a request that was sent
@@ -126,6 +129,9 @@
 	}
 	w.name(s.n)
 	w.after(nil, 0, w.demandNext)
+	if s.faults.every > 0 {
+		w.after(nil, 5*time.Second, w.fault)
+	}
 	if s.script != nil {
 		s.script(w)
 	}
@@ -152,7 +158,7 @@
 		p.report()
 		return
 	}
-	p.balance, p.done = NewBalance(p.name, process), map[uint64]func(*Token){}
+	p.balance, p.done, p.asked = NewBalance(p.name, process), map[uint64]func(*Token){}, map[uint64]time.Duration{}
 	p.balance.hooks = p.w.hooks
 	p.lastServed = p.w.now
 	p.w.after(p, 100*time.Millisecond, func() { p.balance.SetRouters(p.clock(), p.w.scenario.routers) })
@@ -256,11 +262,18 @@
 		}
 	}
 	for _, m := range p.balance.Messages(now) {
+		if _, repeat := p.asked[m.Seq]; !repeat {
+			p.asked[m.Seq] = p.w.now
+		}
 		to := p.holderOf()
 		if to == nil {
 			continue
 		}
 		p.w.send(p, to, func() {
+			if to.holderOf() != to {
+				to.holder.Forget(engineID) // its own list names another one
+				return
+			}
 			to.deliver(to.holder.Handle(to.clock(), m, p.w.sole))
 			to.schedule()
 		})
@@ -322,13 +335,17 @@
 func (p *proc) request(priority int) {
 	w := p.w
 	w.waits++
+	use := func(t *Token) { p.use(t, priority) }
+	if priority == 0 {
+		w.urgent++
+	}
 	if t := p.balance.Take(p.clock(), w.engine.instance); t != nil {
-		p.use(t)
+		use(t)
 		p.flush()
 		return
 	}
 	id := p.balance.Wait(p.clock(), w.engine.instance, priority)
-	p.done[id] = p.use
+	p.done[id] = use
 	w.after(p, w.patience, func() {
 		if p.done[id] != nil {
 			delete(p.done, id)
@@ -341,7 +358,7 @@
 }
 
 // use sends a request some milliseconds after it has got its token.
-func (p *proc) use(t *Token) {
+func (p *proc) use(t *Token, priority int) {
 	w := p.w
 	w.after(p, time.Duration(w.rand.IntN(5))*time.Millisecond, func() {
 		if !t.Valid(p.clock()) {
@@ -349,7 +366,12 @@
 			return
 		}
 		p.balance.Sent(p.clock(), t)
-		w.served++
+		if priority == 0 {
+			w.urgentSent++
+		}
+		if t.seq != 0 {
+			w.oldest = max(w.oldest, w.now-p.asked[t.seq])
+		}
 		p.gap = max(p.gap, w.now-p.lastServed)
 		p.lastServed = w.now
 		delay := w.delay(p.region == 0)
@@ -361,8 +383,12 @@
 			e := &w.engine
 			i, generation := e.instance, p.generation
 			e.arrivals = append(e.arrivals, arrival{w.now, p.boundAt > 0 && w.now-p.boundAt >= 500*time.Millisecond})
+			n := e.n
+			early := w.rand.IntN(2) == 0
 			w.after(nil, time.Duration(w.rand.ExpFloat64()*float64(e.service)), func() {
-				n := e.n
+				if !early {
+					n = e.n
+				}
 				w.after(p, w.delay(p.region == 0), func() {
 					if p.generation == generation && e.instance == i {
 						p.answer(i, n, sentAt)
@@ -388,16 +414,22 @@
 
 // measure is what a run brought.
 type measure struct {
-	// Worst is the largest number of requests in a window, as a part of what the rule allows, and WorstPlan as a part of
-	// the limit itself and five requests.
-	worst, worstPlan float64
+	// worst is the largest number of requests in a window, as a part of what the rule allows, at worstAt; all counts the
+	// requests of routers that have not passed on a naming too, and plan is the part of the limit itself and five requests.
+	worst, all, plan float64
 	worstAt          time.Duration
-	// part is the part of the limit that was served, from the first window's end on.
+	// windows is the number of windows that were judged.
+	windows int
+	// part is the part of the limit that was served from the eighth second on, if it was named all the time.
 	part float64
-	// gap is the longest time that a living router with demand sent nothing.
+	// gap is the longest time that a living router sent nothing, although a request waited or came.
 	gap                      time.Duration
 	waits, refused, messages int
 	hint, longestHint        time.Duration
+	// oldest is the longest time from a request for tokens to a send with one of them.
+	oldest time.Duration
+	// urgent is the part of the most urgent requests that were sent.
+	urgent float64
 }
 
 // allowed returns the integral of the limit from a to b. A change counts as from half a second later if it lowers the limit.
@@ -424,38 +456,43 @@
 	return total
 }
 
-func (w *world) measure() measure {
-	m := measure{waits: w.waits, refused: w.refused, messages: w.messages}
-	first, sum, counted := 0, 0, 0
-	var bound []time.Duration
+// largest returns the largest part of what the rule allows that arrived in a window, when, and how many were judged.
+func (w *world) largest(all bool, factor, constant float64) (worst float64, at time.Duration, judged int) {
+	var in []time.Duration
 	for _, a := range w.engine.arrivals {
-		if a.at >= 8*time.Second {
-			counted++
-		}
-		if a.bound {
-			bound = append(bound, a.at)
+		if !a.bound && !all {
+			continue
 		}
-	}
-	for _, at := range bound {
-		sum++
-		for at-bound[first] >= Window {
-			sum--
-			first++
+		in = append(in, a.at)
+		for a.at-in[0] >= Window {
+			in = in[1:]
 		}
-		if at < 8*time.Second {
+		limit := w.engine.allowed(a.at-Window, a.at)
+		if a.at < 8*time.Second || math.IsInf(limit, 1) {
 			continue // the limit was first named when the day began, and a window after it is free
 		}
-		limit := w.engine.allowed(at-Window, at)
-		if part := float64(sum) / (1.5*limit + 5); part > m.worst {
-			m.worst, m.worstAt = part, at
+		judged++
+		if part := float64(len(in)) / (factor*limit + constant); part > worst {
+			worst, at = part, a.at
+		}
+	}
+	return worst, at, judged
+}
+
+func (w *world) measure() measure {
+	m := measure{waits: w.waits, refused: w.refused, messages: w.messages, oldest: w.oldest, urgent: float64(w.urgentSent) / float64(w.urgent)}
+	m.worst, m.worstAt, m.windows = w.largest(false, 1.5, 5)
+	m.all, _, _ = w.largest(true, 1.5, 5)
+	m.plan, _, _ = w.largest(false, 1, 5)
+	counted := 0
+	for _, a := range w.engine.arrivals {
+		if a.at >= 8*time.Second {
+			counted++
 		}
-		m.worstPlan = max(m.worstPlan, float64(sum)/(limit+5))
 	}
 	m.part = float64(counted) / w.engine.allowed(8*time.Second, w.duration)
 	for _, p := range w.routers {
-		if !p.dead {
-			m.gap = max(m.gap, p.gap, w.now-p.lastServed)
-		}
+		m.gap = max(m.gap, p.gap, w.now-p.lastServed)
 	}
 	for _, h := range w.hints {
 		m.hint += h / time.Duration(len(w.hints))
@@ -465,6 +502,6 @@
 }
 
 func (m measure) String() string {
-	return fmt.Sprintf("largest window %.2f of the allowed (at %s), %.2f of the limit; served %.2f of the limit; longest gap %s; %d of %d refused, told %s on average, %s at most; %d messages",
-		m.worst, m.worstAt.Round(time.Millisecond), m.worstPlan, m.part, m.gap.Round(time.Millisecond), m.refused, m.waits, m.hint.Round(time.Millisecond), m.longestHint.Round(time.Millisecond), m.messages)
+	return fmt.Sprintf("largest of %d windows %.2f of the allowed (at %s), with newcomers %.2f, %.2f of the limit; served %.2f, of urgent requests %.2f; longest gap %s, oldest token %s; %d of %d refused, told %s, at most %s; %d messages",
+		m.windows, m.worst, m.worstAt.Round(time.Millisecond), m.all, m.plan, m.part, m.urgent, m.gap.Round(time.Millisecond), m.oldest.Round(time.Millisecond), m.refused, m.waits, m.hint.Round(time.Millisecond), m.longestHint.Round(time.Millisecond), m.messages)
 }
--- a/pkg/upstreamlimit/upstream.go
+++ b/pkg/upstreamlimit/upstream.go
@@ -16,6 +16,9 @@
 	debtTime = time.Second
 	// rampTime is the time over which a limit ends. The rate doubles every rampStep, from one a second at least.
 	rampTime, rampStep = 8 * time.Second, time.Second
+	// takeOverShare is the part of the limit that a new holder of an upstream without a sidecar uses for one window. The
+	// holder before it may still have all, until it and the routers that ask it know the new list.
+	takeOverShare = 0.25
 	// fairShare: one token of so many goes to the router that has had none for the longest time, whatever its priority.
 	fairShare = 8
 	// keptRequests is the number of requests of a router that are remembered; it sends a new one every 30 ms at most.
@@ -31,7 +34,7 @@
 	hooks     hooks
 	createdAt boottime.Instant
 	usedAt    boottime.Instant
-	halfUntil boottime.Instant
+	slowUntil boottime.Instant
 	// restartedAt is when the current process became known in place of another.
 	restartedAt boottime.Instant
 
@@ -111,8 +114,8 @@
 		return 0
 	case u.liftedAt != 0:
 		return ramp(u.n, now.Sub(u.liftedAt), u.hooks)
-	case now < u.halfUntil:
-		return effective(u.n) / 2
+	case now < u.slowUntil:
+		return effective(u.n) * takeOverShare
 	}
 	return effective(u.n)
 }
