--- a/pkg/peer/check_limits.go
+++ b/pkg/peer/check_limits.go
@@ -50,7 +50,6 @@
 	c.require(len(r.Want) <= upstreamlimit.Priorities, "want")
 	c.count("want", r.Want...)
 	c.count("spent", r.Spent, r.Refused)
-	c.limitCounts("seen", r.Seen)
 	c.limitCounts("returned", r.Returned)
 	c.limitAge("echo", r.EchoMS, r.EchoAgeMS)
 }
