Let requests join the queue of a limited upstream after others were refused

What callers saw: of the 20 requests that an upstream took in 4 s (5 per second, four routers, twelve callers that come back at once), 7 arrived; the others were refused although the upstream had room (new spec of pkg/gateway with a sidecar).

Cause: the expected wait that the holder states includes the time for the callers that were told to come back, up to 4 s. Routers used it to decide whether a request can wait, so all were refused, none asked for a token, and a caller that came back at its time met the backlog of the others. Ruled out: lost messages (loopback).

Change: a grant states both times. The wait without the refused callers decides whether a request waits; the time to come back still includes them. Two faults of the sidecar's own notices that its new specs showed before they were committed: the grants of other routers that a notice made due were dropped, and a report without the limit within 2 ms of one with it did not end it and was not repeated.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -27,12 +27,12 @@
 	log   *eventlog.Log
 	scope tally.Scope
 	wake  chan struct{}
-	// send sends a message to the sidecar beside the upstream at the address; nil while messages are not exchanged.
-	send func(address string, m peer.Message)
 	// limited is the number of upstreams with a limit.
 	limited atomic.Int32
 
-	mu      sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// send sends a message to the sidecar beside the upstream at the address; nil while messages are not exchanged.
+	send    func(address string, m peer.Message)
 	balance *upstreamlimit.Balance
 	// known are the upstreams that have, or have had until lately, a limit.
 	known   map[string]*knownLimit
@@ -68,9 +68,11 @@
 func (g *Gateway) SetLimits(l *Limits) { g.limits = l }
 
 // SetLimits passes the agents' messages on limits to l, whose own are sent through the exchange. It must be called before
-// Run and before the first request.
+// Run.
 func (p *Peers) SetLimits(l *Limits) {
 	p.limits = l
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.send = p.sendMessage
 }
 
@@ -110,7 +112,7 @@
 		}
 		l.keepAhead(now, r)
 	}
-	out := l.balance.Messages(now)
+	out, send := l.balance.Messages(now), l.send
 	next = min(next, l.balance.Next(now).Sub(now))
 	lines := l.review(now)
 	l.count()
@@ -119,7 +121,7 @@
 		l.log.State(line.message, line.fields...)
 	}
 	for _, r := range out {
-		l.transmit(r)
+		l.transmit(r, send)
 	}
 	return next
 }
@@ -153,14 +155,14 @@
 }
 
 // transmit sends a message to the holder of the upstream's limit. It is not sent if none is known.
-func (l *Limits) transmit(r *upstreamlimit.Request) {
-	if l.send == nil {
+func (l *Limits) transmit(r *upstreamlimit.Request, send func(string, peer.Message)) {
+	if send == nil {
 		return
 	}
 	address := ""
 	l.core.Do(func(s *dispatch.State) { address = s.LimitHolder(time.Now(), r.Instance.ID) })
 	if address != "" {
-		l.send(address, peer.Message{LimitRequest: r})
+		send(address, peer.Message{LimitRequest: r})
 	}
 }
 
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -33,18 +33,23 @@
 
 // rig is a gateway whose upstreams are simulated by the spec.
 type rig struct {
-	core  *gateway.Core
-	gw    *gateway.Gateway
-	front *httptest.Server
+	name   string
+	core   *gateway.Core
+	gw     *gateway.Gateway
+	limits *gateway.Limits
+	front  *httptest.Server
 }
 
-func newRig() *rig {
+func newRig() *rig { return newNamedRig("edge-1") }
+
+// newNamedRig returns a rig whose router has the name.
+func newNamedRig(name string) *rig {
 	state := dispatch.New(dispatch.Settings{Zone: "z1", RetryLimit: retrylimit.Limit{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}})
 	state.RetryShare.RecordRouters(time.Now().Add(-time.Hour), 1, true)
 	for _, service := range []string{"plain", "llm"} { // the quotas have had time to earn tokens
 		state.RecordArrival(time.Now().Add(-time.Minute), &dispatch.Request{Service: service})
 	}
-	r := &rig{core: gateway.NewCore(state)}
+	r := &rig{core: gateway.NewCore(state), name: name}
 	r.serve(noop.NewTracerProvider().Tracer(""))
 	return r
 }
@@ -52,17 +57,18 @@
 // serve replaces the gateway with one that uses the tracer.
 func (r *rig) serve(tracer trace.Tracer) {
 	r.gw = gateway.New(r.core, h1.NewPool(), discard, guard.New(discard), tally.NoopScope, tracer)
-	limits := gateway.NewLimits("edge-1", r.core, discard, tally.NoopScope)
-	r.gw.SetLimits(limits)
+	r.limits = gateway.NewLimits(r.name, r.core, discard, tally.NoopScope)
+	r.gw.SetLimits(r.limits)
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
+	limits := r.limits
 	go func() { _ = limits.Run(ctx) }()
 	r.front = httptest.NewServer(r.gw)
 	DeferCleanup(r.front.Close)
 }
 
 // configure applies one route of each kind, to a plain service and to an engine whose only model is cached nowhere.
-func (r *rig) configure() {
+func (r *rig) configure() *catalog.Config {
 	plain := []catalog.Backend{{Service: "plain", Weight: 1}}
 	engine := []catalog.Backend{{Service: "llm", Weight: 1}}
 	cfg := catalog.NewConfig(1, []catalog.Route{
@@ -78,6 +84,7 @@
 		}},
 	}, catalog.Limits{})
 	r.core.Update(func(s *dispatch.State) { s.SetConfig(cfg) })
+	return cfg
 }
 
 // upstream adds an upstream that answers with the handler.
--- a/pkg/peer/check_limits.go
+++ b/pkg/peer/check_limits.go
@@ -58,6 +58,6 @@
 	c.limitInstance(g.Instance)
 	c.limitRate("limit", g.N)
 	c.limitCounts("tokens", g.Tokens)
-	c.quotaWait("retry", g.RetryMS)
+	c.quotaWait("retry", g.RetryMS, g.WaitMS)
 	c.limitAge("stamp", g.StampMS)
 }
--- a/pkg/sidecar/limits.go
+++ b/pkg/sidecar/limits.go
@@ -32,12 +32,13 @@
 	logged  map[string]float64
 	granted map[string]upstreamlimit.Usage // as counted last
 	// process is that of the holder and of the sidecar's own requests, by which it tells the holder what the answers with
-	// the engine's report say; seq numbers them, and told is the latest one's content.
+	// the engine's report say, and seq numbers them.
 	process uint64
 	start   boottime.Instant
 	seq     uint64
-	told    upstreamlimit.Fact
-	toldAt  boottime.Instant
+	// reportedPerS is what a report has named last, reportedAt when, 0 for never, and toldAt when the holder was told.
+	reportedPerS       float64
+	reportedAt, toldAt boottime.Instant
 	// summaryAt is when the state of all limits was last logged.
 	summaryAt boottime.Instant
 }
@@ -118,32 +119,47 @@
 		if l.own.ID != "" && l.own.ID != i.ID {
 			l.holder.Forget(l.own.ID)
 		}
-		l.own, l.told = i, upstreamlimit.Fact{}
+		l.own, l.reportedAt = i, 0
 		l.holder.SetInstance(boottime.Now(), i)
 	}
 }
 
-// reportFactInterval is the time between two notices to the holder of a limit that the engine's reports go on naming.
-const reportFactInterval = time.Second
+const (
+	// reportNoticeInterval is the time between two notices to the holder of a limit that the engine's reports go on naming.
+	reportNoticeInterval = time.Second
+	// reportEndTime is how long after the last report with a limit the holder is told of reports without one: the order of
+	// two answers within some milliseconds is not certain to it.
+	reportEndTime = 2 * time.Second
+)
 
 // observeReport records what the answer with the engine's report says about its limit. Engines may name it in answers to
 // requests only, so an answer without it ends a limit only if an earlier one has named it.
 func (l *limits) observeReport(kind upstreamlimit.Kind, perS float64, sentAt boottime.Instant) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	now := boottime.Now()
+	var out []upstreamlimit.Outgoing
+	if l.reportCounts(now, kind, perS) {
+		l.seq++
+		l.toldAt = now
+		fact := upstreamlimit.Fact{Kind: kind, N: perS, SentMS: now.Sub(sentAt).Milliseconds() + 1}
+		out = l.holder.Handle(now, &upstreamlimit.Request{Router: "sidecar " + l.agent.settings.Node, Process: l.process, Instance: l.own, Seq: l.seq, Fact: fact,
+			Holder: l.process, EchoMS: now.Sub(l.start).Milliseconds()}, true)
+	}
+	l.mu.Unlock()
+	l.send(out)
+}
+
+// reportCounts reports whether the holder is to be told what a report says. The caller holds the lock.
+func (l *limits) reportCounts(now boottime.Instant, kind upstreamlimit.Kind, perS float64) bool {
 	switch {
 	case l.own.ID == "", kind == upstreamlimit.Unseen:
-		return
-	case kind == upstreamlimit.Absent && l.told.Kind != upstreamlimit.Named:
-		return
-	case kind == l.told.Kind && perS == l.told.N && now.Sub(l.toldAt) < reportFactInterval:
-		return
+		return false
+	case kind == upstreamlimit.Absent:
+		return l.reportedAt != 0 && now.Sub(l.reportedAt) <= reportEndTime
 	}
-	l.seq++
-	l.told, l.toldAt = upstreamlimit.Fact{Kind: kind, N: perS, SentMS: now.Sub(sentAt).Milliseconds() + 1}, now
-	l.holder.Handle(now, &upstreamlimit.Request{Router: "sidecar " + l.agent.settings.Node, Process: l.process, Instance: l.own, Seq: l.seq, Fact: l.told,
-		Holder: l.process, EchoMS: now.Sub(l.start).Milliseconds()}, true)
+	repeated := l.reportedAt != 0 && perS == l.reportedPerS
+	l.reportedPerS, l.reportedAt = perS, now
+	return !repeated || now.Sub(l.toldAt) >= reportNoticeInterval
 }
 
 // announcements returns the limits in force, for the reports to the routers.
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 	"github.com/hibiscuscross/hibiscuscross/pkg/quarantine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/sidecar"
+	"github.com/hibiscuscross/hibiscuscross/pkg/upstreamlimit"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -46,6 +47,8 @@
 	reportErr   error                                 // returned for each report unless nil
 	reverse     bool                                  // each report lists the loaded models in reverse order
 	instance    func(context.Context) (string, error) // health check; nil answers with the id i-2
+	limit       upstreamlimit.Kind                    // what the answers with reports say of the rate of requests
+	limitPerS   float64
 }
 
 func (e *engine) Report(context.Context) (platform.Report, error) {
@@ -58,7 +61,7 @@
 		e.self.Models = slices.Clone(e.self.Models)
 		slices.Reverse(e.self.Models)
 	}
-	return platform.Report{Upstream: e.self}, nil
+	return platform.Report{Upstream: e.self, Limit: e.limit, LimitPerS: e.limitPerS}, nil
 }
 
 func (e *engine) Instance(ctx context.Context, _ string) (string, error) {
--- a/pkg/upstreamlimit/account.go
+++ b/pkg/upstreamlimit/account.go
@@ -45,6 +45,7 @@
 	answeredAt boottime.Instant
 	quiet      bool // no holder has answered for silentAfter, and none since
 	nextAt     boottime.Instant
+	waitAt     boottime.Instant // when a further request that waits gets a token
 	slotAt     boottime.Instant // last use of a slot
 	holder     uint64
 	echo       int64
@@ -146,7 +147,7 @@
 	if s != a.latest {
 		return
 	}
-	a.nextAt = now.Add(min(ms(max(g.RetryMS, 0)), maxRetry))
+	a.nextAt, a.waitAt = now.Add(min(ms(max(g.RetryMS, 0)), maxRetry)), now.Add(min(ms(max(g.WaitMS, 0)), maxRetry))
 	if s.Holder == g.Holder {
 		a.reported = s.Fact // with an echo, so that it counted
 	}
--- a/pkg/upstreamlimit/balance.go
+++ b/pkg/upstreamlimit/balance.go
@@ -164,7 +164,7 @@
 	if n == 0 {
 		return Limit{}, false
 	}
-	l = Limit{N: n, Wait: max(0, a.nextAt.Sub(now)), Silent: a.silent(now), Waiting: a.total}
+	l = Limit{N: n, Wait: max(0, a.waitAt.Sub(now)), Silent: a.silent(now), Waiting: a.total}
 	if l.Silent {
 		_, opens, _ := a.slot(now, b.routerCount(now))
 		l.Wait = opens.Sub(now)
@@ -265,7 +265,7 @@
 	a.refused++
 	a.refusedHere++
 	spread := backlogTime(l.N, a.refusedHere)
-	return min(l.Wait+time.Duration(min(max(share, 0), 1)*float64(spread)), maxRetry)
+	return min(max(l.Wait, a.nextAt.Sub(now))+time.Duration(min(max(share, 0), 1)*float64(spread)), maxRetry)
 }
 
 // Apply applies a holder's message, and reports whether it belongs to a request of this balance.
--- a/pkg/upstreamlimit/compose.go
+++ b/pkg/upstreamlimit/compose.go
@@ -63,7 +63,7 @@
 	case total == 0:
 	case l == nil:
 		consider(now)
-	case urgent(want) < urgent(l.wanted()) || total > l.want-l.got && a.nextAt.Sub(now) < soon:
+	case urgent(want) < urgent(l.wanted()) || total > l.want-l.got && a.waitAt.Sub(now) < soon:
 		consider(now)
 	default:
 		consider(l.at.Add(giveUpAfter))
--- a/pkg/upstreamlimit/holder.go
+++ b/pkg/upstreamlimit/holder.go
@@ -160,6 +160,7 @@
 			StampMS: now.Sub(h.start).Milliseconds()}
 		if g.N > 0 {
 			g.RetryMS = min(u.wait(now, a), maxRetry).Milliseconds()
+			g.WaitMS = min(u.queueWait(now), maxRetry).Milliseconds()
 		}
 		out = append(out, Outgoing{Router: a.name, Grant: g})
 	}
--- a/pkg/upstreamlimit/messages.go
+++ b/pkg/upstreamlimit/messages.go
@@ -78,6 +78,9 @@
 	// RetryMS is the time until the next token for a further request of this router.
 	RetryMS int64 `cbor:"7,keyasint,omitempty"`
 	StampMS int64 `cbor:"8,keyasint,omitempty"`
+	// WaitMS is the time until a further request that waits now gets a token. Unlike RetryMS it leaves out the callers that
+	// were told to come back: one that has come back must not wait for itself.
+	WaitMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Announcement names a limit in a holder's reports to all routers, so that those that have seen no answer know it.
--- a/pkg/upstreamlimit/upstream.go
+++ b/pkg/upstreamlimit/upstream.go
@@ -159,7 +159,12 @@
 
 // wait returns the time until a further request of the router would get a token.
 func (u *upstream) wait(now boottime.Instant, a *asker) time.Duration {
-	return max(u.until(now, float64(u.waiting(now)+1)), u.backlogEnd.Sub(now))
+	return max(u.queueWait(now), u.backlogEnd.Sub(now))
+}
+
+// queueWait returns that time without the callers that were told to come back.
+func (u *upstream) queueWait(now boottime.Instant) time.Duration {
+	return u.until(now, float64(u.waiting(now)+1))
 }
 
 // waiting returns the number of requests that wait, as of some milliseconds ago.
