Ask for the expected wait again while callers are refused

What callers saw: in one of three runs of the spec with four routers 9 of the 20 requests arrived that the upstream took; the others were refused for four seconds although the bucket was full.

Cause: a router that refuses all requests has none that waits, so it sends no message, and goes on refusing because of the wait that the holder stated last. Seen in the log of such a run: all 8 that waited gave up after 2.5 s, at the quarter of the rate at which a holder begins, then nothing waited for 4.4 s, until the stated 8 s had nearly passed. Ruled out: lost or lapsed tokens (none were granted in that time).

Change: a refusal makes a message due, 250 ms after the latest one at the earliest, which also reports the refused callers.

--- a/pkg/gateway/limitview.go
+++ b/pkg/gateway/limitview.go
@@ -47,6 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.scope.Counter("limit_refusals_total").Inc(1)
+	l.notify()
 	return l.balance.RetryIn(boottime.Now(), i, share)
 }
 
--- a/pkg/upstreamlimit/compose.go
+++ b/pkg/upstreamlimit/compose.go
@@ -68,6 +68,13 @@
 	default:
 		consider(l.at.Add(giveUpAfter))
 	}
+	if a.refused > 0 { // the expected wait, because of which they were refused, may have become shorter
+		if a.latest == nil {
+			consider(now)
+		} else {
+			consider(a.latest.at.Add(giveUpAfter))
+		}
+	}
 	switch f := a.fact; {
 	case f.kind == Unseen:
 	case a.reported.Kind != f.kind || f.kind == Named && a.reported.N != f.n:
