Send few requests to a limited upstream that stands still

What callers see: nothing yet; nothing uses the package. Cause: the kernel of an upstream whose process or VM stands still keeps what is sent, and hands it over at once when it goes on. The holder went on to grant the limit, and without a holder the slots went on with half of it. Change: three tokens and those of 0.75 s may be without an answer; then a sixteenth of the limit is granted until an answer that a router received later is reported. A router without a holder uses a sixteenth for 10 s, unless the upstream answers it.

--- a/pkg/upstreamlimit/account.go
+++ b/pkg/upstreamlimit/account.go
@@ -11,6 +11,9 @@
 	// silentAfter is the time without an answer of the holder after which the router uses its own slots. All repeats of a
 	// request and three further ones are lost by then, or no holder lives.
 	silentAfter = time.Second
+	// stallTime is the time for which a router without a holder assumes that the whole VM of the upstream stands still,
+	// unless it gets an answer.
+	stallTime = 10 * time.Second
 	// slotWidth is the time at the beginning of a slot in which the router may send. Routers that have been idle have their
 	// slots at random times, so that they don't send together.
 	slotWidth = Validity
@@ -43,7 +46,8 @@
 	lots       []lot
 	askedAt    boottime.Instant // first request since the last answer; 0 for none
 	answeredAt boottime.Instant
-	quiet      bool // no holder has answered for silentAfter, and none since
+	quiet      bool             // no holder has answered for silentAfter, and none since
+	repliedAt  boottime.Instant // latest answer of the upstream
 	nextAt     boottime.Instant
 	slotAt     boottime.Instant // last use of a slot
 	holder     uint64
@@ -169,8 +173,12 @@
 // slot returns whether the router may send now without a holder, when it may next, and when the slot ends. Each router has
 // one slot in the time in which all have as many as half the limit, so that all together stay below what holds beside a
 // holder that others reach.
-func (a *account) slot(now boottime.Instant, routers int) (open bool, opens, ends boottime.Instant) {
-	length := time.Duration(float64(routers) / max(a.limited(now)/2, ProbeRate) * float64(time.Second))
+func (a *account) slot(now boottime.Instant, routers int, k hooks) (open bool, opens, ends boottime.Instant) {
+	rate := max(a.limited(now)/2, ProbeRate)
+	if start := a.askedAt.Add(silentAfter); now.Sub(start) < stallTime && a.repliedAt <= start && !k.noStall {
+		rate = slow(2 * rate)
+	}
+	length := time.Duration(float64(routers) / rate * float64(time.Second))
 	length = max(length, time.Microsecond)
 	width := min(length, slotWidth)
 	start := boottime.Instant(int64(a.phase * float64(length)))
--- a/pkg/upstreamlimit/asker.go
+++ b/pkg/upstreamlimit/asker.go
@@ -120,9 +120,12 @@
 }
 
 // take gives the router a token.
-func (a *asker) take(u *upstream) {
+func (a *asker) take(now boottime.Instant, u *upstream) {
 	u.level--
 	u.granted++
+	if len(u.unanswered) < maxUnanswered {
+		u.unanswered = append(u.unanswered, now)
+	}
 	u.turn++
 	a.turn = u.turn
 	a.want[a.urgent()]--
--- a/pkg/upstreamlimit/balance.go
+++ b/pkg/upstreamlimit/balance.go
@@ -136,6 +136,7 @@
 		kind = Unseen
 	}
 	a := b.account(now, i)
+	a.repliedAt = now
 	switch {
 	case kind == Named: // of an earlier process too: which one answered is not certain
 		a.observeNamed(now, min(n, MaxRate), sentAt)
@@ -166,7 +167,7 @@
 	}
 	l = Limit{N: n, Wait: max(0, a.nextAt.Sub(now)), Silent: a.silent(now), Waiting: a.total}
 	if l.Silent {
-		_, opens, _ := a.slot(now, b.routerCount(now))
+		_, opens, _ := a.slot(now, b.routerCount(now), b.hooks)
 		l.Wait = opens.Sub(now)
 	}
 	return l, true
@@ -195,7 +196,7 @@
 		return t
 	}
 	if a.silent(now) && !b.hooks.noFallback {
-		if open, _, ends := a.slot(now, b.routerCount(now)); open || b.hooks.noSlots {
+		if open, _, ends := a.slot(now, b.routerCount(now), b.hooks); open || b.hooks.noSlots {
 			a.slotAt = now
 			return &Token{Slot: true, Until: ends, id: a.instance.ID}
 		}
--- a/pkg/upstreamlimit/compose.go
+++ b/pkg/upstreamlimit/compose.go
@@ -167,7 +167,7 @@
 			next = min(next, a.askedAt.Add(silentAfter))
 		}
 		if a.total > 0 && a.silent(now) {
-			_, opens, _ := a.slot(now, b.routerCount(now))
+			_, opens, _ := a.slot(now, b.routerCount(now), b.hooks)
 			next = min(next, opens)
 		}
 		if a.endsAt != 0 {
--- a/pkg/upstreamlimit/faults_test.go
+++ b/pkg/upstreamlimit/faults_test.go
@@ -11,6 +11,8 @@
 	outages bool
 	// changes: the engine names other limits, or none, and is replaced by another process.
 	changes bool
+	// stalls: the engine, or the whole VM with the sidecar beside it, stands still.
+	stalls bool
 	// lists: the list of sidecars changes, and each process learns it at another moment.
 	lists bool
 }
@@ -32,6 +34,9 @@
 	if w.faults.changes {
 		kinds = append(kinds, w.change)
 	}
+	if w.faults.stalls {
+		kinds = append(kinds, w.stall)
+	}
 	if w.faults.lists {
 		kinds = append(kinds, func() { w.newList(1.5) })
 	}
@@ -80,6 +85,14 @@
 	}
 }
 
+// stall freezes the engine, and in half of the cases the first sidecar too.
+func (w *world) stall() {
+	w.engine.stalledUntil = w.now + w.seconds(1, 8)
+	if w.rand.IntN(2) == 0 {
+		w.sidecars[0].frozenUntil = w.engine.stalledUntil
+	}
+}
+
 // restart kills the process and starts it later.
 func (p *proc) restart(later time.Duration) {
 	if p.dead {
--- a/pkg/upstreamlimit/holder.go
+++ b/pkg/upstreamlimit/holder.go
@@ -30,7 +30,7 @@
 
 // hooks take single mechanisms out, for the simulation that shows what each is for.
 type hooks struct {
-	fullStart, noEnd, noRepeatCheck, noSlots, noTurns, noPriority, noOrder, noRamp, noReturn, noSpent, noSlowStart, noHeard,
+	fullStart, noEnd, noRepeatCheck, noSlots, noTurns, noPriority, noOrder, noRamp, noReturn, noSpent, noSlowStart, noStall, noHeard,
 	noFallback bool
 }
 
@@ -112,6 +112,9 @@
 	if h.hooks.noOrder {
 		before = now
 	}
+	if f.Kind != Unseen {
+		u.heard(h.sentAfter(r, f.ReceivedMS+1))
+	}
 	switch {
 	case f.Kind == Named && Valid(f.N):
 		u.name(min(f.N, MaxRate), now.Add(-ms(f.ReceivedMS)), before)
@@ -151,7 +154,7 @@
 			u.pendingUntil = 0
 			break
 		}
-		a.take(u)
+		a.take(now, u)
 	}
 	var out []Outgoing
 	for _, a := range u.answers {
--- a/pkg/upstreamlimit/limit.go
+++ b/pkg/upstreamlimit/limit.go
@@ -54,6 +54,19 @@
 	return best
 }
 
+const (
+	// While an upstream does not answer, its kernel may keep what is sent and hand it over at once when its process or its
+	// VM goes on. After unansweredTokens, and the tokens of unansweredTime, without an answer the rate falls to slowShare of
+	// the limit, but not below slowRate: at that rate one answer may be long in coming.
+	unansweredTokens = 3
+	unansweredTime   = 750 * time.Millisecond
+	slowShare        = 1.0 / 16
+	slowRate         = 0.2
+)
+
+// slow returns the rate for an upstream that may stand still.
+func slow(rate float64) float64 { return max(rate*slowShare, min(rate, slowRate)) }
+
 // maxBacklog bounds the times to come back that refused callers are given one after the other, beside the time for one.
 const maxBacklog = 4 * time.Second
 
--- a/pkg/upstreamlimit/upstream.go
+++ b/pkg/upstreamlimit/upstream.go
@@ -23,6 +23,8 @@
 	fairShare = 8
 	// keptRequests is the number of requests of a router that are remembered; it sends a new one every 30 ms at most.
 	keptRequests = 20
+	// maxUnanswered bounds the times that are kept; a limit that allows more without an answer is never slowed down.
+	maxUnanswered = 4096
 	// countInterval is the time for which a count of the waiting requests is used.
 	countInterval = 10 * time.Millisecond
 )
@@ -47,6 +49,10 @@
 
 	level      float64
 	advancedAt boottime.Instant
+	// answeredAt is when a router received the latest answer that the holder knows of, at the earliest, and unanswered are
+	// the times of the tokens granted since.
+	answeredAt boottime.Instant
+	unanswered []boottime.Instant
 	routers    map[string]*asker
 	answers    []*asker // those that a message is to be sent to
 	turn       uint64
@@ -71,7 +77,7 @@
 // process names a limit.
 func (u *upstream) restart(now boottime.Instant, i Instance) {
 	u.restartedAt = now
-	u.instance, u.limited, u.known, u.n, u.namedAt, u.afterAt, u.liftedAt, u.level = i, false, false, 0, 0, 0, 0, 0
+	u.instance, u.limited, u.known, u.n, u.namedAt, u.afterAt, u.liftedAt, u.level, u.unanswered = i, false, false, 0, 0, 0, 0, 0, nil
 }
 
 // name records that the upstream named n, at the time latest at the latest and after earliest.
@@ -120,6 +126,26 @@
 	return effective(u.n)
 }
 
+// heard records that a router received an answer at the instant or later.
+func (u *upstream) heard(at boottime.Instant) {
+	if at <= u.answeredAt {
+		return
+	}
+	u.answeredAt = at
+	for len(u.unanswered) > 0 && u.unanswered[0] <= at {
+		u.unanswered = u.unanswered[1:]
+	}
+}
+
+// rate returns the rate at which tokens come.
+func (u *upstream) rate(now boottime.Instant) float64 {
+	rate := u.inForce(now)
+	if float64(len(u.unanswered)) < unansweredTokens+rate*unansweredTime.Seconds() || u.hooks.noStall {
+		return rate
+	}
+	return slow(rate)
+}
+
 // ramp returns the rate some time after the end of the limit n, and 0 once it no longer counts.
 func ramp(n float64, since time.Duration, k hooks) float64 {
 	if since >= rampTime || k.noRamp {
@@ -143,14 +169,14 @@
 	if elapsed <= 0 {
 		return
 	}
-	rate := u.inForce(u.advancedAt)
+	rate := u.rate(u.advancedAt)
 	u.advancedAt = now
-	u.level = min(u.level+rate*elapsed.Seconds(), u.capacity(rate))
+	u.level = min(u.level+rate*elapsed.Seconds(), u.capacity(u.inForce(now)))
 }
 
 // until returns the time until the bucket holds so many tokens.
 func (u *upstream) until(now boottime.Instant, tokens float64) time.Duration {
-	rate := u.inForce(now)
+	rate := u.rate(now)
 	if tokens <= u.level || rate == 0 {
 		return 0
 	}
