--- a/pkg/upstreamlimit/sim_test.go
+++ b/pkg/upstreamlimit/sim_test.go
@@ -141,8 +141,12 @@
 	return w
 }
 
-// name lets the engine name n from now on; below 0 it names nothing.
+// name lets the engine name n from now on; below 0 it names nothing. An engine that stands still changes nothing.
 func (w *world) name(n float64) {
+	if w.engine.stalledUntil > w.now {
+		w.after(nil, w.engine.stalledUntil-w.now+10*time.Millisecond, func() { w.name(n) })
+		return
+	}
 	w.engine.n = n
 	w.engine.history = append(w.engine.history, naming{w.now, n})
 }
