Play faults of sidecars and entries while upstreams name limits

The scenario with limits killed and restarted processes only. It now also pauses all sidecars or an entry, keeps all sidecars away for 5 s, and lets both plain runners name limits in every other round, so that requests wait or are refused. An entry that stood still counts again once it has passed on a limit again, as after a restart.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -251,6 +251,7 @@
 
 // send makes one attempt at the chosen upstream and reports whether the request has ended.
 func (c *callerRequest) send(d dispatch.Decision, changed <-chan struct{}) bool {
+	c.limit.lapsed = false
 	if c.g.limits.Any() && !c.takeLimit(d.Upstream) { // another request has taken the token
 		return false
 	}
--- a/pkg/gateway/limitview.go
+++ b/pkg/gateway/limitview.go
@@ -160,7 +160,9 @@
 	if t == nil {
 		return false
 	}
-	c.req.RateToken, c.limit.token = u.ID, t
+	if c.limit.token = t; !t.Free {
+		c.req.RateToken = u.ID
+	}
 	return true
 }
 
@@ -179,10 +181,10 @@
 
 // refundLimit gives back the token of a request that is not sent with it.
 func (c *callerRequest) refundLimit() {
-	if c.limit.token != nil {
+	if c.limit.token != nil && !c.limit.token.Free {
 		c.g.limits.refund(c.limit.token)
-		c.req.RateToken, c.limit.token = "", nil
 	}
+	c.req.RateToken, c.limit.token = "", nil
 }
 
 func (c *callerRequest) endLimitWait() {
--- a/pkg/soak/ratelimit.go
+++ b/pkg/soak/ratelimit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
@@ -24,6 +25,8 @@
 	limitedTime = 12 * time.Second
 	// limitFaultAt is when, after the first naming, one process is killed and started again.
 	limitFaultAt = 6 * time.Second
+	// limitOutage is how long all sidecars are away, and limitPause how long a process stands still.
+	limitOutage, limitPause = 5 * time.Second, 2 * time.Second
 	// minLimitedShare is the part of its limit that a limited runner gets at least while others serve the same: it is not
 	// starved.
 	minLimitedShare = 0.1
@@ -163,13 +166,16 @@
 	return lines
 }
 
-// limitEngines makes one engine and one plain runner after the other name a limit, while a process is killed and started
-// again in each round.
+// limitEngines makes one engine and one plain runner name a limit, in every other round both plain runners, while a fault of
+// processes is injected in each round.
 func (w *world) limitEngines() []string {
 	var events []string
-	limited := []*runner{w.runners[0], w.runners[numEngines]}
 	start := time.Now()
 	for round := 0; time.Since(start) < w.options.FaultPeriod; round++ {
+		limited := []*runner{w.runners[0], w.runners[numEngines]}
+		if round%2 == 1 { // requests wait for tokens or are refused
+			limited = append(limited, w.runners[numEngines+1])
+		}
 		var ends []func(time.Time)
 		for _, r := range limited {
 			perS := minLimit + w.random.Float64()*(maxLimit-minLimit)
@@ -177,18 +183,9 @@
 			r.SetRateLimit(perS)
 		}
 		time.Sleep(limitFaultAt)
-		// The sidecar beside the limited engine, an entry, and all sidecars in turn.
-		killed := [][]*process{w.processes[numEntries : numEntries+1], w.processes[round%numEntries : round%numEntries+1], w.processes[numEntries:]}[w.random.IntN(3)]
-		events = append(events, fmt.Sprintf("%6.2f s kill and restart %s and %d more", time.Since(start).Seconds(), killed[0].name, len(killed)-1))
-		for _, p := range killed {
-			p.kill()
-			for i, entry := range w.processes[:numEntries] {
-				if entry == p {
-					w.check.limits.forget(i)
-				}
-			}
-			w.restartProcess(p)
-		}
+		f := limitFaults[w.random.IntN(len(limitFaults))]
+		events = append(events, fmt.Sprintf("%6.2f s %s", time.Since(start).Seconds(), f.name))
+		f.inject(w, round%numEntries)
 		time.Sleep(limitedTime - limitFaultAt)
 		for i, r := range limited {
 			ends[i](time.Now())
@@ -197,3 +194,48 @@
 	}
 	return append(events, w.check.checkLimits()...)
 }
+
+// limitFaults are what happens to processes while runners name limits.
+var limitFaults = []struct {
+	name   string
+	inject func(w *world, entry int)
+}{
+	{"kill and restart the sidecar beside the limited engine", func(w *world, _ int) { w.replace(w.processes[numEntries]) }},
+	{"kill and restart all sidecars", func(w *world, _ int) { w.replace(w.processes[numEntries:]...) }},
+	{"kill and restart an entry", func(w *world, entry int) {
+		w.replace(w.processes[entry])
+		w.check.limits.forget(entry)
+	}},
+	{"kill all sidecars for some seconds", func(w *world, _ int) {
+		for _, p := range w.processes[numEntries:] {
+			p.kill()
+		}
+		time.Sleep(limitOutage)
+		for _, p := range w.processes[numEntries:] {
+			w.restartProcess(p)
+		}
+	}},
+	{"pause an entry", func(w *world, entry int) {
+		w.processes[entry].signal(syscall.SIGSTOP, false)
+		time.Sleep(limitPause)
+		w.processes[entry].signal(syscall.SIGCONT, false)
+		w.check.limits.forget(entry)
+	}},
+	{"pause all sidecars", func(w *world, _ int) {
+		for _, p := range w.processes[numEntries:] {
+			p.signal(syscall.SIGSTOP, false)
+		}
+		time.Sleep(limitPause)
+		for _, p := range w.processes[numEntries:] {
+			p.signal(syscall.SIGCONT, false)
+		}
+	}},
+}
+
+// replace kills the processes and starts them again.
+func (w *world) replace(all ...*process) {
+	for _, p := range all {
+		p.kill()
+		w.restartProcess(p)
+	}
+}
