--- a/pkg/upstreamlimit/balance.go
+++ b/pkg/upstreamlimit/balance.go
@@ -22,6 +22,8 @@
 	// confirmInterval and endInterval are the times between reports of a naming that changes nothing, and of an answer
 	// without a limit while the holder still has one.
 	confirmInterval, endInterval = time.Second, giveUpAfter
+	// maxAccounts bounds the upstreams that reports can name.
+	maxAccounts = 4096
 	// forgetAfter is the time after which a limit ends that neither an answer nor a holder has named; as much again is
 	// added at random, so that the routers don't rise together.
 	forgetAfter = 30 * time.Minute
@@ -151,6 +153,9 @@
 	if !Valid(n.N) || n.N == 0 {
 		return
 	}
+	if b.upstreams[n.Instance.ID] == nil && len(b.upstreams) >= maxAccounts {
+		return
+	}
 	a := b.account(now, n.Instance)
 	if n.Instance.StartedUnixMS == a.instance.StartedUnixMS {
 		a.hear(now, min(n.N, MaxRate))
