--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -76,7 +76,7 @@
 
 	// startRunner starts a plain runner that sends the ids of the requests that run.
 	startRunner := func() (*standin.Runner, string, chan string) {
-		ran := make(chan string, 8)
+		ran := make(chan string, 1024) // takes the requests of specs that do not receive
 		const address = "127.19.3.77:7999"
 		r := standin.NewRunner(standin.RunnerSettings{Service: "loans", ListedAddress: address, ListenAddress: address}, standin.NewStore(), standin.Observer{
 			RequestArrived: func(string, string, time.Time) {}, RuleBroken: func(string, string) {},
--- a/pkg/soak/ratelimit.go
+++ b/pkg/soak/ratelimit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
@@ -24,6 +25,8 @@
 	limitedTime = 12 * time.Second
 	// limitFaultAt is when, after the first naming, one process is killed and started again.
 	limitFaultAt = 6 * time.Second
+	// limitOutage is how long all sidecars are away, and limitPause how long a process stands still.
+	limitOutage, limitPause = 5 * time.Second, 2 * time.Second
 	// minLimitedShare is the part of its limit that a limited runner gets at least while others serve the same: it is not
 	// starved.
 	minLimitedShare = 0.1
@@ -36,7 +39,8 @@
 	named    time.Time // first answer; zero before it
 	ended    time.Time // zero while it lasts
 	arrivals []time.Time
-	total    int // arrivals, of whatever entry
+	all      []time.Time // arrivals from limitSettle on, of whatever entry
+	total    int
 }
 
 // rateLimits records which limits runners name and which entries have passed them on.
@@ -117,6 +121,9 @@
 		p.named = at
 	}
 	p.total++
+	if at.Sub(p.named) >= limitSettle {
+		p.all = append(p.all, at)
+	}
 	since, known := l.knownSince[runner][l.entries[id]]
 	if known && at.Sub(since) >= limitLag && at.Sub(p.named) >= limitSettle {
 		p.arrivals = append(p.arrivals, at)
@@ -124,10 +131,10 @@
 }
 
 // largest returns the most arrivals within one span.
-func (p *limitPeriod) largest() int {
+func largest(arrivals []time.Time) int {
 	most, first := 0, 0
-	for i, at := range p.arrivals {
-		for at.Sub(p.arrivals[first]) > limitSpan {
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) > limitSpan {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -146,9 +153,9 @@
 	defer c.limits.mu.Unlock()
 	var lines []string
 	for _, p := range c.limits.periods {
-		got, allowed := p.largest(), p.allowed()
+		got, allowed := largest(p.arrivals), p.allowed()
 		lasted := p.ended.Sub(p.named).Seconds()
-		lines = append(lines, fmt.Sprintf("runner %s named %.2f/s for %.1f s: %d arrivals, at most %d counted in %s, %.1f allowed", p.runner, p.perS, lasted, p.total, got, limitSpan, allowed))
+		lines = append(lines, fmt.Sprintf("runner %s named %.2f/s for %.1f s: %d arrivals, in %s at most %d counted and %d in all, %.1f allowed", p.runner, p.perS, lasted, p.total, limitSpan, got, largest(p.all), allowed))
 		if float64(got) > allowed {
 			c.recordViolation("limit", fmt.Sprintf("%d requests arrived at runner %s in %s, which named %.2f per second: %.1f allowed", got, p.runner, limitSpan, p.perS, allowed))
 		}
@@ -159,13 +166,16 @@
 	return lines
 }
 
-// limitEngines makes one engine and one plain runner after the other name a limit, while a process is killed and started
-// again in each round.
+// limitEngines makes one engine and one plain runner name a limit, in every other round both plain runners, while a fault of
+// processes is injected in each round.
 func (w *world) limitEngines() []string {
 	var events []string
-	limited := []*runner{w.runners[0], w.runners[w.shape.Engines]}
 	start := time.Now()
 	for round := 0; time.Since(start) < w.options.FaultPeriod; round++ {
+		limited := []*runner{w.runners[0], w.runners[w.shape.Engines]}
+		if round%2 == 1 { // requests wait for tokens or are refused
+			limited = append(limited, w.runners[w.shape.Engines+1])
+		}
 		var ends []func(time.Time)
 		for _, r := range limited {
 			perS := minLimit + w.random.Float64()*(maxLimit-minLimit)
@@ -173,18 +183,9 @@
 			r.SetRateLimit(perS)
 		}
 		time.Sleep(limitFaultAt)
-		// The sidecar beside the limited engine, an entry, and all sidecars in turn.
-		killed := [][]*process{w.sidecars()[:1], w.processes[round%w.shape.Entries : round%w.shape.Entries+1], w.sidecars()}[w.random.IntN(3)]
-		events = append(events, fmt.Sprintf("%6.2f s kill and restart %s and %d more", time.Since(start).Seconds(), killed[0].name, len(killed)-1))
-		for _, p := range killed {
-			p.kill()
-			for i, entry := range w.entries() {
-				if entry == p {
-					w.check.limits.forget(i)
-				}
-			}
-			w.restartProcess(p)
-		}
+		f := limitFaults[w.random.IntN(len(limitFaults))]
+		events = append(events, fmt.Sprintf("%6.2f s %s", time.Since(start).Seconds(), f.name))
+		f.inject(w, round%w.shape.Entries)
 		time.Sleep(limitedTime - limitFaultAt)
 		for i, r := range limited {
 			ends[i](time.Now())
@@ -193,3 +194,48 @@
 	}
 	return append(events, w.check.checkLimits()...)
 }
+
+// limitFaults are what happens to processes while runners name limits.
+var limitFaults = []struct {
+	name   string
+	inject func(w *world, entry int)
+}{
+	{"kill and restart the sidecar beside the limited engine", func(w *world, _ int) { w.replace(w.sidecars()[0]) }},
+	{"kill and restart all sidecars", func(w *world, _ int) { w.replace(w.sidecars()...) }},
+	{"kill and restart an entry", func(w *world, entry int) {
+		w.replace(w.processes[entry])
+		w.check.limits.forget(entry)
+	}},
+	{"kill all sidecars for some seconds", func(w *world, _ int) {
+		for _, p := range w.sidecars() {
+			p.kill()
+		}
+		time.Sleep(limitOutage)
+		for _, p := range w.sidecars() {
+			w.restartProcess(p)
+		}
+	}},
+	{"pause an entry", func(w *world, entry int) {
+		w.processes[entry].signal(syscall.SIGSTOP, false)
+		time.Sleep(limitPause)
+		w.processes[entry].signal(syscall.SIGCONT, false)
+		w.check.limits.forget(entry)
+	}},
+	{"pause all sidecars", func(w *world, _ int) {
+		for _, p := range w.sidecars() {
+			p.signal(syscall.SIGSTOP, false)
+		}
+		time.Sleep(limitPause)
+		for _, p := range w.sidecars() {
+			p.signal(syscall.SIGCONT, false)
+		}
+	}},
+}
+
+// replace kills the processes and starts them again.
+func (w *world) replace(all ...*process) {
+	for _, p := range all {
+		p.kill()
+		w.restartProcess(p)
+	}
+}
