Query an upstream once at the end of a stream, when the answer proves something

Requests that followed were refused, since failed queries block the engine. Cause: since the check of ends each stream took two queries, the first right after the end. Each needs a new connection, and both connections stayed idle beside those of the streams that followed, so an engine near its limit reset queries and streams. The first query decides nothing unless it is refused: a reply before the proof time of 250 ms leaves the verdict open. Change: no query before the proof time has passed; then one, whose connection is kept for the next stream. A process that has ended at once refuses that query or replies as another instance, as before; its stream is broken off, or resumed, up to 250 ms later than before.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -10,7 +10,8 @@
 
 const (
 	// endProofTime is how long after the end of a stream its upstream must still reply. A process that ends in steps
-	// replies while the streams that it has broken off are already closed, for up to some 200 ms.
+	// replies while the streams that it has broken off are already closed, for up to some 200 ms. No query is sent before:
+	// it would prove nothing, and engines take few connections.
 	endProofTime = 250 * time.Millisecond
 	// endQueryInterval is the time between a query without a reply and the next one.
 	endQueryInterval = 100 * time.Millisecond
--- a/pkg/gateway/fewconns_test.go
+++ b/pkg/gateway/fewconns_test.go
@@ -23,6 +23,7 @@
 var _ = Describe("an engine that takes few connections", func() {
 	const (
 		callers  = 12
+		each     = 4
 		maxConns = callers + 4
 	)
 
@@ -35,7 +36,7 @@
 		r.core.Update(func(s *dispatch.State) {
 			s.Fleet.Put(time.Now(), catalog.Upstream{ID: "u1", Service: "llm", Address: ln.Addr().String(), Zone: "z1", Slots: callers, Models: residentM})
 		})
-		var open atomic.Int64
+		var open, accepted, reports atomic.Int64
 		serve := func(c net.Conn) {
 			defer func() { open.Add(-1); _ = c.Close() }()
 			br := bufio.NewReader(c)
@@ -45,6 +46,7 @@
 					return
 				}
 				if req.URL.Path == standin.ReportPath {
+					reports.Add(1)
 					reply := standin.ReportReply(0)
 					if req.Close {
 						_, _ = io.WriteString(c, strings.Replace(reply, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
@@ -67,6 +69,7 @@
 				if err != nil {
 					return
 				}
+				accepted.Add(1)
 				if open.Add(1) > maxConns {
 					open.Add(-1)
 					_ = c.(*net.TCPConn).SetLinger(0)
@@ -81,7 +84,7 @@
 		for range callers {
 			wg.Go(func() {
 				defer GinkgoRecover()
-				for range 4 {
+				for range each {
 					resp, _, err := r.call(http.MethodPost, "/once/a")
 					switch {
 					case err != nil:
@@ -96,5 +99,8 @@
 		}
 		wg.Wait()
 		Expect([]int64{broken.Load(), refused.Load()}).To(Equal([]int64{0, 0}), "broken off and refused")
+		Expect(reports.Load()).To(BeNumerically("<=", callers*each), "reports")
+		// A stream takes its connection with it, and the next one uses that of the query.
+		Expect(accepted.Load()).To(BeNumerically("<=", callers*(each+1)), "new connections")
 	})
 })
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -54,15 +54,13 @@
 		err     error
 		queries int
 	)
-	for verdict == endOpen {
+	for next := check.proof; verdict == endOpen; {
+		time.Sleep(next - time.Since(ended)) // at most the limit
 		sent := time.Since(ended)
 		queries++
 		var reply platform.InstanceReply
 		reply, err = c.queryInstance(ctx, u, query)
-		var next time.Duration
-		if verdict, next = check.judge(sent, time.Since(ended), reply, err); verdict == endOpen {
-			time.Sleep(next - time.Since(ended)) // at most the limit
-		}
+		verdict, next = check.judge(sent, time.Since(ended), reply, err)
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
 		"queries", queries, "took_ms", time.Since(ended).Milliseconds(), "err", err)
