Take the end of a resumed stream without further events for what its upstream shows

Cause: an upstream that ends right behind the last event is not taken for having completed the stream, so another one is asked for the rest, has none, and closes the connection. An unframed answer without events counted as interrupted in every run. Ruled out: the second run itself; after the end of its upstream a router cannot know that the first one was complete. Change: once something has been forwarded, an end without events goes to the end check like any other: it is a completion if the second upstream still replies after the proof time. Before anything is forwarded it is an interruption, as it was.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -33,7 +33,8 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if received == 0 && isUnframed(resp) {
+			// A run that goes on where another has ended may have no further events.
+			if received == 0 && !c.headWritten && isUnframed(resp) {
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
