Give tokens asked for ahead back in time, and expect no answer to them

Cause: two ways in which an unused token is lost. A router kept one that it had asked for ahead for 250 ms, and one that had waited at the holder ended meanwhile, which nobody else could use. And the holder counts tokens without an answer, to find out that an upstream stands still; returned ones counted too, although nothing had been sent with them, so that the rate fell to a sixteenth after some of them (new test). Not ruled out: tokens that end unused for other reasons still count.

Change: such a token is given back when 150 ms of it are left, and the holder expects no answer to a returned one.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -20,6 +20,10 @@
 // aheadHold is how long a token that was asked for ahead is kept for the next request. After it others can use it.
 const aheadHold = upstreamlimit.Validity / 2
 
+// aheadReserve is the validity that such a token must have left when it is given back: less, and no other router can use
+// it in time.
+const aheadReserve = 150 * time.Millisecond
+
 // Limits keeps the rates that upstreams name, and this router's tokens. Package upstreamlimit decides. It implements
 // dispatch.RateLimits, so the lock of the core may be held when its own is taken, never the other way round.
 type Limits struct {
@@ -133,11 +137,11 @@
 	for _, k := range l.known {
 		switch {
 		case k.ready == nil:
-		case now.Sub(k.readyAt) >= aheadHold || !k.ready.Valid(now):
+		case now.Sub(k.readyAt) >= aheadHold || k.ready.Until.Sub(now) <= aheadReserve:
 			l.balance.Refund(now, k.ready)
 			k.ready = nil
 		default:
-			next = min(next, aheadHold-now.Sub(k.readyAt))
+			next = min(next, aheadHold-now.Sub(k.readyAt), k.ready.Until.Sub(now)-aheadReserve)
 		}
 	}
 	return next
--- a/pkg/upstreamlimit/asker.go
+++ b/pkg/upstreamlimit/asker.go
@@ -61,6 +61,7 @@
 			q.returned += n
 			u.returned += uint64(n)
 			u.level += float64(n)
+			u.unanswered = u.unanswered[:max(0, len(u.unanswered)-n)] // was not sent, so that no answer is to come
 		}
 	}
 	rate := u.inForce(now)
--- a/pkg/upstreamlimit/refused_test.go
+++ b/pkg/upstreamlimit/refused_test.go
@@ -64,3 +64,31 @@
 }
 
 const giveUpAfterInstant = second / 4
+
+// Guards against an upstream that is taken for one that stands still, because routers return tokens that they asked for
+// ahead: nothing was sent, so no answer is to come.
+func TestReturnedTokensNeedNoAnswer(t *testing.T) {
+	h := NewHolder(0, 7)
+	h.SetInstance(0, first)
+	now, seq := 20*second, uint64(0)
+	ask := func(r Request) *Grant {
+		seq++
+		r.Router, r.Process, r.Instance, r.Seq = "edge", 1, first, seq
+		return h.Handle(now, &r, true)[0].Grant
+	}
+	ask(Request{Fact: Fact{Kind: Named, N: 1}})
+	for range 10 {
+		now += 2 * second
+		if g := ask(Request{Want: []int{1}}); len(g.Tokens) != 1 {
+			t.Fatalf("no token after 2 s at one a second: %+v", g)
+		}
+		now += second / 10
+		ask(Request{Returned: []Count{{Seq: seq, Count: 1}}})
+	}
+	for range 2 { // the second one is not from the bucket
+		now += 3 * second / 2
+		if g := ask(Request{Want: []int{1}}); len(g.Tokens) != 1 {
+			t.Fatalf("no token after 1.5 s at one a second: %+v", g)
+		}
+	}
+}
