Keep for half a second whether a sidecar holds a plain upstream's limit

Each message of a router made the sidecar hash the addresses of all listed engines, under the lock that its rounds need. The answer is now kept for 0.5 s, for listed upstreams only.

--- a/pkg/sidecar/limits.go
+++ b/pkg/sidecar/limits.go
@@ -28,6 +28,9 @@
 	holder  *upstreamlimit.Holder
 	own     upstreamlimit.Instance // the engine beside the sidecar
 	routers map[string]netip.AddrPort
+	// ranked is whether this sidecar ranks first for an upstream of the list, as found out at rankedAt.
+	ranked   map[string]bool
+	rankedAt boottime.Instant
 	// logged is the limit of each upstream as logged last.
 	logged  map[string]float64
 	granted map[string]upstreamlimit.Usage // as counted last
@@ -46,23 +49,47 @@
 func newLimits(a *Agent) *limits {
 	now, process := boottime.Now(), quota.NewProcess()
 	return &limits{agent: a, wake: make(chan struct{}, 1), holder: upstreamlimit.NewHolder(now, process), process: process, start: now,
-		routers: map[string]netip.AddrPort{}, logged: map[string]float64{}, granted: map[string]upstreamlimit.Usage{}}
+		routers: map[string]netip.AddrPort{}, ranked: map[string]bool{}, logged: map[string]float64{}, granted: map[string]upstreamlimit.Usage{}}
 }
 
+// rankRetention is how long a rank is used: it takes a hash for each listed engine, and each router asks several times a
+// second.
+const rankRetention = 500 * time.Millisecond
+
 // holds reports whether this sidecar keeps the limit of the upstream, and whether no other one can.
 func (l *limits) holds(id string) (holds, sole bool) {
 	l.mu.Lock()
+	now := boottime.Now()
+	if now.Sub(l.rankedAt) >= rankRetention {
+		l.rankedAt = now
+		clear(l.ranked)
+	}
 	own := l.own.ID
+	holds, known := l.ranked[id]
 	l.mu.Unlock()
-	if id == own {
+	switch {
+	case id == own:
 		return true, true
+	case known:
+		return holds, false
 	}
+	holds, listed := l.ranksFirst(id)
+	if listed { // others can be named in any number
+		l.mu.Lock()
+		l.ranked[id] = holds
+		l.mu.Unlock()
+	}
+	return holds, false
+}
+
+// ranksFirst reports whether this sidecar ranks first for a plain upstream of the list.
+func (l *limits) ranksFirst(id string) (first, listed bool) {
 	a := l.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u, listed := a.list.byID[id]
 	if !listed || a.config == nil || a.config.Services[u.Service].Engine != nil {
-		return false, false
+		return false, listed
 	}
 	var addresses []string
 	for _, e := range a.list.byID {
@@ -70,7 +97,7 @@
 			addresses = append(addresses, e.Address)
 		}
 	}
-	return upstreamlimit.First(id, addresses) == a.settings.Address, false
+	return upstreamlimit.First(id, addresses) == a.settings.Address, true
 }
 
 // handle applies a router's message.
--- a/pkg/sidecar/limits_test.go
+++ b/pkg/sidecar/limits_test.go
@@ -83,7 +83,15 @@
 		f.agent.Configure(config, 2)
 		f.agent.SetUpstreams(upstreams)
 		ask(other, 0)
-		ask(own, 0)
+		Eventually(func() *upstreamlimit.Grant { // a rank is kept for some time
+			ask(own, 0)
+			select {
+			case g := <-grants:
+				return g
+			case <-time.After(50 * time.Millisecond):
+				return nil
+			}
+		}, "2s").ShouldNot(BeNil())
 		Eventually(grants, "2s").Should(Receive(And(HaveField("Instance.ID", own), Satisfy(granted))))
 		Consistently(grants, "300ms").ShouldNot(Receive(HaveField("Instance.ID", other)))
 	})
