Let an unframed answer that is not a stream prove its end for some time, too

Cause: one reply right after the end was taken for a proof, as it once was for streams. Ruled out: telling the upstreams of the specs from sound ones by a sign, since there is none before the listener closes; an answer that is held back for a second query only while it is delivered, since it cannot be recalled; two queries, since queries and their connections are priced. Change: the upstream has to reply 250 ms after the end, as for streams. If there is no sign that it is ending (leaving, off the list, superseded, silent, last attempt at it failed, or its reply says that it leaves) and the route's target comes before, the query is sent 50 ms before the target, at the earliest 120 ms after the end. It is still one query. A plain answer of an engine that is removed within 0.5 s is no completion any more; the row of the table test that said so is now as strict as for streams. Framed answers are not concerned. Not caught: an upstream without a sign that goes on replying for more than 120 ms where the target is near. An answer cut by a killed process is found up to 250 ms later than before.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -59,6 +59,9 @@
 // Fresh reports whether the agent's report is recent.
 func (m *Member) Fresh(now time.Time) bool { return now.Sub(m.ReportedAt) <= reportFreshness }
 
+// IsEnding reports whether the upstream is leaving, its entry is pending removal, or a later instance has its address.
+func (m *Member) IsEnding() bool { return m.Draining || m.superseded || !m.removeAt.IsZero() }
+
 // Serves reports whether the model is loaded and not being unloaded.
 func (m *Member) Serves(model string) bool {
 	if m.Order != nil && m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == model {
--- a/pkg/gateway/answerend_test.go
+++ b/pkg/gateway/answerend_test.go
@@ -19,10 +19,17 @@
 // in steps has closed the connections of its answers while it still replies to queries.
 var _ = Describe("the end of an unframed answer that is not a stream", func() {
 	// part sends a request to an upstream that writes a part of its answer, closes the connection, and closes its listener
-	// the duration after it.
-	part := func(path string, after time.Duration) (int, string) {
+	// the duration after it. The route has the target; 0 for none.
+	part := func(path string, target, after time.Duration) (int, string) {
 		r := newRig()
 		r.configure()
+		if target > 0 {
+			cfg := catalog.NewConfig(2, []catalog.Route{{
+				Name: "post", Host: "h", Prefix: "/post/", Kind: catalog.NonIdempotent, Timeout: 5 * time.Second, Target: target, MaxAttempts: 2,
+				Backends: []catalog.Backend{{Service: "plain", Weight: 1}},
+			}}, []catalog.Service{{Name: "plain"}}, catalog.Limits{})
+			r.core.Update(func(s *dispatch.State) { s.SetConfig(cfg) })
+		}
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = ln.Close() })
@@ -60,11 +67,15 @@
 	}
 
 	DescribeTable("is no completion if the upstream closes its listener",
-		func(after time.Duration) {
-			status, body := part("/post/a", after)
+		func(target, after time.Duration) {
+			status, body := part("/post/a", target, after)
 			Expect(status).To(Equal(http.StatusBadGateway), body)
 		},
-		Entry("20 ms later", 20*time.Millisecond),
-		Entry("100 ms later", 100*time.Millisecond),
+		Entry("20 ms later", time.Duration(0), 20*time.Millisecond),
+		Entry("100 ms later", time.Duration(0), 100*time.Millisecond),
+		Entry("200 ms later", time.Duration(0), 200*time.Millisecond),
+		Entry("20 ms later, and the route has a short target", 50*time.Millisecond, 20*time.Millisecond),
+		Entry("100 ms later, and the route has a short target", 50*time.Millisecond, 100*time.Millisecond),
+		Entry("200 ms later, and the route has a long target", time.Second, 200*time.Millisecond),
 	)
 })
--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -13,10 +13,15 @@
 	// replies while the streams that it has broken off are already closed, for up to some 200 ms. No query is sent before:
 	// it would prove nothing, and engines take few connections.
 	endProofTime = 250 * time.Millisecond
+	// minProofTime is that time for an answer that is not a stream, of an upstream without a sign that it is ending, if the
+	// route's target leaves no more. Most of the processes that end in steps have closed their listener by then.
+	minProofTime = 120 * time.Millisecond
+	// proofReserve is the time set aside for the query at the end of the proof time and for the way to the caller.
+	proofReserve = 50 * time.Millisecond
 	// endQueryInterval is the time between a query without a reply and the next one.
 	endQueryInterval = 100 * time.Millisecond
-	// endCheckLimit bounds the check of a stream, instanceQueryTimeout that of another answer. It leaves a VM that stands
-	// still, or an engine that refuses connections because it has too many, some time.
+	// endCheckLimit bounds the check of a stream. It leaves a VM that stands still, or an engine that refuses connections
+	// because it has too many, some time. Another answer leaves its first query instanceQueryTimeout.
 	endCheckLimit = 1200 * time.Millisecond
 	// minRemoval is the time that an upstream which is removed at short notice must have left. It ends whatever it is
 	// running, its streams first.
@@ -47,17 +52,32 @@
 	events int
 }
 
-// newEndCheck returns the check of an answer whose request has the time left.
-func newEndCheck(streamed bool, left time.Duration) endCheck {
-	if !streamed { // the caller waits for all of the answer
-		return endCheck{limit: instanceQueryTimeout}
+// newEndCheck returns the check of an answer whose request has the time left, and the time onTime until its route's target;
+// 0 if it has none or that has passed.
+func newEndCheck(streamed bool, left, onTime time.Duration) endCheck {
+	if streamed {
+		return endCheck{proof: endProofTime, limit: min(endCheckLimit, max(left+maxPastDeadline, endProofTime+endQueryInterval))}
 	}
-	return endCheck{proof: endProofTime, limit: min(endCheckLimit, max(left+maxPastDeadline, endProofTime+endQueryInterval))}
+	e := endCheck{proof: endProofTime, limit: endProofTime + instanceQueryTimeout}
+	if onTime > 0 { // the caller waits for all of the answer
+		e.proof = min(max(onTime-proofReserve, minProofTime), endProofTime)
+	}
+	return e
+}
+
+// proofTime returns the proof, given whether there is a sign that the upstream is ending.
+func (e endCheck) proofTime(ending bool) time.Duration {
+	if ending {
+		return endProofTime
+	}
+	return e.proof
 }
 
 // judge returns the verdict after a query that was sent at the time after the end and that ended with the reply or err, and
-// the time after the end of the next query if the verdict is open.
-func (e endCheck) judge(sent, now time.Duration, reply platform.InstanceReply, err error) (endVerdict, time.Duration) {
+// the time after the end of the next query if the verdict is open. ending reports whether there is a sign that the upstream
+// is ending.
+func (e endCheck) judge(sent, now time.Duration, reply platform.InstanceReply, ending bool, err error) (endVerdict, time.Duration) {
+	proof := e.proofTime(ending || reply.Leaving || reply.HasRemoval)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, platform.ErrOtherInstance):
 		return endBrokenOff, 0
@@ -65,12 +85,12 @@
 		return endBrokenOff, 0
 	case err != nil:
 		return endOpen, now + endQueryInterval
-	case e.proof > 0 && reply.HasRemoval && reply.Removal < minRemoval:
+	case reply.HasRemoval && reply.Removal < minRemoval:
 		return endBrokenOff, 0
 	case e.id != "" && reply.Events[e.id] > e.events:
 		return endBrokenOff, 0 // the connection was closed on the way
-	case sent >= e.proof:
+	case sent >= proof:
 		return endComplete, 0
 	}
-	return endOpen, max(now, e.proof)
+	return endOpen, max(now, proof)
 }
--- a/pkg/gateway/endcheck_test.go
+++ b/pkg/gateway/endcheck_test.go
@@ -25,38 +25,51 @@
 	for name, c := range map[string]struct {
 		streamed  bool
 		left      time.Duration
+		onTime    time.Duration
+		ending    bool
 		sent, now time.Duration
 		reply     platform.InstanceReply
 		err       error
 		want      endVerdict
 		next      time.Duration
 	}{
-		"replies at once":                   {true, time.Second, 0, 1 * ms, same, nil, endOpen, 250 * ms},
-		"replies just before the proof":     {true, time.Second, 249 * ms, 251 * ms, same, nil, endOpen, 251 * ms},
-		"replies late to an early query":    {true, time.Second, 100 * ms, 600 * ms, same, nil, endOpen, 600 * ms},
-		"replies after the proof":           {true, time.Second, 250 * ms, 251 * ms, same, nil, endComplete, 0},
-		"refuses at once":                   {true, time.Second, 0, 1 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
-		"refuses after the proof":           {true, time.Second, 250 * ms, 251 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
-		"is another instance":               {true, time.Second, 250 * ms, 251 * ms, same, platform.ErrOtherInstance, endBrokenOff, 0},
-		"resets the connection":             {true, 5 * time.Second, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
-		"resets it until the limit":         {true, 5 * time.Second, 1100 * ms, 1101 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
-		"resets it near the deadline":       {true, 30 * ms, 260 * ms, 261 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
-		"is removed soon":                   {true, time.Second, 0, 1 * ms, removal(499 * ms), nil, endBrokenOff, 0},
-		"is removed soon, no stream":        {false, time.Second, 0, 1 * ms, removal(499 * ms), nil, endComplete, 0},
-		"is removed later":                  {true, time.Second, 250 * ms, 251 * ms, removal(500 * ms), nil, endComplete, 0},
-		"has generated more events":         {true, time.Second, 0, 1 * ms, runs("r", 4), nil, endBrokenOff, 0},
-		"has generated those that came":     {true, time.Second, 250 * ms, 251 * ms, runs("r", 3), nil, endComplete, 0},
-		"has generated more for another":    {true, time.Second, 250 * ms, 251 * ms, runs("x", 9), nil, endComplete, 0},
-		"replies at once, no stream":        {false, time.Second, 0, 1 * ms, same, nil, endComplete, 0},
-		"resets it, no stream":              {false, time.Second, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
-		"resets it until the limit of this": {false, time.Second, 500 * ms, 501 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+		"replies at once":                    {true, time.Second, 0, false, 0, 1 * ms, same, nil, endOpen, 250 * ms},
+		"replies just before the proof":      {true, time.Second, 0, false, 249 * ms, 251 * ms, same, nil, endOpen, 251 * ms},
+		"replies late to an early query":     {true, time.Second, 0, false, 100 * ms, 600 * ms, same, nil, endOpen, 600 * ms},
+		"replies after the proof":            {true, time.Second, 0, false, 250 * ms, 251 * ms, same, nil, endComplete, 0},
+		"refuses at once":                    {true, time.Second, 0, false, 0, 1 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
+		"refuses after the proof":            {true, time.Second, 0, false, 250 * ms, 251 * ms, platform.InstanceReply{}, refused, endBrokenOff, 0},
+		"is another instance":                {true, time.Second, 0, false, 250 * ms, 251 * ms, same, platform.ErrOtherInstance, endBrokenOff, 0},
+		"resets the connection":              {true, 5 * time.Second, 0, false, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
+		"resets it until the limit":          {true, 5 * time.Second, 0, false, 1100 * ms, 1101 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+		"resets it near the deadline":        {true, 30 * ms, 0, false, 260 * ms, 261 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
+		"is removed soon":                    {true, time.Second, 0, false, 0, 1 * ms, removal(499 * ms), nil, endBrokenOff, 0},
+		"is removed soon, no stream":         {false, time.Second, 0, false, 0, 1 * ms, removal(499 * ms), nil, endBrokenOff, 0},
+		"is removed later":                   {true, time.Second, 0, false, 250 * ms, 251 * ms, removal(500 * ms), nil, endComplete, 0},
+		"has generated more events":          {true, time.Second, 0, false, 0, 1 * ms, runs("r", 4), nil, endBrokenOff, 0},
+		"has generated those that came":      {true, time.Second, 0, false, 250 * ms, 251 * ms, runs("r", 3), nil, endComplete, 0},
+		"has generated more for another":     {true, time.Second, 0, false, 250 * ms, 251 * ms, runs("x", 9), nil, endComplete, 0},
+		"replies at once, no stream":         {false, time.Second, 0, false, 0, 1 * ms, same, nil, endOpen, 250 * ms},
+		"replies after the proof, no stream": {false, time.Second, 0, false, 250 * ms, 251 * ms, same, nil, endComplete, 0},
+		"replies before the shortest proof":  {false, time.Second, 100 * ms, false, 119 * ms, 121 * ms, same, nil, endOpen, 121 * ms},
+		"replies after the shortest proof":   {false, time.Second, 100 * ms, false, 120 * ms, 121 * ms, same, nil, endComplete, 0},
+		"may be ending":                      {false, time.Second, 100 * ms, true, 120 * ms, 121 * ms, same, nil, endOpen, 250 * ms},
+		"may be ending, after the proof":     {false, time.Second, 100 * ms, true, 250 * ms, 251 * ms, same, nil, endComplete, 0},
+		"says that it is leaving":            {false, time.Second, 100 * ms, false, 120 * ms, 121 * ms, platform.InstanceReply{Leaving: true}, nil, endOpen, 250 * ms},
+		"is removed later, no stream":        {false, time.Second, 100 * ms, false, 120 * ms, 121 * ms, removal(time.Second), nil, endOpen, 250 * ms},
+		"replies before the target":          {false, time.Second, 250 * ms, false, 199 * ms, 201 * ms, same, nil, endOpen, 201 * ms},
+		"replies in time for the target":     {false, time.Second, 250 * ms, false, 200 * ms, 201 * ms, same, nil, endComplete, 0},
+		"has a distant target":               {false, time.Second, time.Second, false, 249 * ms, 251 * ms, same, nil, endOpen, 251 * ms},
+		"is a stream with a near target":     {true, time.Second, 100 * ms, false, 120 * ms, 121 * ms, same, nil, endOpen, 250 * ms},
+		"resets it, no stream":               {false, time.Second, 0, false, 0, 1 * ms, same, syscall.ECONNRESET, endOpen, 101 * ms},
+		"resets it until the limit of this":  {false, time.Second, 0, false, 750 * ms, 751 * ms, same, syscall.ECONNRESET, endBrokenOff, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			check := newEndCheck(c.streamed, c.left)
+			check := newEndCheck(c.streamed, c.left, c.onTime)
 			if c.streamed {
 				check.id, check.events = "r", 3
 			}
-			if got, next := check.judge(c.sent, c.now, c.reply, c.err); got != c.want || next != c.next {
+			if got, next := check.judge(c.sent, c.now, c.reply, c.ending, c.err); got != c.want || next != c.next {
 				t.Errorf("verdict %v, next query after %v; want %v, %v", got, next, c.want, c.next)
 			}
 		})
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -41,7 +41,11 @@
 		c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", false, "left_ms", left.Milliseconds())
 		return false
 	}
-	check := newEndCheck(a.streamed, left)
+	onTime := time.Duration(0)
+	if target := c.req.Route.Target; target > 0 {
+		onTime = max(0, c.start.Add(target).Sub(ended))
+	}
+	check := newEndCheck(a.streamed, left, onTime)
 	if a.streamed && a.events >= 0 {
 		check.id, check.events = c.meta.ID, a.events
 	}
@@ -54,19 +58,24 @@
 		err     error
 		queries int
 	)
-	for next := check.proof; verdict == endOpen; {
+	for next := check.proofTime(c.mayBeEnding(u)); verdict == endOpen; {
 		time.Sleep(next - time.Since(ended)) // at most the limit
 		sent := time.Since(ended)
 		queries++
 		var reply platform.InstanceReply
 		reply, err = c.queryInstance(ctx, u, query)
-		verdict, next = check.judge(sent, time.Since(ended), reply, err)
+		verdict, next = check.judge(sent, time.Since(ended), reply, c.mayBeEnding(u), err)
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
 		"queries", queries, "took_ms", time.Since(ended).Milliseconds(), "err", err)
 	return verdict == endComplete
 }
 
+func (c *callerRequest) mayBeEnding(u *dispatch.UpstreamRef) (ending bool) {
+	c.g.core.Do(func(s *dispatch.State) { ending = s.MayBeEnding(time.Now(), u.ID) })
+	return ending
+}
+
 // checkPath returns the path of the health check of a plain service, and "" for model engines, whose report takes no
 // slot.
 func (c *callerRequest) checkPath() string {
