Read the reply that proves the end of an answer into a fixed buffer

Cause: the reply to the query was read like an answer's body. Beyond the first 2 kB that needs memory of the account at once, and an engine's report takes more. Change: replies are read into a fixed buffer of 64 kB, like those to queries for heartbeats, held only while a reply is read. A health check with a longer reply shows that the instance runs, too; its connection is then closed, and the rest is not read. A failing read is no longer reported as a reply that is too long.

--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -24,7 +24,7 @@
 		defer cancel()
 		q := platform.NewInstanceQuery(u.ID, "")
 		q.Header.Set("Connection", "close") // an engine has a limited number of connections
-		if _, err := queryInstance(ctx, p.queryPool, u, q, readQueryReply); err != nil {
+		if _, err := queryInstance(ctx, p.queryPool, u, q); err != nil {
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
 		}
@@ -44,14 +44,18 @@
 	})
 }
 
-// maxQueryReplyBytes bounds the body of an engine's report, which takes some kilobytes. At most one query per engine and
-// probe interval is open, so their replies need no account of memory.
+// maxQueryReplyBytes bounds the body of the reply to a query. An engine's report takes some kilobytes. Replies need no account
+// of memory: the buffer is taken when a reply arrives and held while it is read.
 const maxQueryReplyBytes = 64 << 10
 
+// readQueryReply reads the body of a reply. The error is errAnswerTooLong if it is cut at the bound.
 func readQueryReply(r io.Reader) ([]byte, error) {
 	body, err := fill(r, make([]byte, maxQueryReplyBytes))
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return body, errAnswerTooLong
+	case errors.Is(err, io.EOF):
 		return body, nil
 	}
-	return nil, errors.Join(errAnswerTooLong, err)
+	return nil, err
 }
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,12 +13,8 @@
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
-const (
-	// instanceQueryTimeout bounds the query whether an upstream still runs: connection, reply and one lost packet.
-	instanceQueryTimeout = 600 * time.Millisecond
-	// maxInstanceReplyBytes bounds the body of the reply. An engine's report takes some kilobytes.
-	maxInstanceReplyBytes = 1 << 20
-)
+// instanceQueryTimeout bounds the query whether an upstream still runs: connection, reply and one lost packet.
+const instanceQueryTimeout = 600 * time.Millisecond
 
 // isUnframed reports whether only the end of the connection marks the end of the answer, so that it cannot be told from a
 // connection that the upstream's end has closed.
@@ -94,17 +88,12 @@
 func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery) (platform.InstanceReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, instanceQueryTimeout)
 	defer cancel()
-	return queryInstance(ctx, c.g.pool, u, q, func(r io.Reader) ([]byte, error) {
-		parts, err := c.readAnswerBody(io.LimitReader(r, maxInstanceReplyBytes))
-		defer c.dropAnswer(parts)
-		return bytes.Join(parts, nil), err
-	})
+	return queryInstance(ctx, c.g.pool, u, q)
 }
 
 // queryInstance sends the query to the instance of the upstream on a new connection, since a process that is ending may
-// still serve open ones. The function read reads the body of the reply within a bound. The error is nil if the instance
-// replies.
-func queryInstance(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery, read func(io.Reader) ([]byte, error)) (platform.InstanceReply, error) {
+// still serve open ones. The error is nil if the instance replies.
+func queryInstance(ctx context.Context, pool *h1.Pool, u *dispatch.UpstreamRef, q platform.InstanceQuery) (platform.InstanceReply, error) {
 	conn, err := pool.Get(ctx, u.Address, 0)
 	if err != nil {
 		return platform.InstanceReply{}, err
@@ -114,13 +103,18 @@
 	resp, err := conn.ReadHead(http.MethodGet)
 	var body []byte
 	if err == nil {
-		body, err = read(resp.Body)
+		body, err = readQueryReply(resp.Body)
 	}
-	if err != nil || !stop() {
+	isCut := errors.Is(err, errAnswerTooLong) // shows that the instance runs; a report is not decoded from it
+	if err != nil && !isCut || !stop() {
 		_ = conn.Close()
 		return platform.InstanceReply{}, errors.Join(err, ctx.Err())
 	}
-	conn.Release(resp)
+	if isCut {
+		_ = conn.Close()
+	} else {
+		conn.Release(resp)
+	}
 	reply, err := q.DecodeReply(resp.StatusCode, resp.Header, body)
 	if err == nil && !isSameInstance(u, reply.Instance) {
 		return reply, fault.Wrap(platform.ErrOtherInstance, fault.StepDispatch, u.Address, "query")
