Give each test process of the soak its own loopback addresses

Cause: all test processes used the same addresses. Ruled out: a listener that a spec leaves open, since the specs of one process follow each other and pass on an address that nobody else uses. Change: the second byte of the addresses comes from the number of the process.

--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -77,7 +79,7 @@
 	// startRunner starts a plain runner that sends the ids of the requests that run.
 	startRunner := func() (*standin.Runner, string, chan string) {
 		ran := make(chan string, 1024) // takes the requests of specs that do not receive
-		const address = "127.19.3.77:7999"
+		address := fmt.Sprintf("127.%d.3.77:7999", 130+os.Getpid()%100)
 		r := standin.NewRunner(standin.RunnerSettings{Service: "loans", ListedAddress: address, ListenAddress: address}, standin.NewStore(), standin.Observer{
 			RequestArrived: func(string, string, time.Time) {}, RuleBroken: func(string, string) {},
 			RequestRan: func(id, _, _ string, _ uint64) { ran <- id },
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -18,6 +19,9 @@
 	RunSpecs(t, "soak")
 }
 
+// loopbackNet is the second byte of this process' loopback addresses. Processes that run at the same time mostly differ.
+var loopbackNet = 130 + os.Getpid()%100
+
 // seeds are one seed for a short run and those that have revealed faults, with the fault.
 var seeds = []struct {
 	seed  uint64
@@ -37,14 +41,14 @@
 
 	// Guards against retries beyond the limit of all routers when a restarted router spends what its predecessor has spent.
 	It("keeps the limit on retries when routers are killed while runners reject requests", func() {
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 10 * time.Second, KillEntries: true})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: loopbackNet, FaultPeriod: 10 * time.Second, KillEntries: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
 	// Guards against streams without a length or chunks that look complete when their engine is removed at short notice.
 	It("completes no stream that an engine which is removed at short notice breaks off", func() {
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 8 * time.Second, RemoveEngines: true})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: loopbackNet, FaultPeriod: 8 * time.Second, RemoveEngines: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
@@ -52,21 +56,21 @@
 	// Guards against a router that runs requests with a withdrawn key while it is partitioned from the store or after it was
 	// paused, forwards keys, or denies a key that is valid.
 	It("runs no request with a withdrawn key", func() {
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 15 * time.Second, WithdrawKeys: true})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: loopbackNet, FaultPeriod: 15 * time.Second, WithdrawKeys: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
 	// Guards against routers that each keep to themselves what an upstream takes from all of them, or that ignore it.
 	It("keeps the rate that an upstream names over all routers", func() {
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 12 * time.Second, LimitEngines: true})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: loopbackNet, FaultPeriod: 12 * time.Second, LimitEngines: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
 
 	// Guards against a request that crashes upstreams and is let through again by routers that have forgotten it.
 	It("runs a request that crashes upstreams six times at most, although all processes lose power meanwhile", func() {
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: 19, FaultPeriod: 13 * time.Second, RepeatCrashingRequest: true})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: 1, LoopbackNet: loopbackNet, FaultPeriod: 13 * time.Second, RepeatCrashingRequest: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	})
@@ -76,7 +80,7 @@
 		s, err := soak.ShapeNamed(shape)
 		Expect(err).NotTo(HaveOccurred())
 		dir := GinkgoT().TempDir()
-		res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: 19, Shape: s, Scenario: scenario, FaultPeriod: faults})
+		res, err := soak.Run(soak.Options{Binary: binary, Dir: dir, Seed: seed, LoopbackNet: loopbackNet, Shape: s, Scenario: scenario, FaultPeriod: faults})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 	}
@@ -94,7 +98,7 @@
 
 	for _, s := range seeds {
 		It(fmt.Sprintf("keeps every guarantee with seed %d (%s)", s.seed, s.cause), func() {
-			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: 19, FaultPeriod: 6 * time.Second})
+			res, err := soak.Run(soak.Options{Binary: binary, Dir: GinkgoT().TempDir(), Seed: s.seed, LoopbackNet: loopbackNet, FaultPeriod: 6 * time.Second})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Violations).To(BeEmpty(), fmt.Sprint(res.Events))
 		})
