Count deadlines as the rule does, and report how many were too long

Change: only safe and unsafe requests of entries in touch count. A run prints how many deadlines were too long, which is where the limit is near.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -112,7 +112,7 @@
 	for _, u := range res.RetryUse {
 		fmt.Println("  retries:", u)
 	}
-	fmt.Println("  arrivals after the caller's answer:", res.LateArrivals)
+	fmt.Println("  arrivals after the caller's answer:", res.LateArrivals, "deadlines too long:", res.LongDeadlines)
 	names := make([]string, 0, len(res.Outcomes))
 	for name := range res.Outcomes {
 		names = append(names, name)
--- a/pkg/soak/budget.go
+++ b/pkg/soak/budget.go
@@ -91,12 +91,13 @@
 	}
 }
 
-// recordDeadline records the time that a request leaves a runner.
+// recordDeadline records the time that a request leaves a runner, which begins when the runner reads it. Streams
+// and those of entries out of touch do not count.
 func (c *checker) recordDeadline(id string, at time.Time, left time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.requests[id]
-	if s == nil || s.timeout == 0 {
+	if s == nil || s.timeout == 0 || serviceOf(s.kind) == "llm" || c.disturbedAt != nil && c.disturbedAt(s.entry).After(at.Add(-stableWindow)) {
 		return
 	}
 	end := at.Add(left)
--- a/pkg/soak/check_test.go
+++ b/pkg/soak/check_test.go
@@ -89,6 +89,7 @@
 
 		DescribeTable("detect deadlines that are longer than what is left",
 			func(n int, first, second time.Duration, broken bool) {
+				c.disturbedAt = func(int) time.Time { return at.Add(-time.Hour) }
 				for range n {
 					c.requests["2"].firstAt = time.Time{}
 					c.recordDeadline("2", c.requests["2"].sent, first)
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -31,8 +31,10 @@
 	RetryUse   []string       // worst window of each service against the limit on retries
 	// LateArrivals is the number of requests that reached a runner after their callers had an answer.
 	LateArrivals int
-	Sent         int // requests sent after the recovery time
-	Served       int // those of Sent that were answered with status 200
+	// LongDeadlines is the number of requests that left a runner more time than their callers had.
+	LongDeadlines int
+	Sent          int // requests sent after the recovery time
+	Served        int // those of Sent that were answered with status 200
 }
 
 // Run starts the processes, injects the faults that the seed selects and checks the outcome.
@@ -86,7 +88,7 @@
 	for _, u := range w.check.checkRetryLimit(w.shape.Retries) {
 		res.RetryUse = append(res.RetryUse, fmt.Sprintf("%s: %d repeats, %.0f allowed for %d requests", u.Service, u.Repeats, u.Allowed, u.Requests))
 	}
-	res.LateArrivals = w.check.lateArrivals
+	res.LateArrivals, res.LongDeadlines = w.check.lateArrivals, w.check.deadlines.long
 	w.check.checkTurnedAway()
 	w.check.checkDeadlines()
 	w.check.checkCrashing()
