Leave the time in which the router did not run out of the check of ends

What callers would see: complete streams broken off by a router that stood still for 1.2 s or longer during the check. Cause: the limit of the check is a time after the end, so a query that was open meanwhile failed behind the limit and there was no other. Change: a wait or a query that takes 0.3 s longer than it may starts the limit again, at most three times, within the bound past the request's deadline. Each query has its own timeout within the limit; the log line names the restarts. Not covered: an upstream that stands still, or a router that does so for less than 0.3 s at the end of the limit.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -18,6 +18,10 @@
 	minProofTime = 120 * time.Millisecond
 	// proofReserve is the time set aside for the query at the end of the proof time and for the way to the caller.
 	proofReserve = 50 * time.Millisecond
+	// stallTime is how much longer than expected a step of the check takes if the router has not run meanwhile, and maxStalls
+	// bounds how often the check goes on for it.
+	stallTime = 300 * time.Millisecond
+	maxStalls = 3
 	// endQueryInterval is the time between a query without a reply and the next one.
 	endQueryInterval = 100 * time.Millisecond
 	// endCheckLimit bounds the check of a stream. It leaves a VM that stands still, or an engine that refuses connections
@@ -46,6 +50,9 @@
 // An upstream that replies proof after the end has not ended with the answer.
 type endCheck struct {
 	proof, limit time.Duration // from the end of the answer on
+	streamed     bool
+	left         time.Duration // until the deadline, at the end of the answer
+	stalls       int
 	// id is that of the request and events the number of events that have arrived, if the upstream's count of them can be
 	// compared; otherwise id is empty.
 	id     string
@@ -55,13 +62,29 @@
 // newEndCheck returns the check of an answer whose request has the time left, and the time onTime until its route's target;
 // 0 if it has none or that has passed.
 func newEndCheck(streamed bool, left, onTime time.Duration) endCheck {
-	if streamed {
-		return endCheck{proof: endProofTime, limit: min(endCheckLimit, max(left+maxPastDeadline, endProofTime+endQueryInterval))}
-	}
-	e := endCheck{proof: endProofTime, limit: endProofTime + instanceQueryTimeout}
-	if onTime > 0 { // the caller waits for all of the answer
+	e := endCheck{proof: endProofTime, streamed: streamed, left: left}
+	if !streamed && onTime > 0 { // the caller waits for all of the answer
 		e.proof = min(max(onTime-proofReserve, minProofTime), endProofTime)
 	}
+	e.limit = e.limitFrom(0)
+	return e
+}
+
+// limitFrom returns the limit of a check that starts at the time after the end.
+func (e endCheck) limitFrom(now time.Duration) time.Duration {
+	if !e.streamed {
+		return now + endProofTime + instanceQueryTimeout
+	}
+	return now + min(endCheckLimit, max(e.left-now+maxPastDeadline, endProofTime+endQueryInterval))
+}
+
+// recordStep records a wait or a query that ended at the time now after the end, took the time and was expected to take at most
+// the other one. If the router has not run meanwhile, the limit starts again: a router that stood still has learned nothing.
+func (e endCheck) recordStep(now, took, expected time.Duration) endCheck {
+	if took > expected+stallTime && e.stalls < maxStalls {
+		e.stalls++
+		e.limit = e.limitFrom(now)
+	}
 	return e
 }
 
--- a/pkg/gateway/endcheck_test.go
+++ b/pkg/gateway/endcheck_test.go
@@ -75,3 +75,47 @@
 		})
 	}
 }
+
+// Guards against breaking off complete answers because the router itself stood still during the check.
+func TestEndCheckOfRouterThatStandsStill(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		streamed       bool
+		left           time.Duration
+		took, expected time.Duration
+		want           time.Duration // limit after a step that ends 2 s after the end
+	}{
+		"runs":                                   {true, 20 * time.Second, 850 * ms, 600 * ms, 1200 * ms},
+		"stands still in a query":                {true, 20 * time.Second, 1300 * ms, 600 * ms, 3200 * ms},
+		"stands still in a wait":                 {true, 20 * time.Second, 401 * ms, 100 * ms, 3200 * ms},
+		"stands still, and little time is left":  {true, 2500 * ms, 1300 * ms, 600 * ms, 2700 * ms},
+		"stands still until after the deadline":  {true, 500 * ms, 1300 * ms, 600 * ms, 2350 * ms},
+		"stands still, and it is not a stream":   {false, 20 * time.Second, 1300 * ms, 600 * ms, 2850 * ms},
+		"runs, and it is not a stream":           {false, 20 * time.Second, 600 * ms, 600 * ms, 850 * ms},
+		"waits for nothing, and runs on at once": {true, 20 * time.Second, 0, -50 * ms, 1200 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := newEndCheck(c.streamed, c.left, 0).recordStep(2*time.Second, c.took, c.expected)
+			if check.limit != c.want {
+				t.Errorf("limit %v, want %v", check.limit, c.want)
+			}
+		})
+	}
+	t.Run("asks again after a query that failed meanwhile", func(t *testing.T) {
+		check := newEndCheck(true, 20*time.Second, 0).recordStep(1550*ms, 1300*ms, 600*ms)
+		if got, next := check.judge(250*ms, 1550*ms, platform.InstanceReply{}, false, syscall.ETIMEDOUT); got != endOpen || next != 1650*ms {
+			t.Errorf("verdict %v, next query after %v", got, next)
+		}
+	})
+	t.Run("does not go on for ever", func(t *testing.T) {
+		check := newEndCheck(true, 20*time.Second, 0)
+		now := time.Duration(0)
+		for range 10 {
+			now += 2 * time.Second
+			check = check.recordStep(now, 2*time.Second, 600*ms)
+		}
+		if check.limit > 8*time.Second {
+			t.Errorf("limit %v", check.limit)
+		}
+	})
+}
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -44,24 +44,29 @@
 		check.id, check.events = c.meta.ID, a.events
 	}
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), check.limit)
-	defer cancel()
+	ctx := context.WithoutCancel(c.ctx)
 	query := platform.NewInstanceQuery(u.ID, c.checkPath())
 	var (
 		verdict endVerdict
 		err     error
 		queries int
 	)
+	now := func() time.Duration { return time.Since(ended) }
 	for next := check.proofTime(c.mayBeEnding(u)); verdict == endOpen; {
-		time.Sleep(next - time.Since(ended)) // at most the limit
-		sent := time.Since(ended)
+		began := now()
+		time.Sleep(next - began)
+		sent := now()
+		check = check.recordStep(sent, sent-began, next-began)
+		timeout := min(instanceQueryTimeout, check.limit-sent)
 		queries++
 		var reply platform.InstanceReply
-		reply, err = c.queryInstance(ctx, u, query)
-		verdict, next = check.judge(sent, time.Since(ended), reply, c.mayBeEnding(u), err)
+		reply, err = c.queryInstance(ctx, u, query, timeout)
+		replied := now()
+		check = check.recordStep(replied, replied-sent, timeout)
+		verdict, next = check.judge(sent, replied, reply, c.mayBeEnding(u), err)
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
-		"queries", queries, "took_ms", time.Since(ended).Milliseconds(), "err", err)
+		"queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
 	return verdict == endComplete
 }
 
@@ -85,8 +90,8 @@
 
 // queryInstance asks the instance of the upstream for a sign of life. A connection that is only accepted shows nothing:
 // the kernel or a device on the path accepts it for a process that has ended or is back.
-func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery) (platform.InstanceReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, instanceQueryTimeout)
+func (c *callerRequest) queryInstance(ctx context.Context, u *dispatch.UpstreamRef, q platform.InstanceQuery, timeout time.Duration) (platform.InstanceReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return queryInstance(ctx, c.g.pool, u, q)
 }
