Shorten the proof of an answer's end where it would come after the deadline

What callers saw: a stream that was complete less than 0.25 s before its caller's deadline ended after it, up to 0.2 s late. With a deadline after 600 ms, streams complete 250, 200, 150, 100, 50 and 30 ms before it ended at 602, 652, 701, 751, 802 and 822 ms. Cause: the proof takes 250 ms after the end, whatever time is left. Change: without a sign that the upstream is ending, the query is sent 50 ms before the deadline, or at once if less is left. With a sign (leaving, off the list, superseded, silent, last attempt at it failed, or its reply says that it leaves) the proof takes 250 ms as before. The same holds for answers that are not streams. Cost: an upstream that ends in steps without any sign and replies until 50 ms before the deadline has its cut stream taken for a complete one, if it cut it within the last 0.3 s before the deadline.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -16,7 +16,7 @@
 	// minProofTime is that time for an answer that is not a stream, of an upstream without a sign that it is ending, if the
 	// route's target leaves no more. Most of the processes that end in steps have closed their listener by then.
 	minProofTime = 120 * time.Millisecond
-	// proofReserve is the time set aside for the query at the end of the proof time and for the way to the caller.
+	// proofReserve is the time before the target or the deadline that is set aside for the query at the end of the proof time and for the way to the caller.
 	proofReserve = 50 * time.Millisecond
 	// stallTime is how much longer than expected a step of the check takes if the router has not run meanwhile, and maxStalls
 	// bounds how often the check goes on for it.
@@ -66,6 +66,7 @@
 	if !streamed && onTime > 0 { // the caller waits for all of the answer
 		e.proof = min(max(onTime-proofReserve, minProofTime), endProofTime)
 	}
+	e.proof = min(e.proof, max(left-proofReserve, 0)) // an end after the deadline is of no use to the caller
 	e.limit = e.limitFrom(0)
 	return e
 }
