Answer requests whose answer is still being checked when the process stops

What callers saw: a request whose upstream did not reply to the query at the end of its answer lost its connection without an answer, if the answer ended less than 0.85 s before the connections are closed (spec). A stream in that state was cut then. Cause: the check goes on for its whole limit, beyond the end of the grace time less the reserve for the exit. Change: the checks that are open when the last answers are due go on for 0.4 s, which is more than the proof takes, and end as broken off 0.1 s before the connections are closed. Their callers get 502, or a stream that is visibly cut. Not mended, as it cannot be: a complete stream whose upstream replies to no query until then (trial of the review: cut at 4.2 s of 5 s) is still cut, now 0.1 s earlier. Result: the spec fails before (EOF in place of an answer).

--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -22,6 +22,9 @@
 	// part for the exit of the process.
 	answerReserve = 1300 * time.Millisecond
 	stopReserve   = 800 * time.Millisecond
+	// endCheckStop is the time from FinishRequests on after which the checks of the ends of answers are broken off, so that
+	// their callers get an answer before the connections are closed.
+	endCheckStop = answerReserve - stopReserve - 100*time.Millisecond
 )
 
 // Server accepts callers' connections.
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -44,7 +44,9 @@
 		check.id, check.events = c.meta.ID, a.events
 	}
 	// The reply also counts for a request whose deadline has passed meanwhile, as its answer is still delivered.
-	ctx := context.WithoutCancel(c.ctx)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.ctx))
+	defer cancel()
+	defer context.AfterFunc(c.g.requestsCtx, func() { time.AfterFunc(endCheckStop, cancel) })()
 	query := platform.NewInstanceQuery(u.ID, c.checkPath())
 	var (
 		verdict endVerdict
@@ -54,7 +56,7 @@
 	now := func() time.Duration { return time.Since(ended) }
 	for next := check.proofTime(c.mayBeEnding(u)); verdict == endOpen; {
 		began := now()
-		time.Sleep(next - began)
+		sleep(ctx, next-began)
 		sent := now()
 		check = check.recordStep(sent, sent-began, next-began)
 		timeout := min(instanceQueryTimeout, check.limit-sent)
@@ -64,12 +66,25 @@
 		replied := now()
 		check = check.recordStep(replied, replied-sent, timeout)
 		verdict, next = check.judge(sent, replied, reply, c.mayBeEnding(u), err)
+		if verdict == endOpen && ctx.Err() != nil {
+			verdict = endBrokenOff // the process stops
+		}
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
 		"queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
 	return verdict == endComplete
 }
 
+// sleep waits for the duration or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (c *callerRequest) mayBeEnding(u *dispatch.UpstreamRef) (ending bool) {
 	c.g.core.Do(func(s *dispatch.State) { ending = s.MayBeEnding(time.Now(), u.ID) })
 	return ending
