--- a/pkg/sidecar/limits_test.go
+++ b/pkg/sidecar/limits_test.go
@@ -1,127 +1,135 @@
-package sidecar_test
+package sidecar
 
 import (
-	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
-	"github.com/hibiscuscross/hibiscuscross/pkg/upstreamlimit"
+	"github.com/hibiscuscross/hibiscuscross/pkg/placement"
 )
 
-var _ = Describe("the agent's limits of upstreams", func() {
-	var f *fixture
-	var router *peer.Socket
-	var grants chan *upstreamlimit.Grant
-	BeforeEach(func() {
-		f = newFixture("a")
-		f.requestLoad("a")
-		Eventually(f.reports, "2s").Should(Receive(Satisfy(func(r peer.Report) bool { return r.ID == "i-1" })))
-		var err error
-		router, err = peer.Listen("127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		received := make(chan *upstreamlimit.Grant, 100)
-		grants = received
-		ctx, stop := context.WithCancel(context.Background())
-		DeferCleanup(stop)
-		go func() {
-			_ = router.Receive(ctx, func(_ netip.AddrPort, m peer.Message) { received <- m.LimitGrant }, func(netip.AddrPort, error) {})
-		}()
-	})
-	seq := uint64(0)
-	ask := func(upstream string, started int64) {
-		seq++
-		Expect(router.Send(f.agentAddr, peer.Message{LimitRequest: &upstreamlimit.Request{Router: "edge-1", Process: 7, Seq: seq, Want: []int{1},
-			Instance: upstreamlimit.Instance{ID: upstream, StartedUnixMS: started}, Fact: upstreamlimit.Fact{Kind: upstreamlimit.Named, N: 20, SentMS: 10}}})).To(Succeed())
-	}
-	granted := func(g *upstreamlimit.Grant) bool {
-		n := 0
-		for _, c := range g.Tokens {
-			n += c.Count
-		}
-		return n > 0 && g.Process == 7
-	}
-	nextReport := func() (r peer.Report) {
-		Expect(f.router.Send(f.agentAddr, peer.Message{Demand: &peer.Demand{Router: "edge-1", Probe: true}})).To(Succeed())
-		Eventually(f.reports, "2s").Should(Receive(&r))
-		return r
-	}
+var _ = Describe("limit on loads from the weight store", func() {
+	now := time.Unix(1000, 0)
 
-	It("give tokens of the engine beside it and name its limit in the reports", func() {
-		ask("i-1", 5)
-		Eventually(grants, "2s").Should(Receive(Satisfy(granted)))
-		Eventually(nextReport, "2s").Should(HaveField("Limits", ConsistOf(upstreamlimit.Announcement{Instance: upstreamlimit.Instance{ID: "i-1", StartedUnixMS: 5}, N: 20})))
-	})
-
-	// Guards against two holders of one limit: routers' lists are of different ages.
-	It("give none of an upstream that another sidecar keeps", func() {
-		ask("i-9", 5) // not listed
-		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: 5}, {ID: "i-9", Service: "llm", Address: "127.0.0.1:65001"}})
-		ask("i-9", 5) // another engine's
-		ask("i-1", 5)
-		Eventually(grants, "2s").Should(Receive(HaveField("Instance.ID", "i-1")))
-		Consistently(grants, "300ms").ShouldNot(Receive(HaveField("Instance.ID", "i-9")))
-	})
-
-	It("give tokens of a plain upstream for which it ranks first", func() {
-		engines := []string{address, "127.0.0.1:65001"}
-		upstreams := []catalog.Upstream{{ID: "i-1", Service: "llm", Address: engines[0], StartedUnixMS: 5}, {ID: "i-2", Service: "llm", Address: engines[1]}}
-		own, other := "", ""
-		for _, id := range []string{"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"} {
-			upstreams = append(upstreams, catalog.Upstream{ID: id, Service: "plain", Address: "127.0.0.1:65002"})
-			if upstreamlimit.First(id, engines) == address {
-				own = id
-			} else {
-				other = id
+	// Guards against more than rate x window x factor + 3 loads in any window over all upstreams, also when all try to
+	// load at once and when there are more upstreams than loads per window.
+	DescribeTable("is kept over all upstreams when each uses its share",
+		func(rate float64, upstreams int) {
+			window, factor, step := 5*time.Second, 1.1, 100*time.Millisecond
+			limits := make([]*fetchLimiter, upstreams)
+			for i := range limits {
+				limits[i] = newFetchLimiter(window, factor)
 			}
-		}
-		config := catalog.NewConfig(2, nil, []catalog.Service{{Name: "llm", Engine: testConfig().Services["llm"].Engine}, {Name: "plain"}}, catalog.Limits{})
-		f.agent.Configure(config, 2)
-		f.agent.SetUpstreams(upstreams)
-		ask(other, 0)
-		Eventually(func() *upstreamlimit.Grant { // a rank is kept for some time
-			ask(own, 0)
-			select {
-			case g := <-grants:
-				return g
-			case <-time.After(50 * time.Millisecond):
-				return nil
+			var started []time.Time
+			for at := now; at.Sub(now) < 120*time.Second; at = at.Add(step) {
+				for i, f := range limits {
+					if f.allowed(at, rate, i, upstreams) {
+						f.recordStart(at)
+						started = append(started, at)
+					}
+				}
 			}
-		}, "2s").ShouldNot(BeNil())
-		Eventually(grants, "2s").Should(Receive(And(HaveField("Instance.ID", own), Satisfy(granted))))
-		Consistently(grants, "300ms").ShouldNot(Receive(HaveField("Instance.ID", other)))
+			Expect(len(started)).To(BeNumerically(">=", upstreams)) // each upstream may load
+			for i, first := range started {
+				inWindow := 0
+				for _, at := range started[i:] {
+					if at.Sub(first) <= window {
+						inWindow++
+					}
+				}
+				Expect(float64(inWindow)).To(BeNumerically("<=", rate*window.Seconds()*factor+fetchAllowance))
+			}
+		},
+		Entry("vanstops", 1.6, 9),
+		Entry("vanstops with more runners than loads", 1.6, 18),
+		Entry("decals", 2.1, 9),
+		Entry("vanstops grown", 10.0, 49),
+		Entry("decals grown", 15.0, 53),
+		Entry("a large fleet", 1.6, 60),
+	)
+})
+
+// Guards against callers that wait for a load until they disconnect: a fetch that took four times as long as expected
+// was reported as about to end (vanstops-grown, trouble-1).
+var _ = Describe("remaining time of an order", func() {
+	It("grows with the time beyond its expected end", func() {
+		startedAt := time.Unix(1000, 0)
+		order := orderInProgress{startedAt: startedAt, expectedEnd: startedAt.Add(10 * time.Second)}
+		Expect(order.remaining(startedAt.Add(4 * time.Second))).To(Equal(6 * time.Second))
+		Expect(order.remaining(startedAt.Add(20 * time.Second))).To(Equal(4 * time.Second))
 	})
+})
+
+var _ = Describe("reports to routers", func() {
+	DescribeTable("are due",
+		func(age time.Duration, changed, loadChanged, sameRegion, expected bool) {
+			Expect(due(age, changed, loadChanged, sameRegion)).To(Equal(expected))
+		},
+		Entry("change at once", time.Duration(0), true, false, false, true),
+		Entry("load change soon in the region", 300*time.Millisecond, false, true, true, true),
+		Entry("load change later in another region", 300*time.Millisecond, false, true, false, false),
+		Entry("no change in the region", 600*time.Millisecond, false, false, true, true),
+		Entry("no change in another region", 1600*time.Millisecond, false, false, false, true),
+		Entry("too early", 100*time.Millisecond, false, true, true, false),
+	)
+})
 
-	name := func(kind upstreamlimit.Kind, perS float64) {
-		f.engine.mu.Lock()
-		defer f.engine.mu.Unlock()
-		f.engine.limit, f.engine.limitPerS = kind, perS
-	}
+var _ = Describe("routers", func() {
+	now := time.Unix(1000, 0)
+	from := netip.MustParseAddrPort("10.0.0.1:7")
 
-	It("learn the limit from the engine's report, and its end", func() {
-		name(upstreamlimit.Named, 3)
-		Eventually(nextReport, "2s").Should(HaveField("Limits", ConsistOf(HaveField("N", 3.0))))
-		name(upstreamlimit.Absent, 0)
-		Eventually(nextReport, "2s").Should(HaveField("Limits", BeEmpty()))
+	It("adds up the demand of the live routers", func() {
+		r := newRouters(time.Now())
+		r.applyMessage(now, from, &peer.Demand{Router: "a", Here: []peer.LoadRequest{{Model: "m", Waiting: 2}},
+			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 2, Running: 1, Rate: 1, Adapters: map[string]int{"x": 1}}}}, 1)
+		r.applyMessage(now, from, &peer.Demand{Router: "b", Here: []peer.LoadRequest{{Model: "m", Waiting: 1}, {Model: "m", Adapter: "x", Waiting: 1}},
+			ModelUsage: []peer.ModelUsage{{Model: "h", HigherRanked: 1, Running: 3, Rate: 2, Adapters: map[string]int{"x": 2, "y": 1}}}}, 1)
+		d := r.demand(now)
+		Expect(d.Models).To(Equal(map[string]int{"m": 3}))
+		Expect(d.Adapters).To(Equal(map[placement.Adapter]int{{Model: "m", Name: "x"}: 1}))
+		Expect(d.Rate).To(Equal(map[string]float64{"h": 3}))
+		Expect(d.ModelUsage).To(Equal(map[string]placement.ModelUsage{"h": {HigherRanked: 1, Running: 4, Adapters: map[string]int{"x": 3, "y": 1}}}))
+		Expect(r.liveNames(now)).To(Equal([]string{"a", "b"}))
 	})
 
-	// Guards against a limit that ends since the engine names it in the answers to requests only.
-	It("are not ended by a report that never named them", func() {
-		name(upstreamlimit.Absent, 0)
-		ask("i-1", 5)
-		Eventually(nextReport, "2s").Should(HaveField("Limits", HaveLen(1)))
-		Consistently(nextReport, 500*time.Millisecond).Should(HaveField("Limits", HaveLen(1)))
+	It("removes routers that are unresponsive or leave", func() {
+		r := newRouters(time.Now())
+		r.applyMessage(now, from, &peer.Demand{Router: "a"}, 1)
+		r.applyMessage(now, from, &peer.Demand{Router: "b"}, 1)
+		r.applyMessage(now, from, &peer.Demand{Router: "b", Leaving: true}, 1)
+		Expect(r.liveNames(now)).To(Equal([]string{"a"}))
+		Expect(r.liveNames(now.Add(5 * time.Second))).To(BeEmpty())
 	})
 
-	It("are forgotten when the engine restarts", func() {
-		ask("i-1", 5)
-		Eventually(nextReport, "2s").Should(HaveField("Limits", HaveLen(1)))
-		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: 6}})
-		f.engine.restart()
-		Eventually(nextReport, "2s").Should(And(HaveField("StartedUnixMS", int64(6)), HaveField("Limits", BeEmpty())))
+	// Guards against forged messages that exhaust memory, and against one sender that takes the places of all routers.
+	It("bounds what messages make it store, and has room again when routers are gone", func() {
+		r := newRouters(time.Now())
+		apply := func(name, ip string, size int) bool {
+			d := &peer.Demand{Router: name}
+			from := netip.AddrPortFrom(netip.MustParseAddr(ip), 7)
+			ok := r.admit(from, d, size)
+			if ok {
+				r.applyMessage(now, from, d, size)
+			}
+			return ok
+		}
+		for i := range maxRoutersPerAddress {
+			Expect(apply(fmt.Sprint("a", i), "10.0.0.1", 1)).To(BeTrue())
+		}
+		Expect(apply("a", "10.0.0.1", 1)).To(BeFalse())
+		Expect(apply("a0", "10.0.0.1", 1)).To(BeTrue())
+		Expect(apply("b", "10.0.0.2", 1)).To(BeTrue())
+		Expect(apply("b", "10.0.0.2", maxDemandBytes)).To(BeFalse())
+		Expect(r.liveNames(now.Add(5 * time.Second))).To(BeEmpty())
+		Expect(apply("b", "10.0.0.2", maxDemandBytes)).To(BeTrue())
+		for i := range maxAdapterUses + 1 {
+			r.recordAdapterUse(now.Add(time.Duration(i)), placement.Adapter{Model: "m", Name: fmt.Sprint(i)})
+		}
+		Expect(len(r.adapterUsedAt)).To(BeNumerically("<", maxAdapterUses))
+		Expect(r.adapterUsedAt).To(HaveKey(placement.Adapter{Model: "m", Name: fmt.Sprint(maxAdapterUses)}))
 	})
 })
