Count no crash of a request that was answered shortly before

Cause: a request is cleared by an answer after a crash. While a harmful request crashes all upstreams of a service again and again, no upstream is left to answer the lookup, which is running beside three or four crashes by then. Earlier answers counted for nothing. Evidence: the log of: the lookup is answered at 08.24 to 08.36 s, both upstreams crash twice until 10.17 s, it is refused from 10.39 s on. The new spec fails without the change. Change: a request that crashes each upstream is never answered, so a router does not count a crash of one that it has seen answered within the last 30 s or more, and clears it at the other routers with the next answer. Measured: pkg/quarantine and pkg/dispatch pass with the race detector.

--- a/pkg/quarantine/refused.go
+++ b/pkg/quarantine/refused.go
@@ -67,7 +67,7 @@
 	age := max(0, time.Duration(now.UnixMilli()-x.LastUnixMS)*time.Millisecond)
 	for _, crash := range x.Crashes {
 		if upstream, err := strconv.ParseUint(crash.Upstream, 36, 64); err == nil {
-			r.recordCrash(now.Add(-age), Report{Fingerprint: fp, Upstream: upstream, SentUnixMS: crash.SentUnixMS, UnixMS: crash.EndedUnixMS})
+			r.recordCrash(now.Add(-age), Report{Fingerprint: fp, Upstream: upstream, SentUnixMS: crash.SentUnixMS, UnixMS: crash.EndedUnixMS}, false)
 		}
 	}
 	if c := r.records[fp]; c != nil && own {
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -122,6 +122,7 @@
 	receivedParts map[Report]time.Time
 	prunedAt      time.Time
 	requests      *requests
+	answered      answered
 	parts         *parts
 }
 
@@ -195,6 +196,7 @@
 // crashes had another cause.
 func (r *Reports) RecordRequestAnswered(now time.Time, fp uint64) {
 	r.interrupted = slices.DeleteFunc(r.interrupted, func(a Interruption) bool { return a.Fingerprint == fp })
+	r.answered.add(now, fp)
 	if r.requests.recordAnswered(fp) {
 		r.report(now, Report{Fingerprint: fp, Kind: RequestAnswered})
 	}
@@ -226,7 +228,7 @@
 	r.prune(now)
 	switch x.Kind {
 	case RequestCrash:
-		r.requests.recordCrash(now, x)
+		r.requests.recordCrash(now, x, r.answered.contains(now, x.Fingerprint))
 		return
 	case RequestAnswered:
 		r.requests.recordAnswered(x.Fingerprint)
--- a/pkg/quarantine/requests.go
+++ b/pkg/quarantine/requests.go
@@ -52,6 +52,8 @@
 	runs map[uint64]run
 	// crashes is the number of crashes that count: those since the request was last answered.
 	crashes int
+	// cleared reports whether a crash did not count since the request had been answered. Other routers may suspect it.
+	cleared bool
 	last    time.Time // of the last report
 	// own reports whether this router keeps the request for later processes.
 	own bool
@@ -80,8 +82,9 @@
 
 func newRequests() *requests { return &requests{records: map[uint64]*crashRecord{}} }
 
-// recordCrash counts a reported crash of an upstream, unless it is known or another upstream has ended together with it.
-func (r *requests) recordCrash(now time.Time, x Report) {
+// recordCrash counts a reported crash of an upstream, unless it is known, another upstream has ended together with it, or the
+// request was answered lately: one that crashes upstreams never is.
+func (r *requests) recordCrash(now time.Time, x Report, answered bool) {
 	c := r.records[x.Fingerprint]
 	if c == nil {
 		r.makeRoom(now)
@@ -100,7 +103,11 @@
 	for _, known := range c.runs {
 		together = together || known.endedWith(reported)
 	}
-	if !together {
+	switch {
+	case together:
+	case answered:
+		c.cleared = true
+	default:
 		c.crashes++
 	}
 	c.runs[x.Upstream] = reported
@@ -109,13 +116,14 @@
 	}
 }
 
-// recordAnswered records that an upstream has answered the request. It reports whether the request was suspected.
+// recordAnswered records that an upstream has answered the request. It reports whether this or another router may have
+// suspected the request.
 func (r *requests) recordAnswered(fp uint64) bool {
 	c := r.records[fp]
-	if c == nil || c.crashes == 0 {
+	if c == nil || c.crashes == 0 && !c.cleared {
 		return false
 	}
-	c.crashes = 0
+	c.crashes, c.cleared = 0, false
 	if c.own {
 		c.own = false
 		r.ownVersion++
--- a/pkg/quarantine/requests_test.go
+++ b/pkg/quarantine/requests_test.go
@@ -112,6 +112,40 @@
 		Expect(routers[0].ReportsAfter(at.Add(5*time.Second), 0)).To(BeEmpty())
 	})
 
+	// Guards against refusing a common lookup that was running beside the cause of three crashes while no upstream was left to
+	// answer it.
+	It("does not count if it was answered shortly before, at the routers that know", func() {
+		routers[0].RecordRequestAnswered(at, fp)
+		for i := range 3 {
+			crash(0, at.Add(time.Duration(i)*time.Second), fp)
+		}
+		share(at.Add(4 * time.Second))
+		Expect(routers[0].IsQuarantined(at.Add(4*time.Second), fp)).To(BeFalse())
+		Expect(routers[1].IsQuarantined(at.Add(4*time.Second), fp)).To(BeTrue())
+		routers[0].RecordRequestAnswered(at.Add(5*time.Second), fp)
+		share(at.Add(6 * time.Second))
+		Expect(routers[1].IsQuarantined(at.Add(6*time.Second), fp)).To(BeFalse())
+
+		later := at.Add(2 * time.Minute)
+		share(later)
+		crash(0, later, fp)
+		crash(0, later.Add(time.Second), fp)
+		Expect(routers[0].IsQuarantined(later.Add(time.Second), fp)).To(BeFalse())
+		crash(0, later.Add(2*time.Second), fp)
+		Expect(routers[0].IsQuarantined(later.Add(2*time.Second), fp)).To(BeTrue())
+	})
+
+	It("counts although many others were answered since its own answer", func() {
+		routers[0].RecordRequestAnswered(at, fp)
+		for i := range 5000 {
+			routers[0].RecordRequestAnswered(at, uint64(100+i))
+		}
+		for i := range 3 {
+			crash(0, at.Add(time.Duration(i)*time.Second), fp)
+		}
+		Expect(routers[0].IsQuarantined(at.Add(3*time.Second), fp)).To(BeTrue())
+	})
+
 	// Guards against a bound on the crashes of one request that makes a common one unsuspected for good.
 	It("is refused although many upstreams ended beside it long before", func() {
 		for i := range 100 {
