Interrupt a stream whose further run is answered with another status

Cause: an answer that is no success and no refusal counted as the final answer of the request, although the caller already had the head and events of a stream; its body was written behind them and the chunks were ended regularly. A success without a body (204) ended the stream in the same way. Change: once the head of a stream is written, only an answer with its status goes on with it. Any other ends the attempt, which is retried while the route allows it, and otherwise aborts the caller's connection.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -74,6 +74,7 @@
 	start       time.Time
 	ctx         context.Context // ends at the deadline, and when the caller disconnects if the request may then be cancelled
 	headWritten bool            // reports whether the head of the answer has been written
+	headStatus  int             // status of a stream whose head has been written
 	lastEventID string          // id of the last forwarded event
 	events      *sse.Sequence   // the events of a stream
 	cause       string          // of the last failed attempt
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -209,6 +209,8 @@
 	case success && !head.Signed, head.Encoded:
 		c.cause = "answer is not signed or is encoded"
 		return dispatch.Interrupted, nil, nil
+	case success && !c.isContinuation(resp):
+		return dispatch.Interrupted, nil, nil
 	case success && c.req.Route.Kind == catalog.Streaming:
 		return c.forward(resp, upstream)
 	}
@@ -233,10 +235,23 @@
 	case resp.StatusCode >= 500:
 		c.cause = "upstream answered with status " + strconv.Itoa(resp.StatusCode)
 		return dispatch.Failed, a, nil
+	case !c.isContinuation(resp):
+		c.dropAnswer(body)
+		return dispatch.Interrupted, nil, nil
 	}
 	return dispatch.Done, a, nil
 }
 
+// isContinuation reports whether the answer can go on with what the caller has already got: nothing, or a stream with the
+// same status.
+func (c *callerRequest) isContinuation(resp *http.Response) bool {
+	if !c.headWritten || resp.StatusCode == c.headStatus {
+		return true
+	}
+	c.cause = "stream was resumed with status " + strconv.Itoa(resp.StatusCode)
+	return false
+}
+
 // impliesNotRun reports whether callers take the status as a confirmation that the request has not run.
 func impliesNotRun(status int) bool {
 	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -93,7 +93,7 @@
 	if c.headWritten {
 		return
 	}
-	c.headWritten = true
+	c.headWritten, c.headStatus = true, resp.StatusCode
 	platform.CopyAnswerHeader(c.w.Header(), resp.Header)
 	c.w.WriteHeader(resp.StatusCode)
 }
