Reset the connection of a broken-off answer to a caller of HTTP/1.0

Cause: an answer without a length ends for them with its connection, and an aborted handler closes that connection regularly, as behind a complete answer. Callers of HTTP/1.1 miss the last chunk. Change: both interfaces break off a started answer through inbound.AbortAnswer, which takes the connection of such a caller over and resets it. An entry that is killed still leaves the regular end to the kernel.

--- a/pkg/api/forward.go
+++ b/pkg/api/forward.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/pkg/router"
 	"github.com/hibiscuscross/hibiscuscross/pkg/wire"
 )
@@ -142,7 +143,7 @@
 // refusal if the answer has not begun.
 func abort(c echo.Context) error {
 	if c.Response().Committed {
-		panic(http.ErrAbortHandler)
+		inbound.AbortAnswer(c.Response().Writer, c.Request())
 	}
 	return refuse(http.StatusInternalServerError, codeInternal, "", "the answer could not be written")
 }
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/inbound"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
 
@@ -58,7 +59,7 @@
 // abort closes the connection of a started answer, so that the caller cannot mistake it for a complete one.
 func (c *callerRequest) abort(reason string) {
 	c.finish("cut", 0, "reason", reason)
-	panic(http.ErrAbortHandler)
+	inbound.AbortAnswer(c.w, c.r)
 }
 
 func (c *callerRequest) finish(outcome string, status int, kv ...any) {
