Attribute an answer without an id only on a connection that has carried no other request

Cause: an answer that names no request counted for the one at hand. A connection that was quiet when it was taken from the pool can bring an extra answer just afterwards. Ruled out: that this fails sound requests. Change: on a connection that is used again, a failure without an id ends the attempt as interrupted, except for a refusal of a request that may be repeated.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -117,7 +117,7 @@
 	}
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream)
-	outcome, a, err := c.receive(resp, d.Upstream.ID)
+	outcome, a, err := c.receive(resp, d.Upstream.ID, conn.Reused)
 	if err == nil && outcome == dispatch.Done && isUnframed(resp) {
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
@@ -177,13 +177,6 @@
 	return dispatch.Interrupted
 }
 
-func (c *callerRequest) maxIdle() time.Duration {
-	if c.req.Route.Retryable() {
-		return maxIdleRetryable
-	}
-	return maxIdleNonRetryable
-}
-
 func (c *callerRequest) upstreamRequest(instance string) *h1.Request {
 	priority := c.req.Priority()
 	if c.req.Route.Kind != catalog.Streaming {
@@ -199,11 +192,12 @@
 }
 
 // receive checks the head of an answer and reads the body: a stream is forwarded, any other body is buffered in full.
-func (c *callerRequest) receive(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
+// reused reports whether the connection has carried another request before.
+func (c *callerRequest) receive(resp *http.Response, upstream string, reused bool) (dispatch.Outcome, *answer, error) {
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	success := resp.StatusCode/100 == 2
 	switch {
-	case head.ID != "" && head.ID != c.meta.ID, success && head.ID == "" && c.meta.ID != "":
+	case !c.isAttributable(head, success, reused):
 		c.cause = fmt.Sprintf("answer belongs to request %q", head.ID)
 		return dispatch.Interrupted, nil, nil
 	case success && !head.Signed, head.Encoded:
