Answer resumed streams with another status in the soak

Change: runners can answer a request that resumes a stream with 404, and the scenario unknown-stream lets some do so while the connections to some are reset. A 404 that bears a runner's stamp is no longer counted as denied by the router: it is the runner's own answer, to a caller that resumes a stream itself; a 404 without a stamp counts as before.

--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -167,7 +167,7 @@
 		check.recordRefusal(r.id)
 	case resp.StatusCode == http.StatusUnauthorized:
 		c.checkUnauthorized(r.kind, r.id)
-	case resp.StatusCode == http.StatusNotFound:
+	case resp.StatusCode == http.StatusNotFound && !standin.Signed(resp.Header): // else it is the runner's own answer
 		proc := c.world.processes[r.entry]
 		if r.kind != "new" {
 			check.recordViolation("denied", fmt.Sprintf("%s %s was answered 404", r.kind, r.id))
--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -166,6 +166,11 @@
 			end()
 		}
 	}},
+	{"unknown-stream", func(w *world, pick int, duration time.Duration) (string, func()) {
+		detail, undo := w.garble(pick, standin.UnknownStream)
+		reset, undoReset := w.endConnections(pick/2, duration, (*Proxy).Reset)
+		return detail + ", reset " + reset, func() { undoReset(); undo() }
+	}},
 	{"path-rst", func(w *world, pick int, duration time.Duration) (string, func()) {
 		return w.endConnections(pick, duration, (*Proxy).Reset)
 	}},
