--- a/pkg/soak/shape.go
+++ b/pkg/soak/shape.go
@@ -70,6 +70,10 @@
 			Entries: 5, SpareEntries: 5, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(58), RequestInterval: 400 * time.Millisecond,
 			Mix: slices.Concat(kinds(13, "chat", "chat", "report"), kinds(73, "chat", "chat", "report"), plainKinds),
 		},
+		"bluemahoe": {
+			Entries: 4, SpareEntries: 4, Engines: 9, PlainServices: 3, Callers: 24, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(54), RequestInterval: 400 * time.Millisecond,
+			Mix: slices.Concat(kinds(13, "chat", "chat", "report"), kinds(73, "chat", "chat", "chat"), plainKinds),
+		},
 		"large": {
 			Entries: 27, SpareEntries: 3, Engines: 30, PlainServices: 6, Callers: 90, CallersResume: true, HonourRetryAfter: true, LargeBodies: 16, Retries: retryLimit(106),
 			RequestInterval: 200 * time.Millisecond, Mix: slices.Concat(kinds(17, "chat", "chat", "report"), kinds(97, "chat", "chat"), plainKinds),
