--- a/pkg/soak/ratelimit.go
+++ b/pkg/soak/ratelimit.go
@@ -41,6 +41,8 @@
 	arrivals []time.Time
 	all      []time.Time // arrivals from limitSettle on, of whatever entry
 	total    int
+	faultAt  time.Time // when a process was disturbed; zero until then
+	calm     int       // arrivals before that
 }
 
 // rateLimits records which limits runners name and which entries have passed them on.
@@ -109,6 +111,23 @@
 	}
 }
 
+// recordFault records that processes are disturbed from now on.
+func (l *rateLimits) recordFault(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.active {
+		p.faultAt = at
+	}
+}
+
+// calmPart returns the part of the limit that arrived before processes were disturbed.
+func (p *limitPeriod) calmPart() float64 {
+	if p.named.IsZero() {
+		return 0
+	}
+	return float64(p.calm) / (p.perS * p.faultAt.Sub(p.named).Seconds())
+}
+
 // arrive records the arrival of a request at a runner.
 func (l *rateLimits) arrive(id, runner string, at time.Time) {
 	l.mu.Lock()
@@ -121,6 +140,9 @@
 		p.named = at
 	}
 	p.total++
+	if p.faultAt.IsZero() {
+		p.calm++
+	}
 	if at.Sub(p.named) >= limitSettle {
 		p.all = append(p.all, at)
 	}
@@ -155,7 +177,7 @@
 	for _, p := range c.limits.periods {
 		got, allowed := largest(p.arrivals), p.allowed()
 		lasted := p.ended.Sub(p.named).Seconds()
-		lines = append(lines, fmt.Sprintf("runner %s named %.2f/s for %.1f s: %d arrivals, in %s at most %d counted and %d in all, %.1f allowed", p.runner, p.perS, lasted, p.total, limitSpan, got, largest(p.all), allowed))
+		lines = append(lines, fmt.Sprintf("runner %s named %.2f/s for %.1f s: %d arrivals, %.2f of the limit before the fault, in %s at most %d counted and %d in all, %.1f allowed", p.runner, p.perS, lasted, p.total, p.calmPart(), limitSpan, got, largest(p.all), allowed))
 		if float64(got) > allowed {
 			c.recordViolation("limit", fmt.Sprintf("%d requests arrived at runner %s in %s, which named %.2f per second: %.1f allowed", got, p.runner, limitSpan, p.perS, allowed))
 		}
@@ -185,6 +207,7 @@
 		time.Sleep(limitFaultAt)
 		f := limitFaults[w.random.IntN(len(limitFaults))]
 		events = append(events, fmt.Sprintf("%6.2f s %s", time.Since(start).Seconds(), f.name))
+		w.check.limits.recordFault(time.Now())
 		f.inject(w, round%w.shape.Entries)
 		time.Sleep(limitedTime - limitFaultAt)
 		for i, r := range limited {
--- a/pkg/upstreamlimit/sim_test.go
+++ b/pkg/upstreamlimit/sim_test.go
@@ -51,6 +51,7 @@
 	instance Instance
 	n        float64 // 0 or more if named, else -1
 	service  time.Duration
+	steady   bool    // all answers take the time service; without it, it is their mean
 	early    float64 // share of answers that say what held when the request arrived
 	// stalledUntil is when the engine goes on; until then its kernel keeps what arrives.
 	stalledUntil time.Duration
@@ -299,7 +300,11 @@
 			e.arrivals = append(e.arrivals, arrival{w.now, p.boundAt > 0 && w.now-p.boundAt >= 500*time.Millisecond})
 			n := e.n
 			early := w.rand.Float64() < e.early
-			w.after(nil, time.Duration(w.rand.ExpFloat64()*float64(e.service)), func() {
+			took := e.service
+			if !e.steady {
+				took = time.Duration(w.rand.ExpFloat64() * float64(e.service))
+			}
+			w.after(nil, took, func() {
 				if !early {
 					n = e.n
 				}
