--- a/pkg/gateway/attribution.go
+++ b/pkg/gateway/attribution.go
@@ -10,10 +10,10 @@
 // is the first one on its connection: a faulty upstream sends extra answers, which arrive where the next one is expected.
 func (c *callerRequest) isAttributable(head platform.Answer, success, reused bool) bool {
 	switch {
-	case c.meta.ID == "":
-		return true
 	case head.ID != "":
 		return head.ID == c.meta.ID
+	case c.meta.ID == "":
+		return true // the upstream has no id to echo
 	case success:
 		return false
 	}
--- a/pkg/gateway/attribution_test.go
+++ b/pkg/gateway/attribution_test.go
@@ -85,3 +85,23 @@
 		Expect(conns.Load()).To(Equal(int32(4)))
 	})
 })
+
+// Guards against the answer to another request for a request that has no id to compare.
+var _ = It("an answer with an id does not belong to a request without one", func() {
+	r := newRig()
+	r.configure()
+	r.upstream("u1", "plain", nil, func(w http.ResponseWriter, _ *http.Request) {
+		standin.Sign(w.Header(), "another", "stamp")
+		_, _ = io.WriteString(w, "the answer to another request")
+	})
+	req, err := http.NewRequest(http.MethodGet, r.front.URL+"/get/a", nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	Expect(string(body)).NotTo(ContainSubstring("another request"))
+})
