Give the agents of the quotas' tests an address of their own

Cause: the test finds a free port of 127.0.0.1, closes it, and lets agents listen there later; meanwhile any socket that asks for some port can get it, of another process or of the router in the test. Change: the agents listen at a loopback address that belongs to the test's process. No check is changed.

--- a/pkg/gateway/quota_test.go
+++ b/pkg/gateway/quota_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -29,7 +32,15 @@
 	"github.com/hibiscuscross/hibiscuscross/platform/standin"
 )
 
-const quotaEngine = "127.0.0.1:64999"
+// quotaEngine is the address of the engine beside the agents. Its IP is this process' own: sockets of other processes, and
+// those of routers, get none of the ports at which the agents listen one after the other.
+var quotaEngine = fmt.Sprintf("127.83.%d.%d:64999", os.Getpid()>>8&255, os.Getpid()&255)
+
+// agentAddress returns the address of an agent beside the engine.
+func agentAddress(port int) string {
+	host, _, _ := net.SplitHostPort(quotaEngine)
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
 
 var quotaLog = eventlog.New(io.Discard, "entry", "vm")
 
@@ -81,7 +92,7 @@
 		standin.Sign(w.Header(), standin.RequestID(q.Header), "stamp")
 	}))
 	t.Cleanup(upstream.Close)
-	agentSocket, err := peer.Listen("127.0.0.1:0") // finds a port; the agents listen there one after the other
+	agentSocket, err := peer.Listen(agentAddress(0)) // finds a port; the agents listen there one after the other
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +132,7 @@
 
 // sidecar starts a sidecar on the VM.
 func (r *quotaRig) sidecar(node string) (stop func()) {
-	socket, err := peer.Listen("127.0.0.1:" + strconv.Itoa(r.agentPort))
+	socket, err := peer.Listen(agentAddress(r.agentPort))
 	if err != nil {
 		r.t.Fatal(err)
 	}
