Separate what is recorded of answers without an id from what they are taken for

Callers: no change. A function named isAttributable also recorded, and its log line called an answer without an id one to request "". Change: recordIDs records; the cause of an interrupted attempt names the status and the id. Measured: pkg/gateway passes whole.

--- a/pkg/gateway/attribution.go
+++ b/pkg/gateway/attribution.go
@@ -17,17 +17,24 @@
 	case success:
 		return false
 	}
-	c.g.refusesWithoutID.Store(c.req.Service, true)
 	// A repeat after a refusal of another request does a retryable request no harm.
 	return !reused || head.NotRun && c.req.Route.Retryable()
 }
 
-// maxIdle returns how long a connection may have been idle that is reused for the request.
+// recordIDs records whether the service names the requests that it fails.
+func (c *callerRequest) recordIDs(head platform.Answer, success bool) {
+	if !success && head.ID == "" && c.meta.ID != "" {
+		c.g.failsWithoutID.Store(c.req.Service, true)
+	}
+}
+
+// maxIdle returns how long a connection may have been idle that is reused for the request. Where failures have no id, only
+// a new connection shows that a refusal is that of a request which must not be repeated.
 func (c *callerRequest) maxIdle() time.Duration {
 	if c.req.Route.Retryable() {
 		return maxIdleRetryable
 	}
-	if _, ok := c.g.refusesWithoutID.Load(c.req.Service); ok {
+	if _, ok := c.g.failsWithoutID.Load(c.req.Service); ok {
 		return 0
 	}
 	return maxIdleNonRetryable
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -48,8 +48,8 @@
 	quotas  *Quotas  // nil if quotas are not observed
 	habits  sync.Map // of the services' streams, *sse.Habit by name
 	limits  *Limits
-	// refusesWithoutID has the names of the services that have sent a failure without the id of its request.
-	refusesWithoutID sync.Map
+	// failsWithoutID has the names of the services that have sent a failure without the id of its request.
+	failsWithoutID sync.Map
 }
 
 // New returns a gateway that sends requests over the connections of pool.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -196,9 +196,10 @@
 func (c *callerRequest) receive(resp *http.Response, upstream string, reused bool) (dispatch.Outcome, *answer, error) {
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	success := resp.StatusCode/100 == 2
+	c.recordIDs(head, success)
 	switch {
 	case !c.isAttributable(head, success, reused):
-		c.cause = fmt.Sprintf("answer belongs to request %q", head.ID)
+		c.cause = fmt.Sprintf("answer with status %d to request %q", resp.StatusCode, head.ID)
 		return dispatch.Interrupted, nil, nil
 	case success && !head.Signed, head.Encoded:
 		c.cause = "answer is not signed or is encoded"
