--- a/pkg/soak/ratelimit.go
+++ b/pkg/soak/ratelimit.go
@@ -122,7 +122,7 @@
 
 // calmPart returns the part of the limit that arrived before processes were disturbed.
 func (p *limitPeriod) calmPart() float64 {
-	if p.named.IsZero() {
+	if p.named.IsZero() || !p.named.Before(p.faultAt) {
 		return 0
 	}
 	return float64(p.calm) / (p.perS * p.faultAt.Sub(p.named).Seconds())
