Count a run of the late-refusal spec before its refusal is sent

Cause: the stand-in upstream counted the second run after it had written the refusal. The router passes the refusal on at once, so the check could run before the count. The router's behaviour is not concerned.

Change: the run is counted when the request has been read, before the refusal. The check is as strict: two runs, no third one.

--- a/pkg/gateway/laterefusal_test.go
+++ b/pkg/gateway/laterefusal_test.go
@@ -28,6 +28,7 @@
 				if err != nil {
 					return
 				}
+				runs.Add(1)
 				if reused {
 					refusals.Add(1)
 					h := http.Header{"Content-Length": {"0"}}
@@ -36,7 +37,6 @@
 					_ = h.Write(c)
 					_, _ = io.WriteString(c, "\r\n")
 				}
-				runs.Add(1)
 				id := standin.RequestID(req.Header)
 				if _, err := io.WriteString(c, standin.Head(id, "s", len(id))+id); err != nil {
 					return
