Count a request as possibly run whose refusal on a used connection has no id

Cause: a refusal without an id on a connection that has carried another request may belong to that one. For requests that may be repeated it counted as a proof that they had not run. The run that went on was not counted against maxAttempts, and with the four refusals that a request may get it ran on up to five upstreams.

Change: such a refusal belongs to no request, whatever the route. Where the latest failure of a service did not name its request, its requests use new connections, on which a refusal is certain; a failure with an id ends that.

--- a/pkg/gateway/attribution.go
+++ b/pkg/gateway/attribution.go
@@ -14,28 +14,29 @@
 		return head.ID == c.meta.ID
 	case c.meta.ID == "":
 		return true // the upstream has no id to echo
-	case success:
-		return false
 	}
-	// A repeat after a refusal of another request does a retryable request no harm.
-	return !reused || head.NotRun && c.req.Route.Retryable()
+	return !success && !reused
 }
 
 // recordIDs records whether the service names the requests that it fails.
 func (c *callerRequest) recordIDs(head platform.Answer, success bool) {
-	if !success && head.ID == "" && c.meta.ID != "" {
+	switch {
+	case success || c.meta.ID == "":
+	case head.ID == "":
 		c.g.failsWithoutID.Store(c.req.Service, true)
+	default:
+		c.g.failsWithoutID.Delete(c.req.Service)
 	}
 }
 
 // maxIdle returns how long a connection may have been idle that is reused for the request. Where failures have no id, only
-// a new connection shows that a refusal is that of a request which must not be repeated.
+// a new connection shows that a refusal is that of the request.
 func (c *callerRequest) maxIdle() time.Duration {
-	if c.req.Route.Retryable() {
-		return maxIdleRetryable
-	}
 	if _, ok := c.g.failsWithoutID.Load(c.req.Service); ok {
 		return 0
 	}
+	if c.req.Route.Retryable() {
+		return maxIdleRetryable
+	}
 	return maxIdleNonRetryable
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -48,7 +48,7 @@
 	quotas  *Quotas  // nil if quotas are not observed
 	habits  sync.Map // of the services' streams, *sse.Habit by name
 	limits  *Limits
-	// failsWithoutID has the names of the services that have sent a failure without the id of its request.
+	// failsWithoutID has the names of the services whose latest failure did not name its request.
 	failsWithoutID sync.Map
 }
 
