Send refusals that name no request in the soak

It comes last in the list; the draws of mix change.

The router notices most of them on the idle connection, so the fault is rare with real processes.

--- a/pkg/soak/proxy_test.go
+++ b/pkg/soak/proxy_test.go
@@ -128,6 +128,7 @@
 		Entry("a second copy", standin.LateCopy, `(?s)^HTTP/1.1 200 .*HTTP/1.1 200 `),
 		Entry("no answer", standin.NoAnswer, `^\x16\x03`),
 		Entry("a rejection", standin.EarlyRejection, `^HTTP/1.1 503 `),
+		Entry("a refusal that names no request", standin.StrayRefusal, `(?s)^HTTP/1.1 200 .*HTTP/1.1 503 `),
 	)
 
 	It("a runner that ends in steps breaks off its streams behind an event and still answers its health check", func() {
--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -174,6 +174,9 @@
 	{"path-rst", func(w *world, pick int, duration time.Duration) (string, func()) {
 		return w.endConnections(pick, duration, (*Proxy).Reset)
 	}},
+	{"stray-refusal", func(w *world, pick int, _ time.Duration) (string, func()) {
+		return w.garble(pick, standin.StrayRefusal)
+	}},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
