Tell revisions of a restored store from those before

Cause: a revision was taken for the name of a state of the store and for an order in time. A restored store gives out revisions again. A watch from a revision that the store had passed again got no 410 and left out what was written up to it; conditional writes could meet a revision that now belonged to another change; fencing tokens, which are revisions, went back.

--- a/pkg/follow/decoded.go
+++ b/pkg/follow/decoded.go
@@ -31,8 +31,8 @@
 	Listed  func([]catalog.Upstream)
 	Put     func(u catalog.Upstream, revision uint64)
 	Removed func(id string, revision uint64)
-	// Recovered is the same as in Handler.
-	Recovered func()
+	// Recovered and Restored are the same as in Handler.
+	Recovered, Restored func()
 }
 
 // Upstreams returns a handler that decodes the entries of upstreams and passes them to h. Invalid entries are logged
@@ -65,5 +65,6 @@
 			}
 		},
 		Recovered: h.Recovered,
+		Restored:  h.Restored,
 	}
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -46,6 +46,9 @@
 	// Recovered is called when a call succeeds after an outage of the store, before Listed or Changed with its result.
 	// It may be nil.
 	Recovered func()
+	// Restored is called before Listed with the first listing of a store that was restored from a copy. Objects may be
+	// missing or outdated until their writers write them again. It may be nil.
+	Restored func()
 	// Proved is called after Listed or Changed with the start of the call: what the handler has received is the state of
 	// the store at that instant or later, if the source's reads are linearizable. It may be nil.
 	Proved func(startedAt boottime.Instant)
@@ -92,7 +95,8 @@
 	failingSince time.Time // start of the consecutive failures; zero while calls succeed
 	failures     int       // consecutive failed calls
 	listed       bool
-	compactions  int // consecutive watches that failed with store.ErrCompacted
+	era          uint64 // of the last listing
+	compactions  int    // consecutive watches that failed with store.ErrCompacted
 }
 
 // New returns a follower of kind that calls the functions of h.
@@ -120,7 +124,14 @@
 		return 0, false
 	}
 	f.handleSuccess()
-	f.listed = true
+	era := platform.Era(l.revision)
+	if f.listed && era != f.era {
+		f.log.State("restored store listed", "kind", f.kind, "era", era, "before", f.era, "objects", len(l.objects))
+		if f.h.Restored != nil {
+			f.h.Restored()
+		}
+	}
+	f.listed, f.era = true, era
 	f.h.Listed(l.objects)
 	f.prove(l.startedAt)
 	return l.revision, true
@@ -143,6 +154,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, longPoll+watchMargin)
 	defer cancel()
 	objects, revision, err := f.src.Watch(callCtx, f.kind, since, longPoll)
+	if errors.Is(err, store.ErrRestored) {
+		f.log.State("store was restored, listing again", "kind", f.kind, "revision", since)
+		sleep(ctx, f.opt.ChangeDelay) // all followers list at the same time
+		return 0, false
+	}
 	if errors.Is(err, store.ErrCompacted) {
 		f.compactions++
 		f.log.State("watch history compacted, listing again", "kind", f.kind, "revision", since, "in_a_row", f.compactions)
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -20,6 +20,9 @@
 	ErrUnavailable = errors.New("object API unavailable")
 	// ErrCompacted is returned when the revision of a watch is too old; the caller lists again.
 	ErrCompacted = errors.New("watch revision compacted")
+	// ErrRestored is returned when the store has been restored from an earlier copy: what was read before may be lost, and
+	// revisions are given out again. The caller lists again.
+	ErrRestored = errors.New("store restored from a copy")
 	// ErrUnreadable is returned when a response has begun but cannot be read: it is too large, ends early or is malformed.
 	// The same watch may return the same response again; the caller lists instead.
 	ErrUnreadable = errors.New("response not readable")
