Keep upstreams that a restored list lacks until they are registered again

Seen: nothing by users. In a spec, a router forgot an upstream that lived: the store came back from a copy that was older than its registration, and requests went without it until its next heartbeat.

Cause: entries that vanish are kept for the grace period only after an outage that the router has noticed, of half a second or more.

Evidence: the spec failed before, 10 ms after the restore.

Measured: the spec passes under the race detector.

--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -54,6 +54,9 @@
 		Recovered: func() {
 			s.core.Do(func(st *dispatch.State) { st.Fleet.RecordStoreRecovery(time.Now()) })
 		},
+		Restored: func() {
+			s.core.Do(func(st *dispatch.State) { st.Fleet.RecordStoreRecovery(time.Now()) })
+		},
 	})
 }
 
