Send nothing to upstreams that had left when a restored list names them again

Seen: nothing by users. In a spec, a router sent requests again to an upstream that had drained and been removed, and to one that had been removed without a word, as soon as the store came back from a copy that still named them. Their addresses may be in use by others.

Cause: the fleet forgot an upstream with its entry, so an entry that a copy brings back looked like that of a new one.

One that had announced its end never serves again.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -46,6 +46,8 @@
 	// own last report that the agent has.
 	crashesNext  uint32
 	crashesAcked uint64
+	// outdatedUntil is the end of the time in which the entry may be one of a restored list that had been removed before.
+	outdatedUntil time.Time
 	// unlistedUntil is when a member that only its agent has reported is removed unless the list names it.
 	unlistedUntil time.Time
 	// backoffUntil is the end of the backoff that the upstream has requested from this process.
@@ -74,12 +76,15 @@
 type State struct {
 	members  map[string]*Member
 	graceEnd time.Time // until then removals are attributed to the last outage and deferred
+	departed departed
 	version  uint64
 	ended    []string // upstreams that have ended since the last call of TakeEnded
 }
 
 // New returns an empty fleet.
-func New() *State { return &State{members: map[string]*Member{}} }
+func New() *State {
+	return &State{members: map[string]*Member{}, departed: departed{byID: map[string]departure{}}}
+}
 
 // Version returns a number that grows with each change of the members or their holdings.
 func (s *State) Version() uint64 { return s.version }
@@ -110,7 +115,9 @@
 		m = nil
 	}
 	if m == nil {
-		s.members[u.ID] = &Member{Upstream: u}
+		m = &Member{Upstream: u}
+		s.departed.apply(now, m)
+		s.members[u.ID] = m
 		s.version++
 		s.updateSuperseded(u.Address)
 		return
@@ -137,7 +144,7 @@
 		m.removeAt = s.graceEnd
 		return
 	}
-	s.removeEnded(id)
+	s.removeEnded(now, id)
 }
 
 // TakeEnded returns the upstreams that have ended since the last call.
@@ -230,9 +237,10 @@
 }
 
 // removeEnded removes a member and records that it has ended.
-func (s *State) removeEnded(id string) {
+func (s *State) removeEnded(now time.Time, id string) {
 	m := s.members[id]
 	delete(s.members, id)
+	s.departed.record(now, m)
 	s.ended = append(s.ended, id)
 	s.version++
 	s.updateSuperseded(m.Address)
@@ -312,10 +320,10 @@
 			m.removeAt = m.unlistedUntil // the list has not confirmed the member
 		}
 		if !m.removeAt.IsZero() && !now.Before(m.removeAt) {
-			s.removeEnded(id)
+			s.removeEnded(now, id)
 			continue
 		}
-		if m.Service == service && !m.Draining && !m.superseded {
+		if m.Service == service && !m.Draining && !m.superseded && !m.isOutdated(now) {
 			out = append(out, m)
 		}
 	}
--- a/pkg/gateway/restored_test.go
+++ b/pkg/gateway/restored_test.go
@@ -57,4 +57,19 @@
 		entry("u2", "ready")
 		Consistently(members, "2500ms").Should(Equal([]string{"u1", "u2"}))
 	})
+
+	// Guards against requests to an upstream whose end the store had acknowledged before.
+	It("sends nothing to those that had left, although the copy names them", func() {
+		entry("u1", "ready")
+		entry("u2", "ready")
+		entry("u3", "ready")
+		Eventually(members).Should(Equal([]string{"u1", "u2", "u3"}))
+		copied := st.Copy()
+		entry("u2", "draining")
+		st.Remove(platform.KindUpstreams, "u2")
+		st.Remove(platform.KindUpstreams, "u3")
+		Eventually(members).Should(Equal([]string{"u1"}))
+		st.Restore(copied)
+		Consistently(members, "1500ms").Should(Equal([]string{"u1"}))
+	})
 })
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -55,7 +55,7 @@
 			s.core.Do(func(st *dispatch.State) { st.Fleet.RecordStoreRecovery(time.Now()) })
 		},
 		Restored: func() {
-			s.core.Do(func(st *dispatch.State) { st.Fleet.RecordStoreRecovery(time.Now()) })
+			s.core.Do(func(st *dispatch.State) { st.Fleet.RecordRestore(time.Now()) })
 		},
 	})
 }
