Store refused requests again when the store has been restored

Seen: nothing by users. In a spec, the list of requests that crash upstreams was gone after the store had come back from a copy, and the router that knew it did not write it again; routers that start later would have let such requests crash upstreams again.

Cause: the list is written after a change of its content only, on the assumption that the store loses nothing.

Evidence: the spec failed before: the list was still missing 3 s after the restore.

Change: a router that has refused requests stores them again when the store's era is later than that of its last write.

Measured: the spec passes, and the others on refused requests, under the race detector.

--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -27,6 +27,8 @@
 type RefusalStore interface {
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	WriteIf(ctx context.Context, kind, name string, spec any, expect uint64) (uint64, platform.Object, error)
+	// Era returns the latest known era of the store. It rises when the store is restored from a copy.
+	Era() uint64
 }
 
 // Refusals keeps the requests that crash upstreams in the store: one object for each router, which only that router writes.
@@ -51,7 +53,8 @@
 	Requests []quarantine.RefusedRequest `json:"requests"`
 }
 
-// Run reads the stored refusals of all routers, and then stores those of this router after each change, until ctx ends.
+// Run reads the stored refusals of all routers, and then stores those of this router after each change and each restore of
+// the store, until ctx ends.
 // Nothing is written before the first read, since a write replaces what earlier processes of this router have stored.
 func (r *Refusals) Run(ctx context.Context) {
 	if !r.retry(ctx, "read refused requests", r.read) {
@@ -68,7 +71,7 @@
 		}
 		var version uint64
 		r.core.Do(func(s *dispatch.State) { version = s.Crashes.OwnRefusalsVersion() })
-		if version != written {
+		if version != written || r.isLost() {
 			r.retry(ctx, "store refused requests", func(ctx context.Context) error {
 				var err error
 				written, err = r.write(ctx)
@@ -78,6 +81,16 @@
 	}
 }
 
+// isLost reports whether the store may have lost this router's refused requests, since it was restored after they were
+// stored.
+func (r *Refusals) isLost() (lost bool) {
+	if platform.Era(r.revision) == r.store.Era() {
+		return false
+	}
+	r.core.Do(func(s *dispatch.State) { lost = len(s.Crashes.OwnRefusals(time.Now())) > 0 })
+	return lost
+}
+
 // retry calls step until it succeeds and reports whether it did before ctx ended.
 func (r *Refusals) retry(ctx context.Context, name string, step func(context.Context) error) bool {
 	for delay := minRefusalsRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxRefusalsRetryDelay) {
--- a/pkg/gateway/refusals_test.go
+++ b/pkg/gateway/refusals_test.go
@@ -57,6 +57,8 @@
 	return s.revision, platform.Object{}, err
 }
 
+func (s *refusalStore) Era() uint64 { return 0 }
+
 func (s *refusalStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
