Write the record of an engine's orders again to a restored store

Seen: nothing by users. In a spec, the fence record was gone after the store had come back from a copy, and its agent did not write it again. The next process on the VM would have known of no unanswered orders and could have overcommitted the engine's memory.

Cause: the record is written for each instance of the engine, on the assumption that the store loses nothing.

Evidence: the spec failed before: the record was still missing 3 s after the restore.

Change: the agent checks twice a second whether the store's era is later than that of its token, and then writes the record again. The new token is higher than all before, since revisions carry the era.

--- a/pkg/sidecar/fence.go
+++ b/pkg/sidecar/fence.go
@@ -18,6 +18,8 @@
 	// after a start.
 	fenceReadTimeout = 700 * time.Millisecond
 	maxFenceReads    = 3
+	// restoreCheckInterval is the time between two checks whether the store was restored after the record was written.
+	restoreCheckInterval = 500 * time.Millisecond
 )
 
 // addPending records an order before it is sent and returns its number.
@@ -62,20 +64,29 @@
 }
 
 // AcquireToken gets a fencing token from the store for each instance of the engine and sets it, until ctx ends. The token
-// is the revision of a write, which increases across processes and VMs.
+// is the revision of a write, which increases across processes, VMs and restores of the store. After a restore the record
+// is written again, since the next process on this VM relies on it.
 func (a *Agent) AcquireToken(ctx context.Context, store *platform.Store) {
 	adopted := a.settings.ChecksTokens // the first token of this process then excludes all orders of the previous one
+	var instance engineInstance        // that of the last record
+	var token uint64
+	check := time.NewTicker(restoreCheckInterval)
+	defer check.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case instance := <-a.fences:
+		case <-check.C:
+			if token == 0 || platform.Era(token) == store.Era() {
+				continue
+			}
+		case instance = <-a.fences:
 			if !adopted {
 				adopted = true
 				a.adoptRecord(ctx, store)
 			}
-			a.writeFence(ctx, store, instance)
 		}
+		token = a.writeFence(ctx, store, instance)
 	}
 }
 
@@ -114,9 +125,9 @@
 	return r
 }
 
-// writeFence writes the record for an instance of the engine and sets its revision as the token. It retries until it
-// succeeds, ctx ends or the engine has restarted again.
-func (a *Agent) writeFence(ctx context.Context, store *platform.Store, instance engineInstance) {
+// writeFence writes the record for an instance of the engine, sets its revision as the token and returns it. It retries until
+// it succeeds, or returns 0 when ctx ends or the engine has restarted again.
+func (a *Agent) writeFence(ctx context.Context, store *platform.Store, instance engineInstance) uint64 {
 	for ctx.Err() == nil && len(a.fences) == 0 {
 		a.mu.Lock()
 		record := a.pending.record(time.Now(), instance)
@@ -130,7 +141,7 @@
 			a.recordClean = record.isClean()
 			a.mu.Unlock()
 			a.log.State("fencing token acquired", "token", token, "born", instance.startedUnixMS, "unanswered", len(record.Unanswered), "unknown_order", record.Unknown)
-			return
+			return token
 		}
 		a.log.State("acquiring the fencing token failed, retrying", "err", err)
 		select {
@@ -138,4 +149,5 @@
 		case <-time.After(tokenRetryInterval):
 		}
 	}
+	return 0
 }
