Keep the tenants' limits when the store of the quotas' leases is restored

Seen: nothing by users.

Cause: what a holder had granted was taken from the store at each change of the holder. The copy says less than was granted, and the holder itself gave its lease up at the first conflict, while others took over a shard that the copy names as free at once.

Evidence: TestLimitHoldsWhenStoreIsRestored failed before.

Change: a lease knows the era of its object. After a restore, the process that held the shard last goes on to hold it and writes its state again, the later the longer its lease has ended; any other process takes over only after a whole window, or once it has seen a state that was written since.

All tests of the quotas and the sidecar pass (the latter under the race detector).

--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -48,10 +48,11 @@
 	State State  `json:"state"`
 }
 
-// Stored is a lease object as read from the store. Revision is 0 if there is none.
+// Stored is a lease object as read from the store. Revision is 0 if there is none. Era rises when the store is restored from
+// an earlier copy; revisions of a later era are larger.
 type Stored struct {
-	Revision uint64
-	Spec     LeaseSpec
+	Revision, Era uint64
+	Spec          LeaseSpec
 }
 
 // LeaseWrite is a conditional write of a lease object. It succeeds only if the object has the revision Expect; 0 creates
@@ -59,6 +60,7 @@
 type LeaseWrite struct {
 	Expect uint64
 	Spec   LeaseSpec
+	era    uint64 // that of the object with the revision Expect
 	start  boottime.Instant
 	mark   Mark
 }
@@ -88,6 +90,12 @@
 	// unresolved are the writes whose outcome is not known, by their number.
 	unresolved map[uint64]LeaseWrite
 	released   bool
+
+	// restoredAt is when the last restore of the store became known; 0 if there was none. What was granted since the copy is
+	// known to the process only that held the shard last. It writes its state again from resumeAt on. Unless that has been
+	// seen, all others wait for a window, after which no earlier grant counts.
+	restoredAt, resumeAt boottime.Instant
+	resumed              bool // the state has been written since the restore
 }
 
 // NewLease returns the lease of a shard that the process on the node does not hold.
@@ -116,9 +124,26 @@
 // than the known one is ignored, and a take-over succeeds only if the revision is the current one.
 func (l *Lease) Read(now boottime.Instant, s Stored) {
 	l.readAt = now
-	if l.read && s.Revision <= l.stored.Revision {
-		return
+	switch {
+	case l.read && s.Era > l.stored.Era:
+		l.restore(now, s)
+	case l.read && s.Revision <= l.stored.Revision:
+	default:
+		if s.Spec.Node != l.node || s.Spec.Process != l.process {
+			l.holder = nil // another process has taken over
+		}
+		l.resumed = true
+		l.record(now, s)
 	}
+}
+
+// restore records the object of a restored store. The longer a holder's lease has ended, the later it resumes: a process
+// that has lost the shard without knowing so comes after the one that has taken it over.
+func (l *Lease) restore(now boottime.Instant, s Stored) {
+	l.restoredAt, l.resumed = now, false
+	l.resumeAt = now.Add(max(0, now.Sub(l.until)))
+	l.nextAt, l.retryIn = now, 0
+	clear(l.unresolved)
 	l.record(now, s)
 }
 
@@ -158,6 +183,12 @@
 	if l.writing || l.released || now < l.nextAt {
 		return LeaseWrite{}, false
 	}
+	if l.restoredAt != 0 && !l.resumed && l.holder != nil {
+		if now < l.resumeAt {
+			return LeaseWrite{}, false
+		}
+		return l.renewal(now, l.holder, false), true
+	}
 	if h := l.Holder(now); h != nil {
 		age := now.Sub(l.wroteAt)
 		if age < renewInterval && !(h.NeedsWrite() && age >= earlyRenewInterval) {
@@ -168,6 +199,9 @@
 	if !l.read || rank >= Candidates+Reserves && l.stored.Spec.Node != l.node {
 		return LeaseWrite{}, false
 	}
+	if l.restoredAt != 0 && !l.resumed && now.Sub(l.restoredAt) < newWindow(l.window).length+takeOverDelay {
+		return LeaseWrite{}, false
+	}
 	unchanged := now.Sub(l.sinceAt)
 	wait := takeOverDelay + time.Duration(rank)*rankDelay
 	switch {
@@ -204,6 +238,7 @@
 		}
 	}
 	l.seq++
+	w.era = l.stored.Era
 	w.Spec.Node, w.Spec.Process, w.Spec.Seq = l.node, l.process, l.seq
 	l.writing, l.unresolved[l.seq] = true, w
 	return w
@@ -224,7 +259,8 @@
 		}
 	}
 	held := l.holder != nil && now < l.until && w.mark != nil
-	l.record(w.start, Stored{Revision: revision, Spec: w.Spec})
+	l.record(w.start, Stored{Revision: revision, Era: w.era, Spec: w.Spec})
+	l.resumed = true
 	if w.Spec.State.Released {
 		l.holder = nil
 		return false
@@ -245,6 +281,10 @@
 func (l *Lease) Conflicted(now boottime.Instant, w LeaseWrite, current Stored) bool {
 	l.writing = false
 	delete(l.unresolved, w.Spec.Seq)
+	if w.era < current.Era {
+		l.Read(now, current)
+		return false
+	}
 	if earlier, ok := l.unresolved[current.Spec.Seq]; ok && current.Spec.Node == l.node && current.Spec.Process == l.process {
 		return l.confirm(now, earlier, current.Revision)
 	}
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -23,7 +23,7 @@
 	// storeDown rejects all calls of the store, storeLoses executes writes without an answer.
 	storeDown, storeLoses bool
 	objects               [Shards]Stored
-	revision              uint64
+	revision, era         uint64 // the era rises with each restore of the store
 	reads, writes         int
 	messages              int
 	procs                 []*proc
@@ -199,7 +199,7 @@
 		conflict := w.objects[shard].Revision != wr.Expect
 		if !conflict {
 			w.revision++
-			w.objects[shard] = Stored{Revision: w.revision, Spec: wr.Spec}
+			w.objects[shard] = Stored{Revision: w.revision, Era: w.era, Spec: wr.Spec}
 		}
 		current := w.objects[shard]
 		switch {
--- a/pkg/sidecar/quota.go
+++ b/pkg/sidecar/quota.go
@@ -41,6 +41,8 @@
 type QuotaStore interface {
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	WriteIf(ctx context.Context, kind, name string, spec any, expect uint64) (uint64, platform.Object, error)
+	// Era returns the latest known era of the store. It rises when the store is restored from a copy.
+	Era() uint64
 }
 
 // quotas are the shards of the tenants' quotas that this process holds or may take over. Package quota decides.
@@ -208,7 +210,7 @@
 func (q *quotas) read(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, quotaReadTimeout)
 	defer cancel()
-	objects, _, err := q.reads.List(callCtx, platform.KindQuotas)
+	objects, revision, err := q.reads.List(callCtx, platform.KindQuotas)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.reading = false
@@ -218,7 +220,7 @@
 		byName[o.Name] = o
 	}
 	for shard, l := range q.leases {
-		if stored, ok := q.decode(byName[strconv.Itoa(shard)]); err == nil && ok {
+		if stored, ok := q.decode(byName[strconv.Itoa(shard)], platform.Era(revision)); err == nil && ok {
 			l.Read(now, stored)
 		} else {
 			l.ReadFailed(now)
@@ -229,12 +231,13 @@
 	}
 }
 
-// decode decodes a lease object. One that cannot be decoded is not taken over: what its holder granted is not known.
-func (q *quotas) decode(o platform.Object) (quota.Stored, bool) {
+// decode decodes a lease object that was read in the era. One that cannot be decoded is not taken over: what its holder
+// granted is not known.
+func (q *quotas) decode(o platform.Object, era uint64) (quota.Stored, bool) {
 	if o.Revision == 0 {
-		return quota.Stored{}, true
+		return quota.Stored{Era: era}, true
 	}
-	s := quota.Stored{Revision: o.Revision}
+	s := quota.Stored{Revision: o.Revision, Era: platform.Era(o.Revision)}
 	if err := json.Unmarshal(o.Spec, &s.Spec); err != nil {
 		q.log.Request("quota lease is invalid", "shard", o.Name, "revision", o.Revision, "err", err)
 		return s, false
@@ -250,7 +253,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now, l, acquired := boottime.Now(), q.leases[shard], false
-	switch stored, ok := q.decode(current); {
+	switch stored, ok := q.decode(current, q.writes.Era()); {
 	case err == nil:
 		acquired = l.Written(now, w, revision)
 	case errors.Is(err, store.ErrConflict) && ok:
--- a/pkg/sidecar/quota_test.go
+++ b/pkg/sidecar/quota_test.go
@@ -43,6 +43,8 @@
 	return out, s.revision, nil
 }
 
+func (s *leaseStore) Era() uint64 { return 0 }
+
 func (s *leaseStore) WriteIf(_ context.Context, _, name string, spec any, expect uint64) (uint64, platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
