--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -177,6 +177,7 @@
 	{"stray-refusal", func(w *world, pick int, _ time.Duration) (string, func()) {
 		return w.garble(pick, standin.StrayRefusal)
 	}},
+	{"restored", restoreStore},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -75,6 +75,7 @@
 	mu                   sync.Mutex
 	version              uint64
 	versionWritten       time.Time
+	config               any       // the newest version
 	storeDisturbanceEnd  time.Time // end of the last disturbance of the store; zero during one
 	runnerDisturbanceEnd time.Time // end of the last disturbance of a runner or of a link to one
 	runnerDisturbances   int       // active disturbances of runners and of links to them
@@ -202,6 +203,7 @@
 	if len(keys) > 0 {
 		config = standin.WithTenants(config, standin.TenantKeys{Name: tenantName, Keys: keys})
 	}
+	w.config = config
 	w.store.Put("config", "main", config)
 }
 
