Let a restarted holder of a quota shard wait if its lease comes from a copy

Seen: nothing by users. A holder that restarts takes its shard back with its first read. Right after a restore of the store that read shows a copy, so what was granted since would have been granted again.

Cause: a process that starts does not know that the store was restored.

Evidence: the new test failed before: the process took over 0 s after its start.

Change: the lease object names the era in which it was written. One that is read in a later era counts as restored.

Measured: the tests of the quotas pass, and those on quotas of the sidecar and the gateway under the race detector.

--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -44,7 +44,9 @@
 	Node    string `json:"node"`
 	Process uint64 `json:"process"`
 	// Seq counts the writes of the process, since the store ignores a write that changes nothing.
-	Seq   uint64 `json:"seq"`
+	Seq uint64 `json:"seq"`
+	// Era is that of the store at the write. One before that of the object means that the object comes from a copy.
+	Era   uint64 `json:"era,omitempty"`
 	State State  `json:"state"`
 }
 
@@ -98,8 +100,11 @@
 	resumed              bool // the state has been written since the restore
 }
 
-// NewLease returns the lease of a shard that the process on the node does not hold.
+// NewLease returns the lease of a shard that the process on the node does not hold. A window of 0 stands for DefaultWindow.
 func NewLease(shard int, node string, process uint64, window time.Duration) *Lease {
+	if window <= 0 {
+		window = DefaultWindow
+	}
 	return &Lease{shard: shard, node: node, process: process, window: window, unresolved: map[uint64]LeaseWrite{}}
 }
 
@@ -125,7 +130,7 @@
 func (l *Lease) Read(now boottime.Instant, s Stored) {
 	l.readAt = now
 	switch {
-	case l.read && s.Era > l.stored.Era:
+	case l.read && s.Era > l.stored.Era, !l.read && s.Spec.Era != 0 && s.Spec.Era < s.Era:
 		l.restore(now, s)
 	case l.read && s.Revision <= l.stored.Revision:
 	default:
@@ -239,7 +244,7 @@
 	}
 	l.seq++
 	w.era = l.stored.Era
-	w.Spec.Node, w.Spec.Process, w.Spec.Seq = l.node, l.process, l.seq
+	w.Spec.Node, w.Spec.Process, w.Spec.Seq, w.Spec.Era = l.node, l.process, l.seq, w.era
 	l.writing, l.unresolved[l.seq] = true, w
 	return w
 }
--- a/pkg/quota/restored_test.go
+++ b/pkg/quota/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 )
 
 // revisionsPerEra separates the revisions of two eras in the simulated store.
@@ -66,3 +68,27 @@
 		}
 	}
 }
+
+// Guards against a restarted holder that takes its shard back with what a copy says that it has granted.
+func TestRestartedHolderOfRestoredStore(t *testing.T) {
+	first := NewLease(0, "a", 1, 0)
+	first.Read(second, Stored{Era: 1})
+	w, _ := first.Write(second, 0)
+	copied := Stored{Revision: revisionsPerEra + 3, Era: 1, Spec: w.Spec}
+	restarted := NewLease(0, "a", 2, 0)
+	restarted.Read(2*second, copied)
+	if _, ok := restarted.Write(2*second, 0); !ok {
+		t.Fatal("does not take its lease back at once although the store was not restored")
+	}
+	copied.Revision, copied.Era = 2*revisionsPerEra+3, 2
+	restarted = NewLease(0, "a", 2, 0)
+	restarted.Read(2*second, copied)
+	for at := 2 * second; at < 2*second+boottime.Instant(DefaultWindow); at += second / 4 {
+		if _, ok := restarted.Write(at, 0); ok {
+			t.Fatalf("takes over %s after its start", at.Sub(2*second))
+		}
+	}
+	if _, ok := restarted.Write(13*second, 0); !ok {
+		t.Fatal("does not take over after a window")
+	}
+}
