Prove no view of the keys by the first answers of a restored store

Seen: nothing by users. A router that has missed the withdrawal of a key lists a restored store, whose copy still has the key; the listing counted as a proof as of its call, so the key could be used up to the revoke delay longer.

Cause: a proof relies on a store that loses nothing that it has acknowledged.

Evidence: the new spec failed before: the first listing of the restored store proved the view.

Change: calls that start within 1 s of the first listing of a restored store prove nothing; by then the operator has written again.

Measured: the specs of the follower pass under the race detector, and those of withdrawn keys of the gateway.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -29,6 +29,9 @@
 	outageLongPollDuration = time.Second
 	// listTimeout bounds one listing.
 	listTimeout = 2500 * time.Millisecond
+	// rewriteTime is the time after the first listing of a restored store in which its writers may not have written again what
+	// it has lost. It fits, with an outage of about two seconds before, into the time for which a view stays usable.
+	rewriteTime = time.Second
 	// minOutage is how long calls must fail to count as an outage of the store.
 	minOutage = 500 * time.Millisecond
 )
@@ -50,7 +53,8 @@
 	// missing or outdated until their writers write them again. It may be nil.
 	Restored func()
 	// Proved is called after Listed or Changed with the start of the call: what the handler has received is the state of
-	// the store at that instant or later, if the source's reads are linearizable. It may be nil.
+	// the store at that instant or later, if the source's reads are linearizable. Calls that start within rewriteTime of a
+	// restore prove nothing. It may be nil.
 	Proved func(startedAt boottime.Instant)
 }
 
@@ -95,8 +99,9 @@
 	failingSince time.Time // start of the consecutive failures; zero while calls succeed
 	failures     int       // consecutive failed calls
 	listed       bool
-	era          uint64 // of the last listing
-	compactions  int    // consecutive watches that failed with store.ErrCompacted
+	era          uint64           // of the last listing
+	restoredAt   boottime.Instant // of the first listing of a restored store; 0 if there was none
+	compactions  int              // consecutive watches that failed with store.ErrCompacted
 }
 
 // New returns a follower of kind that calls the functions of h.
@@ -127,6 +132,7 @@
 	era := platform.Era(l.revision)
 	if f.listed && era != f.era {
 		f.log.State("restored store listed", "kind", f.kind, "era", era, "before", f.era, "objects", len(l.objects))
+		f.restoredAt = boottime.Now()
 		if f.h.Restored != nil {
 			f.h.Restored()
 		}
@@ -138,7 +144,7 @@
 }
 
 func (f *Follower) prove(startedAt boottime.Instant) {
-	if f.h.Proved != nil {
+	if f.h.Proved != nil && (f.restoredAt == 0 || startedAt.Sub(f.restoredAt) >= rewriteTime) {
 		f.h.Proved(startedAt)
 	}
 }
--- a/pkg/follow/restored_test.go
+++ b/pkg/follow/restored_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/follow"
 	"github.com/hibiscuscross/hibiscuscross/platform"
@@ -47,7 +49,7 @@
 		srv := httptest.NewServer(st)
 		DeferCleanup(srv.Close)
 		st.Put(kind, "main", 1)
-		h := follow.Handler{Listed: objects("listed "), Changed: objects("changed "), Restored: func() { record("restored") }}
+		h := follow.Handler{Listed: objects("listed "), Changed: objects("changed "), Restored: func() { record("restored") }, Proved: func(boottime.Instant) { record("proved") }}
 		opt := follow.Options{LongPollDuration: 50 * time.Millisecond}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -94,4 +96,17 @@
 			Expect(e).NotTo(Equal("listed main2"))
 		}
 	})
+
+	// Guards against a withdrawn key that stays valid, since the copy still has it and counts as the newest configuration.
+	It("proves no view until its writers have had time to write again", func() {
+		restore(0)
+		provedSince := func() bool {
+			all := events()
+			i := slices.Index(all, "restored")
+			return i >= 0 && slices.Contains(all[i:], "proved")
+		}
+		Eventually(events).Should(ContainElement("restored"))
+		Consistently(provedSince, "800ms").Should(BeFalse())
+		Eventually(provedSince, "2s").Should(BeTrue())
+	})
 })
