--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -13,7 +13,7 @@
 	"restarted-answer": restartedAnswer,
 	"cut-failure":      cutFailure,
 	"reused-address":   reusedAddress,
-	"uneven-events":    unevenEvents,
+	"crashing-request": crashingRequest,
 	"left-again":       leftAgain,
 }
 
--- a/review/world2/plain.go
+++ b/review/world2/plain.go
@@ -71,6 +71,10 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\n"+headers.NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if strings.HasSuffix(req.URL.Path, "/poison") && os.Getenv("TROUBLE") != "0" {
+			fmt.Println("half", id) // it begins to run
+			os.Exit(1)
+		}
 		status, _ := strconv.Atoi(req.URL.Query().Get("status"))
 		if status == 0 {
 			status = http.StatusOK
@@ -94,6 +98,7 @@
 	id, address string
 	process     *process
 	halves      chan<- half
+	starts      int
 }
 
 // half states that a runner has sent the first half of its answer to the request id.
@@ -166,8 +171,12 @@
 // plainRunners is the number of plain runners. One of them that crashes is a share of 0.25.
 const plainRunners = 4
 
-// startPlainWorld starts the plain runners and one entry.
-func startPlainWorld(w *world) (<-chan half, *machine, error) {
+// startPlainWorld starts the plain runners and a number of entries.
+func startPlainWorld(w *world, entries int) (<-chan half, []*machine, error) {
+	n, err := newNetwork(entries)
+	if err != nil {
+		return nil, nil, err
+	}
 	const ip = "127.0.0.1"
 	w.store.put("config", "main", render("plain-config.json", nil))
 	halves := make(chan half, 64)
@@ -181,12 +190,15 @@
 			return nil, nil, err
 		}
 	}
-	peerPort, err := freePort(ip)
-	if err != nil {
-		return nil, nil, err
+	var machines []*machine
+	for i := range entries {
+		m, err := w.startEntry(fmt.Sprintf("edge-lagos-ikeja-%d", i+1), n.ip(i+1), n.peerPort)
+		if err != nil {
+			return nil, nil, err
+		}
+		machines = append(machines, m)
 	}
-	m, err := w.startEntry("edge-lagos-ikeja-1", ip, peerPort)
-	return halves, m, err
+	return halves, machines, nil
 }
 
 // loan posts a loan and records the answer.
@@ -225,10 +237,11 @@
 
 // plainCase posts loans, some of which the trouble meets in the middle of their answer.
 func plainCase(w *world, query string, trouble func(r *plainRunner, round int) error) error {
-	halves, m, err := startPlainWorld(w)
+	halves, machines, err := startPlainWorld(w, 1)
 	if err != nil {
 		return err
 	}
+	m := machines[0]
 	time.Sleep(time.Second)
 	for round := range restartDelays {
 		for i := range 3 { // undisturbed
