--- a/review/world2/engine.go
+++ b/review/world2/engine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command world2 plays the cases of a review with the project's programs as processes on loopback addresses. Clients,
 // runners and the platform are stand-ins.
 package main
@@ -13,6 +15,7 @@
 	"restarted-answer": restartedAnswer,
 	"cut-failure":      cutFailure,
 	"reused-address":   reusedAddress,
+	"uneven-events":    unevenEvents,
 	"crashing-request": crashingRequest,
 	"left-again":       leftAgain,
 }
