--- a/review/world2/plain.go
+++ b/review/world2/plain.go
@@ -109,7 +109,7 @@
 	id     string
 }
 
-// startPlain starts the runner under its id and registers it in the store.
+// start starts the runner under its id and registers it in the store.
 func (r *plainRunner) start() error {
 	out, in, err := os.Pipe()
 	if err != nil {
