Take no unframed answer for complete if the write of its request failed

Seen: a runner answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with the runner's stamp and a Content-Length of the part (MIXED).

Cause: the kernel reports the failure of a connection once, to whichever call meets it first. If that is the write of the upload, the read finds a closed connection without an error and returns 0, as after a regular end. The result of the write was looked at only to decide whether the connection can be used again. The runner lives, so the check that follows the end of such an answer confirmed it.

Ruled out: answers with a length or chunks, whose framing shows the end, and requests that are written before the failure, which the read reports.

Change: the body of an unframed answer ends only if the write has not failed. At the end of the connection the write is ended and its result read, so nothing depends on which goroutine runs first. EPIPE is no failure: it is what a write gets after the peer has closed the connection regularly. This is in pkg/h1, so it holds for successes, failures, streams, resumed runs and queries alike.

The store's client needs no change: a part of a JSON object is none.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -118,7 +118,7 @@
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream)
 	outcome, a, err := c.receive(resp, d.Upstream.ID, conn.Reused)
-	if err == nil && outcome == dispatch.Done && isUnframed(resp) {
+	if err == nil && outcome == dispatch.Done && h1.IsUnframed(resp) {
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
 		if !c.isComplete(d.Upstream, a) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/sse"
 	"github.com/hibiscuscross/hibiscuscross/platform"
 )
@@ -34,7 +35,7 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			// A run that goes on where another has ended may have no further events.
-			if received == 0 && !c.headWritten && isUnframed(resp) {
+			if received == 0 && !c.headWritten && h1.IsUnframed(resp) {
 				c.cause = "connection closed before the first event"
 				return dispatch.Interrupted, nil, nil
 			}
--- a/pkg/gateway/suite_test.go
+++ b/pkg/gateway/suite_test.go
@@ -101,7 +101,12 @@
 
 // call sends a request with an id and, for streams, the model m.
 func (r *rig) call(method, path string) (*http.Response, string, error) {
-	req, err := http.NewRequest(method, r.front.URL+path, nil)
+	return r.callWith(method, path, nil)
+}
+
+// callWith sends a request like call, with the body.
+func (r *rig) callWith(method, path string, body io.Reader) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, r.front.URL+path, body)
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h"
 	model := ""
@@ -114,8 +119,8 @@
 		return nil, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return resp, string(body), err
+	answer, err := io.ReadAll(resp.Body)
+	return resp, string(answer), err
 }
 
 // sign adds the headers by which an upstream marks an answer as its own.
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -16,12 +16,6 @@
 // instanceQueryTimeout bounds the query whether an upstream still runs: connection, reply and one lost packet.
 const instanceQueryTimeout = 600 * time.Millisecond
 
-// isUnframed reports whether only the end of the connection marks the end of the answer, so that it cannot be told from a
-// connection that the upstream's end has closed.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // isComplete reports whether an answer that ended with its connection is complete: the kernel also closes the connections
 // of a process that ends, wherever its answers were. A process that replies long enough afterwards has ended the answer
 // itself. That it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -39,8 +39,6 @@
 	receiveBuffer = 32 << 10
 	// defaultIdleTimeout is the idle timeout of a connection if the upstream announces none.
 	defaultIdleTimeout = 2 * time.Second
-	// writeGrace bounds the wait for the writing goroutine to report its result, which the answer can overtake.
-	writeGrace = 5 * time.Millisecond
 	// idleMargin is subtracted from the upstream's idle timeout, so that a request is not sent while the upstream closes
 	// the connection.
 	idleMargin = 700 * time.Millisecond
@@ -81,8 +79,8 @@
 	pool        *Pool
 	address     string
 	br          *bufio.Reader
-	writeDone   chan error // result of writing the current request
-	idleRead    chan error // result of the read that watches the idle connection
+	write       *requestWrite // of the current request
+	idleRead    chan error    // result of the read that watches the idle connection
 	idleSince   time.Time
 	idleTimeout time.Duration
 	closed      atomic.Bool
@@ -128,19 +126,12 @@
 }
 
 // Send starts to write a request. The answer may be read before the request is written in full.
-func (c *Conn) Send(r *Request) {
-	c.writeDone = make(chan error, 1)
-	raw := r.encode()
-	go func(done chan<- error) {
-		_, err := raw.WriteTo(c.Conn)
-		done <- err
-	}(c.writeDone)
-}
+func (c *Conn) Send(r *Request) { c.write = startWrite(c.Conn, r.encode()) }
 
 // Release returns the connection to the pool after the complete answer has been read. It closes a connection that
 // cannot carry another request: the upstream closes it, unread bytes remain, or the request is not written in full.
 func (c *Conn) Release(resp *http.Response) {
-	if !c.isWritten() || resp.Close || c.br.Buffered() > 0 || resp.ContentLength < 0 && !isChunked(resp) {
+	if !c.write.isComplete() || resp.Close || c.br.Buffered() > 0 || IsUnframed(resp) {
 		_ = c.Close()
 		return
 	}
@@ -152,27 +143,6 @@
 	c.pool.put(c)
 }
 
-// isWritten reports whether the request has been written in full.
-func (c *Conn) isWritten() bool {
-	select {
-	case err := <-c.writeDone:
-		return err == nil
-	default:
-	}
-	grace := time.NewTimer(writeGrace)
-	defer grace.Stop()
-	select {
-	case err := <-c.writeDone:
-		return err == nil
-	case <-grace.C:
-		return false
-	}
-}
-
-func isChunked(resp *http.Response) bool {
-	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
-}
-
 // idleTimeoutOf returns the idle timeout that the Keep-Alive header announces, less the margin.
 func idleTimeoutOf(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/pkg/h1/head.go
+++ b/pkg/h1/head.go
@@ -25,7 +25,8 @@
 	ErrTooManyInformational = errors.New("too many informational answers")
 )
 
-// ReadHead reads the head of the answer to a request with the method. It skips informational answers.
+// ReadHead reads the head of the answer to a request with the method. It skips informational answers. Reading the body of
+// an unframed answer fails with ErrBrokenOff if the connection has failed.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
 	for range maxInformational + 1 {
 		if err := c.bufferHead(); err != nil {
@@ -36,6 +37,9 @@
 			return nil, fault.Wrap(err, fault.StepDispatch, c.address, "read head")
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			if IsUnframed(resp) && resp.Body != http.NoBody {
+				resp.Body = &unframedBody{ReadCloser: resp.Body, conn: c}
+			}
 			return resp, nil
 		}
 	}
