Take an answer with a status such as 000 for none

Seen: on other systems, a runner in trouble sent an answer with status 000, and the client got it as an answer.

Cause: net/http's parser takes any three digits for a status. What is below 200 was then taken for an informational answer, so a 000 was skipped and the bytes behind its head, its body, were read as the next head: a body that looks like an answer reached the caller with status 200. A 101, for which no request asks, reached callers as a final answer, as did 600 to 999, which no status is.

The modules engine.plain and engine.openai passed on status 0 and 101 (4 of 4 specs failed). The other clients refused such answers.

Change: only 102, 103 and the other informational statuses are skipped, and a final status is 200 to 599. All else is an error, after which the connection is closed: the request counts as one that may have run. The clients that use net/http get the same check from h1.Transport, so each place that reads answers has it.

--- a/pkg/engine/openai/openai_test.go
+++ b/pkg/engine/openai/openai_test.go
@@ -220,6 +220,25 @@
 		Expect(err).To(MatchError(engine.ErrUnresponsive))
 	})
 
+	// Guards against bytes that are passed on as an answer: an engine in trouble sends a head that no answer has.
+	DescribeTable("have an unknown outcome if the head of their answer is malformed",
+		func(head string) {
+			e := client(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.WriteString(c, head+"Content-Length: 4\r\n\r\nbody") // the assertion is on the reading side
+				_ = c.Close()
+			}), nil)
+			_, err := e.Start(ctx, call("r", "p", true))
+			Expect(err).To(MatchError(engine.ErrUnknown))
+			Expect(e.Order(ctx, engine.Order{Kind: engine.OrderLoad, Fence: 1})).To(MatchError(engine.ErrUnknown))
+			_, err = e.Listing(ctx)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("status 000", "HTTP/1.1 000 Unknown\r\n"),
+		Entry("status 101, for which no call asks", "HTTP/1.1 101 Switching Protocols\r\n"),
+	)
+
 	// Guards against work for clients that have disconnected, and against unloading a target during a call.
 	It("are cancelled after the grace period and block an unload until then", func() {
 		s, e, _ := open(standin.EngineOptions{TokenInterval: 10 * time.Second, DisconnectGrace: 50 * time.Millisecond})
--- a/pkg/engine/plain/plain.go
+++ b/pkg/engine/plain/plain.go
@@ -19,6 +19,7 @@
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/engine"
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 )
 
@@ -55,7 +56,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	e.http = &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	e.http = &http.Client{Transport: h1.Transport{Transport: t}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return nil
 }
 
--- a/pkg/engine/plain/plain_test.go
+++ b/pkg/engine/plain/plain_test.go
@@ -135,6 +135,24 @@
 		Expect(err).To(MatchError(engine.ErrDied))
 	})
 
+	// Guards against bytes that are passed on as an answer: a service in trouble sends a head that no answer has.
+	DescribeTable("has an unknown outcome if the head of its answer is malformed",
+		func(head string) {
+			srv, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.WriteString(c, head+"Content-Length: 4\r\n\r\nbody") // the assertion is on the reading side
+				_ = c.Close()
+			}), nil)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(srv.Close)
+			_, err = connect(srv.URL()).Start(ctx, loan("k"))
+			Expect(err).To(MatchError(engine.ErrUnknown))
+		},
+		Entry("status 000", "HTTP/1.1 000 Unknown\r\n"),
+		Entry("status 101, for which no call asks", "HTTP/1.1 101 Switching Protocols\r\n"),
+	)
+
 	// Guards against orders and resumed calls that seem to succeed at an upstream that supports neither.
 	It("cannot be resumed, and orders are refused", func() {
 		_, e := open()
--- a/pkg/h1/head.go
+++ b/pkg/h1/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
@@ -25,6 +26,24 @@
 	ErrTooManyInformational = errors.New("too many informational answers")
 )
 
+// ErrStatus is returned for an answer whose status is not that of a final answer. What follows its head is unknown: a body,
+// another answer or neither. The connection cannot be reused.
+var ErrStatus = errors.New("status is not that of a final answer")
+
+// checkStatus checks the status of an answer that is not informational. Requests ask for no other protocol, so 101 answers
+// none.
+func checkStatus(status int) error {
+	if status < 200 || status > 599 {
+		return fmt.Errorf("%w: %d", ErrStatus, status)
+	}
+	return nil
+}
+
+// isInformational reports whether a final answer follows one with the status.
+func isInformational(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
 // ReadHead reads the head of the answer to a request with the method. It skips informational answers. Reading the body of
 // an unframed answer fails with ErrBrokenOff if the connection has failed.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
@@ -36,12 +55,16 @@
 		if err != nil {
 			return nil, fault.Wrap(err, fault.StepDispatch, c.address, "read head")
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			if IsUnframed(resp) && resp.Body != http.NoBody {
-				resp.Body = &unframedBody{ReadCloser: resp.Body, conn: c}
-			}
-			return resp, nil
+		if isInformational(resp.StatusCode) {
+			continue
+		}
+		if err := checkStatus(resp.StatusCode); err != nil {
+			return nil, fault.Wrap(err, fault.StepDispatch, c.address, "read head")
+		}
+		if IsUnframed(resp) && resp.Body != http.NoBody {
+			resp.Body = &unframedBody{ReadCloser: resp.Body, conn: c}
 		}
+		return resp, nil
 	}
 	return nil, fault.Wrap(ErrTooManyInformational, fault.StepDispatch, c.address, "read head")
 }
--- a/pkg/store/httpstore/httpstore.go
+++ b/pkg/store/httpstore/httpstore.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/store"
 )
@@ -59,12 +60,12 @@
 
 func newClient(timeout time.Duration, disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: h1.Transport{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 			DisableKeepAlives:   disableKeepAlives,
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     30 * time.Second,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/pkg/vmlist/httplist/httplist.go
+++ b/pkg/vmlist/httplist/httplist.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
+	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 	"github.com/hibiscuscross/hibiscuscross/pkg/kernel"
 	"github.com/hibiscuscross/hibiscuscross/pkg/vmlist"
 )
@@ -63,7 +64,7 @@
 		DialContext:     (&net.Dialer{Timeout: timeout}).DialContext,
 		IdleConnTimeout: 30 * time.Second,
 	}
-	c.http = &http.Client{Transport: c.transport}
+	c.http = &http.Client{Transport: h1.Transport{Transport: c.transport}}
 	return nil
 }
 
