Take an answer in whose head a name is malformed for none

Seen: on other systems, a runner in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on or with a body that was not the runner's.

Cause: net/http's parser accepts names with blanks and keeps them apart from the fields that they resemble. "Content-Length : 2" or "Transfer-Encoding : chunked" then frames nothing: the body ran to the end of the connection, and chunks were delivered with their sizes. A line that begins with a blank is taken for a part of the value before it, so a field in such a line is overlooked too.

Change: each line of a head has to begin with a valid name, else the answer is an error and the connection is closed; a gateway may refuse continued lines (RFC 9112, 5.2).

--- a/pkg/engine/openai/openai_test.go
+++ b/pkg/engine/openai/openai_test.go
@@ -237,6 +237,9 @@
 		},
 		Entry("status 000", "HTTP/1.1 000 Unknown\r\n"),
 		Entry("status 101, for which no call asks", "HTTP/1.1 101 Switching Protocols\r\n"),
+		Entry("a blank within the name of a field", "HTTP/1.1 200 OK\r\nX Own: 1\r\n"),
+		Entry("a blank behind the name of the framing", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"),
+		Entry("a control byte within the name of a field", "HTTP/1.1 200 OK\r\nX\x01Own: 1\r\n"),
 	)
 
 	// Guards against work for clients that have disconnected, and against unloading a target during a call.
--- a/pkg/h1/head.go
+++ b/pkg/h1/head.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
 )
 
@@ -15,6 +17,8 @@
 	maxHeadBytes = 16 << 10
 	// maxHeadLines bounds the lines of a head, each of which takes some hundred bytes once it is parsed.
 	maxHeadLines = 128
+	// maxQuotedName bounds the bytes of a malformed name that an error quotes.
+	maxQuotedName = 64
 	// maxInformational bounds the informational answers (1xx) before the final one.
 	maxInformational = 8
 )
@@ -30,6 +34,31 @@
 // another answer or neither. The connection cannot be reused.
 var ErrStatus = errors.New("status is not that of a final answer")
 
+// ErrFieldName is returned for an answer in whose head the name of a field is malformed. The field may be one that frames
+// the body, so the end of the answer is unknown. The connection cannot be reused.
+var ErrFieldName = errors.New("name of a field is malformed")
+
+// checkFieldName checks the name in a line of a head. A line that continues the one before has none: no upstream may send
+// it, and its name would be overlooked.
+func checkFieldName(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return fmt.Errorf("%w: %q", ErrFieldName, name[:min(len(name), maxQuotedName)])
+	}
+	return nil
+}
+
+// checkFieldNames checks the names of a head that net/http has parsed. It leaves names with blanks as they are, and takes a
+// line that begins with a blank for a part of the value before it.
+func checkFieldNames(h http.Header) error {
+	for name := range h {
+		if err := checkFieldName([]byte(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkStatus checks the status of an answer that is not informational. Requests ask for no other protocol, so 101 answers
 // none.
 func checkStatus(status int) error {
@@ -69,8 +98,8 @@
 	return nil, fault.Wrap(ErrTooManyInformational, fault.StepDispatch, c.address, "read head")
 }
 
-// bufferHead reads until the buffer contains a complete head. It also returns nil if the read fails before that: the
-// parser then meets the same error.
+// bufferHead reads until the buffer contains a complete head, and checks its lines. It also returns nil if the read fails
+// before that: the parser then meets the same error.
 func (c *Conn) bufferHead() error {
 	for scanned, lines := 0, 0; ; {
 		buffered, _ := c.br.Peek(c.br.Buffered())
@@ -84,6 +113,11 @@
 			if len(line) == 0 {
 				return nil
 			}
+			if lines > 0 { // the first one has the status
+				if err := checkFieldName(line); err != nil {
+					return err
+				}
+			}
 			if lines++; lines > maxHeadLines {
 				return ErrTooManyHeadLines
 			}
--- a/pkg/h1/transport.go
+++ b/pkg/h1/transport.go
@@ -1,6 +1,7 @@
 package h1
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/hibiscuscross/hibiscuscross/pkg/fault"
@@ -16,7 +17,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatus(resp.StatusCode); err != nil {
+	if err := errors.Join(checkStatus(resp.StatusCode), checkFieldNames(resp.Header)); err != nil {
 		_ = resp.Body.Close()
 		t.CloseIdleConnections() // that of an answer without a body is idle already
 		return nil, fault.Wrap(err, fault.StepTransport, req.URL.Host, "read head")
--- a/pkg/h1/transport_test.go
+++ b/pkg/h1/transport_test.go
@@ -42,6 +42,9 @@
 		Entry("status 000 before an answer", "HTTP/1.1 000 Unknown\r\nContent-Length: 0\r\n\r\n"+okAnswer, h1.ErrStatus),
 		Entry("status 099", "HTTP/1.1 099 Unknown\r\nContent-Length: 2\r\n\r\nok", h1.ErrStatus),
 		Entry("status 101, for which no request asks", "HTTP/1.1 101 Switching Protocols\r\n\r\n", h1.ErrStatus),
+		Entry("a blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\nok", h1.ErrFieldName),
+		Entry("a blank within a name", "HTTP/1.1 200 OK\r\nX Own: 1\r\nContent-Length: 2\r\n\r\nok", h1.ErrFieldName),
+		Entry("a blank within a name before an answer", "HTTP/1.1 200 OK\r\nX Own: 1\r\nContent-Length: 0\r\n\r\n"+okAnswer, h1.ErrFieldName),
 		Entry("status 600", "HTTP/1.1 600 Unknown\r\nContent-Length: 2\r\n\r\nok", h1.ErrStatus),
 	)
 
