h1: errors of broken answers on one line

Seen: the log line of a broken answer had a line break in its cause, and named the status 000 as 0.

Cause: errors.Join separates errors by a line break, which logfmt prints as an escape; the status was printed without leading zeros.

Change: the errors are wrapped in one line, the status has three digits, and the checks of a head that net/http has parsed are one function.

--- a/pkg/h1/head.go
+++ b/pkg/h1/head.go
@@ -48,22 +48,11 @@
 	return nil
 }
 
-// checkFieldNames checks the names of a head that net/http has parsed. It leaves names with blanks as they are, and takes a
-// line that begins with a blank for a part of the value before it.
-func checkFieldNames(h http.Header) error {
-	for name := range h {
-		if err := checkFieldName([]byte(name)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // checkStatus checks the status of an answer that is not informational. Requests ask for no other protocol, so 101 answers
 // none.
 func checkStatus(status int) error {
 	if status < 200 || status > 599 {
-		return fmt.Errorf("%w: %d", ErrStatus, status)
+		return fmt.Errorf("%w: %03d", ErrStatus, status)
 	}
 	return nil
 }
--- a/pkg/h1/unframed.go
+++ b/pkg/h1/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -31,7 +32,7 @@
 		return n, err
 	}
 	if failure := b.conn.write.abandon(b.conn.Conn); failure != nil {
-		return n, fault.Wrap(errors.Join(ErrBrokenOff, failure), fault.StepDispatch, b.conn.address, "read body")
+		return n, fault.Wrap(fmt.Errorf("%w: %w", ErrBrokenOff, failure), fault.StepDispatch, b.conn.address, "read body")
 	}
 	return n, err
 }
