--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -1,5 +1,6 @@
 // Package h1 sends requests to upstreams over HTTP/1.1. In contrast to net/http's transport it never sends a request
-// twice, and its errors tell whether a byte of the request may have been sent.
+// twice, its errors tell whether a byte of the request may have been sent, and it takes neither a malformed head for an
+// answer nor the failure of a connection for the end of one.
 package h1
 
 import (
