--- a/pkg/gateway/badhead_test.go
+++ b/pkg/gateway/badhead_test.go
@@ -26,8 +26,8 @@
 	return signedAnswer("200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
 }
 
-// badly adds an upstream that answers a request with what answer returns for it, and closes the connection behind it.
-func (r *rig) badly(id, service string, models []catalog.Resident, answer func(*http.Request) string) {
+// answering adds an upstream that answers a request with what answer returns for it, and closes the connection behind it.
+func (r *rig) answering(id, service string, models []catalog.Resident, answer func(*http.Request) string) {
 	r.raw(id, service, models, func(c net.Conn) {
 		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_, _ = io.WriteString(c, answer(req))
@@ -38,12 +38,13 @@
 // expectNoAnswer checks that a router takes the bytes for no answer to a request, wherever it reads one.
 func expectNoAnswer(bytes string) {
 	var runs atomic.Int32
-	two := func(service string, models []catalog.Resident, first, second string) *rig {
+	// newRigOfTwo returns a rig with two upstreams. The first request that reaches them is answered with first, others with second.
+	newRigOfTwo := func(service string, models []catalog.Resident, first, second string) *rig {
 		runs.Store(0)
 		r := newRig()
 		r.configure()
 		for _, id := range []string{"u1", "u2"} {
-			r.badly(id, service, models, func(*http.Request) string {
+			r.answering(id, service, models, func(*http.Request) string {
 				if runs.Add(1) == 1 {
 					return first
 				}
@@ -54,26 +55,26 @@
 	}
 
 	By("a request that must not run twice")
-	resp, body, err := two("plain", nil, bytes, framed("second")).call(http.MethodPost, "/post/a")
+	resp, body, err := newRigOfTwo("plain", nil, bytes, framed("second")).call(http.MethodPost, "/post/a")
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
 	Expect(standin.Signed(resp.Header)).To(BeFalse())
 	Expect(runs.Load()).To(Equal(int32(1)))
 
 	By("a request that may run twice")
-	resp, body, err = two("plain", nil, bytes, framed("second")).call(http.MethodGet, "/get/a")
+	resp, body, err = newRigOfTwo("plain", nil, bytes, framed("second")).call(http.MethodGet, "/get/a")
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	Expect(body).To(Equal("second"))
 
 	By("a stream")
-	resp, body, err = two("llm", residentM, bytes, framed(event(1))).call(http.MethodPost, "/once/a")
+	resp, body, err = newRigOfTwo("llm", residentM, bytes, framed(event(1))).call(http.MethodPost, "/once/a")
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
 
 	By("the rest of a stream")
 	cut := signedAnswer("200 OK", "Content-Length: 999\r\n", event(1))
-	_, body, err = two("llm", residentM, cut, bytes).call(http.MethodPost, "/stream/a")
+	_, body, err = newRigOfTwo("llm", residentM, cut, bytes).call(http.MethodPost, "/stream/a")
 	Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	Expect(body).To(Equal(event(1)))
 	Expect(runs.Load()).To(Equal(int32(2)))
@@ -98,7 +99,7 @@
 	for i, m := range all {
 		r := newRig()
 		r.configure()
-		r.badly("u1", "plain", nil, func(req *http.Request) string {
+		r.answering("u1", "plain", nil, func(req *http.Request) string {
 			if req.Method == http.MethodGet {
 				return m.answer
 			}
@@ -137,10 +138,10 @@
 
 // Guards against bytes that reach callers as an answer, or hide one: an upstream in trouble sends a status that no answer to
 // a request has.
-var _ = Describe("an answer whose status is none of a final answer is no answer", func() {
-	DescribeTable("to a request", expectNoAnswer, entries(badStatuses))
+var _ = Describe("an answer with a status that no final answer has", func() {
+	DescribeTable("is no answer to a request", expectNoAnswer, entries(badStatuses))
 
-	It("to a query", func() { expectNoReply(badStatuses) })
+	It("is no reply to a query", func() { expectNoReply(badStatuses) })
 })
 
 var badNames = []malformed{
@@ -171,18 +172,18 @@
 
 // Guards against bytes that are passed on with an answer, or framing that is overlooked: an upstream in trouble sends a head in
 // which the name of a field holds a byte that no name has.
-var _ = Describe("an answer in whose head a name is malformed is no answer", func() {
-	DescribeTable("to a request", expectNoAnswer, entries(badNames))
+var _ = Describe("an answer with a malformed name in its head", func() {
+	DescribeTable("is no answer to a request", expectNoAnswer, entries(badNames))
 
-	It("to a query", func() { expectNoReply(badNames) })
+	It("is no reply to a query", func() { expectNoReply(badNames) })
 })
 
 // Guards against taking sound answers for malformed ones.
-var _ = It("an answer in whose head names have all bytes that they may have is an answer", func() {
+var _ = It("delivers an answer whose names of fields have all bytes that they may have", func() {
 	const name = "X!#$%&'*+-.^_`|~09azAZ"
 	r := newRig()
 	r.configure()
-	r.badly("u1", "plain", nil, func(*http.Request) string {
+	r.answering("u1", "plain", nil, func(*http.Request) string {
 		return signedAnswer("200 OK", name+":\t1 \r\nContent-Length: 4\r\n", "body")
 	})
 	resp, body, err := r.call(http.MethodPost, "/post/a")
--- a/pkg/gateway/earlyreset_test.go
+++ b/pkg/gateway/earlyreset_test.go
@@ -32,9 +32,9 @@
 	return r.callWith(http.MethodPost, path, bytes.NewReader(make([]byte, uploadBytes)))
 }
 
-// early adds an upstream that answers as soon as it has the head of a request, without reading its body. A query is
+// answeringEarly adds an upstream that answers as soon as it has the head of a request, without reading its body. A query is
 // answered as by an instance that runs. end ends the connection behind the answer.
-func (r *rig) early(id, service string, models []catalog.Resident, answer string, end func(*net.TCPConn)) {
+func (r *rig) answeringEarly(id, service string, models []catalog.Resident, answer string, end func(*net.TCPConn)) {
 	r.raw(id, service, models, func(c net.Conn) {
 		req, err := http.ReadRequest(bufio.NewReader(c))
 		switch {
@@ -85,7 +85,7 @@
 			for range rounds {
 				r := newRig()
 				r.configureUploads()
-				r.early("u1", "plain", nil, head(status)+"part", end)
+				r.answeringEarly("u1", "plain", nil, head(status)+"part", end)
 				resp, body, err := r.upload("/post/a")
 				Expect(err).NotTo(HaveOccurred())
 				Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
@@ -103,7 +103,7 @@
 	It("is not delivered if the connection is given up because the upstream reads nothing", func() {
 		r := newRig()
 		r.configureUploads()
-		r.early("u1", "plain", nil, head("200 OK")+"part", func(*net.TCPConn) { <-time.After(4 * time.Second) })
+		r.answeringEarly("u1", "plain", nil, head("200 OK")+"part", func(*net.TCPConn) { <-time.After(4 * time.Second) })
 		resp, body, err := r.upload("/post/a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), body)
@@ -113,7 +113,7 @@
 		func(status string, want int, end func(*net.TCPConn)) {
 			r := newRig()
 			r.configureUploads()
-			r.early("u1", "plain", nil, head(status)+"whole", end)
+			r.answeringEarly("u1", "plain", nil, head(status)+"whole", end)
 			resp, body, err := r.upload("/post/a")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.StatusCode).To(Equal(want))
@@ -131,7 +131,7 @@
 			r.configureUploads()
 			var runs atomic.Int32
 			for _, id := range []string{"u1", "u2"} {
-				r.early(id, "plain", nil, head("200 OK"), func(c *net.TCPConn) {
+				r.answeringEarly(id, "plain", nil, head("200 OK"), func(c *net.TCPConn) {
 					if runs.Add(1) == 1 {
 						_, _ = io.WriteString(c, "part")
 						resetAfter(20 * time.Millisecond)(c)
@@ -154,7 +154,7 @@
 			for range rounds {
 				r := newRig()
 				r.configureUploads()
-				r.early("u1", "llm", residentM, head("200 OK")+event(1)+event(2), resetAfter(after))
+				r.answeringEarly("u1", "llm", residentM, head("200 OK")+event(1)+event(2), resetAfter(after))
 				_, body, err := r.upload("/once/a")
 				Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 				Expect(body).To(Equal(event(1) + event(2)))
@@ -171,7 +171,7 @@
 		r.configureUploads()
 		var runs atomic.Int32
 		for _, id := range []string{"u1", "u2"} {
-			r.early(id, "llm", residentM, head("200 OK"), func(c *net.TCPConn) {
+			r.answeringEarly(id, "llm", residentM, head("200 OK"), func(c *net.TCPConn) {
 				if runs.Add(1) == 1 {
 					_, _ = io.WriteString(c, event(1))
 					resetAfter(20 * time.Millisecond)(c)
