Log what reports add to the fleet and what becomes of interrupted requests

The lines `upstream reported a change` and `upstream changed` now have the service, the address and the start, the first also `listed`; `interrupted request examined` says for each interrupted attempt whether it counts, and how long after the interruption that was known.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -64,6 +64,9 @@
 // IsEnding reports whether the upstream is leaving, its entry is pending removal, or a later instance has its address.
 func (m *Member) IsEnding() bool { return m.Draining || m.superseded || !m.removeAt.IsZero() }
 
+// IsListed reports whether the list has named the upstream.
+func (m *Member) IsListed() bool { return m.unlistedUntil.IsZero() }
+
 // Serves reports whether the model is loaded and not being unloaded.
 func (m *Member) Serves(model string) bool {
 	if m.Order != nil && m.Order.Unload && m.Order.Adapter == "" && m.Order.Model == model {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -101,11 +101,14 @@
 		p.core.Do(func(s *dispatch.State) { s.RecordUpstreamEnded(time.Now(), report.ID) })
 		return
 	}
-	changed, recovered := false, false
+	changed, recovered, listed, service := false, false, false, ""
 	p.core.Do(func(s *dispatch.State) {
 		recovered = s.Fleet.RecordHeartbeat(time.Now(), report.ID)
 		changed = s.ApplyReport(time.Now(), report)
 		s.Crashes.Merge(time.Now(), report.Crashes)
+		if m := s.Fleet.Get(report.ID); m != nil {
+			listed, service = m.IsListed(), m.Service
+		}
 	})
 	if recovered {
 		p.log.State("upstream is no longer silent", "upstream", report.ID)
@@ -117,7 +120,7 @@
 	if !changed {
 		return
 	}
-	p.log.State("upstream reported a change", "upstream", report.ID, "holdings", report.HoldingsVersion, "order", report.Order)
+	p.log.State("upstream reported a change", "upstream", report.ID, "listed", listed, "service", service, "address", report.Address, "born", report.StartedUnixMS, "holdings", report.HoldingsVersion, "order", report.Order)
 }
 
 // sendLoop sends messages at regular intervals, and immediately for a new load request, until ctx ends.
@@ -165,6 +168,7 @@
 	now := time.Now()
 	var unresponsive []string
 	var verdicts []quarantine.Verdict
+	var evidence []quarantine.Evidence
 	addresses := map[string]bool{}
 	partitioned := false
 	var confirmed []string // unresponsive upstreams whose attempts are aborted
@@ -173,6 +177,7 @@
 	p.core.Do(func(s *dispatch.State) {
 		partitioned = s.IsPartitioned(now)
 		verdicts = s.Crashes.TakeVerdicts(now)
+		evidence = s.Crashes.TakeEvidence()
 		speedChanges = s.TakeSpeedChanges(now)
 		if last := s.Crashes.LastSeq(); last != p.sentCrashSeq {
 			p.sentCrashSeq = last
@@ -202,6 +207,9 @@
 	for _, v := range verdicts {
 		p.log.State("prompt part is refused", "key", v.Part, "crashes", v.Crashes, "last_crash_ms", v.LastCrash.Milliseconds(), "for_ms", v.Until.Sub(now).Milliseconds())
 	}
+	for _, e := range evidence {
+		p.log.State("interrupted request examined", "fingerprint", e.Fingerprint, "upstream", e.Upstream, "counted", e.Counted, "age_ms", e.Age.Milliseconds(), "crashes", e.Crashes)
+	}
 	for _, c := range speedChanges {
 		p.log.State("speed of upstream changed", "upstream", c.Upstream, "slowness", c.Slowness, "prefill", c.Prefill, "interval", c.Interval, "confidence", c.Confidence)
 	}
--- a/pkg/gateway/sync.go
+++ b/pkg/gateway/sync.go
@@ -45,7 +45,7 @@
 		Listed: s.applyList,
 		Put: func(u catalog.Upstream, revision uint64) {
 			s.core.Update(func(st *dispatch.State) { st.Fleet.Put(time.Now(), u) })
-			s.log.State("upstream changed", "upstream", u.ID, "revision", revision, "draining", u.Draining, "models", len(u.Models))
+			s.log.State("upstream changed", "upstream", u.ID, "revision", revision, "service", u.Service, "address", u.Address, "born", u.StartedUnixMS, "draining", u.Draining, "models", len(u.Models))
 		},
 		Removed: func(id string, revision uint64) {
 			s.core.Update(func(st *dispatch.State) { st.Fleet.Remove(time.Now(), id) })
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -124,6 +124,7 @@
 	requests      *requests
 	answered      answered
 	parts         *parts
+	evidence      []Evidence
 }
 
 // NewReports returns the reports of a router. The sequence numbers begin at start, so that they differ between
@@ -157,10 +158,12 @@
 	for _, attempt := range r.interrupted {
 		switch {
 		case now.Sub(attempt.At) > confirmTimeout:
+			r.recordEvidence(now, attempt, false)
 		case attempt.Upstream != upstream:
 			remaining = append(remaining, attempt)
 		default:
 			r.report(now, Report{Fingerprint: attempt.Fingerprint, Upstream: attempt.instance(), UnixMS: attempt.At.UnixMilli(), SentUnixMS: attempt.sentUnixMS()})
+			r.recordEvidence(now, attempt, true)
 		}
 	}
 	r.interrupted = remaining
