Do not make an upstream a member again that the list has removed

Cause: the sidecar goes on reporting the engine beside it, and the entry of the crashed predecessor was still listed. A report of an instance that is not listed, at the address of a listed one with an earlier start, was taken for a restart that is not registered yet, and made it a member for up to 4 s, whether or not it had been listed and removed before.

Evidence: `upstream removed from the list` for i-1b at 16.715 s, then `upstream reported a change` with listed=false for i-1b at 17.179 s. Ruled out: a removal that the router misses, and requests that waited.

Change: the fleet, which remembers removed instances by id and start for restored lists, looks there too. A report of such an instance only shows that its predecessors at the address have ended; this is now recorded for all of them and not for one.

--- a/pkg/fleet/departed.go
+++ b/pkg/fleet/departed.go
@@ -13,7 +13,8 @@
 	draining      bool
 }
 
-// departed remembers removed upstreams, since a list that is restored from a copy may name them again.
+// departed remembers removed upstreams, since their agents go on reporting them and a list that is restored from a copy may
+// name them again.
 type departed struct {
 	byID       map[string]departure
 	restoredAt time.Time // last restore of the list
@@ -28,14 +29,20 @@
 	d.byID[m.ID] = departure{at: now, startedUnixMS: m.StartedUnixMS, draining: m.Draining}
 }
 
+// contains reports whether the instance was removed and is not listed again since.
+func (d *departed) contains(now time.Time, id string, startedUnixMS int64) bool {
+	old, ok := d.byID[id]
+	return ok && old.startedUnixMS == startedUnixMS && now.Sub(old.at) <= departureRetention
+}
+
 // apply applies what is known of the instance's departure to its new entry. One that had announced its end has ended. Any
 // other may have been removed while it lived, and have registered again; in a restored list it is outdated until the
 // registration would have lapsed.
 func (d *departed) apply(now time.Time, m *Member) {
-	old, ok := d.byID[m.ID]
-	if !ok || old.startedUnixMS != m.StartedUnixMS || now.Sub(old.at) > departureRetention {
+	if !d.contains(now, m.ID, m.StartedUnixMS) {
 		return
 	}
+	old := d.byID[m.ID]
 	if m.StartedUnixMS != 0 { // else it may be a later instance
 		m.Draining = m.Draining || old.draining
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -161,15 +161,14 @@
 // an order have changed. Reports of upstreams that are not listed are ignored, since the list defines membership,
 // except those of a later instance at a member's address.
 func (s *State) ApplyReport(now time.Time, r *peer.Report) bool {
-	m, restarted := s.members[r.ID], false
+	m, changed := s.members[r.ID], false
 	if m == nil {
-		m = s.restarted(now, r)
-		restarted = m != nil
+		m, changed = s.restarted(now, r)
 	}
 	if m == nil || m.StartedUnixMS != 0 && r.StartedUnixMS != 0 && r.StartedUnixMS < m.StartedUnixMS {
-		return false
+		return changed
 	}
-	changed := restarted || (m.Order == nil) != (r.Order == nil)
+	changed = changed || (m.Order == nil) != (r.Order == nil)
 	first := m.ReportedAt.IsZero()
 	m.ReportedAt = now
 	if first {
@@ -195,23 +194,28 @@
 	return changed
 }
 
-// restarted adds and returns the member for an upstream whose agent reports before the list names it: a later
-// instance of a member at the same address, which it replaces. It returns nil if there is no such member.
-func (s *State) restarted(now time.Time, r *peer.Report) *Member {
+// restarted removes the members that have ended because a later instance runs at their address, whose agent reports
+// before the list names it, and adds and returns the member for that instance. It returns nil if there is none to
+// replace, or if the list has named the instance and no longer does: an upstream that is leaving may serve on for long.
+func (s *State) restarted(now time.Time, r *peer.Report) (m *Member, changed bool) {
+	var replaced *Member
 	for id, old := range s.members {
 		if r.Address == "" || old.Address != r.Address || old.StartedUnixMS == 0 || r.StartedUnixMS <= old.StartedUnixMS {
 			continue
 		}
-		m := &Member{Upstream: catalog.Upstream{
-			ID: r.ID, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots, StartedUnixMS: r.StartedUnixMS,
-		}, unlistedUntil: now.Add(registrationTimeout)}
 		delete(s.members, id)
 		s.ended = append(s.ended, id)
-		s.members[r.ID] = m
 		s.version++
-		return m
+		replaced = old
+	}
+	if replaced == nil || s.departed.contains(now, r.ID, r.StartedUnixMS) {
+		return nil, replaced != nil
 	}
-	return nil
+	m = &Member{Upstream: catalog.Upstream{
+		ID: r.ID, Service: replaced.Service, Address: r.Address, Zone: replaced.Zone, Slots: replaced.Slots, StartedUnixMS: r.StartedUnixMS,
+	}, unlistedUntil: now.Add(registrationTimeout)}
+	s.members[r.ID] = m
+	return m, true
 }
 
 // updateSuperseded marks the members at the address that have ended because a later instance runs there. The
