Count the end of an upstream when it happens, not with the next request

What callers saw: a request that crashes its upstreams and comes every 6 s to a router without other requests was never refused.

Cause: the fleet queued ends of upstreams, and the queue was read with the next decision on a request. By then the interruption was older than the 5 s within which an end counts as a crash, and was dropped.

Evidence: `interrupted request examined` counted=false age_ms=6005 for each crash, as the request came again. Ruled out: interruptions that are not noticed, and ends that the router does not learn of.

Change: the fleet reports each end as it happens (OnEnd), and deferred removals take effect in the router's regular step (Expire); in a configuration without engines only requests did that. Related: an interruption that is recorded after the end (the check of an answer without a length takes up to 0.9 s) was lost or attributed to the upstream's next process under the same id. Proofs that a process has ended are now remembered for 5 s, and attempts name the start of the instance that they were sent to. TakeEnded is gone; the spec that read it now records the calls of OnEnd.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -28,17 +28,27 @@
 }
 
 // RecordUpstreamEnded records that the agent beside the upstream has found its process to have ended.
-func (s *State) RecordUpstreamEnded(now time.Time, id string) { s.Crashes.RecordUpstreamEnd(now, id) }
+func (s *State) RecordUpstreamEnded(now time.Time, id string) { s.Crashes.RecordProcessEnd(now, id) }
+
+// recordMemberEnd records the end of an upstream as soon as the fleet shows it: a router may get no further request within
+// the time in which it counts.
+func (s *State) recordMemberEnd(now time.Time, id string, replaced bool) {
+	if replaced {
+		s.Crashes.RecordProcessEnd(now, id)
+		return
+	}
+	s.Crashes.RecordUpstreamEnd(now, id)
+}
 
 // recordInterrupted records that an attempt ended without a complete answer. The end of an upstream that is leaving says
-// nothing about prompt parts.
+// nothing about prompt parts. By now a later instance may have the upstream's id.
 func (s *State) recordInterrupted(now time.Time, id string, r *Request) {
-	parts, started := r.partKeys(), int64(0)
+	parts, started := r.partKeys(), r.sentToStartedUnixMS
 	m := s.Fleet.Get(id)
-	if m != nil {
+	if m != nil && started == 0 {
 		started = m.StartedUnixMS
 	}
-	if r.progressed || m != nil && m.Draining {
+	if r.progressed || m != nil && m.StartedUnixMS == started && m.Draining {
 		parts = nil
 	}
 	s.Crashes.RecordInterrupted(quarantine.Interruption{
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -54,7 +54,7 @@
 		r.rateWaitFor = ""
 	}
 	if d.Action == Send {
-		r.sentAt, r.rateWaitEnd = now, time.Time{}
+		r.sentAt, r.sentToStartedUnixMS, r.rateWaitEnd = now, d.Upstream.StartedUnixMS, time.Time{}
 	}
 	return d
 }
@@ -63,9 +63,6 @@
 	if !now.Before(r.Deadline) {
 		return Decision{Action: Refuse, Reason: "deadline passed"}
 	}
-	for _, id := range s.Fleet.TakeEnded() {
-		s.Crashes.RecordUpstreamEnd(now, id)
-	}
 	if s.Crashes.IsQuarantined(now, r.Fingerprint) {
 		return Decision{Action: Refuse, Reason: "request crashes upstreams"}
 	}
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -40,9 +40,11 @@
 	attempts     int             // attempts that reached an upstream
 	pending      int             // prompt tokens counted as waiting for room at an engine
 	sentAt       time.Time       // time of the decision for the current attempt
-	released     bool            // whether the current attempt no longer takes a place at its upstream
-	progressed   bool            // whether the current attempt's answer has gone on beyond its beginning
-	view         attemptView     // what was known of the upstream at the start of the current attempt
+	// sentToStartedUnixMS is the start of the instance to which the current attempt is sent.
+	sentToStartedUnixMS int64
+	released            bool        // whether the current attempt no longer takes a place at its upstream
+	progressed          bool        // whether the current attempt's answer has gone on beyond its beginning
+	view                attemptView // what was known of the upstream at the start of the current attempt
 	// firstHit is the probability, used in the last decision, that the upstream firstHitAt has the shared parts cached
 	// through other routers. seenBefore is 1 if the prefix was requested at this router before.
 	firstHit   float64
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -103,13 +103,15 @@
 
 // New returns a state without a configuration or upstreams.
 func New(s Settings) *State {
-	return &State{
+	st := &State{
 		Fleet: fleet.New(), settings: s, stats: map[string]*upstreamStats{}, quotas: map[string]*retrylimit.Quota{},
 		requestedUntil: map[LoadRequest]time.Time{}, waiting: map[LoadRequest]int{}, extraReplicas: map[LoadRequest]bool{}, refused: map[string]*rate{}, pendingPrefill: map[string]*perPriority[int]{}, rates: map[string]*modelRate{},
 		used: map[string]map[placement.Adapter]bool{}, routers: defaultRouters, RetryShare: retrylimit.NewShare(s.RetryLimit),
 		Crashes: quarantine.NewReports(s.Name, s.Started), unreachableAt: map[string]time.Time{}, expectedLoads: map[string]expectedLoads{},
 		serviceSpeeds: map[string]*serviceSpeed{}, prefixes: prefixes{policy: defaultPrefixPolicy},
 	}
+	st.Fleet.OnEnd(st.recordMemberEnd)
+	return st
 }
 
 // Config returns the active configuration, or nil.
@@ -355,7 +357,7 @@
 	case NotConnected, NotListening:
 		s.Crashes.RecordUnreachable(now, id) // an upstream that interrupted an answer before has probably ended
 		if o == NotListening {
-			s.Crashes.RecordUpstreamEnd(now, id)
+			s.Crashes.RecordProcessEnd(now, id)
 		}
 		s.block(now, stats)
 		s.unreachableAt[r.Service] = now
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -81,14 +81,18 @@
 	graceEnd time.Time // until then removals are attributed to the last outage and deferred
 	departed departed
 	version  uint64
-	ended    []string // upstreams that have ended since the last call of TakeEnded
+	onEnd    func(now time.Time, id string, replaced bool)
 }
 
 // New returns an empty fleet.
 func New() *State {
-	return &State{members: map[string]*Member{}, departed: departed{byID: map[string]departure{}}}
+	return &State{members: map[string]*Member{}, departed: departed{byID: map[string]departure{}}, onEnd: func(time.Time, string, bool) {}}
 }
 
+// OnEnd sets the function that is called as soon as a member has ended. replaced reports whether a later instance runs in
+// its place, so that its process has ended; one that the list no longer names may serve on.
+func (s *State) OnEnd(f func(now time.Time, id string, replaced bool)) { s.onEnd = f }
+
 // Version returns a number that grows with each change of the members or their holdings.
 func (s *State) Version() uint64 { return s.version }
 
@@ -114,7 +118,7 @@
 func (s *State) Put(now time.Time, u catalog.Upstream) {
 	m := s.members[u.ID]
 	if m != nil && m.StartedUnixMS != 0 && u.StartedUnixMS != 0 && m.StartedUnixMS != u.StartedUnixMS {
-		s.ended = append(s.ended, u.ID)
+		s.onEnd(now, u.ID, true)
 		m = nil
 	}
 	if m == nil {
@@ -122,7 +126,7 @@
 		s.departed.apply(now, m)
 		s.members[u.ID] = m
 		s.version++
-		s.updateSuperseded(u.Address)
+		s.updateSuperseded(now, u.Address)
 		return
 	}
 	m.removeAt, m.unlistedUntil = time.Time{}, time.Time{}
@@ -150,13 +154,6 @@
 	s.removeEnded(now, id)
 }
 
-// TakeEnded returns the upstreams that have ended since the last call.
-func (s *State) TakeEnded() []string {
-	out := s.ended
-	s.ended = nil
-	return out
-}
-
 // ApplyReport applies an agent's report and reports whether the upstream's holdings, its draining or the presence of
 // an order have changed. Reports of upstreams that are not listed are ignored, since the list defines membership,
 // except those of a later instance at a member's address.
@@ -172,7 +169,7 @@
 	first := m.ReportedAt.IsZero()
 	m.ReportedAt = now
 	if first {
-		s.updateSuperseded(m.Address)
+		s.updateSuperseded(now, m.Address)
 	}
 	m.liveness.recordReport(now)
 	m.crashesNext, m.crashesAcked = r.CrashesNext, r.CrashesAcked
@@ -204,7 +201,7 @@
 			continue
 		}
 		delete(s.members, id)
-		s.ended = append(s.ended, id)
+		s.onEnd(now, id, true)
 		s.version++
 		replaced = old
 	}
@@ -221,7 +218,7 @@
 // updateSuperseded marks the members at the address that have ended because a later instance runs there. The
 // member whose agent has reported most recently is not superseded, even if clock differences make another instance
 // look later.
-func (s *State) updateSuperseded(address string) {
+func (s *State) updateSuperseded(now time.Time, address string) {
 	for id, old := range s.members {
 		if old.Address != address || old.StartedUnixMS == 0 {
 			continue
@@ -238,7 +235,7 @@
 		}
 		s.version++
 		if old.superseded {
-			s.ended = append(s.ended, id)
+			s.onEnd(now, id, true)
 		}
 	}
 }
@@ -248,9 +245,9 @@
 	m := s.members[id]
 	delete(s.members, id)
 	s.departed.record(now, m)
-	s.ended = append(s.ended, id)
+	s.onEnd(now, id, false)
 	s.version++
-	s.updateSuperseded(m.Address)
+	s.updateSuperseded(now, m.Address)
 }
 
 // HoldingsVersion returns the version of the holdings that the upstream's agent last reported; 0 for none.
@@ -319,17 +316,23 @@
 	s.version++
 }
 
-// Members returns the upstreams of a service that accept new requests, ordered by id.
-func (s *State) Members(now time.Time, service string) []*Member {
-	var out []*Member
+// Expire removes the members whose removal was deferred until now, and those that the list has not confirmed in time.
+func (s *State) Expire(now time.Time) {
 	for id, m := range s.members {
 		if !m.unlistedUntil.IsZero() && !now.Before(m.unlistedUntil) {
-			m.removeAt = m.unlistedUntil // the list has not confirmed the member
+			m.removeAt = m.unlistedUntil
 		}
 		if !m.removeAt.IsZero() && !now.Before(m.removeAt) {
 			s.removeEnded(now, id)
-			continue
 		}
+	}
+}
+
+// Members returns the upstreams of a service that accept new requests, ordered by id.
+func (s *State) Members(now time.Time, service string) []*Member {
+	s.Expire(now)
+	var out []*Member
+	for _, m := range s.members {
 		if m.Service == service && !m.Draining && !m.superseded && !m.isOutdated(now) {
 			out = append(out, m)
 		}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -118,6 +118,11 @@
 	// upstreams for two seconds; requests for the models of the earlier ones were refused and used up the retry limit
 	// (decals-grown, trouble-2: 247 refusals).
 	DescribeTable("excludes an earlier instance at the address of a later one", func(order ...string) {
+		var ended []string
+		s.OnEnd(func(_ time.Time, id string, replaced bool) {
+			Expect(replaced).To(BeTrue())
+			ended = append(ended, id)
+		})
 		for _, id := range order {
 			u := upstreamWith(id)
 			if id == "u1" {
@@ -129,8 +134,7 @@
 		}
 		Expect(ids(now)).To(Equal([]string{"u2"}))
 		Expect(s.IDsAt("10.0.0.1:1")).To(Equal([]string{"u2"}))
-		Expect(s.TakeEnded()).To(Equal([]string{"u1"}))
-		Expect(s.TakeEnded()).To(BeEmpty())
+		Expect(ended).To(Equal([]string{"u1"}))
 	},
 		Entry("listed first", "u1", "u2"),
 		Entry("listed last", "u2", "u1"),
@@ -210,4 +214,21 @@
 		s.Put(now.Add(time.Second), upstreamWith("u2"))
 		Expect(ids(now.Add(2100 * time.Millisecond))).To(Equal([]string{"u2"}))
 	})
+
+	// Guards against an end that is known only with the next request.
+	It("ends what vanished during an outage although no request asks for upstreams", func() {
+		var ended []string
+		s.OnEnd(func(at time.Time, id string, replaced bool) {
+			Expect(replaced).To(BeFalse())
+			Expect(at).To(Equal(now.Add(2 * time.Second)))
+			ended = append(ended, id)
+		})
+		s.Sync(now, []catalog.Upstream{upstreamWith("u1")})
+		s.RecordStoreRecovery(now)
+		s.Remove(now, "u1")
+		s.Expire(now.Add(time.Second))
+		Expect(ended).To(BeEmpty())
+		s.Expire(now.Add(2 * time.Second))
+		Expect(ended).To(Equal([]string{"u1"}))
+	})
 })
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -175,6 +175,7 @@
 	var queries []*dispatch.UpstreamRef
 	var speedChanges []dispatch.SpeedChange
 	p.core.Do(func(s *dispatch.State) {
+		s.Fleet.Expire(now)
 		partitioned = s.IsPartitioned(now)
 		verdicts = s.Crashes.TakeVerdicts(now)
 		evidence = s.Crashes.TakeEvidence()
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -115,8 +115,9 @@
 	seq         uint64
 	interrupted []Interruption // oldest first
 	// unanswered contains the prompt parts of interrupted attempts without an answer, by upstream.
-	unanswered map[string]*unansweredParts
-	own        []receivedReport // this router's reports, oldest first
+	unanswered  map[string]*unansweredParts
+	processEnds map[string]time.Time // when the process of an upstream was found to have ended
+	own         []receivedReport     // this router's reports, oldest first
 	// receivedParts contains the reports of prompt parts. They stay for twice as long as relays send them, since several
 	// relays send the same ones.
 	receivedParts map[Report]time.Time
@@ -130,12 +131,16 @@
 // NewReports returns the reports of a router. The sequence numbers begin at start, so that they differ between
 // successive processes of the router.
 func NewReports(reporter string, start time.Time) *Reports {
-	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), receivedParts: map[Report]time.Time{}, unanswered: map[string]*unansweredParts{}, requests: newRequests(), parts: newParts()}
+	return &Reports{reporter: reporter, seq: uint64(start.UnixNano()), receivedParts: map[Report]time.Time{}, processEnds: map[string]time.Time{}, unanswered: map[string]*unansweredParts{}, requests: newRequests(), parts: newParts()}
 }
 
-// RecordInterrupted records that an attempt ended without an answer.
+// RecordInterrupted records that an attempt ended without an answer. It counts as a crash at once if the process to which it
+// was sent is known to have ended: whether an answer is complete may be known later than that.
 func (r *Reports) RecordInterrupted(i Interruption) {
 	r.prune(i.At)
+	if endedAt, ok := r.processEnds[i.Upstream]; ok && i.SentAt.Before(endedAt) && i.At.Sub(endedAt) <= confirmTimeout {
+		defer r.RecordUpstreamEnd(i.At, i.Upstream)
+	}
 	r.interrupted = append(r.interrupted, i)
 	if len(r.interrupted) > MaxReports {
 		r.interrupted = slices.Delete(r.interrupted, 0, 1)
@@ -186,6 +191,14 @@
 	}
 }
 
+// RecordProcessEnd records that the upstream's process has ended. Attempts that were sent to it before count as crashes even if
+// their interruption is recorded afterwards.
+func (r *Reports) RecordProcessEnd(now time.Time, upstream string) {
+	r.prune(now)
+	r.processEnds[upstream] = now
+	r.RecordUpstreamEnd(now, upstream)
+}
+
 // RecordAnswered records that a request with the prompt parts has been answered beyond the beginning.
 func (r *Reports) RecordAnswered(now time.Time, parts []uint64) {
 	for _, part := range parts {
@@ -260,6 +273,11 @@
 			delete(r.unanswered, upstream)
 		}
 	}
+	for upstream, at := range r.processEnds {
+		if now.Sub(at) > confirmTimeout {
+			delete(r.processEnds, upstream)
+		}
+	}
 	for x, at := range r.receivedParts {
 		if now.Sub(at) > 2*reportTTL {
 			delete(r.receivedParts, x)
