Take the service of an upstream from the list only

Cause: the sidecar beside the address reports the new engine before the store lists it. The router gave it the service of its predecessor at the address, and while reports were fresh it took nothing but the state from the entry.

Evidence: `upstream reported a change` for i-8b with service=huvo11a listed=false, then `upstream changed` for i-8b with service=wuno96b, and requests for huvo11a at i-8b after both. Ruled out: requests that name the old instance, and an entry that is read wrongly.

Change: an instance that only its sidecar has reported replaces its predecessor but has no service, and so gets no requests, until the list names it. An entry goes before all that is known of the instance but its holdings. Related: the sidecar ordered models of the service of its settings to whatever engine was at its address; it now orders nothing until the list names the engine or its id, and admits prompts by the routes of the service that the list states.

In a spec of pkg/sidecar and those of pkg/dispatch on a restart of all VMs the list now names the engine; what they check is the same.

--- a/pkg/dispatch/recovery_test.go
+++ b/pkg/dispatch/recovery_test.go
@@ -20,11 +20,12 @@
 	list := func(id string) {
 		s.Fleet.Put(now, catalog.Upstream{ID: id, Service: "llm", Address: id + ":1", Zone: "z1", Slots: 6, StartedUnixMS: 100})
 	}
-	// reportRestarted applies the report of the agent beside an upstream that has restarted.
+	// reportRestarted applies the report of the agent beside an upstream that has restarted, which registers behind it.
 	reportRestarted := func(id string, onDisk ...string) {
 		r := &peer.Report{AvailableMemory: placement.AvailableMemory{FreeMB: 100}}
 		r.SetUpstream(catalog.Upstream{ID: id + "-again", Address: id + ":1", StartedUnixMS: 200, OnDisk: onDisk}, 1)
 		s.Fleet.ApplyReport(now, r)
+		s.Fleet.Put(now, catalog.Upstream{ID: id + "-again", Service: "llm", Address: id + ":1", Zone: "z1", Slots: 6, StartedUnixMS: 200})
 	}
 	BeforeEach(func() {
 		s = newState()
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -129,14 +129,14 @@
 		s.updateSuperseded(now, u.Address)
 		return
 	}
+	if !m.IsListed() {
+		s.departed.apply(now, m)
+	}
 	m.removeAt, m.unlistedUntil = time.Time{}, time.Time{}
-	draining := m.Draining || u.Draining // a draining instance never becomes ready again
-	if m.Fresh(now) {                    // the list is older than the agent's report
-		m.Draining = draining
-		s.version++
-		return
+	u.Draining = u.Draining || m.Draining // a draining instance never becomes ready again
+	if m.Fresh(now) {                     // the list's holdings are older than the agent's report; all else only the list states
+		u.Models, u.InMemory, u.OnDisk = m.Models, m.InMemory, m.OnDisk
 	}
-	u.Draining = draining
 	m.Upstream = u
 	s.version++
 }
@@ -194,6 +194,8 @@
 // restarted removes the members that have ended because a later instance runs at their address, whose agent reports
 // before the list names it, and adds and returns the member for that instance. It returns nil if there is none to
 // replace, or if the list has named the instance and no longer does: an upstream that is leaving may serve on for long.
+// The member has no service, and so gets no requests, until the list names it: the address of an upstream that has ended
+// may have been given to one of another service.
 func (s *State) restarted(now time.Time, r *peer.Report) (m *Member, changed bool) {
 	var replaced *Member
 	for id, old := range s.members {
@@ -209,7 +211,7 @@
 		return nil, replaced != nil
 	}
 	m = &Member{Upstream: catalog.Upstream{
-		ID: r.ID, Service: replaced.Service, Address: r.Address, Zone: replaced.Zone, Slots: replaced.Slots, StartedUnixMS: r.StartedUnixMS,
+		ID: r.ID, Address: r.Address, Zone: replaced.Zone, StartedUnixMS: r.StartedUnixMS,
 	}, unlistedUntil: now.Add(registrationTimeout)}
 	s.members[r.ID] = m
 	return m, true
--- a/pkg/sidecar/identify.go
+++ b/pkg/sidecar/identify.go
@@ -36,19 +36,21 @@
 }
 
 // identify sets the id, service and zone of the reporting engine from the list of upstreams. Until the list contains
-// the running instance, the id comes from the engine's health check; it stays empty if neither source has it.
+// the running instance, the id comes from the engine's health check; it stays empty if neither source has it. The service
+// stays empty until the list names the id, and the engine gets no orders: one of another service may have got the address.
 func (a *Agent) identify(ctx context.Context, u *catalog.Upstream) {
-	u.ID, u.Address, u.Service, u.Zone = "", a.settings.Address, a.settings.Service, a.settings.Zone
+	u.ID, u.Address, u.Service, u.Zone = "", a.settings.Address, "", a.settings.Zone
 	path := ""
 	a.mu.Lock()
 	for _, listed := range a.list.byID {
 		if listed.Address == a.settings.Address && (u.StartedUnixMS == 0 || listed.StartedUnixMS == u.StartedUnixMS) {
 			u.ID, u.Service, u.Zone = listed.ID, listed.Service, listed.Zone
 			u.Draining = u.Draining || listed.Draining
+			a.setService(listed.Service)
 		}
 	}
 	if a.config != nil {
-		path = a.config.Services[u.Service].HealthPath
+		path = a.config.Services[a.lastService].HealthPath
 	}
 	a.mu.Unlock()
 	if u.ID != "" || u.StartedUnixMS == 0 {
@@ -56,6 +58,7 @@
 	}
 	if a.instance.startedUnixMS == u.StartedUnixMS {
 		u.ID = a.instance.id
+		u.Service = a.serviceOf(u.ID)
 		return
 	}
 	if path != "" && !a.instance.inProgress && time.Since(a.instance.endedAt) >= instanceQueryInterval {
@@ -64,6 +67,29 @@
 	}
 }
 
+// serviceOf returns the service of the id at the agent's address; empty if the list does not name it. An engine may have
+// started again under its id.
+func (a *Agent) serviceOf(id string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if listed, ok := a.list.byID[id]; ok && listed.Address == a.settings.Address {
+		return listed.Service
+	}
+	return ""
+}
+
+// setService records the service that the list states for the engine. The caller holds mu.
+func (a *Agent) setService(service string) {
+	if service == a.lastService {
+		return
+	}
+	a.log.State("engine of another service", "service", service, "before", a.lastService)
+	a.lastService = service
+	if a.config != nil {
+		a.prompts.configure(a.config, service)
+	}
+}
+
 // queryInstance queries the engine's health check for its id. It runs beside the rounds, so that reports and orders do
 // not wait for the engine's reply.
 func (a *Agent) queryInstance(ctx context.Context, path string, startedUnixMS int64) {
--- a/pkg/sidecar/identify_test.go
+++ b/pkg/sidecar/identify_test.go
@@ -38,6 +38,25 @@
 		f.agent.SetToken(41)
 		f.requestLoad("a")
 		Eventually(f.reports, "3s").Should(Receive(Satisfy(isRestarted)))
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: address, StartedUnixMS: 6}})
+		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
+	})
+
+	// Guards against loads of another service's models: the address of an engine that has ended may have been given to one of
+	// another service, which only the list tells.
+	It("brings no orders while the list does not name the engine", func() {
+		f := newFixture()
+		f.restartEngine(func(context.Context) (string, error) { return "i-2", nil })
+		f.agent.SetToken(41)
+		f.requestLoad("a")
+		Eventually(f.reports, "3s").Should(Receive(Satisfy(isRestarted)))
+		f.requestLoad("a")
+		Consistently(f.engine.acceptedOrders, "500ms").Should(BeEmpty())
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "other", Address: address, StartedUnixMS: 6}})
+		f.requestLoad("a")
+		Consistently(f.engine.acceptedOrders, "500ms").Should(BeEmpty())
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: address, StartedUnixMS: 6}})
+		f.requestLoad("a")
 		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
 	})
 
--- a/pkg/sidecar/prompts.go
+++ b/pkg/sidecar/prompts.go
@@ -92,10 +92,10 @@
 
 // configure applies the longest pause of the configuration. Prompts are admitted only where the operator's routes to the
 // service have one that long prompts can exceed.
-func (p *promptAdmission) configure(c *catalog.Config) {
+func (p *promptAdmission) configure(c *catalog.Config, service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	gap := c.ShortestEventGap(p.agent.settings.Service)
+	gap := c.ShortestEventGap(service)
 	if !p.agent.settings.AdmitPrompts || gap < minAdmissionGap {
 		gap = 0
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -78,11 +78,14 @@
 	demands  chan routerMessage
 	quotas   *quotas // nil unless EnableQuotas has been called
 
-	mu      sync.Mutex // guards the fields down to recordClean
-	config  *catalog.Config
-	list    upstreamList
-	token   uint64
-	pending pendingOrders
+	mu     sync.Mutex // guards the fields down to recordClean
+	config *catalog.Config
+	// lastService is the service of the last engine that the list has named at the address; that of the settings before.
+	// Only Run changes it.
+	lastService string
+	list        upstreamList
+	token       uint64
+	pending     pendingOrders
 	// fences holds the running instance of the engine until the fence record for it is written, and
 	// recordClean reports whether the record last written is clean.
 	fences      chan engineInstance
@@ -131,7 +134,7 @@
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
-		turns:    newTurns(settings),
+		turns:    newTurns(settings), lastService: settings.Service,
 	}
 	a.prompts = newPromptAdmission(a)
 	a.limits = newLimits(a)
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -311,8 +311,8 @@
 		Expect(f.engine.acceptedOrders()).To(HaveLen(1))
 	})
 
-	// Guards against a restarted engine that stays unused until the list contains its new instance, a second or more
-	// after its start.
+	// Guards against requests to the process that has ended at the address, until the list contains the new instance a second
+	// or more after its start.
 	It("queries a restarted engine for its id and reports it to the routers before the list contains it", func() {
 		f := newFixture()
 		f.engine.mu.Lock()
@@ -320,6 +320,11 @@
 		f.engine.mu.Unlock()
 		f.agent.SetToken(41)
 		f.requestLoad("a")
+		Eventually(f.reports, "2s").Should(Receive(Satisfy(func(r peer.Report) bool {
+			return r.ID == "i-2" && r.StartedUnixMS == 6 && r.Address == address
+		})))
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: address, StartedUnixMS: 6}})
+		f.requestLoad("a")
 		Eventually(f.reports, "2s").Should(Receive(Satisfy(func(r peer.Report) bool {
 			return r.ID == "i-2" && r.StartedUnixMS == 6 && r.Address == address && hasLoaded(r, "a")
 		})))
--- a/pkg/sidecar/sync.go
+++ b/pkg/sidecar/sync.go
@@ -12,7 +12,7 @@
 	a.mu.Lock()
 	if a.config == nil || c.Version > a.config.Version {
 		a.config = c
-		a.prompts.configure(c)
+		a.prompts.configure(c, a.lastService)
 	}
 	a.mu.Unlock()
 	a.log.State("configuration read", "version", c.Version, "revision", revision)
--- a/pkg/sidecar/turns.go
+++ b/pkg/sidecar/turns.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -163,12 +164,7 @@
 	return netip.AddrPortFrom(ap.Addr(), uint16(a.settings.PeerPort)), true
 }
 
-func (a *Agent) service() string {
-	if s := a.report.Upstream.Service; s != "" {
-		return s
-	}
-	return a.settings.Service
-}
+func (a *Agent) service() string { return cmp.Or(a.report.Upstream.Service, a.lastService) }
 
 // readTurnInputs reads the list of upstreams and the routers' demand for the queue, and computes the own wants.
 func (a *Agent) readTurnInputs(now time.Time) {
