Take a report of a later start for another instance

What callers saw: nothing yet of this alone.

Cause: a report whose start is later than that of the listed member with its id was applied to the member, whose service stayed until its next entry. Heartbeats counted for any instance with the id.

Change: such a report ends the listed instance and adds the one that it names, without a service until the list states it, as for an instance with a new id. The predecessor's entry, which is listed until the new instance registers, does not undo this. It counts again if the instance does not register, since the order of two starts is not certain. Heartbeats name the start.

--- a/pkg/dispatch/admission_seams_test.go
+++ b/pkg/dispatch/admission_seams_test.go
@@ -36,7 +36,7 @@
 			at = now.Add(time.Duration(400+100*i) * time.Millisecond)
 			for _, id := range []string{"u1", "u2"} {
 				s.Fleet.RecordProbe(at, id)
-				s.Fleet.RecordHeartbeat(at, id)
+				s.Fleet.RecordHeartbeat(at, id, 0)
 			}
 		}
 		Expect(s.Fleet.Get("u1").IsAgentUnresponsive()).To(BeTrue())
--- a/pkg/dispatch/reachability_test.go
+++ b/pkg/dispatch/reachability_test.go
@@ -42,7 +42,7 @@
 
 	It("get requests again after a heartbeat", func() {
 		makeUnresponsive("u1")
-		s.Fleet.RecordHeartbeat(later, "u1")
+		s.Fleet.RecordHeartbeat(later, "u1", 0)
 		Expect(s.Decide(later, request(&chatRoute, "llm", "a")).Upstream.ID).To(Equal("u1"))
 	})
 
@@ -58,7 +58,7 @@
 		Expect(d.Action).To(Equal(dispatch.Refuse))
 		// Guards against a RetryAfter derived from a load at an unreachable upstream (frozen-engines, seed 22).
 		Expect(d.RetryAfter).To(BeZero())
-		s.Fleet.RecordHeartbeat(later, "u1")
+		s.Fleet.RecordHeartbeat(later, "u1", 0)
 		Expect(s.Decide(later.Add(time.Second), request(&chatRoute, "llm", "a")).Upstream.ID).To(Equal("u1"))
 	})
 
@@ -95,8 +95,8 @@
 		makeUnresponsive("u1")
 		makeUnresponsive("u2")
 		add(s, upstream{id: "u3", onDisk: []string{"b"}, free: 50})
-		s.Fleet.RecordHeartbeat(later, "u1")
-		s.Fleet.RecordHeartbeat(later, "u2")
+		s.Fleet.RecordHeartbeat(later, "u1", 0)
+		s.Fleet.RecordHeartbeat(later, "u2", 0)
 		Expect(s.Decide(later, request(&chatRoute, "llm", "a")).Upstream.ID).To(Equal("u1"))
 		adapter := request(&chatRoute, "llm", "a")
 		adapter.Adapter = "x"
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -50,6 +50,9 @@
 	outdatedUntil time.Time
 	// unlistedUntil is when a member that only its agent has reported is removed unless the list names it.
 	unlistedUntil time.Time
+	// predecessor is the entry that the list has under the id of a member that only its agent has reported; nil if there is
+	// none.
+	predecessor *catalog.Upstream
 	// backoffUntil is the end of the backoff that the upstream has requested from this process.
 	backoffUntil time.Time
 	removeAt     time.Time // when an entry that is pending removal is removed; zero while it is listed
@@ -117,6 +120,10 @@
 // Put adds or updates an entry of the list.
 func (s *State) Put(now time.Time, u catalog.Upstream) {
 	m := s.members[u.ID]
+	if m != nil && !m.IsListed() && u.StartedUnixMS != 0 && u.StartedUnixMS < m.StartedUnixMS {
+		m.predecessor = &u // still listed until the reported instance registers
+		return
+	}
 	if m != nil && m.StartedUnixMS != 0 && u.StartedUnixMS != 0 && m.StartedUnixMS != u.StartedUnixMS {
 		s.onEnd(now, u.ID, true)
 		m = nil
@@ -132,7 +139,7 @@
 	if !m.IsListed() {
 		s.departed.apply(now, m)
 	}
-	m.removeAt, m.unlistedUntil = time.Time{}, time.Time{}
+	m.removeAt, m.unlistedUntil, m.predecessor = time.Time{}, time.Time{}, nil
 	u.Draining = u.Draining || m.Draining // a draining instance never becomes ready again
 	if m.Fresh(now) {                     // the list's holdings are older than the agent's report; all else only the list states
 		u.Models, u.InMemory, u.OnDisk = m.Models, m.InMemory, m.OnDisk
@@ -144,7 +151,11 @@
 // Remove removes an entry of the list: at once, or at the end of the grace period after an outage.
 func (s *State) Remove(now time.Time, id string) {
 	m := s.members[id]
-	if m == nil || now.Before(m.unlistedUntil) {
+	if m == nil {
+		return
+	}
+	if now.Before(m.unlistedUntil) {
+		m.predecessor = nil
 		return
 	}
 	if now.Before(s.graceEnd) {
@@ -159,7 +170,7 @@
 // except those of a later instance at a member's address.
 func (s *State) ApplyReport(now time.Time, r *peer.Report) bool {
 	m, changed := s.members[r.ID], false
-	if m == nil {
+	if m == nil || m.StartedUnixMS != 0 && r.StartedUnixMS > m.StartedUnixMS {
 		m, changed = s.restarted(now, r)
 	}
 	if m == nil || m.StartedUnixMS != 0 && r.StartedUnixMS != 0 && r.StartedUnixMS < m.StartedUnixMS {
@@ -191,15 +202,15 @@
 	return changed
 }
 
-// restarted removes the members that have ended because a later instance runs at their address, whose agent reports
-// before the list names it, and adds and returns the member for that instance. It returns nil if there is none to
+// restarted removes the members that have ended because a later instance runs at their address or has their id, whose agent
+// reports before the list names it, and adds and returns the member for that instance. It returns nil if there is none to
 // replace, or if the list has named the instance and no longer does: an upstream that is leaving may serve on for long.
 // The member has no service, and so gets no requests, until the list names it: the address of an upstream that has ended
 // may have been given to one of another service.
 func (s *State) restarted(now time.Time, r *peer.Report) (m *Member, changed bool) {
 	var replaced *Member
 	for id, old := range s.members {
-		if r.Address == "" || old.Address != r.Address || old.StartedUnixMS == 0 || r.StartedUnixMS <= old.StartedUnixMS {
+		if id != r.ID && (r.Address == "" || old.Address != r.Address) || old.StartedUnixMS == 0 || r.StartedUnixMS <= old.StartedUnixMS {
 			continue
 		}
 		delete(s.members, id)
@@ -326,6 +337,9 @@
 		}
 		if !m.removeAt.IsZero() && !now.Before(m.removeAt) {
 			s.removeEnded(now, id)
+			if m.predecessor != nil { // the order of two starts is not certain, since clocks can jump
+				s.Put(now, *m.predecessor)
+			}
 		}
 	}
 }
--- a/pkg/fleet/liveness.go
+++ b/pkg/fleet/liveness.go
@@ -42,11 +42,11 @@
 	l.agentUnanswered = 0
 }
 
-// RecordHeartbeat records a heartbeat of the engine, such as a stream event or the reply to a query. It reports whether
-// the upstream counted as unresponsive until now.
-func (s *State) RecordHeartbeat(now time.Time, id string) bool {
+// RecordHeartbeat records a heartbeat of the engine's instance, such as a stream event or the reply to a query; the start
+// is 0 if it is not known. It reports whether the upstream counted as unresponsive until now.
+func (s *State) RecordHeartbeat(now time.Time, id string, startedUnixMS int64) bool {
 	m := s.members[id]
-	if m == nil {
+	if m == nil || m.StartedUnixMS != 0 && startedUnixMS != 0 && m.StartedUnixMS != startedUnixMS {
 		return false
 	}
 	unresponsive := m.IsUnresponsive(now)
--- a/pkg/fleet/liveness_test.go
+++ b/pkg/fleet/liveness_test.go
@@ -40,12 +40,12 @@
 	})
 
 	It("counts the events of a stream as heartbeats", func() {
-		Expect(s.RecordHeartbeat(at(290), "u1")).To(BeFalse())
+		Expect(s.RecordHeartbeat(at(290), "u1", 0)).To(BeFalse())
 		Expect(s.Get("u1").NeedsProbe(at(580))).To(BeFalse())
 		for _, ms := range []int{600, 700, 800} {
 			s.RecordProbe(at(ms), "u1")
 		}
-		Expect(s.RecordHeartbeat(at(900), "u1")).To(BeTrue())
+		Expect(s.RecordHeartbeat(at(900), "u1", 0)).To(BeTrue())
 		Expect(s.Get("u1").IsUnresponsive(at(900))).To(BeFalse())
 	})
 
@@ -82,7 +82,7 @@
 			s.RecordProbe(at(ms), "u1")
 			if ms == 401 {
 				Expect(m.NeedsQuery(at(ms))).To(BeTrue())
-				Expect(s.RecordHeartbeat(at(405), "u1")).To(BeFalse())
+				Expect(s.RecordHeartbeat(at(405), "u1", 0)).To(BeFalse())
 			}
 		}
 		Expect(m.IsAgentUnresponsive()).To(BeTrue(), "the engine's replies are not the agent's")
@@ -100,7 +100,7 @@
 	It("has its attempts aborted once, within 0.9 s of its last heartbeat, if neither agent nor engine replies", func() {
 		var aborted []string
 		for _, start := range []int{0, 5000} { // the agent is unresponsive at the second freeze
-			s.RecordHeartbeat(at(start), "u1")
+			s.RecordHeartbeat(at(start), "u1", 0)
 			for ms := start + 50; ms <= start+900; ms += 100 { // the router's ticks
 				if s.Get("u1").NeedsProbe(at(ms)) {
 					s.RecordProbe(at(ms), "u1")
@@ -122,7 +122,7 @@
 		}
 		Expect(s.Get("u1").IsUnresponsive(at(501))).To(BeTrue())
 		Expect(s.TakeConfirmedUnresponsive(at(800))).To(BeEmpty())
-		Expect(s.RecordHeartbeat(at(800), "u1")).To(BeTrue())
+		Expect(s.RecordHeartbeat(at(800), "u1", 0)).To(BeTrue())
 		Expect(s.TakeConfirmedUnresponsive(at(900))).To(BeEmpty())
 	})
 })
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -103,7 +103,7 @@
 	}
 	changed, recovered, listed, service := false, false, false, ""
 	p.core.Do(func(s *dispatch.State) {
-		recovered = s.Fleet.RecordHeartbeat(time.Now(), report.ID)
+		recovered = s.Fleet.RecordHeartbeat(time.Now(), report.ID, report.StartedUnixMS)
 		changed = s.ApplyReport(time.Now(), report)
 		s.Crashes.Merge(time.Now(), report.Crashes)
 		if m := s.Fleet.Get(report.ID); m != nil {
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -30,7 +30,7 @@
 		}
 		recovered, agentUnresponsive := false, false
 		p.core.Do(func(s *dispatch.State) {
-			recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID)
+			recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID, u.StartedUnixMS)
 			m := s.Fleet.Get(u.ID)
 			agentUnresponsive = m != nil && m.IsAgentUnresponsive()
 		})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -117,7 +117,7 @@
 	}
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream)
-	outcome, a, err := c.receive(resp, d.Upstream.ID, conn.Reused)
+	outcome, a, err := c.receive(resp, d.Upstream, conn.Reused)
 	if err == nil && outcome == dispatch.Done && h1.IsUnframed(resp) {
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
@@ -193,7 +193,7 @@
 
 // receive checks the head of an answer and reads the body: a stream is forwarded, any other body is buffered in full.
 // reused reports whether the connection has carried another request before.
-func (c *callerRequest) receive(resp *http.Response, upstream string, reused bool) (dispatch.Outcome, *answer, error) {
+func (c *callerRequest) receive(resp *http.Response, u *dispatch.UpstreamRef, reused bool) (dispatch.Outcome, *answer, error) {
 	head := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	success := resp.StatusCode/100 == 2
 	c.recordIDs(head, success)
@@ -207,7 +207,7 @@
 	case success && !c.isContinuation(resp):
 		return dispatch.Interrupted, nil, nil
 	case success && c.req.Route.Kind == catalog.Streaming:
-		return c.forward(resp, upstream)
+		return c.forward(resp, u)
 	}
 	body, err := c.readAnswerBody(resp.Body)
 	if err != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -22,14 +22,14 @@
 
 // forward writes the events of a stream to the caller as they arrive. The head is written with the first event, so a
 // stream that is interrupted before it can still be refused or retried at another upstream.
-func (c *callerRequest) forward(resp *http.Response, upstream string) (dispatch.Outcome, *answer, error) {
+func (c *callerRequest) forward(resp *http.Response, u *dispatch.UpstreamRef) (dispatch.Outcome, *answer, error) {
 	events := sse.NewReader(resp.Body)
 	events.SetReserve(func(n int) error { return c.g.memory.Reserve(c.holder, int64(n), answerMemoryWait) })
 	rc := http.NewResponseController(c.w)
 	a := &answer{status: resp.StatusCode, streamed: true}
 	lastHeartbeat, received := time.Time{}, 0
 	resumed := c.lastEventID != ""
-	observed := streamObserver{c: c, upstream: upstream, resumed: resumed}
+	observed := streamObserver{c: c, upstream: u.ID, resumed: resumed}
 	c.events.StartRun()
 	for {
 		e, err := events.Next()
@@ -69,7 +69,7 @@
 		}
 		if now := time.Now(); now.Sub(lastHeartbeat) > heartbeatInterval {
 			lastHeartbeat = now
-			c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordHeartbeat(now, upstream) })
+			c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordHeartbeat(now, u.ID, u.StartedUnixMS) })
 		}
 		if !forwarded {
 			continue
