Let an instance prove its address before it gets requests after a silence

Cause: the router sent to an address at which nothing had answered for 2.5 s. The address may be given away 2 s after the end of the instance (reuseAfterS), its entry lapses later, and the header that names the expected instance has the id but not the start.

The requests ran before a report of the new engine could arrive. Ruled out: a wrong service in the list or in a report.

Change: reports and replies to queries prove for reuseAfterS that an instance is at its address. After that it has to report its id and its start on the new connection before the request follows on it. Open connections need no proof. After a stall or suspend of the router none of its earlier proofs counts, nor what waited in its sockets. The outcome is "unproven": nothing has been sent.

--- a/cmd/hibiscuscrossd/entry.go
+++ b/cmd/hibiscuscrossd/entry.go
@@ -49,7 +49,7 @@
 	defer func() { _ = closer.Close() }()
 
 	core := gateway.NewCore(dispatch.New(dispatch.Settings{
-		Name: set.NodeName, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryLimit: set.RetryLimit,
+		Name: set.NodeName, Started: time.Now(), Zone: set.Zone, ZoneRegion: set.ZoneRegion, RetryLimit: set.RetryLimit, ReuseAfter: set.ReuseAfter,
 	}))
 	b := newBounds(set.MemoryMB, set.MaxFDs)
 	pool := h1.NewPool()
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -184,6 +184,8 @@
 	NotConnected
 	// NotListening means that the upstream refused the connection: its process has ended.
 	NotListening
+	// Unproven means that nothing was sent because what replies at the address has not proved to be the instance.
+	Unproven
 	// NotRun means that the upstream refused the request and will never run it.
 	NotRun
 	// Misdirected means that the upstream refused the request because the model is not loaded there or because another
@@ -202,7 +204,7 @@
 	Expired
 )
 
-var outcomeNames = [...]string{"done", "not_connected", "not_listening", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
+var outcomeNames = [...]string{"done", "not_connected", "not_listening", "unproven", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -37,6 +37,8 @@
 	Started time.Time
 	// RetryLimit limits the retries to a service over all routers.
 	RetryLimit retrylimit.Limit
+	// ReuseAfter is how long after the end of an upstream its address may be given to another service; 0 if it never is.
+	ReuseAfter time.Duration
 }
 
 // upstreamStats is what the router has observed of an upstream through its own attempts.
@@ -111,6 +113,7 @@
 		serviceSpeeds: map[string]*serviceSpeed{}, prefixes: prefixes{policy: defaultPrefixPolicy},
 	}
 	st.Fleet.OnEnd(st.recordMemberEnd)
+	st.Fleet.SetReuseAfter(s.ReuseAfter)
 	return st
 }
 
@@ -363,6 +366,10 @@
 		s.unreachableAt[r.Service] = now
 		r.markTried(id)
 		return
+	case Unproven:
+		s.block(now, stats)
+		r.markTried(id)
+		return
 	case NotRun:
 		r.attempts++
 		r.markTried(id)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -56,6 +56,8 @@
 	// backoffUntil is the end of the backoff that the upstream has requested from this process.
 	backoffUntil time.Time
 	removeAt     time.Time // when an entry that is pending removal is removed; zero while it is listed
+	// aliveAt is the last sign of life of the instance that proves its address; zero if there is none.
+	aliveAt time.Time
 	// superseded reports whether a later instance runs at the member's address while the member's own entry still
 	// exists.
 	superseded bool
@@ -83,6 +85,7 @@
 	members  map[string]*Member
 	graceEnd time.Time // until then removals are attributed to the last outage and deferred
 	departed departed
+	proofs   addressProofs
 	version  uint64
 	onEnd    func(now time.Time, id string, replaced bool)
 }
@@ -183,6 +186,7 @@
 		s.updateSuperseded(now, m.Address)
 	}
 	m.liveness.recordReport(now)
+	s.recordAlive(now, m)
 	m.crashesNext, m.crashesAcked = r.CrashesNext, r.CrashesAcked
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, AvailableMemory: r.AvailableMemory,
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/dispatch"
 	"github.com/hibiscuscross/hibiscuscross/pkg/eventlog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/guard"
@@ -175,6 +176,7 @@
 	var queries []*dispatch.UpstreamRef
 	var speedChanges []dispatch.SpeedChange
 	p.core.Do(func(s *dispatch.State) {
+		s.Fleet.RecordTick(now, boottime.Now())
 		s.Fleet.Expire(now)
 		partitioned = s.IsPartitioned(now)
 		verdicts = s.Crashes.TakeVerdicts(now)
--- a/pkg/gateway/promptqueue.go
+++ b/pkg/gateway/promptqueue.go
@@ -315,7 +315,7 @@
 // sent all the same and counted by the sidecar: the attempt has started.
 func (c *callerRequest) connect(d dispatch.Decision) (*h1.Conn, error) {
 	for {
-		conn, err := c.g.pool.Get(c.ctx, d.Upstream.Address, c.maxIdle())
+		conn, err := c.provenConn(d.Upstream)
 		if err != nil || c.prompt == nil || !c.g.core.prompts.expired(c.prompt) {
 			return conn, err
 		}
@@ -342,7 +342,7 @@
 	}
 	kind := promptqueue.Over
 	switch outcome {
-	case dispatch.NotConnected, dispatch.NotListening, dispatch.NotRun, dispatch.Misdirected, dispatch.Expired:
+	case dispatch.NotConnected, dispatch.NotListening, dispatch.Unproven, dispatch.NotRun, dispatch.Misdirected, dispatch.Expired:
 		kind = promptqueue.Returned
 	}
 	c.g.core.prompts.end(c.prompt, kind)
--- a/pkg/gateway/query.go
+++ b/pkg/gateway/query.go
@@ -24,6 +24,7 @@
 		defer cancel()
 		q := platform.NewInstanceQuery(u.ID, "")
 		q.Header.Set("Connection", "close") // an engine has a limited number of connections
+		sentAt := time.Now()
 		if _, err := queryInstance(ctx, p.queryPool, u, q); err != nil {
 			p.log.Request("engine does not reply", "upstream", u.ID, "err", err)
 			return
@@ -31,6 +32,7 @@
 		recovered, agentUnresponsive := false, false
 		p.core.Do(func(s *dispatch.State) {
 			recovered = s.Fleet.RecordHeartbeat(time.Now(), u.ID, u.StartedUnixMS)
+			s.Fleet.RecordProof(sentAt, u.ID, u.StartedUnixMS)
 			m := s.Fleet.Get(u.ID)
 			agentUnresponsive = m != nil && m.IsAgentUnresponsive()
 		})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -75,8 +75,11 @@
 		if c.ctx.Err() != nil {
 			return dispatch.Expired, nil
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			return dispatch.NotListening, nil
+		case errors.Is(err, errUnproven):
+			return dispatch.Unproven, nil
 		}
 		return dispatch.NotConnected, nil
 	}
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -112,6 +112,12 @@
 	if err != nil {
 		return platform.InstanceReply{}, err
 	}
+	return queryOn(ctx, conn, u, q)
+}
+
+// queryOn sends the query to the instance of the upstream on the connection, which it closes or returns to the pool. The
+// error is nil if the instance replies.
+func queryOn(ctx context.Context, conn *h1.Conn, u *dispatch.UpstreamRef, q platform.InstanceQuery) (platform.InstanceReply, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	conn.Send(&h1.Request{Method: http.MethodGet, Target: q.Target, Host: u.Address, Header: q.Header})
 	resp, err := conn.ReadHead(http.MethodGet)
