Let the sidecar state the service of a restarted engine

Cause: since routers use a restarted engine when their list names it. Its entry is written 50 ms after its start, but routers and sidecars read changes of the list 1 s apart.

Ruled out: entries that are written late. The sidecar also took an entry with its engine's id and another start for its engine's.

Change: while the list does not name the reporting engine, the sidecar has its list read at once, and its reports state the service: that of the entry with the engine's id and start, or of the predecessor if that replied less than reuseAfterS before on the clock that counts suspends. Routers use it until their list names the engine. An entry under the id with another start gives no service.

Specs changed: pkg/sidecar lists the running instance where an agent is started beside a restarted engine, and in "calls that are accepted and never answered" once the engine is known: their orders would be to an engine that no list names. What they check is the same.

--- a/cmd/hibiscuscrossd/sidecar.go
+++ b/cmd/hibiscuscrossd/sidecar.go
@@ -50,7 +50,7 @@
 	}
 	agent := sidecar.New(sidecar.Settings{
 		Node: set.NodeName, Address: set.UpstreamAddress, Region: set.Region, Zone: set.Zone, Service: set.UpstreamService, LoadWindow: set.LoadWindow, LoadFactor: set.LoadFactor, FetchConcurrency: c.LoadParallel,
-		ChecksTokens: set.FencingRequired,
+		ChecksTokens: set.FencingRequired, ReuseAfter: set.ReuseAfter,
 		AdmitPrompts: c.AdmitPrompts,
 		PeerPort:     c.turnsPort(set), Scope: scope,
 	}, platform.NewEngine(set.UpstreamAddress), socket, log, gd)
@@ -72,6 +72,8 @@
 		return nil
 	}))
 	addContext(&g, gd.Duty("list of upstreams", func(ctx context.Context) error {
+		watches := watches
+		watches.Hurry = agent.ListWanted()
 		follow.New(store.WithStaleReads(), platform.KindUpstreams, watches, agent.Upstreams(), log).Run(ctx)
 		return nil
 	}))
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -179,6 +179,9 @@
 	if m == nil || m.StartedUnixMS != 0 && r.StartedUnixMS != 0 && r.StartedUnixMS < m.StartedUnixMS {
 		return changed
 	}
+	if !m.IsListed() && r.Service != "" && m.Service != r.Service {
+		m.Service, changed = r.Service, true
+	}
 	changed = changed || (m.Order == nil) != (r.Order == nil)
 	first := m.ReportedAt.IsZero()
 	m.ReportedAt = now
@@ -209,8 +212,8 @@
 // restarted removes the members that have ended because a later instance runs at their address or has their id, whose agent
 // reports before the list names it, and adds and returns the member for that instance. It returns nil if there is none to
 // replace, or if the list has named the instance and no longer does: an upstream that is leaving may serve on for long.
-// The member has no service, and so gets no requests, until the list names it: the address of an upstream that has ended
-// may have been given to one of another service.
+// The member has no service, and so gets no requests, until its agent or the list states it: the address of an upstream that
+// has ended may have been given to one of another service.
 func (s *State) restarted(now time.Time, r *peer.Report) (m *Member, changed bool) {
 	var replaced *Member
 	for id, old := range s.members {
@@ -226,7 +229,7 @@
 		return nil, replaced != nil
 	}
 	m = &Member{Upstream: catalog.Upstream{
-		ID: r.ID, Address: r.Address, Zone: replaced.Zone, StartedUnixMS: r.StartedUnixMS,
+		ID: r.ID, Address: r.Address, Zone: replaced.Zone, Slots: replaced.Slots, StartedUnixMS: r.StartedUnixMS,
 	}, unlistedUntil: now.Add(registrationTimeout)}
 	s.members[r.ID] = m
 	return m, true
--- a/pkg/fleet/restart_test.go
+++ b/pkg/fleet/restart_test.go
@@ -55,6 +55,24 @@
 		Entry("until it has registered", restarted()),
 	)
 
+	// Guards against engines without work until the router reads their entry: their agent knows the service.
+	It("gets requests for the service that its agent states until the list states one", func() {
+		s := fleet.New()
+		s.Put(start, upstreamWith("u1", "m"))
+		s.ApplyReport(start, report())
+		Expect(s.Members(start, "llm")).To(BeEmpty())
+		known := report()
+		known.Service = "llm"
+		Expect(s.ApplyReport(start, known)).To(BeTrue())
+		Expect(s.Members(start, "llm")).To(HaveLen(1))
+		other := restarted()
+		other.Service = "other"
+		s.Put(start.Add(time.Second), other)
+		s.ApplyReport(start.Add(1100*time.Millisecond), known)
+		Expect(s.Members(start.Add(1100*time.Millisecond), "llm")).To(BeEmpty())
+		Expect(s.Members(start.Add(1100*time.Millisecond), "other")).To(HaveLen(1))
+	})
+
 	It("is the listed instance again if the reported one does not register", func() {
 		s := fleet.New()
 		s.Put(start, upstreamWith("u1", "m"))
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -65,6 +65,8 @@
 	// ChangeDelay is the time between a change and the next watch. It combines changes in quick succession into one
 	// call.
 	ChangeDelay time.Duration
+	// Hurry ends the current or the next ChangeDelay when it receives. It may be nil.
+	Hurry <-chan struct{}
 	// MaxRetryDelay bounds the mean delay after a failed call once the kind has been listed; it is at least 400 ms. A
 	// larger value reduces the calls to a store that is overloaded or refuses them.
 	MaxRetryDelay time.Duration
@@ -187,13 +189,15 @@
 	}
 	f.handleSuccess()
 	f.compactions = 0
-	delay := time.Duration(0)
-	if len(objects) > 0 {
+	changed := len(objects) > 0
+	if changed {
 		f.h.Changed(objects)
-		delay = f.opt.ChangeDelay
 	}
 	f.prove(provenAt)
-	sleep(ctx, max(delay, interval-time.Since(startedAt)))
+	if changed {
+		f.awaitChangeDelay(ctx)
+	}
+	sleep(ctx, interval-time.Since(startedAt))
 	return max(revision, since), true
 }
 
@@ -213,6 +217,14 @@
 	sleep(ctx, delay/2+rand.N(delay)-time.Since(startedAt))
 }
 
+func (f *Follower) awaitChangeDelay(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.opt.Hurry:
+	case <-time.After(f.opt.ChangeDelay):
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -238,3 +238,29 @@
 		Expect(seen).To(Equal([]string{"listed 1", "put u2", "removed u2"}))
 	})
 })
+
+// Guards against a wait between two reads that goes on although a change is needed at once.
+var _ = Describe("a follower that is told to hurry", func() {
+	DescribeTable("reads the next change", func(hurry bool) {
+		s := &source{answers: []answer{{revision: 1}, {objects: []platform.Object{{Name: "a"}}, revision: 2}, {objects: []platform.Object{{Name: "b"}}, revision: 3}}}
+		changed, wanted := make(chan string, 2), make(chan struct{}, 1)
+		h := follow.Handler{Listed: func([]platform.Object) {}, Changed: func(objects []platform.Object) { changed <- objects[0].Name }}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follow.New(s, "k", follow.Options{LongPollDuration: 50 * time.Millisecond, ChangeDelay: time.Hour, Hurry: wanted}, h, eventlog.New(io.Discard, "r", "vm")).Run(ctx)
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		Eventually(changed, "5s").Should(Receive(Equal("a")))
+		if !hurry {
+			Consistently(changed, "300ms").ShouldNot(Receive())
+			return
+		}
+		wanted <- struct{}{}
+		Eventually(changed, "5s").Should(Receive(Equal("b")))
+	},
+		Entry("at once", true),
+		Entry("after the delay if it is not", false),
+	)
+})
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -130,6 +130,9 @@
 	// Address is the upstream's address (IP:port). A router that does not have the id yet uses it to find the previous
 	// instance.
 	Address string `cbor:"16,keyasint,omitempty"`
+	// Service is the service of the instance, which the list states or which follows from the end of its predecessor; empty if
+	// the agent does not know it.
+	Service string `cbor:"32,keyasint,omitempty"`
 	// PromptTokens are the prompt tokens in progress at the upstream and PromptTokensWaiting those that wait for an
 	// admission, of all routers.
 	PromptTokens        int `cbor:"24,keyasint,omitempty"`
--- a/pkg/sidecar/identify.go
+++ b/pkg/sidecar/identify.go
@@ -37,7 +37,7 @@
 
 // identify sets the id, service and zone of the reporting engine from the list of upstreams. Until the list contains
 // the running instance, the id comes from the engine's health check; it stays empty if neither source has it. The service
-// stays empty until the list names the id, and the engine gets no orders: one of another service may have got the address.
+// stays empty.
 func (a *Agent) identify(ctx context.Context, u *catalog.Upstream) {
 	u.ID, u.Address, u.Service, u.Zone = "", a.settings.Address, "", a.settings.Zone
 	path := ""
@@ -58,7 +58,6 @@
 	}
 	if a.instance.startedUnixMS == u.StartedUnixMS {
 		u.ID = a.instance.id
-		u.Service = a.serviceOf(u.ID)
 		return
 	}
 	if path != "" && !a.instance.inProgress && time.Since(a.instance.endedAt) >= instanceQueryInterval {
@@ -67,17 +66,6 @@
 	}
 }
 
-// serviceOf returns the service of the id at the agent's address; empty if the list does not name it. An engine may have
-// started again under its id.
-func (a *Agent) serviceOf(id string) string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if listed, ok := a.list.byID[id]; ok && listed.Address == a.settings.Address {
-		return listed.Service
-	}
-	return ""
-}
-
 // setService records the service that the list states for the engine. The caller holds mu.
 func (a *Agent) setService(service string) {
 	if service == a.lastService {
--- a/pkg/sidecar/identify_test.go
+++ b/pkg/sidecar/identify_test.go
@@ -45,7 +45,7 @@
 	// Guards against loads of another service's models: the address of an engine that has ended may have been given to one of
 	// another service, which only the list tells.
 	It("brings no orders while the list does not name the engine", func() {
-		f := newFixture()
+		f := startReusing(newEngine(), true, 0)
 		f.restartEngine(func(context.Context) (string, error) { return "i-2", nil })
 		f.agent.SetToken(41)
 		f.requestLoad("a")
@@ -60,6 +60,52 @@
 		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
 	})
 
+	// Guards against loads of another service's models, ordered because the engine has the id of its predecessor.
+	It("brings no orders while the list names only a predecessor under the same id", func() {
+		f := startReusing(newEngine(), true, 0)
+		f.restartEngine(func(context.Context) (string, error) { return "i-1", nil })
+		f.agent.SetToken(41)
+		f.requestLoad("a")
+		isRestartedAlike := func(r peer.Report) bool { return r.ID == "i-1" && r.StartedUnixMS == 6 && r.Service == "" }
+		Eventually(f.reports, "3s").Should(Receive(Satisfy(isRestartedAlike)))
+		f.requestLoad("a")
+		Consistently(f.engine.acceptedOrders, "500ms").Should(BeEmpty())
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: 6}})
+		f.requestLoad("a")
+		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
+	})
+
+	// Guards against engines without work until their entry is read, up to 1.5 s after a loss of power: the address of one that
+	// has ended is not given to another service at once.
+	It("brings orders at once after a restart that is shorter than the time until the address is reused", func() {
+		f := startReusing(newEngine(), true, time.Minute)
+		f.requestLoad("a")
+		Eventually(f.reports, "3s").Should(Receive(Satisfy(func(r peer.Report) bool { return r.ID == "i-1" && r.Service == "llm" })))
+		f.restartEngine(func(context.Context) (string, error) { return "i-2", nil })
+		f.agent.SetToken(41)
+		f.requestLoad("a")
+		isKnown := func(r peer.Report) bool { return isRestarted(r) && r.Service == "llm" }
+		Eventually(f.reports, "3s").Should(Receive(Satisfy(isKnown)))
+		f.requestLoad("a")
+		Eventually(f.engine.acceptedOrders, "1s").Should(HaveLen(1))
+	})
+
+	// Guards against engines without work while the agent waits between two reads of a list that names them already.
+	It("has the list read at once while that does not name the engine", func() {
+		f := startReusing(newEngine(), true, 0)
+		Consistently(f.agent.ListWanted(), "400ms").ShouldNot(Receive(), "the list names the engine")
+		f.restartEngine(func(context.Context) (string, error) { return "i-2", nil })
+		Eventually(f.agent.ListWanted(), "1s").Should(Receive())
+		f.requestLoad("a")
+		f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: address, StartedUnixMS: 6}})
+		Eventually(f.reports, "1s").Should(Receive(Satisfy(func(r peer.Report) bool { return isRestarted(r) && r.Service == "llm" })))
+		select { // a request from before the entry was read
+		case <-f.agent.ListWanted():
+		default:
+		}
+		Consistently(f.agent.ListWanted(), "400ms").ShouldNot(Receive())
+	})
+
 	// Guards against health checks that delay orders and reports: one waits for a slot of the engine like a request.
 	It("does not delay reports once the list contains the engine", func() {
 		f := newFixture("a")
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -87,6 +87,7 @@
 		Routers: len(a.routers.liveNames(now)), Quotas: a.quotas.announcements(), Limits: a.limits.announcements(),
 	}
 	report.SetUpstream(a.report.Upstream, a.holdingsVersion)
+	report.Service = a.report.Upstream.Service
 	report.Speed = a.routers.pooledSpeed(now, report.ID, report.StartedUnixMS)
 	a.prompts.applySpeed(now, report.Speed)
 	if a.lastSent != nil && !report.Holdings.Equal(a.lastSent.Holdings) {
@@ -111,7 +112,7 @@
 	if last == nil {
 		return true, true
 	}
-	changed = report.HoldingsVersion != last.HoldingsVersion || report.ID != last.ID || report.Draining != last.Draining ||
+	changed = report.HoldingsVersion != last.HoldingsVersion || report.ID != last.ID || report.StartedUnixMS != last.StartedUnixMS || report.Service != last.Service || report.Draining != last.Draining ||
 		!reflect.DeepEqual(report.Order, last.Order)
 	return changed, report.Queued != last.Queued || report.PromptTokens != last.PromptTokens || report.PromptTokensWaiting != last.PromptTokensWaiting || report.Running != last.Running || report.AvailableMemory.IdleMB != last.AvailableMemory.IdleMB
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -44,6 +44,9 @@
 // Settings are the settings of a sidecar process.
 type Settings struct {
 	Node, Address, Region, Zone, Service string
+	// ReuseAfter is how long after the end of an engine its address may be given to another service. An engine that replies
+	// within this time of its predecessor is of the same service; 0 if this is not known.
+	ReuseAfter time.Duration
 	// LoadWindow and LoadFactor define the limit on loads from the weight store over all upstreams: in any LoadWindow,
 	// the rate times LoadWindow times LoadFactor, plus fetchAllowance.
 	LoadWindow time.Duration
@@ -98,6 +101,7 @@
 	report          platform.Report
 	order           *orderInProgress
 	instance        instanceQuery
+	registration    registration
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
 	engineReporting bool   // the last read of the engine's report succeeded
@@ -134,7 +138,7 @@
 		settings: settings, engine: engine, socket: socket, log: log, guard: g, demands: make(chan routerMessage, demandQueueSize),
 		holdingsVersion: uint32(now.UnixMilli()), routers: newRouters(now), fetches: newFetchLimiter(settings.LoadWindow, settings.LoadFactor),
 		instance: instanceQuery{replies: make(chan instanceReply, 1)}, // at most one query is in progress
-		turns:    newTurns(settings), lastService: settings.Service,
+		turns:    newTurns(settings), lastService: settings.Service, registration: registration{wanted: make(chan struct{}, 1)},
 	}
 	a.prompts = newPromptAdmission(a)
 	a.limits = newLimits(a)
@@ -268,6 +272,7 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	r, err := a.engine.Report(callCtx)
+	repliedAt := boottime.Now()
 	if err != nil {
 		if a.engineReporting {
 			a.log.State("engine report not available", "err", err)
@@ -284,6 +289,7 @@
 	}
 	a.engineReporting, a.reportedAt = true, bootClock()
 	a.identify(ctx, &r.Upstream)
+	a.inheritService(&r.Upstream, sentAt, repliedAt)
 	a.report = r
 	a.limits.setInstance(r.Upstream.ID, r.Upstream.StartedUnixMS)
 	a.limits.observeReport(r.Limit, r.LimitPerS, sentAt)
--- a/pkg/sidecar/sidecar_test.go
+++ b/pkg/sidecar/sidecar_test.go
@@ -158,7 +158,13 @@
 	return e
 }
 
+// startFixture returns a fixture whose engine is listed. Restarts come within the time in which the address is not reused.
 func startFixture(e *engine, checksTokens bool) *fixture {
+	return startReusing(e, checksTokens, 2*time.Second)
+}
+
+// startReusing returns a fixture of an address that may be reused after the time, or at once if that is 0.
+func startReusing(e *engine, checksTokens bool, reuseAfter time.Duration) *fixture {
 	e.checksToken = checksTokens
 	f := &fixture{engine: e, reports: make(chan peer.Report, 100)}
 	socket, err := peer.Listen("127.0.0.1:0")
@@ -167,10 +173,12 @@
 	Expect(err).NotTo(HaveOccurred())
 	f.agentAddr = socket.Address()
 	log := eventlog.New(io.Discard, "sidecar", "side-1")
-	f.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4, ChecksTokens: checksTokens},
+	f.agent = sidecar.New(sidecar.Settings{Node: "side-1", Address: address, Service: "llm", LoadWindow: 5 * time.Second, LoadFactor: 1.1, FetchConcurrency: 4, ChecksTokens: checksTokens, ReuseAfter: reuseAfter},
 		f.engine, socket, log, guard.New(log))
 	f.agent.Configure(testConfig(), 1)
-	f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: 5}})
+	e.mu.Lock()
+	f.agent.SetUpstreams([]catalog.Upstream{{ID: "i-1", Service: "llm", Address: address, StartedUnixMS: e.self.StartedUnixMS}})
+	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(3)
--- a/pkg/sidecar/unanswered_test.go
+++ b/pkg/sidecar/unanswered_test.go
@@ -103,6 +103,7 @@
 		}
 		demand()
 		Eventually(reports, "4s").Should(Receive(Satisfy(isRestarted)))
+		agent.SetUpstreams([]catalog.Upstream{{ID: "i-2", Service: "llm", Address: engineAddress, StartedUnixMS: 6}})
 		Eventually(func() int { demand(); return engine.callsOf("POST /api/order") }, "6s", "200ms").Should(BeNumerically(">=", 2))
 		for _, call := range []string{"GET " + standin.ReportPath, "GET /healthz"} {
 			Expect(engine.callsOf(call)).To(BeNumerically(">=", 2), call)
