Treat an attempt without a proof of the instance as one of which nothing was sent

What callers saw: nothing yet; a request whose upstream did not prove its address would have been refused where the limit on retries is used up, and would have paid its quota again, although nothing had been sent.

Change: Outcome.IsUnsent names the outcomes without a byte sent; the tokens of a quota stay with the request.

Result: pkg/dispatch, "does not count an attempt of which nothing was sent as a retry, no proof of the instance" fails before, 3 of 3 entries pass after.

--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -208,3 +208,6 @@
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
+
+// IsUnsent reports whether nothing of the request has been sent to the upstream.
+func (o Outcome) IsUnsent() bool { return o == NotConnected || o == NotListening || o == Unproven }
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -50,7 +50,7 @@
 		return s.finalDecision(r, o, "no time left")
 	case r.attempts-r.possibleRuns >= maxRefusals:
 		return s.finalDecision(r, o, "refused by several upstreams")
-	case (o == NotConnected || o == NotListening) && r.attempts == 0:
+	case o.IsUnsent() && r.attempts == 0:
 		return RetryDecision{Retry: true, Reason: "not connected"}
 	case !s.quota(r.Service).HasRoom(now, s.RetryShare.Burst(now)):
 		return s.finalDecision(r, o, reasonRetryLimit)
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -68,6 +68,23 @@
 		Expect(after(&getRoute, dispatch.Interrupted, dispatch.Interrupted).Retry).To(BeFalse())
 	})
 
+	// Guards against refusals at the limit on retries, and against its use, by requests of which nothing was sent.
+	DescribeTable("does not count an attempt of which nothing was sent as a retry", func(o dispatch.Outcome) {
+		setRouters(s, 10)
+		for range 50 { // uses the limit up
+			r := request(&getRoute, "plain", "")
+			s.RecordStart("u1", r)
+			s.RecordEnd(now, "u1", r, dispatch.Failed)
+			_ = s.Decide(now, r)
+		}
+		Expect(after(&getRoute, dispatch.Failed).Retry).To(BeFalse())
+		Expect(after(&getRoute, o).Retry).To(BeTrue())
+	},
+		Entry("no connection", dispatch.NotConnected),
+		Entry("a refused connection", dispatch.NotListening),
+		Entry("no proof of the instance", dispatch.Unproven),
+	)
+
 	// Guards against a router that uses more than its share of the retry limit, which all routers share.
 	It("stops retrying at the router's share of the limit", func() {
 		setRouters(s, 10)
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -338,7 +338,7 @@
 	}
 	lapsed = c.quota.needed && !c.quota.sent
 	switch o {
-	case dispatch.NotConnected, dispatch.NotListening, dispatch.NotRun, dispatch.Misdirected, dispatch.Expired:
+	case dispatch.NotConnected, dispatch.NotListening, dispatch.Unproven, dispatch.NotRun, dispatch.Misdirected, dispatch.Expired:
 		c.quota.sent = false
 		c.quota.needed = c.quota.hold == nil || !c.quota.hold.Valid(boottime.Now().Add(minHold)) // before a decision on a retry
 	default:
