Confirm the end of a failure without a length as that of a success

Cause: the end of an answer without a length was confirmed only for outcomes other than a failure.

Evidence: exchange() in pkg/gateway/send.go; the specs of a failure fail, those of a success passed before.

Change: every answer that would be passed on, success or failure, has its end confirmed in the same place.

Result: pkg/gateway, "a failure with neither a length nor chunks": 2 of 4 entries fail before, none after.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -121,7 +121,7 @@
 	recordFirst()
 	c.applyUpstreamState(resp, d.Upstream)
 	outcome, a, err := c.receive(resp, d.Upstream, conn.Reused)
-	if err == nil && outcome == dispatch.Done && h1.IsUnframed(resp) {
+	if err == nil && a != nil && h1.IsUnframed(resp) { // a success or a failure of the upstream's own
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
 		if !c.isComplete(d.Upstream, a) {
