Tell a process that is back under its id from the one that sent an answer

Cause: a health check confirms the end of the answer, and it names the id of the process but not its start.

Evidence: `answer ended with its connection` with complete=true and a reply from the process that had come back. Ruled out: an end that is not checked.

Change: when the head of such an answer arrives, a second connection to the same process is opened. If it is closed by the end of the check, or if the list names another start under the id, the answer is not complete.

--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -19,7 +19,8 @@
 // isComplete reports whether an answer that ended with its connection is complete: the kernel also closes the connections
 // of a process that ends, wherever its answers were. A process that replies long enough afterwards has ended the answer
 // itself. That it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
-func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, a *answer) bool {
+// The witness is nil if the reply names the start of the process.
+func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, a *answer, w *witness) bool {
 	if c.r.Context().Err() != nil {
 		return true // the caller has left
 	}
@@ -60,6 +61,9 @@
 		replied := now()
 		check = check.recordStep(replied, replied-sent, timeout)
 		verdict, next = check.judge(sent, replied, reply, c.mayBeEnding(u), err)
+		if verdict == endComplete && (w.showsEnd() || c.isReplaced(u)) {
+			verdict, err = endBrokenOff, errWitnessClosed
+		}
 		if verdict == endOpen && ctx.Err() != nil {
 			verdict = endBrokenOff // the process stops
 		}
@@ -84,6 +88,15 @@
 	return ending
 }
 
+// isReplaced reports whether the list names a later start of the upstream under its id.
+func (c *callerRequest) isReplaced(u *dispatch.UpstreamRef) (replaced bool) {
+	c.g.core.Do(func(s *dispatch.State) {
+		m := s.Fleet.Get(u.ID)
+		replaced = m != nil && m.StartedUnixMS != u.StartedUnixMS
+	})
+	return replaced
+}
+
 // checkPath returns the path of the health check of a plain service, and "" for model engines, whose report takes no
 // slot.
 func (c *callerRequest) checkPath() string {
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -144,6 +144,21 @@
 	c.pool.put(c)
 }
 
+// IsOpen reports whether nothing has arrived on a connection that carries no request, neither bytes nor its end.
+func (c *Conn) IsOpen() bool { return c.br.Buffered() == 0 && c.isQuiet() }
+
+// Return returns a connection to the pool that has carried no request since Get.
+func (c *Conn) Return() {
+	if !c.IsOpen() {
+		_ = c.Close()
+		return
+	}
+	if c.idleTimeout <= 0 {
+		c.idleTimeout = defaultIdleTimeout - idleMargin
+	}
+	c.pool.put(c)
+}
+
 // idleTimeoutOf returns the idle timeout that the Keep-Alive header announces, less the margin.
 func idleTimeoutOf(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
