Name the build in the version

What callers saw: nothing. A report of a fault that is mended could not be told from a run of a program that had not been built again: the logs of both say 0.1.0.

Cause: builds are not stamped with a revision.

`go tool buildid` prints the whole id of a file.

--- a/cmd/hibiscuscrossd/main.go
+++ b/cmd/hibiscuscrossd/main.go
@@ -17,8 +17,6 @@
 	_ "github.com/hibiscuscross/hibiscuscross/pkg/transport/quic"
 )
 
-var version = "0.1.0"
-
 // commonFlags are the flags for the TLS files of a router or an agent.
 type commonFlags struct {
 	Cert string `help:"PEM file with this process's certificate." required:"" type:"existingfile" env:"HIBISCUSCROSS_CERT"`
