--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -178,6 +178,7 @@
 		return w.garble(pick, standin.StrayRefusal)
 	}},
 	{"restored", restoreStore},
+	{"reused-address", reuseAddress},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
--- a/pkg/soak/soak_test.go
+++ b/pkg/soak/soak_test.go
@@ -91,6 +91,10 @@
 		play("vanstops", "garble,freeze,hold,restarts,retry-after,entry-ends,sidecars,crashing", 1, 10*time.Second)
 	})
 
+	// Guards against requests that run at an engine of another service, which has the address, and at times the id, of one that has
+	// ended.
+	It("runs no request at another service that has got the address of an engine", func() { play("default", "reused-address", 1, 3*time.Second) })
+
 	// Guards against streams that have neither a length nor chunks, break off behind an event and look complete.
 	It("completes no stream of an upstream that ends its connections before it is gone", func() { play("traitvif", "steps", 2, 6*time.Second) })
 	It("completes no stream whose connection a device on the path has ended", func() { play("traitvif", "path-fin", 1, 3*time.Second) })
