Soak: give the address of a plain runner to another service

Plain services are not asked for a proof of their instance, so the fault of docs/incidents/reused-address.md is suspected there.

Change: the scenario reused-plain-address does for plain runners what reused-address does for engines.

--- a/cmd/hibiscuscross-soak/main.go
+++ b/cmd/hibiscuscross-soak/main.go
@@ -27,7 +27,7 @@
 	WithdrawKeys  bool          `help:"Withdraw callers' keys while routers are partitioned from the store, in place of random faults."`
 	LimitEngines  bool          `help:"An engine and a plain runner name how many requests per second they take, in place of random faults."`
 	Shape         string        `help:"Size and traffic: default, traitvif, vanstops, bluemahoe or large." default:"default"`
-	Scenario      string        `help:"Disruptions in place of the random faults: mix, or some of steps, path-fin, cut, garble, freeze, hold, restarts, retry-after, entry-ends, sidecars, crashing, reject, unknown-stream, path-rst, stray-refusal, restored and reused-address, with commas." default:""`
+	Scenario      string        `help:"Disruptions in place of the random faults: mix, or some of steps, path-fin, cut, garble, freeze, hold, restarts, retry-after, entry-ends, sidecars, crashing, reject, unknown-stream, path-rst, stray-refusal, restored, reused-address and reused-plain-address, with commas." default:""`
 	Net           int           `help:"Second byte of the first seed's loopback addresses. Runs at the same time need different ones." default:"20"`
 	Logs          string        `help:"Folder for the logs of seeds that fail." default:""`
 	Verbose       bool          `help:"Print the events and outcomes of each seed."`
--- a/pkg/soak/reuse.go
+++ b/pkg/soak/reuse.go
@@ -17,13 +17,22 @@
 	reusedTime    = 2500 * time.Millisecond
 )
 
-// reuseAddress gives the address of an engine that has ended to another service, under the same or a new id, and back.
-func reuseAddress(w *world, pick int, _ time.Duration) (string, func()) {
-	r := w.runners[pick%w.shape.Engines]
+// reuseEngineAddress and reusePlainAddress give the address of an engine or of a plain runner that has ended to another
+// service, under the same or a new id, and back.
+func reuseEngineAddress(w *world, pick int, _ time.Duration) (string, func()) {
+	return w.reuseAddress(pick%w.shape.Engines, pick)
+}
+
+func reusePlainAddress(w *world, pick int, _ time.Duration) (string, func()) {
+	return w.reuseAddress(w.shape.Engines+pick%w.shape.PlainServices, pick)
+}
+
+func (w *world) reuseAddress(index, pick int) (string, func()) {
+	r := w.runners[index]
 	delay := reuseAfter + 20*time.Millisecond + time.Duration(pick/16%1000)*maxReuseDelay/1000
 	firstEntry := time.Duration(pick/64%1000) * maxFirstEntry / 1000
 	keepID := pick/256%2 == 0
-	detail := fmt.Sprintf("engine %d after %s, first entry after %s, same id %t", pick%w.shape.Engines, delay, firstEntry, keepID)
+	detail := fmt.Sprintf("runner %d after %s, first entry after %s, same id %t", index, delay, firstEntry, keepID)
 	end := w.startRunnerDisturbance()
 	r.CrashListed(reusedLapse)
 	time.Sleep(delay)
--- a/pkg/soak/scenario.go
+++ b/pkg/soak/scenario.go
@@ -178,7 +178,8 @@
 		return w.garble(pick, standin.StrayRefusal)
 	}},
 	{"restored", restoreStore},
-	{"reused-address", reuseAddress},
+	{"reused-address", reuseEngineAddress},
+	{"reused-plain-address", reusePlainAddress},
 }
 
 // disruptionsOf returns the disruptions that a scenario draws from: the random faults for "", all for "mix", else those
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -147,7 +147,7 @@
 	switch name {
 	case "kill a process", "kill all processes", "pause a process", "stop a process", "restarts", "entry-ends", "sidecars":
 		return "processes"
-	case "crash a runner", "drain a runner", "steps", "freeze", "hold", "crashing", "reused-address":
+	case "crash a runner", "drain a runner", "steps", "freeze", "hold", "crashing", "reused-address", "reused-plain-address":
 		return "runners"
 	}
 	return name
