Let the age of a report count for the proof of its instance

What callers saw: nothing; found by reading afresh. A report counted as a sign of life when it arrived, but the sidecar may have sent orders, which take up to 0.25 s each without an answer, since the engine replied.

Change: reports name the time since the call that read the engine's report, on the clock that counts suspends. Messages with an age out of range or a service with a long name are refused like others.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -189,7 +189,7 @@
 		s.updateSuperseded(now, m.Address)
 	}
 	m.liveness.recordReport(now)
-	s.recordAlive(now, m)
+	s.recordAlive(now.Add(-time.Duration(r.AgeMS)*time.Millisecond), m)
 	m.crashesNext, m.crashesAcked = r.CrashesNext, r.CrashesAcked
 	m.Load = Load{
 		Queued: r.Queued, Running: r.Running, KVUsed: r.KVUsed, KVTotal: r.KVTotal, AvailableMemory: r.AvailableMemory,
--- a/pkg/fleet/proof.go
+++ b/pkg/fleet/proof.go
@@ -12,7 +12,7 @@
 	maxStall = time.Second
 	// stallBacklog is how long after a stall the process may still read what arrived during it.
 	stallBacklog = 200 * time.Millisecond
-	// maxReportDelay bounds the time from the engine's reply to its agent until the agent's report has arrived.
+	// maxReportDelay bounds the time that an agent's report is on its way: a few times the delay between regions.
 	maxReportDelay = 50 * time.Millisecond
 )
 
--- a/pkg/fleet/proof_test.go
+++ b/pkg/fleet/proof_test.go
@@ -34,6 +34,15 @@
 		Expect(needsProof(2 * reuseAfter)).To(BeTrue())
 	})
 
+	// Guards against reports that look newer than what they say: an agent sends orders between the engine's reply and its report.
+	It("is as old as the engine's reply to its agent", func() {
+		r := reportHolding("u1", "m")
+		r.AgeMS = 500
+		s.ApplyReport(start, r)
+		Expect(needsProof(reuseAfter - 600*time.Millisecond)).To(BeFalse())
+		Expect(needsProof(reuseAfter - 500*time.Millisecond)).To(BeTrue())
+	})
+
 	It("is no reply of another instance under the id, and no event of a stream", func() {
 		s.RecordProof(start, "u1", 200)
 		s.RecordHeartbeat(start, "u1", 100)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -119,14 +119,14 @@
 		return c.interruptedOutcome(cancelled(), unresponsive.Load(), err), nil
 	}
 	recordFirst()
-	second := c.openWitness(resp, d.Upstream)
-	defer second.release()
+	witness := c.openWitness(resp, d.Upstream)
+	defer witness.release()
 	c.applyUpstreamState(resp, d.Upstream)
 	outcome, a, err := c.receive(resp, d.Upstream, conn.Reused)
 	if err == nil && a != nil && h1.IsUnframed(resp) { // a success or a failure of the upstream's own
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
-		if !c.isComplete(d.Upstream, a, second) {
+		if !c.isComplete(d.Upstream, a, witness) {
 			outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
 		}
 		c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
--- a/pkg/peer/check.go
+++ b/pkg/peer/check.go
@@ -14,7 +14,7 @@
 	// maxOrderMS bounds the expected remaining time of an order in ms: one hour. In a corrupted datagram the time was
 	// 10^8 years.
 	maxOrderMS = 3_600_000
-	// maxWaitMS bounds times of quotas in ms: one hour.
+	// maxWaitMS bounds times of quotas and the age of a report in ms: one hour.
 	maxWaitMS = 3_600_000
 	// maxAmount bounds rates and amounts of quotas. Beyond it, sums of amounts would not be exact.
 	maxAmount = 1e12
@@ -124,7 +124,8 @@
 }
 
 func (c *checker) report(r *Report) {
-	c.name("upstream", r.ID, r.Address)
+	c.name("upstream", r.ID, r.Address, r.Service)
+	c.require(r.AgeMS >= 0 && r.AgeMS <= maxWaitMS, "age")
 	c.require(r.StartedUnixMS >= 0, "born")
 	c.count("load", r.Queued, r.Running, r.KVUsed, r.KVTotal, r.Routers)
 	c.count("prompts", r.PromptTokens, r.PromptTokensWaiting, r.AskAbove)
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -133,6 +133,8 @@
 	// Service is the service of the instance, which the list states or which follows from the end of its predecessor; empty if
 	// the agent does not know it.
 	Service string `cbor:"32,keyasint,omitempty"`
+	// AgeMS is the time in ms from the call that read the engine's report until this message was sent.
+	AgeMS int64 `cbor:"33,keyasint,omitempty"`
 	// PromptTokens are the prompt tokens in progress at the upstream and PromptTokensWaiting those that wait for an
 	// admission, of all routers.
 	PromptTokens        int `cbor:"24,keyasint,omitempty"`
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"time"
 
+	"github.com/hibiscuscross/hibiscuscross/pkg/boottime"
 	"github.com/hibiscuscross/hibiscuscross/pkg/catalog"
 	"github.com/hibiscuscross/hibiscuscross/pkg/peer"
 )
@@ -34,6 +35,7 @@
 		}
 		r.sentAt = now
 		routerReport := *report
+		routerReport.AgeMS = boottime.Now().Sub(a.readAt).Milliseconds()
 		routerReport.Crashes, routerReport.CrashesNext = a.routers.crashes.ReportsFrom(r.demand.CrashesFrom)
 		routerReport.CrashesAcked, r.crashesSent = a.routers.crashes.LastSeq(r.demand.Router), a.routers.crashes.NextNumber()
 		if r.demand.HoldingsVersion == report.HoldingsVersion {
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -104,7 +104,9 @@
 	registration    registration
 	lastSent        *peer.Report
 	holdingsVersion uint32 // version of the holdings in report
-	engineReporting bool   // the last read of the engine's report succeeded
+	// readAt is the start of the call that last read the engine's report.
+	readAt          boottime.Instant
+	engineReporting bool // the last read of the engine's report succeeded
 	// reportedAt is when the engine's report was last read, on the clock of bootClock.
 	reportedAt     time.Time
 	fenced         bool // a fence record has been requested, the last one for fencedInstance
@@ -290,6 +292,7 @@
 	a.engineReporting, a.reportedAt = true, bootClock()
 	a.identify(ctx, &r.Upstream)
 	a.inheritService(&r.Upstream, sentAt, repliedAt)
+	a.readAt = sentAt
 	a.report = r
 	a.limits.setInstance(r.Upstream.ID, r.Upstream.StartedUnixMS)
 	a.limits.observeReport(r.Limit, r.LimitPerS, sentAt)
