--- a/review/world3/cases.go
+++ b/review/world3/cases.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// deskRunners is the number of runners of the plain service, as on the sheet of bluemahoe-decals-grown.
+// deskRunners is the number of runners of the plain service, as on the sheets of the grown sites.
 const deskRunners = 6
 
 // isWhole reports whether a body is that of a whole answer.
@@ -26,8 +26,9 @@
 	return broken
 }
 
-// startDesk starts the runners of the plain service, whose answers take workMS, and the entry process.
-func (w *world) startDesk(workMS int) ([]*runner, *entry, error) {
+// startDesk starts the runners of the plain service, whose answers take workMS, and the entry process, with words of the
+// configuration replaced.
+func (w *world) startDesk(workMS int, replace ...string) ([]*runner, *entry, error) {
 	var all []*runner
 	for n := range deskRunners {
 		port, err := freePort(runnerIP)
@@ -40,7 +41,7 @@
 		}
 		all = append(all, r)
 	}
-	e, err := w.startEntry()
+	e, err := w.startEntry(replace...)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -56,7 +57,7 @@
 
 // caseDeadline: one of the runners turns slow, so that the time of the route runs out in the middle of its answers.
 func caseDeadline(w *world) (broken int, err error) {
-	runners, e, err := w.startDesk(800)
+	runners, e, err := w.startDesk(320, `"timeoutMs": 3000`, `"timeoutMs": 1200`)
 	if err != nil {
 		return 0, err
 	}
@@ -66,26 +67,29 @@
 	}
 	var asked sync.WaitGroup
 	var mu sync.Mutex
-	const waves, requests = 5, 12
+	const waves, requests = 12, 12
 	for wave := range waves {
 		for n := range requests {
 			id := fmt.Sprintf("9c41d07be2a3%02x%02x", wave, n)
 			asked.Go(func() {
 				w.note("client sends %s", id)
-				if w.judge(id, ask(e.front, "POST", "/loan/2f", id, 4*time.Second, "one book")) {
+				if w.judge(id, ask(e.front, "POST", "/loan/2f", id, 2*time.Second, "one book")) {
 					mu.Lock()
 					broken++
 					mu.Unlock()
 				}
 			})
 		}
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 	}
 	asked.Wait()
 	w.logs("answer ended", "msg=request")
 	return broken, nil
 }
 
+// restartDelay is the time after which a runner that was killed starts again: the usual delay of a supervisor.
+const restartDelay = 100 * time.Millisecond
+
 // caseRestart: a runner is killed in the middle of an answer and starts again under its id.
 func caseRestart(w *world) (broken int, err error) {
 	runners, e, err := w.startDesk(2500)
@@ -104,6 +108,7 @@
 				return 0, fmt.Errorf("request %s did not run", id)
 			}
 			r.kill()
+			time.Sleep(restartDelay)
 			if err := r.run(firstBeat); err != nil {
 				return 0, err
 			}
