--- a/review/world3/cases.go
+++ b/review/world3/cases.go
@@ -134,5 +134,3 @@
 	}
 	return nil
 }
-
-func caseUnread(w *world) (broken int, err error) { return 0, fmt.Errorf("not written") }
--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -18,7 +18,7 @@
 var cases = map[string]func(*world) (broken int, err error){
 	"deadline": caseDeadline,
 	"restart":  caseRestart,
-	"unread":   caseUnread,
+	"leak":     caseLeak,
 }
 
 func main() {
