--- a/review/world3/cases.go
+++ b/review/world3/cases.go
@@ -26,16 +26,16 @@
 	return broken
 }
 
-// startDesk starts the runners of the plain service, whose answers take workMS, and the entry process, with words of the
-// configuration replaced.
-func (w *world) startDesk(workMS int, replace ...string) ([]*runner, *entry, error) {
+// startDesk starts the runners of the plain service, whose answers take workMS and have a length or not, and the entry process,
+// with words of the configuration replaced.
+func (w *world) startDesk(workMS int, length bool, replace ...string) ([]*runner, *entry, error) {
 	var all []*runner
 	for n := range deskRunners {
 		port, err := freePort(runnerIP)
 		if err != nil {
 			return nil, nil, err
 		}
-		r, err := w.startRunner(&runnerSpec{Address: fmt.Sprintf("%s:%d", runnerIP, port), ID: fmt.Sprintf("i-7f3a91c%d", n), Service: "desk", WorkMS: workMS}, 0)
+		r, err := w.startRunner(&runnerSpec{Address: fmt.Sprintf("%s:%d", runnerIP, port), ID: fmt.Sprintf("i-7f3a91c%d", n), Service: "desk", WorkMS: workMS, Length: length}, 0)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -57,7 +57,7 @@
 
 // caseDeadline: one of the runners turns slow, so that the time of the route runs out in the middle of its answers.
 func caseDeadline(w *world) (broken int, err error) {
-	runners, e, err := w.startDesk(320, `"timeoutMs": 3000`, `"timeoutMs": 1200`)
+	runners, e, err := w.startDesk(320, false, `"timeoutMs": 3000`, `"timeoutMs": 1200`)
 	if err != nil {
 		return 0, err
 	}
@@ -92,7 +92,7 @@
 
 // caseRestart: a runner is killed in the middle of an answer and starts again under its id.
 func caseRestart(w *world) (broken int, err error) {
-	runners, e, err := w.startDesk(2500)
+	runners, e, err := w.startDesk(2500, false)
 	if err != nil {
 		return 0, err
 	}
--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]func(*world) (broken int, err error){
 	"deadline": caseDeadline,
+	"reused":   caseReused,
 	"restart":  caseRestart,
 	"leak":     caseLeak,
 }
--- a/review/world3/runner.go
+++ b/review/world3/runner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	Address, ID, Service string
 	// WorkMS is the time in which an answer is made.
 	WorkMS int
+	// Length reports whether answers have a length. Others end with their connections.
+	Length bool
 	// times is how many thousandths of WorkMS it takes now.
 	times atomic.Int64
 }
@@ -95,8 +98,8 @@
 	return nil
 }
 
-// beat writes the runner's entry as long as its process runs. It is removed after three intervals of silence, unless the
-// runner is back by then.
+// beat writes the runner's entry as long as its process runs. It is removed after three intervals of silence, unless
+// another process has written it by then.
 func (r *runner) beat(p *process, born int64, first time.Duration) {
 	entry := map[string]any{"service": r.spec.Service, "address": r.spec.Address, "zone": "z0", "version": 1, "slots": 6, "state": "ready", "seq": 0, "born": born}
 	for wait := first; ; wait = heartbeat {
@@ -105,12 +108,7 @@
 			r.w.store.put("servers", r.spec.ID, entry)
 		case <-p.ended:
 			time.Sleep(3 * heartbeat)
-			r.mu.Lock()
-			gone := r.born == born
-			r.mu.Unlock()
-			if gone {
-				r.w.store.remove("servers", r.spec.ID)
-			}
+			r.w.store.removeEntry(r.spec.ID, born)
 			return
 		}
 	}
@@ -139,6 +137,13 @@
 	return false
 }
 
+// output returns the lines that the runner has written.
+func (r *runner) output() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.lines)
+}
+
 // slow makes the runner work so many times as long.
 func (r *runner) slow(times float64) {
 	r.w.note("runner %s works %g times as long from now on", r.spec.ID, times)
@@ -212,7 +217,7 @@
 	}
 }
 
-// answer sends an answer without a length, which ends with its connection.
+// answer sends an answer. One without a length ends with its connection.
 func (s *runnerSpec) answer(c *net.TCPConn, req *http.Request, arrived time.Time) {
 	id := req.Header.Get(headerID)
 	left, err := strconv.Atoi(req.Header.Get(headerDeadline))
@@ -222,6 +227,11 @@
 	stop := arrived.Add(time.Duration(left) * time.Millisecond)
 	fmt.Printf("runs %s, with %d ms left\n", id, left)
 	var out bytes.Buffer
+	if s.Length {
+		time.Sleep(time.Duration(s.WorkMS) * time.Millisecond)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerStamp, s.ID, len(lastPiece), lastPiece)
+		return
+	}
 	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.1\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", headerID, id, headerStamp, s.ID)
 	pause := time.Duration(s.WorkMS) * time.Microsecond * time.Duration(s.times.Load()) / pieces
 	for n := 1; n <= pieces; n++ {
--- a/review/world3/store.go
+++ b/review/world3/store.go
@@ -72,15 +72,21 @@
 	return o
 }
 
-func (s *store) remove(kind, name string) {
+// removeEntry removes the entry of a runner that has started at the time born, unless another one has replaced it.
+func (s *store) removeEntry(id string, born int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.objects[kind][name]; ok {
-		s.revision++
-		o.Metadata.Revision = s.revision
-		delete(s.objects[kind], name)
-		s.publish(event{Object: o, Deleted: true, kind: kind})
+	o, ok := s.objects["servers"][id]
+	var entry struct {
+		Born int64 `json:"born"`
 	}
+	if !ok || json.Unmarshal(o.Spec, &entry) != nil || entry.Born != born {
+		return
+	}
+	s.revision++
+	o.Metadata.Revision = s.revision
+	delete(s.objects["servers"], id)
+	s.publish(event{Object: o, Deleted: true, kind: "servers"})
 }
 
 func (s *store) publish(e event) {
