--- a/review/world3/reused.go
+++ b/review/world3/reused.go
@@ -10,7 +10,7 @@
 const (
 	// reuseDelay is the time from the end of a runner until one of another service starts at its address; the least is
 	// reuseAfterS, 2 s. lateBeat is the time from that start to the first write of its entry, within one heartbeat.
-	reuseDelay = 2050 * time.Millisecond
+	reuseDelay = 2020 * time.Millisecond
 	lateBeat   = 1150 * time.Millisecond
 	// reuseRounds is the number of runners whose addresses are used again, one after the other, and reuseRound the time of each.
 	reuseRounds = 4
@@ -44,8 +44,9 @@
 		time.Sleep(time.Second)
 		old := runners[round]
 		old.kill()
-		time.Sleep(reuseDelay)
-		spec := &runnerSpec{Address: old.spec.Address, ID: old.spec.ID, Service: "other", WorkMS: old.spec.WorkMS, Length: true}
+		at := time.Now().Add(reuseDelay)
+		time.Sleep(reuseDelay / 2) // the process is there when it has to listen
+		spec := &runnerSpec{Address: old.spec.Address, ID: old.spec.ID, Service: "other", WorkMS: old.spec.WorkMS, Length: true, ListenAtMS: at.UnixMilli()}
 		if !w.trouble {
 			port, err := freePort(runnerIP)
 			if err != nil {
@@ -59,10 +60,11 @@
 			return 0, err
 		}
 		others = append(others, other)
-		time.Sleep(reuseRound - reuseDelay)
+		time.Sleep(time.Until(at.Add(reuseRound - reuseDelay)))
 	}
 	close(done)
 	clients.Wait()
+	w.logs("send failed", "upstream changed", "removed from the list")
 	for _, r := range others {
 		for _, line := range r.output() {
 			if strings.HasPrefix(line, "runs 9c41d07be2a3") {
--- a/review/world3/runner.go
+++ b/review/world3/runner.go
@@ -36,6 +36,8 @@
 	WorkMS int
 	// Length reports whether answers have a length. Others end with their connections.
 	Length bool
+	// ListenAtMS is when the runner begins to listen, in Unix milliseconds; 0 for at once. It has started then.
+	ListenAtMS int64
 	// times is how many thousandths of WorkMS it takes now.
 	times atomic.Int64
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	born := time.Now().UnixMilli()
+	born := max(time.Now().UnixMilli(), r.spec.ListenAtMS)
 	r.mu.Lock()
 	r.p, r.input, r.born = p, input, born
 	r.mu.Unlock()
@@ -102,6 +104,7 @@
 // another process has written it by then.
 func (r *runner) beat(p *process, born int64, first time.Duration) {
 	entry := map[string]any{"service": r.spec.Service, "address": r.spec.Address, "zone": "z0", "version": 1, "slots": 6, "state": "ready", "seq": 0, "born": born}
+	time.Sleep(time.Until(time.UnixMilli(born)))
 	for wait := first; ; wait = heartbeat {
 		select {
 		case <-time.After(wait):
@@ -168,6 +171,7 @@
 	if len(args) != 1 || json.Unmarshal([]byte(args[0]), &s) != nil {
 		os.Exit(exitFailed)
 	}
+	time.Sleep(time.Until(time.UnixMilli(s.ListenAtMS)))
 	l, err := net.Listen("tcp4", s.Address)
 	if err != nil {
 		fmt.Println("cannot listen:", err)
