Log the time left when an answer ends with its connection

The line of the check named neither the time until the deadline nor the kind of answer, so an end by the upstream's timer could not be told from others in a log; only the one for streams within the margin had the time. Both lines have it now. No change of behaviour.

--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -69,7 +69,7 @@
 		}
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
-		"queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
+		"streamed", a.streamed, "left_ms", left.Milliseconds(), "queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
 	return verdict == endComplete
 }
 
