Take no answer that ends at its deadline for complete

Cause: an upstream stops work at the time that it receives, closes the connection as it does behind a whole answer, and lives. Its replies cannot tell the two apart, only the router's clock can. isComplete heeded it for streams only, and asked for one reply in place of the proof near the deadline. Evidence: the lines of the check, with the time left: complete=true queries=1 by the instance that ran the request. Change: the end of any answer 20 ms or less before the deadline is none of a complete answer. The attempt is timed_out: 504 at once, no retry, and, as for other requests whose time is up, no mark against the upstream.

--- a/pkg/dispatch/end.go
+++ b/pkg/dispatch/end.go
@@ -49,7 +49,7 @@
 			s.block(now, stats)
 			s.recordInterrupted(now, id, r)
 		}
-	case Cancelled:
+	case Cancelled, TimedOut: // say nothing about the upstream
 		r.possibleRuns++
 		r.attempts++
 		return
--- a/pkg/dispatch/ending_test.go
+++ b/pkg/dispatch/ending_test.go
@@ -35,6 +35,9 @@
 	Entry("that an attempt could not reach", func(s *dispatch.State) {
 		s.RecordEnd(now, "u1", started(s), dispatch.NotListening)
 	}, true),
+	Entry("whose answer ended at the deadline: no", func(s *dispatch.State) {
+		s.RecordEnd(now, "u1", started(s), dispatch.TimedOut)
+	}, false),
 	Entry("that has answered since: no", func(s *dispatch.State) {
 		s.RecordEnd(now, "u1", started(s), dispatch.NotListening)
 		s.RecordEnd(now, "u1", started(s), dispatch.Done)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -200,11 +200,14 @@
 	Unresponsive
 	// Cancelled means that the caller disconnected or the deadline passed after the request was sent.
 	Cancelled
+	// TimedOut means that the answer ended as the upstream ends one when the time of the request is up, so it may not be
+	// complete; the request has run.
+	TimedOut
 	// Expired means that the caller disconnected or the deadline passed before anything was sent.
 	Expired
 )
 
-var outcomeNames = [...]string{"done", "not_connected", "not_listening", "unproven", "not_run", "absent", "failed", "broken", "silent", "cancelled", "expired"}
+var outcomeNames = [...]string{"done", "not_connected", "not_listening", "unproven", "not_run", "absent", "failed", "broken", "silent", "cancelled", "timed_out", "expired"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -36,7 +36,7 @@
 func (s *State) decideRetry(now time.Time, r *Request, o Outcome) RetryDecision {
 	remaining := r.Deadline.Sub(now)
 	switch {
-	case o == Cancelled && remaining <= 0:
+	case o == TimedOut, o == Cancelled && remaining <= 0:
 		return RetryDecision{Status: http.StatusGatewayTimeout, Reason: "time is up"}
 	case o == Cancelled:
 		return RetryDecision{Status: http.StatusBadGateway, Reason: "cancelled"}
--- a/pkg/dispatch/retry_test.go
+++ b/pkg/dispatch/retry_test.go
@@ -51,6 +51,7 @@
 		Entry("a resumable stream is resumed when its upstream is unresponsive", &reportRoute, dispatch.Unresponsive, true, 0),
 		// Guards against a 503, which guarantees that the request has not run, for one that may have run.
 		Entry("a cancelled attempt is not answered with 503", &getRoute, dispatch.Cancelled, false, http.StatusBadGateway),
+		Entry("an answer that ended at the deadline is one that came too late", &getRoute, dispatch.TimedOut, false, http.StatusGatewayTimeout),
 		Entry("an attempt that never started is answered with 503", &postRoute, dispatch.Expired, false, http.StatusServiceUnavailable),
 	)
 
--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -30,8 +30,10 @@
 	// minRemoval is the time that an upstream which is removed at short notice must have left. It ends whatever it is
 	// running, its streams first.
 	minRemoval = 500 * time.Millisecond
-	// deadlineMargin is the time before the deadline of a request in which the end of its stream is taken for the work of
-	// the upstream's own timer. An upstream stops work at the time that it was given, which the router rounds down.
+	// deadlineMargin is the time before the deadline of a request in which the end of its answer is taken for the work of
+	// the upstream's own timer. The upstream is given the time that is left in whole milliseconds, rounded down, and counts
+	// it from the arrival of the request, so its timer is early by less than 1 ms and what its clock is coarse and fast. A
+	// router that gets no processor time sees the end later, never earlier.
 	deadlineMargin = 20 * time.Millisecond
 	// maxPastDeadline is how long the check may go on after the deadline of the request.
 	maxPastDeadline = 200 * time.Millisecond
@@ -44,6 +46,8 @@
 	endOpen endVerdict = iota
 	endComplete
 	endBrokenOff
+	// endAtDeadline means that the upstream may have stopped work because the time of the request was up.
+	endAtDeadline
 )
 
 // endCheck decides whether an answer that has ended with its connection is complete, by the replies of its upstream.
@@ -71,6 +75,15 @@
 	return e
 }
 
+// firstVerdict returns the verdict before any query. An upstream that stops work at the deadline lives on, so its replies show
+// nothing.
+func (e endCheck) firstVerdict() endVerdict {
+	if e.left <= deadlineMargin {
+		return endAtDeadline
+	}
+	return endOpen
+}
+
 // limitFrom returns the limit of a check that starts at the time after the end.
 func (e endCheck) limitFrom(now time.Duration) time.Duration {
 	if !e.streamed {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -126,8 +126,11 @@
 	if err == nil && a != nil && h1.IsUnframed(resp) { // a success or a failure of the upstream's own
 		_ = conn.Close() // the upstream has closed it
 		c.g.core.Do(func(s *dispatch.State) { s.RecordReleased(d.Upstream.ID, c.req) })
-		if !c.isComplete(d.Upstream, a, witness) {
+		switch c.confirmEnd(d.Upstream, a, witness) {
+		case endBrokenOff:
 			outcome, c.cause = dispatch.Interrupted, "upstream ended with its answer"
+		case endAtDeadline:
+			outcome, c.cause = dispatch.TimedOut, "answer ended at the deadline"
 		}
 		c.extendWriteDeadline() // the end can follow the last event by more than the deadline set for it
 	}
@@ -138,7 +141,7 @@
 		return c.interruptedOutcome(c.ctx.Err() != nil, unresponsive.Load(), err), a
 	}
 	unregister() // the hook must not abort the connection's next request
-	if outcome == dispatch.Interrupted || unresponsive.Load() {
+	if outcome == dispatch.Interrupted || outcome == dispatch.TimedOut || unresponsive.Load() {
 		return outcome, a
 	}
 	reusable = true
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -16,25 +16,20 @@
 // instanceQueryTimeout bounds the query whether an upstream still runs: connection, reply and one lost packet.
 const instanceQueryTimeout = 600 * time.Millisecond
 
-// isComplete reports whether an answer that ended with its connection is complete: the kernel also closes the connections
+// confirmEnd returns whether an answer that ended with its connection is complete: the kernel also closes the connections
 // of a process that ends, wherever its answers were. A process that replies long enough afterwards has ended the answer
-// itself. That it is leaving shows nothing, since an upstream that is removed at short notice ends whatever it is running.
-// The witness is nil if the reply names the start of the process.
-func (c *callerRequest) isComplete(u *dispatch.UpstreamRef, a *answer, w *witness) bool {
+// itself, unless its time was up. That it is leaving shows nothing, since an upstream that is removed at short notice ends
+// whatever it is running. The witness is nil if the reply names the start of the process.
+func (c *callerRequest) confirmEnd(u *dispatch.UpstreamRef, a *answer, w *witness) endVerdict {
 	if c.r.Context().Err() != nil {
-		return true // the caller has left
+		return endComplete // the caller has left
 	}
 	ended := time.Now()
-	left := c.req.Deadline.Sub(ended)
-	if a.streamed && left <= deadlineMargin {
-		c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", false, "left_ms", left.Milliseconds())
-		return false
-	}
 	onTime := time.Duration(0)
 	if target := c.req.Route.Target; target > 0 {
 		onTime = max(0, c.start.Add(target).Sub(ended))
 	}
-	check := newEndCheck(a.streamed, left, onTime)
+	check := newEndCheck(a.streamed, c.req.Deadline.Sub(ended), onTime)
 	if a.streamed && a.events >= 0 {
 		check.id, check.events = c.meta.ID, a.events
 	}
@@ -44,11 +39,11 @@
 	defer context.AfterFunc(c.g.requestsCtx, func() { time.AfterFunc(endCheckStop, cancel) })()
 	query := platform.NewInstanceQuery(u.ID, c.checkPath())
 	var (
-		verdict endVerdict
 		err     error
 		queries int
 	)
 	now := func() time.Duration { return time.Since(ended) }
+	verdict := check.firstVerdict()
 	for next := check.proofTime(c.mayBeEnding(u)); verdict == endOpen; {
 		began := now()
 		sleep(ctx, next-began)
@@ -69,8 +64,8 @@
 		}
 	}
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
-		"streamed", a.streamed, "left_ms", left.Milliseconds(), "queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
-	return verdict == endComplete
+		"streamed", a.streamed, "left_ms", check.left.Milliseconds(), "queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
+	return verdict
 }
 
 // sleep waits for the duration or until the context ends.
