Confirm the end of an answer whose caller has finished writing

Cause: net/http cancels the context of a request at the end of the caller's input, and the check took that for a caller that has left, whose answer needs no check. Calls that must not be cancelled run on and are delivered. Evidence: the spec failed before (200 with the half, in place of 502 or a closed connection). Change: the check is left out only for requests that are cancelled, and these end as broken off in place of complete.

--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -21,8 +21,9 @@
 // itself, unless its time was up. That it is leaving shows nothing, since an upstream that is removed at short notice ends
 // whatever it is running. The witness is nil if the reply names the start of the process.
 func (c *callerRequest) confirmEnd(u *dispatch.UpstreamRef, a *answer, w *witness) endVerdict {
-	if c.r.Context().Err() != nil {
-		return endComplete // the caller has left
+	// A caller that has only finished writing looks as one that has left, and reads on.
+	if c.r.Context().Err() != nil && c.req.Route.Kind != catalog.NonIdempotent {
+		return endBrokenOff // the request is cancelled
 	}
 	ended := time.Now()
 	onTime := time.Duration(0)
