Play the end of an unframed answer in virtual time, cell by cell

Change: the loop of the check is pure (endCheck.run with an observer), so that the specs play the code that runs in production. What the witness and the list show is an input of the verdict (endSigns) in place of an afterthought, and the line of the check names both.

--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -110,11 +110,19 @@
 	return e.proof
 }
 
+// endSigns is what the router knows of the process that sent an answer, beside the replies to its queries.
+type endSigns struct {
+	// ending reports whether there is a sign that the upstream is ending.
+	ending bool
+	// replaced reports whether the list names a later start under its id, and witnessClosed whether the witness shows the end
+	// of the process.
+	replaced, witnessClosed bool
+}
+
 // judge returns the verdict after a query that was sent at the time after the end and that ended with the reply or err, and
-// the time after the end of the next query if the verdict is open. ending reports whether there is a sign that the upstream
-// is ending.
-func (e endCheck) judge(sent, now time.Duration, reply platform.InstanceReply, ending bool, err error) (endVerdict, time.Duration) {
-	proof := e.proofTime(ending || reply.Leaving || reply.HasRemoval)
+// the time after the end of the next query if the verdict is open.
+func (e endCheck) judge(sent, now time.Duration, reply platform.InstanceReply, signs endSigns, err error) (endVerdict, time.Duration) {
+	proof := e.proofTime(signs.ending || reply.Leaving || reply.HasRemoval)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, platform.ErrOtherInstance):
 		return endBrokenOff, 0
@@ -122,6 +130,8 @@
 		return endBrokenOff, 0
 	case err != nil:
 		return endOpen, now + endQueryInterval
+	case signs.replaced, signs.witnessClosed:
+		return endBrokenOff, 0 // another process has replied
 	case reply.HasRemoval && reply.Removal < minRemoval:
 		return endBrokenOff, 0
 	case e.id != "" && reply.Events[e.id] > e.events:
@@ -131,3 +141,38 @@
 	}
 	return endOpen, max(now, proof)
 }
+
+// endObserver is what a check learns from. Its times are since the router saw the end of the answer.
+type endObserver interface {
+	now() time.Duration
+	// sleep waits for the duration, or until the process stops.
+	sleep(time.Duration)
+	query(timeout time.Duration) (platform.InstanceReply, error)
+	signs() endSigns
+	// stops reports whether the process stops, so that the check cannot go on.
+	stops() bool
+}
+
+// run queries the upstream until there is a verdict, and returns it with the number of queries, the state of the check and
+// the error of the last query.
+func (e endCheck) run(o endObserver) (endVerdict, int, endCheck, error) {
+	verdict, queries := e.firstVerdict(), 0
+	var err error
+	for next := e.proofTime(o.signs().ending); verdict == endOpen; {
+		began := o.now()
+		o.sleep(next - began)
+		sent := o.now()
+		e = e.recordStep(sent, sent-began, next-began)
+		timeout := min(instanceQueryTimeout, e.limit-sent)
+		queries++
+		var reply platform.InstanceReply
+		reply, err = o.query(timeout)
+		replied := o.now()
+		e = e.recordStep(replied, replied-sent, timeout)
+		verdict, next = e.judge(sent, replied, reply, o.signs(), err)
+		if verdict == endOpen && o.stops() {
+			verdict = endBrokenOff
+		}
+	}
+	return verdict, queries, e, err
+}
--- a/pkg/gateway/endcheck_test.go
+++ b/pkg/gateway/endcheck_test.go
@@ -77,7 +77,7 @@
 			if c.streamed {
 				check.id, check.events = "r", 3
 			}
-			if got, next := check.judge(c.sent, c.now, c.reply, c.ending, c.err); got != c.want || next != c.next {
+			if got, next := check.judge(c.sent, c.now, c.reply, endSigns{ending: c.ending}, c.err); got != c.want || next != c.next {
 				t.Errorf("verdict %v, next query after %v; want %v, %v", got, next, c.want, c.next)
 			}
 		})
@@ -111,7 +111,7 @@
 	}
 	t.Run("asks again after a query that failed meanwhile", func(t *testing.T) {
 		check := newEndCheck(true, 20*time.Second, 0).recordStep(1550*ms, 1300*ms, 600*ms)
-		if got, next := check.judge(250*ms, 1550*ms, platform.InstanceReply{}, false, syscall.ETIMEDOUT); got != endOpen || next != 1650*ms {
+		if got, next := check.judge(250*ms, 1550*ms, platform.InstanceReply{}, endSigns{}, syscall.ETIMEDOUT); got != endOpen || next != 1650*ms {
 			t.Errorf("verdict %v, next query after %v", got, next)
 		}
 	})
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -38,37 +38,38 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.ctx))
 	defer cancel()
 	defer context.AfterFunc(c.g.requestsCtx, func() { time.AfterFunc(endCheckStop, cancel) })()
-	query := platform.NewInstanceQuery(u.ID, c.checkPath())
-	var (
-		err     error
-		queries int
-	)
-	now := func() time.Duration { return time.Since(ended) }
-	verdict := check.firstVerdict()
-	for next := check.proofTime(c.mayBeEnding(u)); verdict == endOpen; {
-		began := now()
-		sleep(ctx, next-began)
-		sent := now()
-		check = check.recordStep(sent, sent-began, next-began)
-		timeout := min(instanceQueryTimeout, check.limit-sent)
-		queries++
-		var reply platform.InstanceReply
-		reply, err = c.queryInstance(ctx, u, query, timeout)
-		replied := now()
-		check = check.recordStep(replied, replied-sent, timeout)
-		verdict, next = check.judge(sent, replied, reply, c.mayBeEnding(u), err)
-		if verdict == endComplete && (w.showsEnd() || c.isReplaced(u)) {
-			verdict, err = endBrokenOff, errWitnessClosed
-		}
-		if verdict == endOpen && ctx.Err() != nil {
-			verdict = endBrokenOff // the process stops
-		}
-	}
+	o := &answerEnd{c: c, upstream: u, witness: w, ctx: ctx, at: ended}
+	verdict, queries, check, err := check.run(o)
+	signs := o.signs()
 	c.g.log.Request("answer ended with its connection", "id", c.meta.ID, "upstream", u.ID, "complete", verdict == endComplete,
-		"streamed", a.streamed, "left_ms", check.left.Milliseconds(), "queries", queries, "stalls", check.stalls, "took_ms", now().Milliseconds(), "err", err)
+		"streamed", a.streamed, "left_ms", check.left.Milliseconds(), "queries", queries, "stalls", check.stalls, "took_ms", o.now().Milliseconds(),
+		"replaced", signs.replaced, "witness_closed", signs.witnessClosed, "err", err)
 	return verdict
 }
 
+// answerEnd observes the upstream after the end of its answer.
+type answerEnd struct {
+	c        *callerRequest
+	upstream *dispatch.UpstreamRef
+	witness  *witness
+	ctx      context.Context
+	at       time.Time
+}
+
+func (o *answerEnd) now() time.Duration { return time.Since(o.at) }
+
+func (o *answerEnd) sleep(d time.Duration) { sleep(o.ctx, d) }
+
+func (o *answerEnd) query(timeout time.Duration) (platform.InstanceReply, error) {
+	return o.c.queryInstance(o.ctx, o.upstream, platform.NewInstanceQuery(o.upstream.ID, o.c.checkPath()), timeout)
+}
+
+func (o *answerEnd) signs() endSigns {
+	return endSigns{ending: o.c.mayBeEnding(o.upstream), replaced: o.c.isReplaced(o.upstream), witnessClosed: o.witness.showsEnd()}
+}
+
+func (o *answerEnd) stops() bool { return o.ctx.Err() != nil }
+
 // sleep waits for the duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/pkg/gateway/witness.go
+++ b/pkg/gateway/witness.go
@@ -11,9 +11,6 @@
 	"github.com/hibiscuscross/hibiscuscross/pkg/h1"
 )
 
-// errWitnessClosed is the error of a check that finds the witness closed.
-var errWitnessClosed = errors.New("the process that sent the answer has ended")
-
 // witness is a connection to an upstream's process from before the end of its answer. The kernel closes it when the
 // process ends, so it tells that process from one that is back under the same id: a health check names no start.
 type witness struct {
