Do not shorten the proof of an answer's end for the target of its route

What callers saw: part of an unframed answer as a complete success (MIXED), if its plain upstream goes on replying for 120 to 200 ms after it has broken off its answers and the target of the route is about to pass. Found by the specs in virtual time. Cause: newEndCheck shortened the proof to as little as 120 ms, so that whole answers come within the target. Near the deadline that is the only time in which an answer is of use; a target only makes it late. Evidence: answerend_test with 150 and 200 ms and a short target failed before (200 with the part, 2 of 11 specs); the cell in virtual time too. Change: the proof depends on the deadline only. The cell's spec had the target as its input, which is gone; the two entries at the gateway guard it.

--- a/pkg/gateway/answerend_test.go
+++ b/pkg/gateway/answerend_test.go
@@ -76,6 +76,8 @@
 		Entry("200 ms later", time.Duration(0), 200*time.Millisecond),
 		Entry("20 ms later, and the route has a short target", 50*time.Millisecond, 20*time.Millisecond),
 		Entry("100 ms later, and the route has a short target", 50*time.Millisecond, 100*time.Millisecond),
+		Entry("150 ms later, and the route has a short target", 50*time.Millisecond, 150*time.Millisecond),
+		Entry("200 ms later, and the route has a short target", 50*time.Millisecond, 200*time.Millisecond),
 		Entry("200 ms later, and the route has a long target", time.Second, 200*time.Millisecond),
 	)
 })
--- a/pkg/gateway/endcells_test.go
+++ b/pkg/gateway/endcells_test.go
@@ -16,10 +16,9 @@
 
 // endWorld is what happens around the end of an unframed answer, in virtual time since that end.
 type endWorld struct {
-	// Kind of answer, whether the upstream's replies name its start, and the times left until the deadline and the target of
-	// the route at the end; onTime is 0 if there is none.
+	// Kind of answer, whether the upstream's replies name its start, and the time left until the deadline at the end.
 	streamed, namesStart bool
-	left, onTime         time.Duration
+	left                 time.Duration
 	// The process that sent the answer closes its listener and its connections, and ends; then another one listens under its
 	// id, which the list names. silent is when its VM stands still for good.
 	ends, succeeded, listed, silent time.Duration
@@ -92,8 +91,7 @@
 // verdict plays the check with the router's view of the end.
 func (w endWorld) verdict() endVerdict {
 	w.t = w.seen
-	onTime := max(0, w.onTime-w.seen)
-	check := newEndCheck(w.streamed, w.left-w.seen, onTime)
+	check := newEndCheck(w.streamed, w.left-w.seen)
 	if w.streamed && w.namesStart {
 		check.id, check.events = "r", 3
 	}
@@ -192,19 +190,13 @@
 	everyLeft := []time.Duration{muchLeft, enoughLeft, 250 * ms, 100 * ms, leastLeft, deadlineMargin, 0, -time.Second}
 
 	It("is complete if its upstream lives", func() {
-		for _, onTime := range []time.Duration{0, 100 * ms, time.Second} {
-			w := newEndWorld()
-			w.onTime = onTime
-			for _, w := range at(w, muchLeft, 5*time.Second) {
-				expectVerdict([]endWorld{w}, endComplete)
-			}
-			// A router that sees the end after the deadline cannot tell.
-			for _, w := range at(w, enoughLeft, 250*ms, 100*ms, leastLeft) {
-				for _, k := range kinds(w) {
-					Expect(k.verdict()).To(Equal(endComplete), fmt.Sprintf("%+v", k))
-				}
-				expectVerdict([]endWorld{w}, endComplete, endAtDeadline)
+		expectVerdict(at(newEndWorld(), muchLeft, 5*time.Second), endComplete)
+		// A router that sees the end after the deadline cannot tell.
+		for _, w := range at(newEndWorld(), enoughLeft, 250*ms, 100*ms, leastLeft) {
+			for _, k := range kinds(w) {
+				Expect(k.verdict()).To(Equal(endComplete), fmt.Sprintf("%+v", k))
 			}
+			expectVerdict([]endWorld{w}, endComplete, endAtDeadline)
 		}
 	})
 
@@ -227,19 +219,14 @@
 		w := newEndWorld()
 		w.ends = 0
 		expectVerdict(at(w, everyLeft...), early...)
-		w.onTime = 100 * ms
-		expectVerdict(at(w, everyLeft...), early...)
 	})
 
 	It("is not complete if the process has ended and another one is back under its id, listed or not", func() {
 		w := newEndWorld()
 		w.ends = 0
-		for _, onTime := range []time.Duration{0, 100 * ms} {
-			w.onTime = onTime
-			succeeded := with(at(w, everyLeft...), func(w *endWorld, at time.Duration) { w.succeeded = at })
-			expectVerdict(succeeded, early...)
-			expectVerdict(with(succeeded, func(w *endWorld, at time.Duration) { w.listed = max(w.succeeded, at) }), early...)
-		}
+		succeeded := with(at(w, everyLeft...), func(w *endWorld, at time.Duration) { w.succeeded = at })
+		expectVerdict(succeeded, early...)
+		expectVerdict(with(succeeded, func(w *endWorld, at time.Duration) { w.listed = max(w.succeeded, at) }), early...)
 	})
 
 	It("is not complete if the process ends in steps and there is time to see it", func() {
@@ -250,16 +237,10 @@
 
 	It("is not complete if the process ends in steps, says that it is leaving and there is time to see it", func() {
 		w := newEndWorld()
-		w.leaving, w.onTime = true, 100*ms
+		w.leaving = true
 		expectVerdict(with(at(w, everyLeft...), func(w *endWorld, at time.Duration) { w.ends = at }, 0, longestSteps), early...)
 	})
 
-	It("is not complete if the process ends in steps, shortly before the target of its route", func() {
-		w := newEndWorld()
-		w.onTime = 100 * ms
-		expectVerdict(with([]endWorld{w}, func(w *endWorld, at time.Duration) { w.ends = at }, 0, longestSteps), early...)
-	})
-
 	It("is not complete if the process ends in steps, shortly before the deadline", func() {
 		worlds := at(newEndWorld(), 250*ms, 100*ms, leastLeft)
 		expectVerdict(with(worlds, func(w *endWorld, at time.Duration) { w.ends = at }, 0, longestSteps), early...)
--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -9,14 +9,12 @@
 )
 
 const (
-	// endProofTime is how long after the end of a stream its upstream must still reply. A process that ends in steps
-	// replies while the streams that it has broken off are already closed, for up to some 200 ms. No query is sent before:
+	// endProofTime is how long after the end of an answer its upstream must still reply. A process that ends in steps
+	// replies while the answers that it has broken off are already closed, for up to some 200 ms. No query is sent before:
 	// it would prove nothing, and engines take few connections.
 	endProofTime = 250 * time.Millisecond
-	// minProofTime is that time for an answer that is not a stream, of an upstream without a sign that it is ending, if the
-	// route's target leaves no more. Most of the processes that end in steps have closed their listener by then.
-	minProofTime = 120 * time.Millisecond
-	// proofReserve is the time before the target or the deadline that is set aside for the query at the end of the proof time and for the way to the caller.
+	// proofReserve is the time before the deadline that is set aside for the query at the end of the proof time and for the
+	// way to the caller.
 	proofReserve = 50 * time.Millisecond
 	// stallTime is how much longer than expected a step of the check takes if the router has not run meanwhile, and maxStalls
 	// bounds how often the check goes on for it.
@@ -63,13 +61,9 @@
 	events int
 }
 
-// newEndCheck returns the check of an answer whose request has the time left, and the time onTime until its route's target;
-// 0 if it has none or that has passed.
-func newEndCheck(streamed bool, left, onTime time.Duration) endCheck {
+// newEndCheck returns the check of an answer whose request has the time left.
+func newEndCheck(streamed bool, left time.Duration) endCheck {
 	e := endCheck{proof: endProofTime, streamed: streamed, left: left}
-	if !streamed && onTime > 0 { // the caller waits for all of the answer
-		e.proof = min(max(onTime-proofReserve, minProofTime), endProofTime)
-	}
 	e.proof = min(e.proof, max(left-proofReserve, 0)) // an end after the deadline is of no use to the caller
 	e.limit = e.limitFrom(0)
 	return e
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -26,11 +26,7 @@
 		return endBrokenOff // the request is cancelled
 	}
 	ended := time.Now()
-	onTime := time.Duration(0)
-	if target := c.req.Route.Target; target > 0 {
-		onTime = max(0, c.start.Add(target).Sub(ended))
-	}
-	check := newEndCheck(a.streamed, c.req.Deadline.Sub(ended), onTime)
+	check := newEndCheck(a.streamed, c.req.Deadline.Sub(ended))
 	if a.streamed && a.events >= 0 {
 		check.id, check.events = c.meta.ID, a.events
 	}
