--- a/pkg/gateway/witness_test.go
+++ b/pkg/gateway/witness_test.go
@@ -17,11 +17,17 @@
 )
 
 var _ = Describe("a plain answer with neither a length nor chunks", func() {
-	const answer = "half of the answer"
+	const (
+		answer = "half of the answer"
+		// idleTimeout is the time after which the upstream closes a connection without a request.
+		idleTimeout = 1500 * time.Millisecond
+		// longAnswer is the time that an answer takes which is longer.
+		longAnswer = 2500 * time.Millisecond
+	)
 	// call returns the status of the answer to a request whose upstream sends the answer and closes its connection. If it
 	// restarts, its process ends with all connections that it has accepted, and another one replies under its id after the
-	// delay; the list names that one if it registers.
-	call := func(status string, restarts, registers bool, delay time.Duration) int {
+	// delay; the list names that one if it registers. takes is the time from the head to the body.
+	call := func(status string, restarts, registers bool, delay, takes time.Duration) int {
 		r := newRig()
 		r.configure()
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -76,13 +82,16 @@
 				mu.Unlock()
 				go func() {
 					defer func() { _ = c.Close() }()
+					_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 					req, err := http.ReadRequest(bufio.NewReader(c))
 					switch {
 					case err != nil:
 					case req.Method == http.MethodGet:
 						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 					default:
-						_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+standin.SignedFields(standin.RequestID(req.Header), "stamp")+"Connection: close\r\n\r\n"+answer)
+						_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+standin.SignedFields(standin.RequestID(req.Header), "stamp")+"Connection: close\r\n\r\n")
+						<-time.After(takes)
+						_, _ = io.WriteString(c, answer)
 						<-time.After(20 * time.Millisecond)
 						if restarts {
 							go restart(ln)
@@ -100,7 +109,7 @@
 	// Guards against the beginning of an answer that looks complete: a process that was back under its id before the check, which
 	// compares ids only, was taken for the one that had sent it.
 	DescribeTable("is not delivered if another process is back under the id of its upstream", func(status string, registers bool, delay time.Duration) {
-		Expect(call(status, true, registers, delay)).To(Equal(http.StatusBadGateway))
+		Expect(call(status, true, registers, delay, 0)).To(Equal(http.StatusBadGateway))
 	},
 		Entry("at once", "200 OK", false, time.Duration(0)),
 		Entry("at once, and registered", "200 OK", true, time.Duration(0)),
@@ -109,8 +118,22 @@
 		Entry("at once, for a failure", "500 Internal Server Error", false, time.Duration(0)),
 	)
 
+	// Guards against the beginning of a long answer that looks complete (review/14): a witness that the upstream may have closed
+	// as idle showed nothing, so a process that was back under its id was taken for the one that had sent the answer.
+	DescribeTable("is not delivered if it takes long and another process is back under the id of its upstream", func(delay, takes time.Duration) {
+		Expect(call("200 OK", true, false, delay, takes)).To(Equal(http.StatusBadGateway))
+	},
+		Entry("at once", time.Duration(0), longAnswer),
+		Entry("after 100 ms", 100*time.Millisecond, longAnswer),
+		Entry("at once, when the witness is about to be replaced", time.Duration(0), 1980*time.Millisecond),
+	)
+
 	It("is delivered if its upstream lives", func() {
-		Expect(call("200 OK", false, false, 0)).To(Equal(http.StatusOK))
-		Expect(call("500 Internal Server Error", false, false, 0)).To(Equal(http.StatusInternalServerError))
+		Expect(call("200 OK", false, false, 0, 0)).To(Equal(http.StatusOK))
+		Expect(call("500 Internal Server Error", false, false, 0, 0)).To(Equal(http.StatusInternalServerError))
+	})
+
+	It("is delivered if it takes long and its upstream lives, and closes idle connections", func() {
+		Expect(call("200 OK", false, false, 0, longAnswer)).To(Equal(http.StatusOK))
 	})
 })
