Send nothing to a plain upstream whose address has refused and may be reused

Cause: plain upstreams prove nothing on new connections, as their health check names no start, and an entry outlives its process. The router had connections refused at the address and went on trying it.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -58,6 +58,9 @@
 	removeAt     time.Time // when an entry that is pending removal is removed; zero while it is listed
 	// aliveAt is the last sign of life of the instance that proves its address; zero if there is none.
 	aliveAt time.Time
+	// refusedAt is when a connection to the address was last refused, and answeredAt when the latest request was sent that
+	// has been answered there; zero if never.
+	refusedAt, answeredAt time.Time
 	// superseded reports whether a later instance runs at the member's address while the member's own entry still
 	// exists.
 	superseded bool
--- a/pkg/fleet/proof.go
+++ b/pkg/fleet/proof.go
@@ -36,7 +36,7 @@
 	if s.proofs.hasStalled(boot) {
 		s.proofs.validFrom = now.Add(stallBacklog)
 		for _, m := range s.members {
-			m.aliveAt = time.Time{}
+			m.aliveAt, m.answeredAt = time.Time{}, time.Time{}
 		}
 	}
 	s.proofs.tickAt = boot
@@ -71,3 +71,36 @@
 	}
 	return now.Sub(m.aliveAt) > s.proofs.reuseAfter-maxReportDelay
 }
+
+// RecordRefused records that a connection to the address of the instance was refused, since no process listens there.
+func (s *State) RecordRefused(now time.Time, id string, startedUnixMS int64) {
+	if m := s.members[id]; m != nil && m.StartedUnixMS == startedUnixMS {
+		m.refusedAt = now
+	}
+}
+
+// RecordAnswer records that the instance has answered a request that was sent at the given time.
+func (s *State) RecordAnswer(sentAt time.Time, id string, startedUnixMS int64) {
+	m := s.members[id]
+	if m != nil && m.StartedUnixMS == startedUnixMS && !sentAt.Before(s.proofs.validFrom) && sentAt.After(m.answeredAt) {
+		m.answeredAt = sentAt
+	}
+}
+
+// MayBeReplaced reports whether the process that has accepted a new connection at the address of a plain service's instance may
+// be one of another service, under the same id: the address has refused connections since the instance last answered, and
+// that was so long ago that the address can have been given away. Such an instance cannot prove its start, but another one
+// registers, and the entry of one that has ended lapses, within registrationTimeout.
+func (s *State) MayBeReplaced(now time.Time, boot boottime.Instant, id string, startedUnixMS int64) bool {
+	if s.proofs.reuseAfter <= 0 || startedUnixMS == 0 {
+		return false
+	}
+	m := s.members[id]
+	switch {
+	case m == nil || m.StartedUnixMS != startedUnixMS:
+		return true
+	case m.refusedAt.IsZero(), m.answeredAt.After(m.refusedAt), now.Sub(m.refusedAt) > registrationTimeout:
+		return false
+	}
+	return m.answeredAt.IsZero() || s.proofs.hasStalled(boot) || now.Sub(m.answeredAt) > s.proofs.reuseAfter-maxReportDelay
+}
--- a/pkg/fleet/proof_test.go
+++ b/pkg/fleet/proof_test.go
@@ -73,3 +73,55 @@
 		Expect(needsProof(time.Hour)).To(BeFalse())
 	})
 })
+
+// Guards against requests of a plain service that run at another one, which has started at the address under the id of their
+// upstream (review/13).
+var _ = DescribeTable("the instance of a plain service may have been replaced", func(want bool, happens func(s *fleet.State, at func(time.Duration) time.Time)) {
+	start, boot := time.Unix(1000, 0), boottime.Instant(time.Hour)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	s := fleet.New()
+	s.SetReuseAfter(2 * time.Second)
+	s.Put(start, upstreamWith("u1", "m"))
+	happens(s, at)
+	Expect(s.MayBeReplaced(at(10*time.Second), boot.Add(10*time.Second), "u1", 100)).To(Equal(want))
+},
+	Entry("if nothing has been sent to it: no", false, func(*fleet.State, func(time.Duration) time.Time) {}),
+	Entry("if it has not answered for long, and nothing was refused: no", false, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordAnswer(at(0), "u1", 100)
+	}),
+	Entry("if it has refused since it answered, long ago", true, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordAnswer(at(7900*time.Millisecond), "u1", 100)
+		s.RecordRefused(at(8500*time.Millisecond), "u1", 100)
+	}),
+	Entry("if it has refused and never answered", true, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordRefused(at(9990*time.Millisecond), "u1", 100)
+	}),
+	Entry("if it has answered within the time after which its address is reused: no", false, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordAnswer(at(8100*time.Millisecond), "u1", 100)
+		s.RecordRefused(at(8500*time.Millisecond), "u1", 100)
+	}),
+	Entry("if it has answered since it refused: no", false, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordRefused(at(7*time.Second), "u1", 100)
+		s.RecordAnswer(at(7100*time.Millisecond), "u1", 100)
+	}),
+	Entry("if it answered a request that was sent before it refused", true, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordRefused(at(7*time.Second), "u1", 100)
+		s.RecordAnswer(at(6900*time.Millisecond), "u1", 100)
+	}),
+	Entry("if the list still names it when another one would have registered: no", false, func(s *fleet.State, at func(time.Duration) time.Time) {
+		s.RecordRefused(at(5900*time.Millisecond), "u1", 100)
+	}),
+	Entry("if the list names a later start", true, func(s *fleet.State, at func(time.Duration) time.Time) {
+		later := upstreamWith("u1", "m")
+		later.StartedUnixMS = 200
+		s.Put(at(time.Second), later)
+	}),
+	Entry("if the list does not name it", true, func(s *fleet.State, at func(time.Duration) time.Time) { s.Remove(at(time.Second), "u1") }),
+	Entry("if the router stood still after the answer", true, func(s *fleet.State, at func(time.Duration) time.Time) {
+		boot := boottime.Instant(time.Hour)
+		s.RecordTick(at(0), boot)
+		s.RecordAnswer(at(9*time.Second), "u1", 100)
+		s.RecordRefused(at(9500*time.Millisecond), "u1", 100)
+		s.RecordTick(at(9600*time.Millisecond), boot.Add(9600*time.Millisecond))
+	}),
+)
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -112,7 +112,8 @@
 		return dispatch.Expired, nil
 	}
 	c.recordLimitSent()
-	c.g.core.Do(func(s *dispatch.State) { s.RecordSent(time.Now(), c.req) })
+	sentAt := time.Now()
+	c.g.core.Do(func(s *dispatch.State) { s.RecordSent(sentAt, c.req) })
 	conn.Send(c.upstreamRequest(d.Upstream.ID))
 	resp, err := conn.ReadHead(c.r.Method)
 	if err != nil {
@@ -121,7 +122,7 @@
 	recordFirst()
 	witness := c.openWitness(resp, d.Upstream)
 	defer witness.release()
-	c.applyUpstreamState(resp, d.Upstream)
+	c.applyUpstreamState(resp, d.Upstream, sentAt)
 	outcome, a, err := c.receive(resp, d.Upstream, conn.Reused)
 	if err == nil && a != nil && h1.IsUnframed(resp) { // a success or a failure of the upstream's own
 		_ = conn.Close() // the upstream has closed it
@@ -149,13 +150,16 @@
 	return outcome, a
 }
 
-// applyUpstreamState applies what an answer says about the upstream itself. An answer of another instance at the address
-// says nothing about it.
-func (c *callerRequest) applyUpstreamState(resp *http.Response, u *dispatch.UpstreamRef) {
+// applyUpstreamState applies what an answer to a request that was sent at the given time says about the upstream itself. An
+// answer of another instance at the address says nothing about it.
+func (c *callerRequest) applyUpstreamState(resp *http.Response, u *dispatch.UpstreamRef, sentAt time.Time) {
 	head, upstream := platform.DecodeAnswer(resp.StatusCode, resp.Header), u.ID
 	if head.Instance != "" && head.Instance != upstream {
 		return
 	}
+	if !head.WrongInstance {
+		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordAnswer(sentAt, upstream, u.StartedUnixMS) })
+	}
 	c.g.limits.observe(instanceOf(u), head.Limit, head.LimitPerS, c.meta.ID, c.limit.sentAt)
 	if head.RetryAfter > 0 {
 		c.g.core.Do(func(s *dispatch.State) { s.Fleet.RecordBackoff(upstream, time.Now().Add(head.RetryAfter)) })
