Remove what is recorded of upstreams that have ended

Cause: upstreamStats keeps a record for each id, with up to 4,687 prompt parts (0.7 MB), and none was removed. Change: the end of a member empties its cache and removes the records of all upstreams that are gone and idle.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -33,6 +33,7 @@
 // recordMemberEnd records the end of an upstream as soon as the fleet shows it: a router may get no further request within
 // the time in which it counts.
 func (s *State) recordMemberEnd(now time.Time, id string, replaced bool) {
+	s.dropRecords(id)
 	if replaced {
 		s.Crashes.RecordProcessEnd(now, id)
 		return
--- a/pkg/dispatch/export_test.go
+++ b/pkg/dispatch/export_test.go
@@ -35,3 +35,16 @@
 
 // LifetimeFactor returns the factor by which observations have corrected the lifetime of cached parts at the upstream.
 func (s *State) LifetimeFactor(id string) float64 { return s.upstreamStats(id).lifetimeFactor() }
+
+// Records returns the number of upstreams of which something is recorded, and of the prompt parts recorded for all of them.
+func (s *State) Records() (upstreams, parts int) {
+	for id := range s.used {
+		if s.stats[id] == nil {
+			upstreams++
+		}
+	}
+	for _, stats := range s.stats {
+		parts += stats.cache.Parts()
+	}
+	return upstreams + len(s.stats), parts
+}
--- a/pkg/dispatch/state.go
+++ b/pkg/dispatch/state.go
@@ -136,18 +136,6 @@
 	return s.config.Services[service].Engine
 }
 
-func (s *State) upstreamStats(id string) *upstreamStats {
-	stats := s.stats[id]
-	if stats == nil {
-		stats = &upstreamStats{cache: prompt.NewCache(upstreamCacheTokens), running: map[placement.Adapter]int{}}
-		s.stats[id] = stats
-	}
-	return stats
-}
-
-// upstreamCacheTokens is the assumed capacity, in tokens, of an upstream's prompt cache for this router's requests.
-const upstreamCacheTokens = 150_000
-
 func (s *State) quota(service string) *retrylimit.Quota {
 	q := s.quotas[service]
 	if q == nil {
--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -42,6 +42,7 @@
 // exceed the capacity. It is not safe for concurrent use.
 type Cache struct {
 	capacity, used int
+	maxParts       int        // 0 for no bound
 	reused         int        // tokens of the parts that were sent more than once
 	order          *list.List // of entry, most recent first
 	byHash         map[uint64]*list.Element
@@ -108,7 +109,24 @@
 		c.byHash[chain[i]] = c.order.PushFront(&entry{hash: chain[i], tokens: size(i), sent: now, uses: 1})
 		c.used += size(i)
 	}
-	for c.used > c.capacity && c.order.Len() > 0 {
+	c.evict()
+}
+
+// SetMaxParts bounds the number of parts; 0 sets no bound.
+func (c *Cache) SetMaxParts(n int) {
+	c.maxParts = n
+	c.evict()
+}
+
+// Parts returns the number of recorded parts.
+func (c *Cache) Parts() int { return c.order.Len() }
+
+// MaxParts returns the bound that SetMaxParts has set.
+func (c *Cache) MaxParts() int { return c.maxParts }
+
+// evict removes the least recently sent parts beyond the bounds.
+func (c *Cache) evict() {
+	for c.order.Len() > 0 && (c.used > c.capacity || c.maxParts > 0 && c.order.Len() > c.maxParts) {
 		last := c.order.Back()
 		e := last.Value.(*entry)
 		if e.uses > 1 {
