--- a/pkg/gateway/endcheck.go
+++ b/pkg/gateway/endcheck.go
@@ -30,8 +30,8 @@
 	minRemoval = 500 * time.Millisecond
 	// deadlineMargin is the time before the deadline of a request in which the end of its answer is taken for the work of
 	// the upstream's own timer. The upstream is given the time that is left in whole milliseconds, rounded down, and counts
-	// it from the arrival of the request, so its timer is early by less than 1 ms and what its clock is coarse and fast. A
-	// router that gets no processor time sees the end later, never earlier.
+	// it from the arrival of the request, so its timer is early by less than 1 ms, a tick of its clock (up to 16 ms) and the
+	// drift of that. A router that gets no processor time sees the end later, never earlier.
 	deadlineMargin = 20 * time.Millisecond
 	// maxPastDeadline is how long the check may go on after the deadline of the request.
 	maxPastDeadline = 200 * time.Millisecond
